--- /dev/null
+++ b/packages/forms/src/chance.ts
@@ -0,0 +1,2 @@
+/** A source of chance; seeded in the simulator. */
+export type Chance = { real(): number };
--- /dev/null
+++ b/packages/forms/src/check.ts
@@ -0,0 +1,31 @@
+import { type Static, type TSchema } from 'typebox';
+import { Compile } from 'typebox/compile';
+import { Err } from './err.js';
+import type { Fault } from './fault.js';
+import { Ok } from './ok.js';
+import type { Result } from './result.js';
+
+type Made = { Check(v: unknown): boolean; Errors(v: unknown): Iterable<{ instancePath: string; message: string; keyword: string }> };
+const made = new WeakMap<object, Made>();
+
+/** Checks a value against a schema, once compiled for each schema. */
+export const Check = {
+  is(form: TSchema, v: unknown): boolean {
+    return Check.tool(form).Check(v);
+  },
+  parse<S extends TSchema>(form: S, v: unknown): Result<Static<S>, Fault[]> {
+    const tool = Check.tool(form);
+    if (tool.Check(v)) return Ok(v as Static<S>);
+    const list = [...tool.Errors(v)]
+      .filter((e) => e.keyword !== 'additionalProperties')
+      .map((e) => ({ path: e.instancePath, why: e.keyword === 'boolean' ? 'is not known' : e.message }));
+    return Err(list.length > 0 ? list.slice(0, 50) : [{ path: '', why: 'does not fit' }]);
+  },
+  tool(form: TSchema): Made {
+    const old = made.get(form);
+    if (old) return old;
+    const tool = Compile(form) as unknown as Made;
+    made.set(form, tool);
+    return tool;
+  },
+};
--- /dev/null
+++ b/packages/forms/src/mail.ts
@@ -0,0 +1,12 @@
+import { Type, type Static } from 'typebox';
+import { Ident } from './ident.js';
+
+/** What one daemon says to another. `to` names the identity meant, or '' when only an address is known. */
+export const Mail = Type.Object({
+  v: Type.Literal(1),
+  to: Type.String({ maxLength: 60 }),
+  from: Ident,
+  kind: Type.String({ maxLength: 40 }),
+  body: Type.Unknown(),
+}, { additionalProperties: false });
+export type Mail = Static<typeof Mail>;
--- /dev/null
+++ b/packages/forms/src/post.ts
@@ -0,0 +1,46 @@
+import type { Static, TSchema } from 'typebox';
+import { Check } from './check.js';
+import { Err } from './err.js';
+import type { Ident } from './ident.js';
+import type { Mail } from './mail.js';
+import { Ok } from './ok.js';
+import type { PostBox } from './postbox.js';
+import type { Result } from './result.js';
+import type { WireFault } from './wirefault.js';
+import type { World } from './world.js';
+
+type Desk = { form: TSchema; fn: (body: never, from: Ident) => Promise<unknown> | unknown };
+
+/** The mail room of one daemon: checks what comes in and what comes back. */
+export const Post = {
+  make(world: World, self: () => Ident): PostBox {
+    const desks = new Map<string, Desk>();
+    const log = world.log('post');
+    let shut = false;
+    world.wire.hear(async (mail) => {
+      const me = self();
+      if (shut) return null;
+      if (mail.to !== '' && mail.to !== me.id) { log.warn(`Turned away ${mail.kind} meant for ${mail.to}.`); return null; }
+      const desk = desks.get(mail.kind);
+      if (!desk) { log.warn(`Turned away unknown ${mail.kind}.`); return null; }
+      const body = Check.parse(desk.form, mail.body);
+      if (body.err) { log.warn(`Turned away bad ${mail.kind} from ${mail.from.id}.`); return null; }
+      return (await desk.fn(body.val as never, mail.from)) ?? null;
+    });
+    return {
+      on<S extends TSchema>(kind: string, form: S, fn: (body: Static<S>, from: Ident) => Promise<unknown> | unknown): void {
+        desks.set(kind, { form, fn: fn as Desk['fn'] });
+      },
+      async ask<S extends TSchema>(addr: string, to: string, kind: string, body: unknown, form: S, ms: number): Promise<Result<Static<S>, WireFault>> {
+        const mail: Mail = { v: 1, to, from: self(), kind, body };
+        const back = await world.wire.ask(addr, mail, ms);
+        if (back.err) return back;
+        if (back.val === null) return Err('wrong');
+        const seen = Check.parse(form, back.val);
+        if (seen.err) { log.warn(`Bad reply to ${kind} from ${addr}.`); return Err('wrong'); }
+        return Ok(seen.val);
+      },
+      close(): void { shut = true; },
+    };
+  },
+};
--- /dev/null
+++ b/packages/forms/src/schema.ts
@@ -0,0 +1,4 @@
+import type { TSchema } from 'typebox';
+
+/** Any TypeBox schema. */
+export type Schema = TSchema;
--- /dev/null
+++ b/packages/forms/src/timer.ts
@@ -0,0 +1,25 @@
+import type { Clock } from './clock.js';
+
+/** Small tools over a clock. */
+export const Timer = {
+  nap: (clock: Clock, ms: number): Promise<void> => new Promise((done) => { clock.after(ms, done); }),
+  /** Settles with the value, or with `late` after ms. */
+  within<T>(clock: Clock, ms: number, job: Promise<T>, late: () => T): Promise<T> {
+    return new Promise((done, fail) => {
+      const stop = clock.after(ms, () => done(late()));
+      job.then((v) => { stop(); done(v); }, (e: unknown) => { stop(); fail(e as Error); });
+    });
+  },
+  /** Runs fn again and again, one at a time, until stopped. */
+  every(clock: Clock, ms: number, fn: () => Promise<void> | void): () => void {
+    let off = false;
+    const loop = async (): Promise<void> => {
+      while (!off) {
+        await fn();
+        if (!off) await Timer.nap(clock, ms);
+      }
+    };
+    void loop();
+    return () => { off = true; };
+  },
+};
--- /dev/null
+++ b/packages/purge/src/holding.ts
@@ -0,0 +1,4 @@
+import type { Shelf } from './shelf.js';
+
+/** A shelf, as its users see it. */
+export type Holding = ReturnType<typeof Shelf.make>;
--- /dev/null
+++ b/packages/purge/src/index.ts
@@ -0,0 +1,14 @@
+export { Ageing } from './ageing.js';
+export { Diary } from './diary.js';
+export { type Holding } from './holding.js';
+export { IdCache } from './idcache.js';
+export { NoteCache } from './notecache.js';
+export { Pointer } from './pointer.js';
+export { Purge } from './purge.js';
+export { type Purging } from './purging.js';
+export { Ranges } from './ranges.js';
+export { Shelf } from './shelf.js';
+export { Slips } from './slips.js';
+export { type Step } from './step.js';
+export { Tuned } from './tuned.js';
+export { Tunes } from './tunes.js';
--- /dev/null
+++ b/packages/purge/src/purge.ts
@@ -0,0 +1,140 @@
+import { Dice, Order, Timer, type Doc, type Ident, type Note, type PostBox, type World } from '@pumicebarrow/forms';
+import { Diary } from './diary.js';
+import type { Holding } from './holding.js';
+import { IdCache } from './idcache.js';
+import { NoteCache } from './notecache.js';
+import type { Pointer } from './pointer.js';
+import { Ranges } from './ranges.js';
+import { Slips } from './slips.js';
+import type { Step } from './step.js';
+import type { Tunes } from './tunes.js';
+
+type Place = { who: Ident | null; addr: string };
+
+/**
+ * Decrepol in one daemon: one gossip a round, in the source's seven steps.
+ * Invariant: a notice is passed on only by a daemon whose shelf holds that version or a newer one,
+ * so a pull from the sender finds it for as long as the sender lives.
+ */
+export const Purge = {
+  make(world: World, post: PostBox, self: () => Ident, shelf: Holding, tunes: Tunes, seeds: () => readonly string[]) {
+    const { clock, chance } = world;
+    const log = world.log('purge');
+    const ids = IdCache.make(clock, chance, tunes.ids, self);
+    const notes = NoteCache.make(clock, chance, tunes.notes, tunes.round);
+    const diary = Diary.make(512);
+    const count = { rounds: 0, mails: 0, pulls: 0, fallbacks: 0, repairs: 0, repaired: 0, misses: 0 };
+    let unlike = 0;
+    let stop: () => void = () => undefined;
+
+    const enter = (doc: Doc, step: Omit<Step, 'name' | 'mark' | 'round' | 'wall'>): boolean => {
+      if (!shelf.offer(doc)) return false;
+      diary.add({ ...step, name: doc.name, mark: doc.mark, round: count.rounds, wall: clock.wall() });
+      world.tell({ what: 'held', name: doc.name, mark: doc.mark, via: step.via, from: step.from, hops: step.hops });
+      return true;
+    };
+    const pull = async (from: Place, name: string): Promise<Doc | null> => {
+      count.pulls++;
+      const got = await post.ask(from.addr, from.who?.id ?? '', 'purge.pull', { name }, Slips.pulled, Math.max(400, tunes.round * 2));
+      return got.ok ? got.val.doc : null;
+    };
+    /** Step 5: fetch from the sender; when it is gone, from others of the view. */
+    const fetch = async (note: Note, sender: Ident): Promise<boolean> => {
+      if (!Order.newer(note.date, shelf.mark(note.name))) return true;
+      const step = { from: sender.id, origin: note.from, hops: note.hops, age: note.age };
+      const doc = await pull({ who: sender, addr: sender.addr }, note.name);
+      if (doc && !Order.newer(note.date, doc.mark)) { enter(doc, { ...step, via: 'sender' }); return true; }
+      const spare = Dice.some(chance, ids.all().filter((p) => p.id !== sender.id), 3);
+      for (const p of spare) {
+        count.fallbacks++;
+        const other = await pull({ who: p, addr: p.addr }, note.name);
+        if (other && !Order.newer(note.date, other.mark)) { enter(other, { ...step, from: p.id, via: 'fallback' }); return true; }
+      }
+      count.misses++;
+      return !Order.newer(note.date, shelf.mark(note.name));
+    };
+    /** Steps 5 to 7, alike for both sides. */
+    const handle = async (got: readonly Note[], sender: Ident, theirs: readonly Pointer[], sent: readonly Pointer[]): Promise<void> => {
+      ids.take(theirs, sent);
+      const good = await Promise.all(got.map((n) => fetch(n, sender)));
+      notes.add(got.filter((_, i) => good[i]));
+      notes.keep();
+    };
+    const repair = async (who: Ident): Promise<void> => {
+      count.repairs++;
+      const back = await post.ask(who.addr, who.id, 'purge.sums', { sums: Ranges.sums(shelf.table()) }, Slips.marks, tunes.round * 4);
+      if (!back.ok) return;
+      const { want, give } = Ranges.sort(shelf.table(), back.val.marks, back.val.sums);
+      for (const name of want) {
+        const doc = await pull({ who, addr: who.addr }, name);
+        if (doc && enter(doc, { via: 'repair', from: who.id, origin: who.id, hops: 0, age: 0 })) {
+          count.repaired++;
+          notes.add([{ name, date: doc.mark, age: 0, from: who.id, hops: 0 }]);
+        }
+      }
+      const mine = give.map((name) => shelf.get(name)!).map((d) => ({ name: d.name, date: d.mark, age: 0, from: self().id, hops: 0 }));
+      notes.add(Dice.some(chance, mine, tunes.notes));
+      notes.keep();
+    };
+    const compare = async (who: Ident, sum: string): Promise<void> => {
+      unlike = sum === shelf.sum() ? 0 : unlike + 1;
+      if (unlike >= 3) { unlike = 0; await repair(who); }
+    };
+    const partner = (): Place | null => {
+      const who = ids.oldest();
+      if (who) return { who, addr: who.addr };
+      const addr = Dice.one(chance, seeds().filter((a) => a !== self().addr));
+      return addr ? { who: null, addr } : null;
+    };
+    const round = async (): Promise<void> => {
+      count.rounds++;
+      const to = partner();
+      if (!to) return;
+      const sent = ids.lead(tunes.idLength);
+      const slips = notes.send(tunes.noteLength);
+      count.mails++;
+      const back = await post.ask(to.addr, to.who?.id ?? '', 'purge.news', { ids: sent, notes: slips, sum: shelf.sum() }, Slips.reply, tunes.round * 4);
+      if (!back.ok) return;
+      const who = back.val.who;
+      await handle(back.val.notes, who, back.val.ids, sent);
+      ids.touch(who);
+      await compare(who, back.val.sum);
+    };
+
+    post.on('purge.news', Slips.news, (body, from) => {
+      const sent = ids.back(tunes.idLength);
+      const slips = notes.send(tunes.noteLength);
+      void handle(body.notes, from, body.ids, sent);
+      return { who: self(), ids: sent, notes: slips, sum: shelf.sum() };
+    });
+    post.on('purge.pull', Slips.pull, (body) => ({ doc: shelf.get(body.name) }));
+    post.on('purge.sums', Slips.sums, (body) => ({ marks: Ranges.unlike(shelf.table(), body.sums), sums: Ranges.sums(shelf.table()) }));
+
+    return {
+      start(): void {
+        log.say('Gossip begins.');
+        stop = Timer.every(clock, tunes.round, round);
+      },
+      stop(): void { stop(); },
+      /** A version made here: held first, then told. */
+      publish(doc: Doc): boolean {
+        if (!enter(doc, { via: 'origin', from: self().id, origin: self().id, hops: 0, age: 0 })) return false;
+        notes.add([{ name: doc.name, date: doc.mark, age: 0, from: self().id, hops: 0 }]);
+        return true;
+      },
+      /** A version learnt outside a gossip, after a start, a freeze or a long silence. */
+      learn(doc: Doc, from: string): boolean {
+        if (!enter(doc, { via: 'catchup', from, origin: from, hops: 0, age: 0 })) return false;
+        notes.add([{ name: doc.name, date: doc.mark, age: 0, from, hops: 0 }]);
+        return true;
+      },
+      meet: (list: readonly Ident[]): void => ids.take(list.map((who) => ({ who, age: 0 })), []),
+      forget: (id: string): void => ids.forget(id),
+      round,
+      peers: (): readonly Ident[] => ids.all(),
+      notes: (): readonly Note[] => notes.all(),
+      diary: (name?: string): readonly Step[] => (name === undefined ? diary.all() : diary.of(name)),
+      count: () => ({ ...count, evicted: notes.evicted() }),
+    };
+  },
+};
--- /dev/null
+++ b/packages/registry/src/claims.ts
@@ -0,0 +1,40 @@
+import { Verdicts, type Clock } from '@pumicebarrow/forms';
+import type { Links } from './links.js';
+import { Paces } from './paces.js';
+import type { Ruling } from './ruling.js';
+
+/**
+ * Claims, as the head gives them. The holder and its fence are in the chain; how long it may go on is only here.
+ * Invariant: no name goes to a new holder while the old one may still think it holds it; a new head, which can't
+ * know, waits one whole term first.
+ */
+export const Claims = {
+  make(clock: Clock, chain: Links, live: () => boolean) {
+    const until = new Map<string, number>();
+    const asked = new Set<string>();
+    let calm = 0;
+    return {
+      moved(): void { until.clear(); calm = clock.mono() + Paces.claim; },
+      yield(name: string, id: string, born: string): void {
+        const held = chain.passed()?.claims[name];
+        if (held && held.id === id && held.born === born) until.set(name, 0);
+      },
+      async take(name: string, id: string, born: string): Promise<Ruling> {
+        const held = chain.passed()?.claims[name], now = clock.mono();
+        if (!live() || !chain.ready()) return { verdict: Verdicts.not('unready', 'The core is not ready.', 1) };
+        if (held && held.id === id && held.born === born) {
+          if (asked.has(name)) return { verdict: Verdicts.not('busy', 'The claim is changing hands.', 1) };
+          until.set(name, now + Paces.claim);
+          return { verdict: Verdicts.ran('claimed', `${id} holds ${name}.`), fence: held.fence };
+        }
+        const wait = held ? (until.get(name) ?? calm) - now : 0;
+        if (wait > 0 || asked.has(name)) return { verdict: Verdicts.not('held', `${name} is held.`, Math.max(wait, 100) / 1000) };
+        asked.add(name);
+        const ruling = await chain.write({ do: 'claim', name, id, born });
+        asked.delete(name);
+        until.set(name, clock.mono() + Paces.claim);
+        return ruling;
+      },
+    };
+  },
+};
--- /dev/null
+++ b/packages/registry/src/coredesk.ts
@@ -0,0 +1,55 @@
+import { Clauses, Verdicts, type PostBox, type World } from '@pumicebarrow/forms';
+import { Claims } from './claims.js';
+import { CoreWords } from './corewords.js';
+import type { Links } from './links.js';
+import { Paces } from './paces.js';
+import { Roll } from './roll.js';
+import type { View } from './view.js';
+
+type Hooks = { view: () => View | null; live: () => boolean; chain: Links; isTail: () => boolean; isHead: () => boolean };
+
+/** Where other daemons come to the core: commands and check-ins at the head, reading at the tail, the view anywhere. */
+export const CoreDesk = {
+  make(world: World, post: PostBox, h: Hooks) {
+    const roll = Roll.make(world.clock);
+    const claims = Claims.make(world.clock, h.chain, h.live);
+    let head = false;
+
+    post.on('core.write', CoreWords.write, async (body) => {
+      const c = body.command;
+      if (c.do === 'plan') {
+        const faults = Clauses.faults(c.charter);
+        if (faults.length > 0) return { ruling: { verdict: Verdicts.bad(faults) }, term: 0, view: h.view() };
+      }
+      if (!head || !h.live()) return { ruling: null, term: 0, view: h.view() };
+      const ruling = c.do === 'claim' ? await claims.take(c.name, c.id, c.born) : await h.chain.write(c);
+      return { ruling, term: c.do === 'claim' && ruling.fence !== undefined ? Paces.claim : 0, view: h.view() };
+    });
+    post.on('core.read', CoreWords.read, (body) => {
+      const s = h.chain.passed();
+      if (!s || !h.isTail() || !h.live() || !h.chain.fresh()) return { ok: false, view: h.view(), charter: null, plan: null };
+      const plan = body.plan === undefined ? null : s.plans.find((p) => p.id === body.plan) ?? null;
+      return { ok: true, view: h.view(), charter: s.charter, plan };
+    });
+    post.on('core.checkin', CoreWords.checkin, (body, from) => {
+      const ok = head && h.live();
+      if (ok) roll.note(from, body.version, body.sum, body.load);
+      return { ok, view: h.view(), version: h.chain.passed()?.charter?.version ?? 0, roster: ok ? roll.roster() : null, load: roll.load() };
+    });
+    post.on('core.leave', CoreWords.leave, (body, from) => {
+      for (const n of body.names) claims.yield(n, from.id, from.born);
+      roll.leave(from.id);
+      return { ok: true };
+    });
+    post.on('core.roll', CoreWords.look, () => ({ view: h.view(), roster: head && h.live() ? roll.all() : [] }));
+
+    return {
+      moved(): void {
+        const mine = h.isHead();
+        if (!head || !mine) roll.reset();
+        head = mine;
+        claims.moved();
+      },
+    };
+  },
+};
--- /dev/null
+++ b/packages/registry/src/line.ts
@@ -0,0 +1,85 @@
+import { Dice, Timer, Verdicts, type PostBox, type World } from '@pumicebarrow/forms';
+import type { Static } from 'typebox';
+import type { Command } from './command.js';
+import { CoreWords } from './corewords.js';
+import { Paces } from './paces.js';
+import type { Ruling } from './ruling.js';
+import type { View } from './view.js';
+import { Views } from './views.js';
+
+type Readout = Static<typeof CoreWords.readout>;
+type Checked = Static<typeof CoreWords.checked>;
+
+/**
+ * A daemon's line to the core. Invariant: the view known here only rises in epoch;
+ * 'no' is said of a command only if no try of it can have been written.
+ */
+export const Line = {
+  make(world: World, post: PostBox, seeds: () => readonly string[]) {
+    let view: View | null = null;
+    const learn = (v: View | null): void => { if (v && v.epoch > (view?.epoch ?? 0)) view = v; };
+    const look = async (): Promise<void> => {
+      const known = view ? Views.all(view).map((m) => m.addr) : [];
+      const all = [...new Set([...known, ...seeds()])];
+      await Promise.all(Dice.some(world.chance, all, 4).map(async (a) => {
+        const r = await post.ask(a, '', 'core.look', {}, CoreWords.seen, Paces.ask);
+        if (r.ok) learn(r.val.view);
+      }));
+    };
+    /** Asks at the head or the tail until it replies as such, or until time is up. */
+    const reach = async <T>(where: 'head' | 'tail', ms: number, one: (addr: string, id: string) => Promise<{ got: T | null; view: View | null }>): Promise<T | null> => {
+      const end = world.clock.mono() + ms;
+      for (;;) {
+        if (!view) await look();
+        if (view) {
+          const m = where === 'head' ? Views.head(view) : Views.tail(view);
+          const epoch = view.epoch;
+          const r = await one(m.addr, m.id);
+          learn(r.view);
+          if (r.got !== null) return r.got;
+          if (view.epoch === epoch) await look();
+        }
+        if (world.clock.mono() >= end) return null;
+        await Timer.nap(world.clock, 100 + Dice.int(world.chance, 60));
+      }
+    };
+    return {
+      view: (): View | null => view,
+      learn,
+      look,
+      async write(command: Command, ms = 4000): Promise<{ ruling: Ruling; term: number; sent: number }> {
+        let unsure = false;
+        let sent = world.clock.mono();
+        const got = await reach('head', ms, async (addr, id) => {
+          sent = world.clock.mono();
+          const r = await post.ask(addr, id, 'core.write', { command }, CoreWords.written, 5000);
+          if (r.err) { if (r.val === 'lost') unsure = true; return { got: null, view: null }; }
+          const ruling = r.val.ruling;
+          const again = ruling === null || ruling.verdict.code === 'unready' || (ruling.verdict.ran === 'maybe' && command.do !== 'claim');
+          if (ruling?.verdict.ran === 'maybe') unsure = true;
+          return { got: again ? null : { ruling, term: r.val.term }, view: r.val.view };
+        });
+        if (got) return { ...got, ruling: got.ruling!, sent };
+        const verdict = unsure
+          ? Verdicts.maybe('unsure', 'The core did not say; ask for the plan to learn its fate.')
+          : Verdicts.not('unready', 'The core can take no writes now.', 1);
+        return { ruling: { verdict }, term: 0, sent };
+      },
+      read: (plan: string | undefined, ms: number): Promise<Readout | null> => reach('tail', ms, async (addr, id) => {
+        const r = await post.ask(addr, id, 'core.read', plan === undefined ? {} : { plan }, CoreWords.readout, Paces.ask);
+        return r.ok ? { got: r.val.ok ? r.val : null, view: r.val.view } : { got: null, view: null };
+      }),
+      checkin: (body: Static<typeof CoreWords.checkin>): Promise<Checked | null> => reach('head', 0, async (addr, id) => {
+        const r = await post.ask(addr, id, 'core.checkin', body, CoreWords.checked, Paces.ask);
+        return r.ok ? { got: r.val.ok ? r.val : null, view: r.val.view } : { got: null, view: null };
+      }),
+      roll: (): Promise<Static<typeof CoreWords.roll> | null> => reach('head', 1500, async (addr, id) => {
+        const r = await post.ask(addr, id, 'core.roll', {}, CoreWords.roll, Paces.ask);
+        return r.ok ? { got: r.val.roster.length > 0 ? r.val : null, view: r.val.view } : { got: null, view: null };
+      }),
+      async leave(names: readonly string[]): Promise<void> {
+        if (view) await post.ask(Views.head(view).addr, Views.head(view).id, 'core.leave', { names }, CoreWords.done, Paces.ask);
+      },
+    };
+  },
+};
--- /dev/null
+++ b/packages/registry/src/paces.ts
@@ -0,0 +1,12 @@
+/** The core's terms, in ms. Invariant: `suspect` is longer than `hold`, so a live claim is not outlived by suspicion alone. */
+export const Paces = {
+  beat: 150,
+  hold: 800,
+  suspect: 1000,
+  ask: 600,
+  push: 2500,
+  stall: 1500,
+  claim: 2000,
+  quiet: 3000,
+  gone: 2000,
+};
--- /dev/null
+++ b/packages/registry/src/sound.ts
@@ -0,0 +1,19 @@
+import { Check, Clauses, type Doc } from '@pumicebarrow/forms';
+import { CharterBody } from './charterbody.js';
+import { Mix } from './mix.js';
+import { SheetRow } from './sheetrow.js';
+import { Sighting } from './sighting.js';
+
+/** Whether a shared doc is what its name says. Nothing else is put on a shelf. */
+export const Sound = {
+  doc(d: Doc): boolean {
+    if (d.name === 'charter') {
+      const got = Check.parse(CharterBody, d.body);
+      return got.ok && got.val.version === d.mark[0] && Clauses.faults(got.val.charter).length === 0;
+    }
+    if (d.name === 'mix') return Check.is(Mix, d.body);
+    const [kind, server] = d.name.split(':');
+    const form = kind === 'row' ? SheetRow : kind === 'sight' ? Sighting : null;
+    return form !== null && Check.is(form, d.body) && (d.body as { server: string }).server === server;
+  },
+};
--- /dev/null
+++ b/packages/registry/src/view.ts
@@ -0,0 +1,14 @@
+import { Type, type Static } from 'typebox';
+import { Member } from './member.js';
+
+/**
+ * The agreed order of the core. The chain runs from its head (first) to its tail (last).
+ * Invariants: one view an epoch, chosen by a majority of the voters of the epoch before;
+ * voters change by one member at a time; a newcomer is in the chain before it is a voter.
+ */
+export const View = Type.Object({
+  epoch: Type.Integer({ minimum: 1 }),
+  voters: Type.Array(Member, { minItems: 3, maxItems: 3 }),
+  chain: Type.Array(Member, { minItems: 1, maxItems: 3 }),
+}, { additionalProperties: false });
+export type View = Static<typeof View>;
--- /dev/null
+++ b/packages/registry/src/views.ts
@@ -0,0 +1,29 @@
+import type { Member } from './member.js';
+import type { View } from './view.js';
+
+type Who = { id: string; born: string };
+const same = (a: Who | undefined, b: Who | undefined): boolean => !!a && !!b && a.id === b.id && a.born === b.born;
+
+/** Questions asked of a view, and the next views that may be proposed. */
+export const Views = {
+  same,
+  head: (v: View): Member => v.chain[0]!,
+  tail: (v: View): Member => v.chain[v.chain.length - 1]!,
+  place: (v: View, w: Who): number => v.chain.findIndex((m) => same(m, w)),
+  votes: (v: View, w: Who): boolean => v.voters.some((m) => same(m, w)),
+  all(v: View): Member[] {
+    return [...v.chain, ...v.voters.filter((m) => Views.place(v, m) < 0)];
+  },
+  without(v: View, w: Who): View {
+    return { ...v, epoch: v.epoch + 1, chain: v.chain.filter((m) => !same(m, w)) };
+  },
+  /** At the tail; whatever stood there under the same id goes. */
+  withTail(v: View, m: Member): View {
+    const voters = v.voters.map((x) => (same(x, m) ? m : x));
+    return { epoch: v.epoch + 1, voters, chain: [...v.chain.filter((x) => x.id !== m.id), m] };
+  },
+  /** A caught-up chain member takes the vote of its forebear of the same id. */
+  withVoter(v: View, m: Member): View {
+    return { ...v, epoch: v.epoch + 1, voters: v.voters.map((x) => (x.id === m.id ? m : x)) };
+  },
+};
--- /dev/null
+++ b/packages/registry/src/voter.ts
@@ -0,0 +1,59 @@
+import type { Result } from '@pumicebarrow/forms';
+import type { Storing } from './storing.js';
+import type { View } from './view.js';
+import type { Vote } from './vote.js';
+
+type Prepared = { ok: boolean; wait: number; promised: number; took: Vote['took'] };
+
+/**
+ * One voter's part in choosing the next view: one single-decree agreement an epoch.
+ * Invariants: a promise or an acceptance is synced before it is said; while a claim granted on the present
+ * view may still be live, nothing is promised for the next; once something is, no claim on the present view is granted.
+ */
+export const Voter = {
+  make(store: Storing, mono: () => number, kept: Vote | null) {
+    let vote: Vote | null = kept;
+    let held = 0;
+    let moving = 0;
+    let chain: Promise<unknown> = Promise.resolve();
+    const alone = <T>(fn: () => Promise<T>): Promise<T> => {
+      const next = chain.then(fn, fn);
+      chain = next;
+      return next;
+    };
+    const save = async (v: Vote): Promise<Result<void, string>> => {
+      const done = await store.put('vote', v);
+      if (done.ok) vote = v;
+      return done;
+    };
+    const at = (epoch: number): Vote => (vote && vote.epoch === epoch ? vote : { epoch, promised: 0, took: null });
+    const past = (epoch: number): boolean => vote !== null && epoch < vote.epoch;
+    const no = (epoch: number, wait: number): Prepared => ({ ok: false, wait, promised: at(epoch).promised, took: null });
+    return {
+      took: (): View | null => vote?.took?.view ?? null,
+      /** Grants a claim on the view of `epoch`, unless the next view is under way. */
+      grant(epoch: number, ms: number): boolean {
+        if (mono() < moving || at(epoch + 1).promised > 0) return false;
+        held = Math.max(held, mono() + ms);
+        return true;
+      },
+      prepare: (epoch: number, ballot: number): Promise<Prepared> => alone(async () => {
+        moving = mono() + 1500;
+        if (mono() < held) return no(epoch, held - mono());
+        const mine = at(epoch);
+        if (past(epoch) || ballot <= mine.promised) return no(epoch, 0);
+        const next = { ...mine, promised: ballot };
+        const done = await save(next);
+        return done.ok ? { ok: true, wait: 0, promised: ballot, took: next.took } : no(epoch, 0);
+      }),
+      accept: (epoch: number, ballot: number, view: View): Promise<{ ok: boolean; promised: number }> => alone(async () => {
+        const mine = at(epoch);
+        if (past(epoch) || ballot < mine.promised || mono() < held) return { ok: false, promised: mine.promised };
+        const done = await save({ epoch, promised: ballot, took: { ballot, view } });
+        return { ok: done.ok, promised: ballot };
+      }),
+      /** A new view is in force; what was bound to the old one is over. */
+      moved(): void { moving = 0; },
+    };
+  },
+};
--- /dev/null
+++ b/packages/registry/src/voting.ts
@@ -0,0 +1,4 @@
+import type { Voter } from './voter.js';
+
+/** A voter, as the view keeper sees it. */
+export type Voting = ReturnType<typeof Voter.make>;
