--- /dev/null
+++ b/packages/counter/src/counter.ts
@@ -0,0 +1,178 @@
+import { Dice, Post, Timer, Verdicts, type Ident, type Verdict, type World } from '@pumicebarrow/forms';
+import { Purge, Shelf } from '@pumicebarrow/purge';
+import { Line, Sound, TraceDesk, type SheetRow } from '@pumicebarrow/registry';
+import { interpret } from 'robot3';
+import { Awake } from './awake.js';
+import type { Back } from './back.js';
+import { Bucket } from './bucket.js';
+import type { CallerSink } from './callersink.js';
+import { Casting } from './casting.js';
+import type { CounterStartup } from './counterstartup.js';
+import { DaemonLife } from './daemonlife.js';
+import { Duty } from './duty.js';
+import { Gate } from './gate.js';
+import { Ledger } from './ledger.js';
+import { LedgerDesk } from './ledgerdesk.js';
+import type { Listed } from './listed.js';
+import { Loads } from './loads.js';
+import { Mixer } from './mixer.js';
+import { Newest } from './newest.js';
+import { Run } from './run.js';
+import { Select } from './select.js';
+import { Sheet } from './sheet.js';
+import { Shuns } from './shuns.js';
+import type { Town } from './town.js';
+import { TownWatch } from './townwatch.js';
+import type { Visit } from './visit.js';
+import { Waitlist } from './waitlist.js';
+import { Witness } from './witness.js';
+
+const LAG = 600;
+const SHUN = 1000;
+
+/** A counter daemon put together: purge, ledger, casting and the visits' path. */
+export const Counter = {
+  make(world: World, startup: CounterStartup, back: Back, town: Town) {
+    const { clock } = world;
+    const log = world.log('counter');
+    const ident: Ident = { id: startup.id, born: Dice.word(world.chance), addr: startup.addr, site: startup.site, role: 'counter' };
+    const self = (): Ident => ident;
+    const life = interpret(DaemonLife, () => undefined);
+    const is = (): string => life.machine.current;
+    const post = Post.make(world, self);
+    const shelf = Shelf.make(Sound.doc);
+    const seeds = (): readonly string[] => startup.seeds;
+    const purge = Purge.make(world, post, self, shelf, startup.tunes, seeds);
+    const line = Line.make(world, post, () => [...seeds(), ...purge.peers().map((p) => p.addr)]);
+    const sheet = Sheet.make(shelf);
+    let roster: readonly Ident[] = [];
+    let coreLoad = { read: 0, write: 0 };
+    let behind = -1;
+    const known = (): readonly Ident[] => {
+      const all = new Map([...purge.peers().filter((p) => p.role === 'counter'), ...roster, ident].map((p) => [p.id, p]));
+      return [...all.values()];
+    };
+    const crew = (): readonly Ident[] => (roster.some((r) => r.id === ident.id) ? roster : known());
+    const watch = TownWatch.make(world, post, town, () => known().filter((p) => p.id !== ident.id));
+    const ledger = Ledger.make(clock);
+    LedgerDesk.make(post, ledger);
+    const loads = Loads.make(), shuns = Shuns.make(clock), waitlist = Waitlist.make(clock);
+    const select = Select.make({ sheet, town: watch, loads, shuns, roster: crew });
+    const demand = { read: 0, write: 0 };
+    const awake = Awake.make(clock, () => {
+      if (is() !== 'serving') return;
+      log.warn('This daemon slept. Asking for the newest charter.');
+      world.tell({ what: 'woke' });
+      duty.drop();
+      life.send('woke');
+      void ask();
+    });
+    const shut = (): Verdict | null => {
+      awake.look();
+      if (is() === 'serving') return null;
+      return Verdicts.not(is() === 'asking' ? 'asking' : 'leaving', is() === 'asking' ? 'This daemon is learning the newest charter.' : 'This daemon is leaving.', 1);
+    };
+    const gate = Gate.make({
+      site: ident.site, charter: sheet.charter, open: shut, young: watch.young, waitlist, select, loads,
+      shareAll: () => select.usable('prefill').reduce((a, s) => a + select.share(s.id), 0),
+    });
+    const pump = (): void => {
+      const turns: (() => void)[] = [];
+      waitlist.pump((rule) => {
+        if (is() !== 'serving' || !gate.room(rule)) return false;
+        turns.push(loads.take('*turn', rule.weight));
+        return true;
+      });
+      clock.after(0, () => { for (const f of turns) f(); });
+    };
+    const duty = Duty.make(world, line, self, crew);
+    const sighted = (s: Listed): void => {
+      shuns.add(s.id, s.born, SHUN);
+      const old = shelf.mark(`sight:${s.id}`);
+      const seen = sheet.sight(s.id);
+      world.tell({ what: 'sighted', server: s.id });
+      if (seen?.born === s.born && seen.by === ident.id) return;
+      purge.publish({ name: `sight:${s.id}`, mark: [(old?.[0] ?? 0) + 1, Dice.int(world.chance, 1e6)], body: { server: s.id, born: s.born, by: ident.id } });
+    };
+    const casting = Casting.make({ world, sheet, town: watch, duty, purge, back, self: () => ident.id, suspect: (s) => shuns.has(s.id, s.born) });
+    const mixer = Mixer.make({ world, sheet, town: watch, duty, purge, load: () => coreLoad, self: () => ident.id });
+    const witness = Witness.make(world, post, crew);
+    const bucket = Bucket.make(0.2, 3);
+    const visit = Run.make({ world, gate, waitlist, select, loads, town: watch, witness, bucket, back, sighted, pump, demand });
+    const newest = Newest.make({ world, post, line, purge, shelf, self, known });
+    const stops: (() => void)[] = [];
+
+    shelf.heed((doc, old) => {
+      if (doc.name === 'charter') { log.say(`Charter ${doc.mark[0]} has taken hold.`); pump(); }
+      if (doc.name.startsWith('row:')) {
+        const row = doc.body as SheetRow, was = old?.body as SheetRow | undefined;
+        if (was && was.part !== row.part) casting.noted();
+        if (row.stage === 'serving' && was?.stage !== 'serving') shuns.clear(row.server, row.born);
+        pump();
+      }
+      if (doc.name.startsWith('sight:')) {
+        const s = watch.all().find((x) => `sight:${x.id}` === doc.name);
+        const body = sheet.sight(s?.id ?? '');
+        if (s && body?.born === s.born && body.by !== ident.id && !shuns.has(s.id, s.born)) shuns.add(s.id, s.born, SHUN / 2);
+      }
+    });
+    watch.heed(() => pump());
+    const ask = async (): Promise<void> => {
+      while (is() === 'asking') {
+        const sure = await newest.sure();
+        if (sure && is() === 'asking') { life.send('sure'); log.say('Serving.'); world.tell({ what: 'serving', version: sheet.version() }); pump(); return; }
+        await Timer.nap(clock, 150);
+      }
+    };
+    const checkin = async (): Promise<void> => {
+      const got = await line.checkin({ version: sheet.version(), sum: shelf.sum(), load: { ...demand } });
+      if (!got) return;
+      if (got.roster) { roster = got.roster; purge.meet(got.roster.filter((r) => !purge.peers().some((p) => p.id === r.id)).slice(0, 1)); }
+      coreLoad = got.load;
+      if (got.version <= sheet.version()) { behind = -1; return; }
+      if (behind < 0) behind = clock.mono();
+      if (clock.mono() - behind > LAG) { await newest.tail(300); behind = -1; }
+    };
+
+    TraceDesk.make(post, self, purge, shelf);
+    return {
+      ident, visit: (v: Visit, sink: CallerSink): Promise<Verdict> => visit(v, sink), gate,
+      post, line, purge, shelf, sheet, watch, ledger, duty, shuns, roster: crew,
+      life: is,
+      waiting: waitlist.total, under: gate.under, level: bucket.level,
+      start(): void {
+        life.send('begin');
+        awake.start();
+        purge.start();
+        watch.start();
+        void ask();
+        stops.push(Timer.every(clock, 400, checkin));
+        stops.push(Timer.every(clock, 300, async () => {
+          if (is() !== 'serving') return;
+          duty.tick([...casting.names(), mixer.name]);
+          mixer.tick();
+          await casting.tick();
+        }));
+        stops.push(Timer.every(clock, 50, pump));
+      },
+      /** Stops letting visits in, lets those under way end, gives up its claims. */
+      async leave(ms: number): Promise<void> {
+        life.send('leave');
+        log.say('Leaving: no more visits are let in.');
+        waitlist.clear();
+        await line.leave(duty.names());
+        duty.drop();
+        const end = clock.mono() + ms;
+        while (gate.under() > 0 && clock.mono() < end) await Timer.nap(clock, 50);
+        life.send('empty');
+      },
+      stop(): void {
+        for (const s of stops) s();
+        awake.stop();
+        watch.stop();
+        purge.stop();
+        post.close();
+      },
+    };
+  },
+};
--- /dev/null
+++ b/packages/counter/src/duty.ts
@@ -0,0 +1,44 @@
+import { Lot, type Ident, type World } from '@pumicebarrow/forms';
+import { Paces, type CoreLine } from '@pumicebarrow/registry';
+
+type Held = { fence: number; until: number; ready: number };
+
+/**
+ * The claims this daemon holds. Invariants: a claim counts from before it was asked for; a fence never held here
+ * before waits out the quiet time, unless it is the first ever given for that name; without a live claim, no order.
+ */
+export const Duty = {
+  make(world: World, line: CoreLine, self: () => Ident, roster: () => readonly Ident[]) {
+    const held = new Map<string, Held>();
+    const busy = new Set<string>();
+    const now = (): number => world.clock.mono();
+    const mine = (name: string): boolean => Lot.rank(name, roster().filter((r) => r.role === 'counter'), (r) => r.id)[0]?.id === self().id;
+    const renew = async (name: string): Promise<void> => {
+      if (busy.has(name)) return;
+      busy.add(name);
+      const got = await line.write({ do: 'claim', name, id: self().id, born: self().born }, 0);
+      busy.delete(name);
+      const fence = got.ruling.fence;
+      if (got.ruling.verdict.ran !== 'yes' || fence === undefined) return;
+      const old = held.get(name);
+      const ready = old?.fence === fence ? old.ready : fence === 1 ? now() : now() + Paces.quiet;
+      if (old?.fence !== fence) world.tell({ what: 'claim', name, fence });
+      held.set(name, { fence, until: got.sent + got.term, ready });
+    };
+    return {
+      tick(names: readonly string[]): void {
+        for (const name of names) {
+          const h = held.get(name);
+          if (mine(name) && (!h || h.until - now() < Paces.claim * 0.7)) void renew(name);
+        }
+      },
+      /** The fence to act under, at this instant; null when there is none. */
+      fence(name: string): number | null {
+        const h = held.get(name);
+        return h && h.until > now() && h.ready <= now() && mine(name) ? h.fence : null;
+      },
+      names: (): string[] => [...held].filter(([, h]) => h.until > now()).map(([n]) => n),
+      drop(): void { held.clear(); },
+    };
+  },
+};
--- /dev/null
+++ b/packages/counter/src/gate.ts
@@ -0,0 +1,59 @@
+import { Verdicts, type Charter, type Result, type Rule, type Verdict, Err, Ok } from '@pumicebarrow/forms';
+import type { Loads } from './loads.js';
+import type { Selecting } from './selecting.js';
+import type { Visit } from './visit.js';
+import type { Waitlist } from './waitlist.js';
+
+type Tools = {
+  site: string; charter: () => Charter | null; open: () => Verdict | null; young: () => boolean;
+  waitlist: ReturnType<typeof Waitlist.make>; select: Selecting; loads: ReturnType<typeof Loads.make>; shareAll: () => number;
+};
+const HELD = '*turn';
+
+/**
+ * Who may come in. Invariants: a rule never has more than `limit` visits under way nor more than `waitlist` waiting;
+ * a turn is given only against room at the readers that no other turn has been promised.
+ */
+export const Gate = {
+  make(t: Tools) {
+    const under = new Map<string, number>();
+    const room = (rule: Rule): boolean => {
+      if ((under.get(rule.name) ?? 0) >= rule.limit) return false;
+      const list = t.select.usable('prefill');
+      const used = list.reduce((a, s) => a + t.loads.at(s.id), 0) + t.loads.at(HELD);
+      return list.length > 0 && (used === 0 || used + rule.weight <= t.shareAll());
+    };
+    return {
+      /** What the charter says of this visit, or why it may not come in. */
+      check(v: Visit): Result<Rule, Verdict> {
+        const shut = t.open();
+        if (shut) return Err(shut);
+        const c = t.charter();
+        if (!c) return Err(Verdicts.not('nocharter', 'No charter is in force yet.', 1));
+        const name = v.rule ?? c.fallback;
+        const rule = c.rules.find((r) => r.name === name);
+        if (!rule) return Err(Verdicts.not('unknownrule', `There is no rule ${name ?? '(none named)'}.`));
+        if (rule.sites && !rule.sites.includes(t.site)) return Err(Verdicts.not('othersite', `Rule ${rule.name} is not served at ${t.site}.`));
+        if (Buffer.byteLength(v.prefix) + Buffer.byteLength(v.part) > rule.bytes) return Err(Verdicts.not('toolarge', `Rule ${rule.name} takes ${rule.bytes} bytes at the most.`));
+        if (!t.young()) return Err(Verdicts.not('oldlist', 'The platform\'s list is too old to send by.', 1));
+        if (t.select.usable('prefill').length === 0 || t.select.usable('decode').length === 0) return Err(Verdicts.not('noserver', 'No server can take this now.', 1));
+        if (t.waitlist.length(rule.name) >= rule.waitlist) return Err(Verdicts.not('full', `The waitlist of ${rule.name} is full.`, Math.max(1, Math.ceil(rule.deadline / 2000))));
+        return Ok(rule);
+      },
+      room,
+      /** Counts a visit as under way, and promises it room until it has a server. */
+      begin(rule: Rule): { settled: () => void; over: () => void } {
+        under.set(rule.name, (under.get(rule.name) ?? 0) + 1);
+        let open = true;
+        return {
+          settled: t.loads.take(HELD, rule.weight),
+          over: () => {
+            if (open) under.set(rule.name, (under.get(rule.name) ?? 1) - 1);
+            open = false;
+          },
+        };
+      },
+      under: (): number => [...under.values()].reduce((a, b) => a + b, 0),
+    };
+  },
+};
--- /dev/null
+++ b/packages/counter/src/runtools.ts
@@ -0,0 +1,17 @@
+import type { World } from '@pumicebarrow/forms';
+import type { Back } from './back.js';
+import type { Bucket } from './bucket.js';
+import type { Gating } from './gating.js';
+import type { Listed } from './listed.js';
+import type { LoadBook } from './loadbook.js';
+import type { Selecting } from './selecting.js';
+import type { TownView } from './townview.js';
+import type { Waitlist } from './waitlist.js';
+import type { Witnessing } from './witnessing.js';
+
+/** What the run of a visit works with. */
+export type RunTools = {
+  world: World; gate: Gating; waitlist: ReturnType<typeof Waitlist.make>; select: Selecting; loads: LoadBook;
+  town: TownView; witness: Witnessing; bucket: ReturnType<typeof Bucket.make>; back: Back;
+  sighted: (s: Listed) => void; pump: () => void; demand: { read: number; write: number };
+};
--- /dev/null
+++ b/packages/counter/src/select.ts
@@ -0,0 +1,47 @@
+import { Lot, type Ident, type Rule } from '@pumicebarrow/forms';
+import type { Listed } from './listed.js';
+import type { LoadBook } from './loadbook.js';
+import type { SheetView } from './sheetview.js';
+import type { Shuns } from './shuns.js';
+import type { TownView } from './townview.js';
+
+type Part = 'prefill' | 'decode';
+type Tools = { sheet: SheetView; town: TownView; loads: LoadBook; shuns: ReturnType<typeof Shuns.make>; roster: () => readonly Ident[] };
+
+/** Which server a visit goes to. */
+export const Select = {
+  make(t: Tools) {
+    /** This daemon's share of a server, in weights; never less than one visit's worth. */
+    const share = (id: string): number => {
+      const slots = t.sheet.charter()?.servers.find((s) => s.id === id)?.slots ?? 1;
+      const n = Math.max(1, t.roster().filter((r) => r.role === 'counter').length);
+      return Math.max(1, Math.ceil((slots * 1.5) / n));
+    };
+    const usable = (part: Part): Listed[] => {
+      const out: Listed[] = [];
+      for (const { row } of t.sheet.rows().values()) {
+        if (row.part !== part || row.stage !== 'serving') continue;
+        const s = t.town.good(row.server, row.born);
+        if (s && !t.shuns.has(s.id, s.born)) out.push(s);
+      }
+      return out;
+    };
+    const room = (s: Listed, rule: Rule): boolean => t.loads.at(s.id) === 0 || t.loads.at(s.id) + rule.weight <= share(s.id);
+    return {
+      usable,
+      share,
+      room: (part: Part, rule: Rule): boolean => usable(part).some((s) => room(s, rule)),
+      /** The server most likely to hold the prefix, unless it has no room. */
+      prefill(rule: Rule, prefix: string, not: ReadonlySet<string>): Listed | null {
+        const list = usable('prefill').filter((s) => !not.has(s.id) && room(s, rule));
+        return Lot.rank(`prefix:${prefix}`, list, (s) => s.id)[0] ?? null;
+      },
+      /** The least laden, with slow links weighed in. */
+      decode(rule: Rule, from: Listed, not: ReadonlySet<string>): Listed | null {
+        const cost = (s: Listed): number => t.loads.at(s.id) / share(s.id) + t.loads.link(from.id, s.id) / 400 + (s.site === from.site ? 0 : 0.05);
+        const list = usable('decode').filter((s) => !not.has(s.id) && room(s, rule));
+        return list.reduce<Listed | null>((a, b) => (a === null || cost(b) < cost(a) ? b : a), null);
+      },
+    };
+  },
+};
--- /dev/null
+++ b/packages/counter/src/waitlist.ts
@@ -0,0 +1,44 @@
+import type { Clock, Rule } from '@pumicebarrow/forms';
+import { Heap } from 'heap-js';
+import type { Waiter } from './waiter.js';
+
+/** The most urgent first, then the one due soonest, then the one that came first. */
+export const Waitlist = {
+  make(clock: Clock) {
+    const heap = new Heap<Waiter>((a, b) => b.rule.urgency - a.rule.urgency || a.due - b.due || a.order - b.order);
+    let count = new Map<string, number>();
+    let order = 0;
+    const bump = (name: string, by: number): void => { count = new Map(count).set(name, (count.get(name) ?? 0) + by); };
+    const leave = (w: Waiter, go: boolean): void => {
+      if (!w.open) return;
+      w.open = false;
+      bump(w.rule.name, -1);
+      w.turn(go);
+    };
+    return {
+      length: (name: string): number => count.get(name) ?? 0,
+      total: (): number => [...count.values()].reduce((a, b) => a + b, 0),
+      /** Waits for a turn until `due`, then gives up at once. */
+      enter(rule: Rule, due: number): { turn: Promise<boolean>; leave: () => void } {
+        let say: (go: boolean) => void = () => undefined;
+        const turn = new Promise<boolean>((done) => { say = done; });
+        const w: Waiter = { rule, due, order: order++, open: true, turn: say };
+        heap.push(w);
+        bump(rule.name, 1);
+        const stop = clock.after(Math.max(0, due - clock.mono()), () => leave(w, false));
+        void turn.then(stop);
+        return { turn, leave: () => leave(w, false) };
+      },
+      /** Gives turns in order while `room` says so; one without room does not hold up those behind it. */
+      pump(room: (rule: Rule) => boolean): void {
+        const back: Waiter[] = [];
+        for (let w = heap.pop(); w; w = heap.pop()) {
+          if (!w.open) continue;
+          if (room(w.rule)) leave(w, true); else back.push(w);
+        }
+        for (const w of back) heap.push(w);
+      },
+      clear(): void { for (const w of heap.toArray()) leave(w, false); },
+    };
+  },
+};
--- /dev/null
+++ b/packages/counterd/src/index.ts
@@ -0,0 +1,2 @@
+export { Main } from './main.js';
+export { Startup } from './startup.js';
--- /dev/null
+++ b/packages/counterd/src/main.ts
@@ -0,0 +1,45 @@
+import { Counter, Front, HttpBack, HttpTown } from '@pumicebarrow/counter';
+import { Flags, Machine, Program, StartupFile } from '@pumicebarrow/forms';
+import { Tuned } from '@pumicebarrow/purge';
+import { Startup } from './startup.js';
+
+const LIST = [
+  { name: 'id', help: 'the daemon\'s name', kind: 'text' },
+  { name: 'addr', help: 'IP:PORT towards other daemons', kind: 'text' },
+  { name: 'http', help: 'IP:PORT towards callers and operators', kind: 'text' },
+  { name: 'site', help: 'the site it stands in', kind: 'text' },
+  { name: 'seeds', help: 'IP:PORT of another daemon; three are needed', kind: 'list' },
+  { name: 'town', help: 'IP:PORT of the platform\'s list', kind: 'text' },
+  { name: 'control', help: 'serve operators too', kind: 'yes' },
+  { name: 'level', help: 'debug, info or warn', kind: 'text' },
+] as const;
+
+/** counterd: the counter library on a real machine. */
+export const Main = {
+  async run(argv: readonly string[]): Promise<void> {
+    const got = Flags.read('counterd', 'a counter daemon of pumicebarrow', LIST, argv);
+    if ('say' in got) {
+      (got.code === 0 ? process.stdout : process.stderr).write(`${got.say}\n`);
+      process.exit(got.code);
+    }
+    const read = await StartupFile.read(Startup, got.file, got.flags);
+    if (read.err) Program.wrong('counterd', read.val);
+    const s = read.val as Startup;
+    try {
+      const world = await Machine.make(s.id, s.addr, s.level ?? 'info', null);
+      const back = HttpBack.make(), town = HttpTown.make(s.town);
+      const d = Counter.make(world, { id: s.id, addr: s.addr, site: s.site, seeds: s.seeds, control: s.control ?? false, tunes: { ...Tuned, ...s.purge } }, back, town);
+      const front = await Front.make(world, d, s.control ?? false, s.http);
+      d.start();
+      Program.until(async () => {
+        await d.leave(s.grace ?? 8000);
+        d.stop();
+        await front.close();
+        await Promise.all([back.close(), town.close(), world.wire.close()]);
+      });
+    } catch (e) {
+      process.stderr.write(`counterd: ${e instanceof Error ? e.message : String(e)}\n`);
+      process.exit(1);
+    }
+  },
+};
--- a/packages/forms/src/check.ts
+++ b/packages/forms/src/check.ts
@@ -5,7 +5,12 @@
 import { Ok } from './ok.js';
 import type { Result } from './result.js';
 
-type Made = { Check(v: unknown): boolean; Errors(v: unknown): Iterable<{ instancePath: string; message: string; keyword: string }> };
+type Told = { instancePath: string; message: string; keyword: string; params?: { requiredProperties?: string[] } };
+type Made = { Check(v: unknown): boolean; Errors(v: unknown): Iterable<Told> };
+const plain = (e: Told): Fault[] => {
+  if (e.keyword === 'required') return (e.params?.requiredProperties ?? []).map((n) => ({ path: `${e.instancePath}/${n}`, why: 'is missing' }));
+  return [{ path: e.instancePath, why: e.keyword === 'boolean' ? 'is not known' : e.message }];
+};
 const made = new WeakMap<object, Made>();
 
 /** Checks a value against a schema, once compiled for each schema. */
@@ -18,7 +23,7 @@
     if (tool.Check(v)) return Ok(v as Static<S>);
     const list = [...tool.Errors(v)]
       .filter((e) => e.keyword !== 'additionalProperties')
-      .map((e) => ({ path: e.instancePath, why: e.keyword === 'boolean' ? 'is not known' : e.message }));
+      .flatMap(plain);
     return Err(list.length > 0 ? list.slice(0, 50) : [{ path: '', why: 'does not fit' }]);
   },
   tool(form: TSchema): Made {
--- /dev/null
+++ b/packages/forms/src/machine.ts
@@ -0,0 +1,23 @@
+import type { Deed } from './deed.js';
+import type { Disk } from './disk.js';
+import { Logs } from './logs.js';
+import { RealClock } from './realclock.js';
+import { TcpWire } from './tcpwire.js';
+import type { Wire } from './wire.js';
+import type { World } from './world.js';
+
+/** The world of a daemon on a real machine. */
+export const Machine = {
+  async make(id: string, addr: string, level: string, disk: Disk | null): Promise<World & { wire: Wire & { close(): Promise<void> } }> {
+    const log = Logs.make(id, level);
+    const tale = log('deed');
+    return {
+      clock: RealClock.make(),
+      chance: { real: () => Math.random() },
+      wire: await TcpWire.make(addr, log('wire')),
+      disk,
+      log,
+      tell: (d: Omit<Deed, 'who' | 'at'>) => { if (level === 'debug') tale.say(JSON.stringify(d)); },
+    };
+  },
+};
--- a/packages/registry/src/core.ts
+++ b/packages/registry/src/core.ts
@@ -122,6 +122,7 @@
       return { ...(await voter.accept(body.epoch, body.ballot, body.view)), view };
     });
     post.on('core.view', CoreWords.view, async (body) => ({ ok: await adopt(body.view) }));
+    post.on('core.hint', CoreWords.look, () => ({ view }));
     post.on('core.look', CoreWords.look, () => ({ view, took: voter.took(), me: me() }));
     post.on('core.join', CoreWords.join, (body) => {
       const v = view, m = body.me;
--- a/packages/registry/src/corewords.ts
+++ b/packages/registry/src/corewords.ts
@@ -21,6 +21,7 @@
   accepted: Type.Object({ ok: Type.Boolean(), promised: Type.Integer(), view: maybeView }, shut),
   view: Type.Object({ view: View }, shut),
   look: Type.Object({}, shut),
+  hint: Type.Object({ view: maybeView }, shut),
   seen: Type.Object({ view: maybeView, took: maybeView, me: Member }, shut),
   join: Type.Object({ me: Member }, shut),
   done: Type.Object({ ok: Type.Boolean() }, shut),
--- a/packages/registry/src/line.ts
+++ b/packages/registry/src/line.ts
@@ -22,7 +22,7 @@
       const known = view ? Views.all(view).map((m) => m.addr) : [];
       const all = [...new Set([...known, ...seeds()])];
       await Promise.all(Dice.some(world.chance, all, 4).map(async (a) => {
-        const r = await post.ask(a, '', 'core.look', {}, CoreWords.seen, Paces.ask);
+        const r = await post.ask(a, '', 'core.hint', {}, CoreWords.hint, Paces.ask);
         if (r.ok) learn(r.val.view);
       }));
     };
@@ -43,6 +43,7 @@
         await Timer.nap(world.clock, 100 + Dice.int(world.chance, 60));
       }
     };
+    post.on('core.hint', CoreWords.look, () => ({ view }));
     return {
       view: (): View | null => view,
       learn,
--- a/packages/registry/src/registrar.ts
+++ b/packages/registry/src/registrar.ts
@@ -24,7 +24,8 @@
     const shelf = Shelf.make(Sound.doc);
     const seeds = (): readonly string[] => startup.seeds;
     const purge = Purge.make(world, post, () => ident, shelf, startup.tunes, seeds);
-    const core = Core.make(world, post, () => ident, seeds, store, kept.val, {
+    const cores = (): string[] => [...new Set([...seeds(), ...purge.peers().filter((p) => p.role === 'registry').map((p) => p.addr)])];
+    const core = Core.make(world, post, () => ident, cores, store, kept.val, {
       passed: (s, tail) => {
         if (!tail || !s.charter || s.charter.version <= (shelf.mark('charter')?.[0] ?? 0)) return;
         world.tell({ what: 'confirmed', version: s.charter.version, plan: s.charter.plan });
--- /dev/null
+++ b/packages/registryd/src/main.ts
@@ -0,0 +1,43 @@
+import { FileDisk, Flags, Machine, Program, StartupFile } from '@pumicebarrow/forms';
+import { Tuned } from '@pumicebarrow/purge';
+import { Registrar } from '@pumicebarrow/registry';
+import { Startup } from './startup.js';
+
+const LIST = [
+  { name: 'id', help: 'the daemon\'s name', kind: 'text' },
+  { name: 'addr', help: 'IP:PORT towards other daemons', kind: 'text' },
+  { name: 'site', help: 'the site it stands in', kind: 'text' },
+  { name: 'seeds', help: 'IP:PORT of another daemon, the other cores among them; three are needed', kind: 'list' },
+  { name: 'data', help: 'the data folder', kind: 'text' },
+  { name: 'level', help: 'debug, info or warn', kind: 'text' },
+] as const;
+
+/** registryd: the registry library on a real machine. */
+export const Main = {
+  async run(argv: readonly string[]): Promise<void> {
+    const got = Flags.read('registryd', 'a core daemon of pumicebarrow', LIST, argv);
+    if ('say' in got) {
+      (got.code === 0 ? process.stdout : process.stderr).write(`${got.say}\n`);
+      process.exit(got.code);
+    }
+    const read = await StartupFile.read(Startup, got.file, got.flags);
+    if (read.err) Program.wrong('registryd', read.val);
+    const s = read.val as Startup;
+    const folder = await StartupFile.folder(s.data);
+    if (folder.err) Program.wrong('registryd', folder.val);
+    try {
+      const world = await Machine.make(s.id, s.addr, s.level ?? 'info', await FileDisk.make(s.data));
+      const made = await Registrar.make(world, { id: s.id, addr: s.addr, site: s.site, seeds: s.seeds, tunes: { ...Tuned, ...s.purge } });
+      if (made.err) throw new Error(made.val);
+      const d = made.val;
+      d.start();
+      Program.until(async () => {
+        d.stop();
+        await world.wire.close();
+      });
+    } catch (e) {
+      process.stderr.write(`registryd: ${e instanceof Error ? e.message : String(e)}\n`);
+      process.exit(1);
+    }
+  },
+};
--- /dev/null
+++ b/packages/sim/src/callers.ts
@@ -0,0 +1,111 @@
+import { Dice, type Deed, type Verdict } from '@pumicebarrow/forms';
+import type { CallerSink, Visit } from '@pumicebarrow/counter';
+import type { Fleeting } from './fleeting.js';
+import { Text } from './text.js';
+
+type Out = { kind: 'end' } | { kind: 'cut' | 'bounce'; verdict: Verdict } | { kind: 'torn'; pieces: number } | { kind: 'refused' };
+const SIZES: Record<string, { prefix: number; part: number }> = { review: { prefix: 6000, part: 1500 }, changelog: { prefix: 2500, part: 500 }, verdict: { prefix: 1200, part: 120 } };
+const TRIES = 4;
+const GIVEUP = 6000;
+
+/** Simulated callers: they try again as the brief's do, and check every piece they are given. */
+export const Callers = {
+  make(f: Fleeting, tell: (d: Deed) => void) {
+    const { motor, d } = f;
+    const lines = new Set<{ id: string; snap: () => void }>();
+    let serial = 0;
+    let mix: readonly [string, number][] = [['review', 1], ['changelog', 6], ['verdict', 3]];
+    let rate = d.rate;
+    let off = false;
+    let long = 1;
+    const at = (): number => motor.now();
+    f.torn((id) => { for (const l of [...lines]) if (l.id === id) l.snap(); });
+    const nap = (ms: number): Promise<void> => new Promise((done) => { motor.at(at() + ms, done); });
+
+    const once = (id: string, v: Visit): Promise<Out> => new Promise((done) => {
+      const c = f.counters.get(id), box = f.boxes.get(id)!;
+      if (!c || !box.up()) { motor.at(at() + 1, () => done({ kind: 'refused' })); return; }
+      const expect = Text.digest(v.prefix, v.part);
+      let open = true;
+      let n = 0;
+      let good = true;
+      const line = { id, snap: () => finish({ kind: 'torn', pieces: n }) };
+      const finish = (o: Out): void => {
+        if (!open) return;
+        open = false;
+        lines.delete(line);
+        done(o);
+      };
+      lines.add(line);
+      const late = (fn: () => void): void => motor.at(at() + 1, () => { if (open) fn(); });
+      const sink: CallerSink = {
+        piece: (k, text) => late(() => {
+          n++;
+          if (k !== n || text !== Text.piece(expect, k)) good = false;
+          if (n === 1) tell({ what: 'first', who: id, at: at(), key: v.key, rule: v.rule });
+        }),
+        end: (count) => late(() => {
+          const whole = good && count === n && n === Text.count(expect, d.charter.rules.find((r) => r.name === v.rule)?.pieces ?? 1);
+          tell({ what: 'whole', who: id, at: at(), key: v.key, attempt: v.attempt, good: whole, rule: v.rule });
+          finish({ kind: 'end' });
+        }),
+        cut: (verdict) => late(() => finish({ kind: 'cut', verdict })),
+        bounce: (verdict) => late(() => finish({ kind: 'bounce', verdict })),
+        gone: () => !open,
+      };
+      tell({ what: 'called', who: id, at: at(), key: v.key, attempt: v.attempt, rule: v.rule });
+      const life = box.life();
+      motor.at(at() + 1, function hand() {
+        if (box.life() !== life) return;
+        if (box.frozen()) { motor.at(box.thaw(), hand); return; }
+        if (open) void c.visit(v, sink);
+      });
+      const wait = (): void => {
+        const before = n;
+        motor.at(at() + GIVEUP + (d.charter.rules.find((r) => r.name === v.rule)?.deadline ?? 0), () => { if (open && n === before) finish({ kind: 'torn', pieces: n }); else if (open) wait(); });
+      };
+      wait();
+    });
+
+    const visit = async (rule: string, site: string): Promise<void> => {
+      const size = SIZES[rule]!, key = `v${++serial}`;
+      const group = Dice.int(motor.chance, 4);
+      const body = { rule, prefix: `${rule}${group} `.repeat(Math.ceil((size.prefix * long) / 8)), part: `${key} `.repeat(Math.ceil(size.part / 6)) };
+      tell({ what: 'wish', who: site, at: at(), key, rule });
+      let attempt = 1;
+      let dead = 0;
+      while (attempt <= TRIES) {
+        const near = f.edgeIds.filter((id) => f.boxes.get(id)!.site === site && f.boxes.get(id)!.up());
+        const id = Dice.one(motor.chance, near.length > 0 ? near : f.edgeIds)!;
+        const out = await once(id, { key, attempt, ...body });
+        if (out.kind === 'refused') {
+          if (++dead > 8) break;
+          await nap(300);
+          continue;
+        }
+        const verdict = 'verdict' in out ? out.verdict : null;
+        tell({ what: 'told', who: id, at: at(), key, attempt, rule, out: out.kind, ran: verdict?.ran ?? (out.kind === 'end' ? 'yes' : 'maybe'), code: verdict?.code ?? out.kind });
+        const again = (out.kind === 'bounce' && out.verdict.ran === 'no') || (out.kind === 'torn' && out.pieces === 0);
+        if (!again) break;
+        attempt++;
+        await nap((verdict?.after ?? 1) * 1000 * (0.9 + motor.chance.real() * 0.4));
+      }
+    };
+    const flow = (): void => {
+      if (off) return;
+      const total = mix.reduce((a, [, w]) => a + w, 0);
+      let r = motor.chance.real() * total;
+      const kind = mix.find(([, w]) => (r -= w) < 0)?.[0] ?? mix[0]![0];
+      void visit(kind, Dice.one(motor.chance, d.sites)!);
+      motor.at(at() + (-Math.log(1 - motor.chance.real()) * 1000) / rate, flow);
+    };
+    return {
+      start: flow,
+      stop(): void { off = true; },
+      crowd(n: number): void { for (let i = 0; i < n; i++) void visit(Dice.one(motor.chance, ['changelog', 'changelog', 'verdict', 'review'])!, Dice.one(motor.chance, d.sites)!); },
+      mix(next: readonly [string, number][], times = 1): void { mix = next; rate = d.rate * times; },
+      long(by: number): void { long = by; },
+      visit,
+    };
+  },
+};
--- /dev/null
+++ b/packages/sim/src/fleet.ts
@@ -0,0 +1,96 @@
+import { Dice, type Deed, type World } from '@pumicebarrow/forms';
+import { Counter, type Counting } from '@pumicebarrow/counter';
+import { Tuned } from '@pumicebarrow/purge';
+import { Registrar } from '@pumicebarrow/registry';
+import type { Box } from './box.js';
+import type { Deployment } from './deployment.js';
+import { Host } from './host.js';
+import type { Motor } from './motor.js';
+import { Net } from './net.js';
+import { Park } from './park.js';
+import type { Platter } from './platter.js';
+import { SimDisk } from './simdisk.js';
+
+type Core = Extract<Awaited<ReturnType<typeof Registrar.make>>, { ok: true }>['val'];
+const quiet = { say: () => undefined, warn: () => undefined };
+
+/** A whole fleet on simulated machines: the daemons' own code, everything round it made here. */
+export const Fleet = {
+  make(motor: Motor, d: Deployment, tell: (deed: Deed) => void) {
+    const net = Net.make(motor);
+    const park = Park.make(motor, d.charter.servers.map((s, i) => ({ id: s.id, addr: `10.2.0.${i + 1}:80`, site: s.site, slots: s.slots })), tell);
+    const boxes = new Map<string, Box>();
+    const disks = new Map<string, Platter>();
+    const counters = new Map<string, Counting>();
+    const cores = new Map<string, Core>();
+    const ears: ((id: string) => void)[] = [];
+    let spare = 100;
+    const coreIds = Array.from({ length: d.cores }, (_, i) => `c${i + 1}`);
+    const edgeIds = Array.from({ length: d.edges }, (_, i) => `e${i + 1}`);
+    coreIds.forEach((id, i) => {
+      const disk = SimDisk.make(motor, d.diskPace);
+      disks.set(id, disk);
+      boxes.set(id, Host.make(motor, id, `10.0.0.${i + 1}:7000`, d.sites[i % d.sites.length]!, disk.disk, tell));
+    });
+    edgeIds.forEach((id, i) => boxes.set(id, Host.make(motor, id, `10.1.0.${i + 1}:7000`, d.sites[i % d.sites.length]!, null, tell)));
+    for (const b of boxes.values()) net.add(b);
+    const coreAddrs = coreIds.map((_, i) => `10.0.0.${i + 1}:7000`);
+    const world = (b: Box): World => ({ clock: b.begin(), chance: b.chance, wire: net.wire(b), disk: b.disk, log: () => quiet, tell: (x) => b.tell(x) });
+    const start = (id: string): void => {
+      const b = boxes.get(id)!;
+      if (b.up()) return;
+      const w = world(b);
+      b.tell({ what: 'start' });
+      if (coreIds.includes(id)) {
+        const life = b.life();
+        void Registrar.make(w, { id, addr: b.addr(), site: b.site, seeds: [...coreAddrs.filter((a) => a !== b.addr()), '10.1.0.1:7000', '10.1.0.2:7000'], tunes: Tuned }).then((r) => {
+          if (r.err || b.life() !== life) return;
+          cores.set(id, r.val);
+          r.val.start();
+        });
+        return;
+      }
+      const c = Counter.make(w, { id, addr: b.addr(), site: b.site, seeds: coreAddrs, control: true, tunes: Tuned }, park.back(b), park.town(b));
+      counters.set(id, c);
+      c.start();
+    };
+    const kill = (id: string): void => {
+      const b = boxes.get(id)!;
+      if (!b.up()) return;
+      b.kill();
+      counters.delete(id);
+      cores.delete(id);
+      b.tell({ what: 'killed' });
+      for (const f of ears) f(id);
+    };
+    return {
+      d, motor, net, park, boxes, disks, counters, cores, coreIds, edgeIds, start, kill,
+      startAll(): void { for (const id of [...coreIds, ...edgeIds]) start(id); },
+      /** Tells of each kill, so that callers see their connections torn. */
+      torn(fn: (id: string) => void): void { ears.push(fn); },
+      freeze(id: string, ms: number): void {
+        const b = boxes.get(id)!;
+        b.freeze(ms);
+        b.tell({ what: 'frozen', ms });
+      },
+      /** A core machine that comes back with an empty disk at another address. */
+      replace(id: string): void {
+        kill(id);
+        disks.get(id)!.wipe();
+        boxes.get(id)!.move(`10.0.1.${spare++}:7000`);
+        boxes.get(id)!.tell({ what: 'wiped' });
+      },
+      wipe(id: string): void {
+        kill(id);
+        disks.get(id)!.wipe();
+        boxes.get(id)!.tell({ what: 'wiped' });
+      },
+      /** The ids on the chain, head first, as the newest view met has it. */
+      chain(): string[] {
+        const views = [...cores.values()].map((c) => c.core.view()).filter((v) => v !== null);
+        return views.sort((a, b) => b.epoch - a.epoch)[0]?.chain.map((m) => m.id) ?? [];
+      },
+      some: <T>(list: readonly T[], n: number): T[] => Dice.some(motor.chance, list, n),
+    };
+  },
+};
--- /dev/null
+++ b/packages/sim/src/grid.ts
@@ -0,0 +1,4 @@
+import type { Net } from './net.js';
+
+/** A running network. */
+export type Grid = ReturnType<typeof Net.make>;
--- /dev/null
+++ b/packages/sim/src/host.ts
@@ -0,0 +1,49 @@
+import { Dice, type Chance, type Clock, type Deed, type Disk, type Mail } from '@pumicebarrow/forms';
+import type { Motor } from './motor.js';
+
+type Ear = (mail: Mail) => Promise<unknown>;
+
+/**
+ * One simulated machine. Invariants: what a killed life had scheduled never runs; what a frozen one had
+ * scheduled runs when it thaws; the monotonic clock goes on through both.
+ */
+export const Host = {
+  make(motor: Motor, id: string, addr: string, site: string, disk: Disk | null, tell: (d: Deed) => void) {
+    const chance: Chance = Dice.seeded(Dice.int(motor.chance, 2 ** 31));
+    let life = 0;
+    let up = false;
+    let thaw = 0;
+    let skew = 0;
+    let ear: Ear | null = null;
+    const clockOf = (mine: number): Clock => ({
+      mono: motor.now,
+      wall: () => 1_800_000_000_000 + motor.now() + skew,
+      after(ms, fn) {
+        let on = true;
+        const fire = (): void => {
+          if (!on || life !== mine || !up) return;
+          if (thaw > motor.now()) { motor.at(thaw, fire); return; }
+          fn();
+        };
+        motor.at(motor.now() + Math.max(0, ms), fire);
+        return () => { on = false; };
+      },
+    });
+    return {
+      id, site, chance, disk,
+      addr: (): string => addr,
+      move(to: string): void { addr = to; },
+      life: (): number => life,
+      up: (): boolean => up,
+      frozen: (): boolean => thaw > motor.now(),
+      thaw: (): number => thaw,
+      skew(ms: number): void { skew += ms; },
+      freeze(ms: number): void { thaw = Math.max(thaw, motor.now() + ms); },
+      begin(): Clock { life++; up = true; thaw = 0; ear = null; return clockOf(life); },
+      kill(): void { up = false; life++; ear = null; },
+      hear(fn: Ear): void { ear = fn; },
+      ear: (): Ear | null => (up ? ear : null),
+      tell(d: Omit<Deed, 'who' | 'at'>): void { tell({ ...d, who: id, at: motor.now() } as Deed); },
+    };
+  },
+};
--- /dev/null
+++ b/packages/sim/src/model.ts
@@ -0,0 +1,88 @@
+import { Dice, Hash, Timer, type Chance, type Clock } from '@pumicebarrow/forms';
+import type { BackState, Handle, OrderSlip, Piece, VisitJob } from '@pumicebarrow/counter';
+import { createHash } from 'node:crypto';
+import { Text } from './text.js';
+import type { Trick } from './trick.js';
+
+type Kept = { handle: Handle; until: number };
+type Memory = { key: string; attempt: number; digest: string };
+type Startup = { id: string; born: string; addr: string; slots: number; hold: number; pace: number };
+type Hooks = {
+  /** Fetches prompt memory from the server that read it; null when it has lapsed or can't be had. */
+  fetch: (h: Handle) => Promise<Memory | null>;
+  ran: (key: string, attempt: number) => void;
+  ordered: (slip: OrderSlip) => void;
+  trick: () => Trick;
+};
+type Turned = { code: 'busy' | 'wrongpart' | 'lapsed' | 'old' | 'bad' };
+
+/**
+ * A stand-in model server. Invariants: an order older than the newest obeyed is turned away;
+ * a decode that is turned away has not run and will not.
+ */
+export const Model = {
+  make(clock: Clock, chance: Chance, s: Startup, h: Hooks) {
+    let state: BackState = { id: s.id, born: s.born, part: 'none', stage: 'serving', fence: 0, step: 0, busy: 0 };
+    const memory = new Map<string, Kept>();
+    let prefixes: readonly string[] = [];
+    const bump = (by: number): void => { state = { ...state, busy: state.busy + by }; };
+    const fair = (): number => s.pace * (1 + Math.max(0, state.busy - s.slots) / s.slots);
+    return {
+      state: (): BackState => state,
+      lapse(): void { memory.clear(); },
+      order(slip: OrderSlip): BackState | Turned {
+        if (slip.fence < state.fence || (slip.fence === state.fence && slip.step < state.step)) return { code: 'old' };
+        state = { ...state, part: slip.part, stage: slip.stage, fence: slip.fence, step: slip.step };
+        h.ordered(slip);
+        return state;
+      },
+      async prefill(job: VisitJob & { prefix: string; part: string; weight: number }): Promise<Handle | Turned> {
+        if (state.part !== 'prefill') return { code: 'wrongpart' };
+        if (state.busy >= s.slots * 4) return { code: 'busy' };
+        bump(1);
+        const prefix = Hash.text(job.prefix), known = prefixes.includes(prefix);
+        prefixes = [prefix, ...prefixes.filter((p) => p !== prefix)].slice(0, 12);
+        const size = (known ? 0 : job.prefix.length) + job.part.length;
+        await Timer.nap(clock, fair() * (0.5 + size / 400));
+        bump(-1);
+        const handle: Handle = { id: Dice.word(chance), key: job.key, attempt: job.attempt, server: s.id, born: s.born, addr: s.addr, digest: Text.digest(job.prefix, job.part) };
+        memory.set(handle.id, { handle, until: clock.mono() + s.hold });
+        if (memory.size > 4096) memory.delete(memory.keys().next().value!);
+        return handle;
+      },
+      kv(id: string): Memory | null {
+        const kept = memory.get(id);
+        if (!kept || kept.until < clock.mono()) return null;
+        memory.delete(id);
+        return { key: kept.handle.key, attempt: kept.handle.attempt, digest: kept.handle.digest };
+      },
+      async decode(job: VisitJob & { handle: Handle; pieces: number }, emit: (p: Piece) => void, on: () => boolean): Promise<Turned | null> {
+        if (state.part !== 'decode') return { code: 'wrongpart' };
+        if (state.busy >= s.slots * 4) return { code: 'busy' };
+        bump(1);
+        const got = await h.fetch(job.handle);
+        const fits = got && got.key === job.key && got.attempt === job.attempt && got.digest === job.handle.digest;
+        if (!fits || job.handle.key !== job.key || job.handle.attempt !== job.attempt) {
+          bump(-1);
+          return { code: got ? 'bad' : 'lapsed' };
+        }
+        h.ran(job.key, job.attempt);
+        const trick = h.trick();
+        const digest = trick === 'memory' ? Hash.text(`other ${got.digest}`) : got.digest;
+        const count = Text.count(got.digest, job.pieces), hash = createHash('sha256');
+        const base = { key: trick === 'other' ? 'another' : job.key, attempt: job.attempt, born: trick === 'old' ? 'before' : s.born };
+        for (let n = 1; n <= count && on(); n++) {
+          await Timer.nap(clock, fair());
+          if (trick === 'early' && n === count) break;
+          const text = Text.piece(digest, n);
+          hash.update(`${n}:${text}\n`);
+          if (!(trick === 'skip' && n === 2)) emit({ ...base, n, text });
+          if (trick === 'repeat' && n === 1) emit({ ...base, n, text });
+        }
+        if (on() && trick !== 'torn') emit({ ...base, end: true, count, digest: hash.digest('hex').slice(0, 24) });
+        bump(-1);
+        return null;
+      },
+    };
+  },
+};
--- /dev/null
+++ b/packages/sim/src/net.ts
@@ -0,0 +1,71 @@
+import { Err, Ok, Dice, type Mail, type Result, type Wire, type WireFault } from '@pumicebarrow/forms';
+import type { Box } from './box.js';
+import type { Motor } from './motor.js';
+
+/**
+ * The simulated network between daemons. Mail is copied through JSON. A refused connection is 'unsent'; a cut one
+ * is 'lost' or 'unsent' by chance, as an open connection or none would have it; a frozen hearer hears late.
+ */
+export const Net = {
+  make(motor: Motor) {
+    const hosts: Box[] = [];
+    let cuts: { a: ReadonlySet<string>; b: ReadonlySet<string> }[] = [];
+    let slow = 0;
+    let mails = 0;
+    const cut = (x: Box, y: Box): boolean => cuts.some((c) => (c.a.has(x.id) && c.b.has(y.id)) || (c.a.has(y.id) && c.b.has(x.id)));
+    const delay = (): number => 0.3 + motor.chance.real() * 1.5 + (motor.chance.real() < 0.01 ? 20 : 0) + slow;
+    return {
+      add(h: Box): void { hosts.push(h); },
+      hosts: (): readonly Box[] => hosts,
+      mails: (): number => mails,
+      cut(a: readonly string[], b: readonly string[]): () => void {
+        const c = { a: new Set(a), b: new Set(b) };
+        cuts = [...cuts, c];
+        return () => { cuts = cuts.filter((x) => x !== c); };
+      },
+      linked: (x: Box, y: Box): boolean => !cut(x, y),
+      slow(ms: number): void { slow = ms; },
+      wire(me: Box): Wire {
+        return {
+          hear: (fn) => me.hear(fn),
+          ask(to: string, mail: Mail, ms: number): Promise<Result<unknown, WireFault>> {
+            mails++;
+            const mine = me.life();
+            const text = JSON.stringify(mail);
+            return new Promise((done) => {
+              let open = true;
+              const say = (r: Result<unknown, WireFault>, at: number): void => {
+                motor.at(at, function fire() {
+                  if (me.life() !== mine) return;
+                  if (me.frozen()) { motor.at(me.thaw(), fire); return; }
+                  if (open) done(r);
+                  open = false;
+                });
+              };
+              const there = hosts.find((h) => h.up() && h.addr() === to);
+              if (!there) { say(Err('unsent'), motor.now() + delay()); return; }
+              if (cut(me, there)) {
+                const known = Dice.int(motor.chance, 2) === 0;
+                say(Err(known ? 'lost' : 'unsent'), motor.now() + (known ? ms : Math.min(ms, 300)));
+                return;
+              }
+              say(Err('lost'), motor.now() + ms);
+              const theirs = there.life();
+              motor.at(motor.now() + delay(), function arrive() {
+                if (there.life() !== theirs) { say(Err('lost'), motor.now()); return; }
+                if (there.frozen()) { motor.at(there.thaw() + delay(), arrive); return; }
+                const ear = there.ear();
+                if (!ear) { say(Err('lost'), motor.now()); return; }
+                void ear(JSON.parse(text) as Mail).then((re) => {
+                  if (there.life() !== theirs || cut(me, there)) return;
+                  const back = JSON.stringify(re ?? null);
+                  say(Ok(JSON.parse(back) as unknown), motor.now() + delay());
+                });
+              });
+            });
+          },
+        };
+      },
+    };
+  },
+};
--- /dev/null
+++ b/packages/sim/src/operators.ts
@@ -0,0 +1,70 @@
+import { Dice, type Charter, type Deed, type Verdict } from '@pumicebarrow/forms';
+import { Control } from '@pumicebarrow/counter';
+import type { Fleeting } from './fleeting.js';
+
+type Told = { verdict: Verdict; [key: string]: unknown };
+
+/** Simulated operators: they plan, confirm, race, and take down what they were told. */
+export const Operators = {
+  make(f: Fleeting, tell: (d: Deed) => void) {
+    const { motor } = f;
+    let serial = 0;
+    const nap = (ms: number): Promise<void> => new Promise((done) => { motor.at(motor.now() + ms, done); });
+    /** One call at one daemon; null when it was torn or never came back. */
+    const call = (id: string, job: (c: ReturnType<typeof Control.make>) => Promise<Told>): Promise<Told | null> => new Promise((done) => {
+      const c = f.counters.get(id), box = f.boxes.get(id)!;
+      if (!c || !box.up()) { done(null); return; }
+      const life = box.life();
+      const desk = Control.make({ clock: { mono: motor.now, wall: motor.now, after: () => () => undefined }, chance: motor.chance, wire: f.net.wire(box), disk: null, log: () => ({ say: () => undefined, warn: () => undefined }), tell: () => undefined }, c);
+      motor.at(motor.now() + 12_000, () => done(null));
+      void job(desk).then((r) => { if (box.life() === life) done(r); });
+    });
+    const daemon = (): string => Dice.one(motor.chance, f.edgeIds.filter((id) => f.boxes.get(id)!.up())) ?? f.edgeIds[0]!;
+    const write = (): Charter => {
+      const n = ++serial;
+      return { ...f.d.charter, rules: f.d.charter.rules.map((r) => (r.name === 'changelog' ? { ...r, limit: 60 + (n % 40) } : r)) };
+    };
+    const plan = async (id: string, charter: unknown): Promise<{ told: Told | null; name: string }> => {
+      const name = `plan-${++serial}`;
+      const told = await call(id, (c) => c.plan({ charter, id: name }));
+      tell({ what: 'planned', who: id, at: motor.now(), plan: name, ran: told?.verdict.ran ?? 'maybe', code: told?.verdict.code ?? 'torn' });
+      return { told, name };
+    };
+    const confirm = async (id: string, name: string): Promise<Told | null> => {
+      const told = await call(id, (c) => c.confirm({ plan: name }));
+      tell({ what: 'verdict', who: id, at: motor.now(), plan: name, ran: told?.verdict.ran ?? 'maybe', code: told?.verdict.code ?? 'torn', version: told?.['version'] ?? null });
+      return told;
+    };
+    /** Plans and confirms until it is done or `times` are up; true once confirmed. */
+    const change = async (times = 20): Promise<boolean> => {
+      for (let i = 0; i < times; i++) {
+        const id = daemon();
+        const p = await plan(id, write());
+        if (p.told?.verdict.ran === 'yes') {
+          for (let j = 0; j < 5; j++) {
+            const done = await confirm(j === 0 ? id : daemon(), p.name);
+            if (done?.verdict.code === 'confirmed') return true;
+            if (done && done.verdict.ran === 'no' && done.verdict.code !== 'unready') break;
+            await nap(400);
+          }
+        }
+        await nap(300);
+      }
+      return false;
+    };
+    return {
+      change, plan, confirm, write, daemon,
+      /** n operators plan against one base, then all confirm at once. */
+      async race(n: number): Promise<void> {
+        const plans = await Promise.all(Array.from({ length: n }, () => plan(daemon(), write())));
+        await Promise.all(plans.filter((p) => p.told?.verdict.ran === 'yes').map((p) => confirm(daemon(), p.name)));
+      },
+      async storm(n: number, gap: number): Promise<void> {
+        for (let i = 0; i < n; i++) {
+          void change(3);
+          await nap(gap);
+        }
+      },
+    };
+  },
+};
--- /dev/null
+++ b/packages/sim/src/stand.ts
@@ -0,0 +1,4 @@
+import type { Model } from './model.js';
+
+/** A stand-in server. */
+export type Stand = ReturnType<typeof Model.make>;
