--- /dev/null
+++ b/packages/clerk/src/commands/confirm.ts
@@ -0,0 +1,17 @@
+import { Args, Command } from '@oclif/core';
+import { Common } from '../common.js';
+import { Desk } from '../desk.js';
+import { Printer } from '../printer.js';
+
+/** clerk confirm */
+export class ConfirmCommand extends Command {
+  static override description = 'Put a stored plan in force. Doing it twice is harmless.';
+  static override args = { plan: Args.string({ description: 'the plan, as clerk plan named it', required: true }) };
+  static override flags = Common;
+
+  async run(): Promise<void> {
+    const { args, flags } = await this.parse(ConfirmCommand);
+    const r = await Desk.ask(flags.at, 'POST', '/confirm', { plan: args.plan });
+    this.exit(Printer.show(r.body, flags.json, (b) => [(b['verdict'] as { why: string }).why]));
+  }
+}
--- /dev/null
+++ b/packages/clerk/src/commands/index.ts
@@ -0,0 +1,9 @@
+import { ConfirmCommand } from './confirm.js';
+import { DropCommand } from './drop.js';
+import { PlanCommand } from './plan.js';
+import { ReadCommand } from './read.js';
+import { StatusCommand } from './status.js';
+import { TraceCommand } from './trace.js';
+
+/** clerk's commands, by name. */
+export const COMMANDS = { plan: PlanCommand, confirm: ConfirmCommand, drop: DropCommand, read: ReadCommand, status: StatusCommand, trace: TraceCommand };
--- /dev/null
+++ b/packages/clerk/src/commands/status.ts
@@ -0,0 +1,27 @@
+import { Command } from '@oclif/core';
+import { Common } from '../common.js';
+import { Desk } from '../desk.js';
+import { Printer } from '../printer.js';
+
+type Row = { id: string; site: string; role: string; reached: boolean; version: number | null };
+type Cast = { server: string; part: string; stage: string; by: string; mark: [number, number] };
+
+/** clerk status */
+export class StatusCommand extends Command {
+  static override description = 'Which charter each daemon holds, and how the servers are cast.';
+  static override flags = Common;
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(StatusCommand);
+    const r = await Desk.ask(flags.at, 'GET', '/status');
+    this.exit(Printer.show(r.body, flags.json, (b) => {
+      const view = b['view'] as { epoch: number; chain: { id: string }[] } | null;
+      return [
+        `Core ${String(b['core'])}: version ${String(b['version'] ?? 'unknown')}, chain ${view ? view.chain.map((m) => m.id).join(' > ') : 'unknown'}.`,
+        ...(b['daemons'] as Row[]).map((d) => `  ${d.id.padEnd(8)} ${d.role.padEnd(9)} ${d.site.padEnd(8)} ${d.reached ? `holds ${d.version ?? 'none'}` : 'UNREACHABLE'}`),
+        'Casting:',
+        ...(b['sheet'] as Cast[]).map((c) => `  ${c.server.padEnd(8)} ${c.part.padEnd(8)} ${c.stage.padEnd(9)} by ${c.by} under fence ${c.mark[0]}.${c.mark[1]}`),
+      ];
+    }));
+  }
+}
--- /dev/null
+++ b/packages/clerk/src/index.ts
@@ -0,0 +1,5 @@
+export { Common } from './common.js';
+export { Desk } from './desk.js';
+export { ExitCode } from './exitcode.js';
+export { Printer } from './printer.js';
+export { Story } from './story.js';
--- /dev/null
+++ b/packages/yard/src/index.ts
@@ -0,0 +1,10 @@
+export { BackHost } from './backhost.js';
+export { Child } from './child.js';
+export { Crowd } from './crowd.js';
+export { Drive } from './drive.js';
+export { HttpCaller } from './httpcaller.js';
+export { Plant } from './plant.js';
+export { type Planting } from './planting.js';
+export { Ports } from './ports.js';
+export { ShortDay } from './shortday.js';
+export { TownHost } from './townhost.js';
