Give undici whole milliseconds, so hand-overs near a deadline are sent

Cause: timeouts were fractions of a ms; AbortSignal.timeout turned them away, and the visit was bounced as 'broken'. Ruled out: server faults (their logs were empty).

--- a/packages/counter/src/httpback.ts
+++ b/packages/counter/src/httpback.ts
@@ -31,7 +31,7 @@
     const ask = async <S extends TSchema>(method: 'GET' | 'POST', url: string, body: unknown, ms: number, form: S): Promise<Result<Static<S>, BackFault>> => {
       try {
         const r = await call(url, {
-          method, dispatcher: agent, headersTimeout: ms, bodyTimeout: ms, signal: AbortSignal.timeout(ms + 300),
+          method, dispatcher: agent, headersTimeout: ms, bodyTimeout: ms, signal: AbortSignal.timeout(Math.ceil(ms) + 300),
           ...(body === undefined ? {} : { headers: { 'content-type': 'application/json' }, body: JSON.stringify(body) }),
         });
         const got: unknown = await r.body.json().catch(() => null);
