--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -98,7 +98,7 @@
     const mixer = Mixer.make({ world, sheet, town: watch, duty, purge, load: () => coreLoad, self: () => ident.id });
     const witness = Witness.make(world, post, crew);
     const bucket = Bucket.make(0.2, 3);
-    const visit = Run.make({ world, gate, waitlist, select, loads, town: watch, witness, bucket, back, sighted, pump, demand });
+    const visit = Run.make({ world, gate, waitlist, select, loads, town: watch, witness, bucket, back, sighted, pump, demand, version: sheet.version });
     const newest = Newest.make({ world, post, line, purge, shelf, self, known });
     const stops: (() => void)[] = [];
 
--- a/packages/counter/src/run.ts
+++ b/packages/counter/src/run.ts
@@ -54,7 +54,7 @@
         settled();
         const free = s ? loads.take(s.id, rule.weight) : null;
         if (s && free && town.good(s.id, s.born)) {
-          world.tell({ what: 'send', part: 'prefill', server: s.id, key: v.key, attempt: v.attempt });
+          world.tell({ what: 'send', part: 'prefill', server: s.id, key: v.key, attempt: v.attempt, version: t.version() });
           const got = await t.back.prefill(s.addr, { key: v.key, attempt: v.attempt, prefix: v.prefix, part: v.part, weight: rule.weight }, Math.max(200, Math.min(PATIENCE, due - now())));
           const h = got.ok ? got.val : null;
           const fits = h && h.key === v.key && h.attempt === v.attempt && h.server === s.id && h.born === s.born && h.digest === Hash.text(v.prefix + v.part);
--- a/packages/counter/src/runtools.ts
+++ b/packages/counter/src/runtools.ts
@@ -13,5 +13,5 @@
 export type RunTools = {
   world: World; gate: Gating; waitlist: ReturnType<typeof Waitlist.make>; select: Selecting; loads: LoadBook;
   town: TownView; witness: Witnessing; bucket: ReturnType<typeof Bucket.make>; back: Back;
-  sighted: (s: Listed) => void; pump: () => void; demand: { read: number; write: number };
+  sighted: (s: Listed) => void; pump: () => void; version: () => number; demand: { read: number; write: number };
 };
--- a/packages/registry/src/chain.ts
+++ b/packages/registry/src/chain.ts
@@ -25,7 +25,7 @@
     let fresh = 0;
     let ready = 0;
     let busy = false;
-    let queued: Wait[] = [];
+    let held: Wait[] = [];
     let lock: Promise<unknown> = Promise.resolve();
     let turn: () => void = () => undefined;
     let turned = new Promise<null>((done) => { turn = () => done(null); });
@@ -68,9 +68,9 @@
     const work = async (): Promise<void> => {
       if (busy) return;
       busy = true;
-      while (queued.length > 0) {
-        const batch = queued;
-        queued = [];
+      while (held.length > 0) {
+        const batch = held;
+        held = [];
         await alone(async () => {
           const why = able(), view = hooks.view();
           if (why !== null || !view) {
@@ -126,12 +126,12 @@
       passed: (): CoreState | null => passed,
       ready: (): boolean => able() === null,
       fresh: (): boolean => fresh === hooks.view()?.epoch,
-      backlog: (): number => queued.length,
+      backlog: (): number => held.length,
       write: (command: Command): Promise<Ruling> => new Promise((done) => {
         const why = able();
         if (why !== null) { done({ verdict: Verdicts.not('unready', why, 1) }); return; }
-        if (queued.length >= 256) { done({ verdict: Verdicts.not('full', 'Too many commands wait.', 1) }); return; }
-        queued = [...queued, { command, done }];
+        if (held.length >= 256) { done({ verdict: Verdicts.not('full', 'Too many commands wait.', 1) }); return; }
+        held = [...held, { command, done }];
         void work();
       }),
       moved(): void {
--- a/packages/sim/src/callers.ts
+++ b/packages/sim/src/callers.ts
@@ -71,7 +71,7 @@
       const size = SIZES[rule]!, key = `v${++serial}`;
       const group = Dice.int(motor.chance, 4);
       const body = { rule, prefix: `${rule}${group} `.repeat(Math.ceil((size.prefix * long) / 8)), part: `${key} `.repeat(Math.ceil(size.part / 6)) };
-      tell({ what: 'wish', who: site, at: at(), key, rule });
+      tell({ what: 'wish', who: site, at: at(), key, rule, digest: Text.digest(body.prefix, body.part) });
       let attempt = 1;
       let dead = 0;
       while (attempt <= TRIES) {
--- /dev/null
+++ b/packages/sim/src/commands/index.ts
@@ -0,0 +1,5 @@
+import { ListCommand } from './list.js';
+import { RunCommand } from './run.js';
+
+/** sim's commands, by name. */
+export const COMMANDS = { run: RunCommand, list: ListCommand };
--- /dev/null
+++ b/packages/sim/src/day.ts
@@ -0,0 +1,25 @@
+import { Dice } from '@pumicebarrow/forms';
+import { Drills } from './drills.js';
+import type { Scene } from './scene.js';
+
+const COOP = new Set(['clocks', 'diskstall', 'lone']);
+const FINAL = ['restart', 'herd', 'corekill', 'cutoff', 'crash', 'wipe'];
+
+/** A whole day of mixed faults, two at a time now and then, which ends on one. */
+export const Day = {
+  /** The drills that the brief names for a deployment. */
+  names: (fleet: string): string[] => [...Drills.keys()].filter((n) => (fleet === 'coop' ? !COOP.has(n) : n !== 'exchange' && n !== 'storm')),
+  async run(s: Scene, fleet: string, faults: number): Promise<void> {
+    const chance = Dice.seeded(Math.floor(s.real() * 2 ** 31));
+    const names = Day.names(fleet);
+    for (let i = 0; i < faults; i++) {
+      const name = Dice.one(chance, names)!;
+      s.note('fault', { name });
+      await Drills.get(name)!.run(s);
+      await s.nap(3000 + chance.real() * 4000);
+    }
+    const last = Dice.one(chance, FINAL)!;
+    s.note('fault', { name: last, last: true });
+    await Drills.get(last)!.run(s);
+  },
+};
--- /dev/null
+++ b/packages/sim/src/drills/daemons.ts
@@ -0,0 +1,91 @@
+import type { Drill } from '../drill.js';
+
+/** What happens to daemons and machines. */
+export const Daemons: readonly Drill[] = [
+  {
+    name: 'kill', about: 'daemons are killed singly, and start again',
+    async run(s) {
+      for (const id of s.f.some(s.f.edgeIds, 3)) {
+        s.f.kill(id);
+        await s.nap(2500);
+        void s.ops.change(3);
+        s.f.start(id);
+        await s.nap(1500);
+      }
+    },
+  },
+  {
+    name: 'herd', about: 'half the edge is killed at once, while an operator confirms through one of them',
+    async run(s) {
+      const herd = s.f.some(s.f.edgeIds, Math.ceil(s.f.edgeIds.length / 2));
+      const p = await s.ops.plan(herd[0]!, s.ops.write());
+      void s.ops.confirm(herd[0]!, p.name);
+      await s.nap(Math.floor(s.real() * 30));
+      for (const id of herd) s.f.kill(id);
+      await s.nap(3000);
+      for (const id of herd) s.f.start(id);
+      await s.nap(2000);
+    },
+  },
+  {
+    name: 'freeze', about: 'edge machines freeze and wake while the charter changes',
+    async run(s) {
+      for (const id of s.f.some(s.f.edgeIds, 3)) {
+        s.f.freeze(id, 3000 + s.real() * 3000);
+        await s.nap(500);
+        await s.ops.change(5);
+        await s.nap(4000);
+      }
+    },
+  },
+  {
+    name: 'lone', about: 'a single machine is cut off from all the others, then another',
+    async run(s) {
+      for (const id of s.f.some([...s.f.edgeIds, ...s.f.coreIds], 2)) {
+        const rest = [...s.f.edgeIds, ...s.f.coreIds].filter((x) => x !== id);
+        s.cut([id], rest, 5000);
+        await s.nap(1000);
+        void s.ops.change(4);
+        await s.nap(5500);
+      }
+    },
+  },
+  {
+    name: 'clocks', about: 'wall clocks jump both ways while the charter changes',
+    async run(s) {
+      for (let i = 0; i < 6; i++) {
+        for (const id of s.f.some([...s.f.edgeIds, ...s.f.coreIds], 3)) s.f.boxes.get(id)!.skew((s.real() - 0.5) * 7_200_000);
+        void s.ops.change(2);
+        await s.nap(1200);
+      }
+    },
+  },
+  {
+    name: 'restart', about: 'all machines stop at once and start again with their disks',
+    async run(s) {
+      void s.ops.change(1);
+      await s.nap(20 + s.real() * 60);
+      const all = [...s.f.coreIds, ...s.f.edgeIds];
+      for (const id of all) s.f.kill(id);
+      await s.nap(2000);
+      for (const id of all) s.f.start(id);
+    },
+  },
+  {
+    name: 'exchange', about: 'two edge daemons come back with their addresses exchanged',
+    async run(s) {
+      const [a, b] = s.f.some(s.f.edgeIds, 2) as [string, string];
+      s.f.kill(a);
+      s.f.kill(b);
+      const x = s.f.boxes.get(a)!, y = s.f.boxes.get(b)!, ax = x.addr();
+      x.move(y.addr());
+      y.move(ax);
+      await s.nap(500);
+      s.f.start(a);
+      s.f.start(b);
+      await s.nap(500);
+      await s.ops.change(5);
+      await s.nap(3000);
+    },
+  },
+];
--- /dev/null
+++ b/packages/sim/src/drills/servers.ts
@@ -0,0 +1,88 @@
+import type { Drill } from '../drill.js';
+import type { Trick } from '../trick.js';
+
+const TRICKS: readonly Trick[] = ['skip', 'repeat', 'other', 'old', 'torn', 'early'];
+
+/** What happens to model servers. */
+export const Servers: readonly Drill[] = [
+  {
+    name: 'crash', about: 'model servers crash and come back as new lives',
+    async run(s) {
+      for (const id of s.f.some(s.park.ids(), 3)) {
+        s.park.fall(id);
+        await s.nap(1500);
+        s.park.mark(id, 'gone');
+        await s.nap(2500);
+        s.park.rise(id);
+        await s.nap(1500);
+      }
+    },
+  },
+  {
+    name: 'dark', about: 'a model server stops replying and the list does not say so',
+    async run(s) {
+      for (const id of s.f.some(s.park.ids(), 2)) {
+        s.park.dark(id, true);
+        await s.nap(6000);
+        s.park.dark(id, false);
+        await s.nap(2000);
+      }
+    },
+  },
+  {
+    name: 'release', about: 'servers are replaced one by one: listed as leaving, stopped, back as new lives',
+    async run(s) {
+      for (const id of s.park.ids()) {
+        s.park.mark(id, 'draining');
+        await s.nap(3200);
+        s.park.fall(id);
+        s.park.mark(id, 'gone');
+        await s.nap(800);
+        s.park.rise(id);
+        await s.nap(1200);
+      }
+    },
+  },
+  {
+    name: 'links', about: 'links between servers slow down',
+    async run(s) {
+      const ids = s.f.some(s.park.ids(), 2);
+      for (const id of ids) s.park.slow(id, 700);
+      await s.nap(10_000);
+      for (const id of ids) s.park.slow(id, 0);
+    },
+  },
+  {
+    name: 'lapse', about: 'held prompt memory lapses early',
+    async run(s) {
+      for (let i = 0; i < 60; i++) {
+        s.park.lapse();
+        await s.nap(120);
+      }
+    },
+  },
+  {
+    name: 'tricks', about: 'a server answers for another visit, skips, repeats, ends early, claims an old life',
+    async run(s) {
+      const id = s.f.some(s.park.ids(), 1)[0]!;
+      for (const t of TRICKS) {
+        s.park.trick(id, t);
+        await s.nap(2000);
+      }
+      s.park.trick(id, 'none');
+    },
+  },
+  {
+    name: 'nolist', about: 'the platform\'s list can\'t be had for a while',
+    async run(s) {
+      s.park.platform(false);
+      await s.nap(1000);
+      const id = s.f.some(s.park.ids(), 1)[0]!;
+      s.park.mark(id, 'draining');
+      await s.nap(5000);
+      s.park.platform(true);
+      s.park.fall(id);
+      s.park.rise(id);
+    },
+  },
+];
--- /dev/null
+++ b/packages/sim/src/history.ts
@@ -0,0 +1,34 @@
+import type { Deed } from '@pumicebarrow/forms';
+
+type Span = { from: number; to: number };
+
+/** A run's history, with the questions that rules ask of it. Invariant: in order of time. */
+export const History = {
+  make(list: readonly Deed[]) {
+    const by = new Map<string, Deed[]>();
+    for (const d of list) by.set(d.what, [...(by.get(d.what) ?? [])].length === 0 ? [d] : (by.get(d.what)!.push(d), by.get(d.what)!));
+    const of = (what: string): readonly Deed[] => by.get(what) ?? [];
+    const end = list.at(-1)?.at ?? 0;
+    const ups = new Map<string, Span[]>();
+    for (const d of [...of('start'), ...of('killed')].sort((a, b) => a.at - b.at)) {
+      const spans = ups.get(d.who) ?? [];
+      if (d.what === 'start') spans.push({ from: d.at, to: Infinity });
+      else if (spans.length > 0) spans[spans.length - 1]!.to = d.at;
+      ups.set(d.who, spans);
+    }
+    const apart: { ids: readonly string[]; from: number; to: number }[] = [
+      ...of('frozen').map((d) => ({ ids: [d.who], from: d.at, to: d.at + Number(d['ms']) })),
+      ...of('cut').map((d) => ({ ids: d['ids'] as string[], from: d.at, to: Number(d['until']) })),
+    ];
+    return {
+      all: list, of, end,
+      edges: [...ups.keys()].filter((id) => id.startsWith('e')),
+      lives: (id: string): readonly Span[] => ups.get(id) ?? [],
+      /** Whether a machine was up, awake and linked for the whole of a span. */
+      sound(id: string, from: number, to: number): boolean {
+        const up = (ups.get(id) ?? []).some((s) => s.from <= from && s.to >= to);
+        return up && !apart.some((a) => a.ids.includes(id) && a.from <= to && a.to >= from);
+      },
+    };
+  },
+};
--- a/packages/sim/src/model.ts
+++ b/packages/sim/src/model.ts
@@ -10,7 +10,7 @@
 type Hooks = {
   /** Fetches prompt memory from the server that read it; null when it has lapsed or can't be had. */
   fetch: (h: Handle) => Promise<Memory | null>;
-  ran: (key: string, attempt: number) => void;
+  ran: (key: string, attempt: number, digest: string) => void;
   ordered: (slip: OrderSlip) => void;
   trick: () => Trick;
 };
@@ -66,7 +66,7 @@
           bump(-1);
           return { code: got ? 'bad' : 'lapsed' };
         }
-        h.ran(job.key, job.attempt);
+        h.ran(job.key, job.attempt, got.digest);
         const trick = h.trick();
         const digest = trick === 'memory' ? Hash.text(`other ${got.digest}`) : got.digest;
         const count = Text.count(got.digest, job.pieces), hash = createHash('sha256');
--- a/packages/sim/src/park.ts
+++ b/packages/sim/src/park.ts
@@ -38,7 +38,7 @@
           const from = servers.get(h.server), wait = lag() + now.slow + (from?.slow ?? 0);
           motor.at(motor.now() + wait, () => done(from && from.up && !from.dark && from.born === h.born ? from.stand.kv(h.id) : null));
         }),
-        ran: (key, attempt) => say('ran', s.id, { key, attempt }),
+        ran: (key, attempt, digest) => say('ran', s.id, { key, attempt, digest }),
         ordered: (slip) => say('ordered', s.id, { by: slip.by, fence: slip.fence, part: slip.part }),
         trick: () => now.trick,
       });
--- /dev/null
+++ b/packages/sim/src/rules/whole.ts
@@ -0,0 +1,12 @@
+import type { NeverRule } from '../neverrule.js';
+
+/** Never 3. */
+export const Whole: NeverRule = {
+  name: 'whole',
+  never: 'an outcome is short but looks whole, is another visit\'s, or has a piece twice or a gap',
+  judge(h) {
+    const all = h.of('whole');
+    const broken = all.filter((d) => d['good'] !== true).map((d) => ({ at: d.at, why: `${String(d['key'])} looked whole and was not`, deeds: h.all.filter((x) => x['key'] === d['key']) }));
+    return { checked: all.length, broken, worst: `${broken.length} of ${all.length}` };
+  },
+};
--- a/packages/yard/src/crowd.ts
+++ b/packages/yard/src/crowd.ts
@@ -22,13 +22,13 @@
       const v = { key, rule, prefix: `${rule}${serial % 4} `.repeat(rule === 'review' ? 700 : 250), part: `${key} `.repeat(40) };
       const site = d.sites[serial % d.sites.length];
       bump('visits');
-      let refused = 0;
+      let shut = 0;
       for (let attempt = 1; attempt <= TRIES;) {
         const near = plant.edges.filter((e) => e.site === site && plant.alive(e.id));
         const list = near.length > 0 ? near : plant.edges;
         const out = await caller.visit(list[Math.floor(Math.random() * list.length)]!.http, { ...v, attempt }, d.charter.rules.find((x) => x.name === rule)!.pieces);
         if (out.kind === 'refused') {
-          if (++refused > 10) { bump('refused'); return; }
+          if (++shut > 10) { bump('refused'); return; }
           await nap(300);
           continue;
         }
--- /dev/null
+++ b/tools/house.mjs
@@ -0,0 +1,58 @@
+// The house checks: file length, one named export a file, our words in declared names, no host or machine path.
+import { readdirSync, readFileSync, statSync } from 'node:fs';
+import ts from 'typescript';
+
+const MOST = 250;
+const NOT = { refuse: 'bounce', refused: 'bounced', request: 'visit', requests: 'visits', route: 'rule', admit: 'gate', admitted: 'gated', zone: 'site', zones: 'sites', queue: 'waitlist', queued: 'waiting', forward: 'proxy', configuration: 'charter', config: 'charter', answer: 'outcome', answers: 'outcomes', choose: 'select', chosen: 'selected', settings: 'startup', setting: 'startup', lease: 'claim', leases: 'claims' };
+const faults = [];
+let files = 0, lines = 0, proofs = 0;
+const words = (s) => s.replace(/([a-z0-9])([A-Z])/g, '$1 $2').split(/[ _-]+/).map((w) => w.toLowerCase());
+const check = (path) => {
+  const text = readFileSync(path, 'utf8');
+  const n = text.split('\n').length - 1;
+  files++;
+  lines += n;
+  const proof = /packages\/(sim|yard)\/|\.test\.ts$/.test(path);
+  if (proof) proofs += n;
+  if (n > MOST) faults.push(`${path}: ${n} lines, more than ${MOST}`);
+  const src = ts.createSourceFile(path, text, ts.ScriptTarget.ES2023, true);
+  const out = new Set();
+  const bare = path.endsWith('/index.ts') || path.endsWith('.test.ts') || path.endsWith('.d.ts');
+  const name = (id) => {
+    if (!id || !ts.isIdentifier(id)) return;
+    for (const w of words(id.text)) if (Object.hasOwn(NOT, w)) faults.push(`${path}:${src.getLineAndCharacterOfPosition(id.pos).line + 1}: '${id.text}' is our '${NOT[w]}'`);
+  };
+  const walk = (node) => {
+    if ((ts.isVariableDeclaration(node) || ts.isParameter(node) || ts.isPropertySignature(node) || ts.isTypeAliasDeclaration(node)
+      || ts.isFunctionDeclaration(node) || ts.isMethodDeclaration(node) || ts.isPropertyAssignment(node) || ts.isClassDeclaration(node)) && node.name) name(node.name);
+    if (ts.isExportAssignment(node)) faults.push(`${path}: a default export`);
+    if (ts.canHaveModifiers(node) && ts.getModifiers(node)?.some((m) => m.kind === ts.SyntaxKind.ExportKeyword)) {
+      if (ts.isVariableStatement(node)) for (const d of node.declarationList.declarations) out.add(d.name.getText(src));
+      else if (node.name) out.add(node.name.text);
+    }
+    ts.forEachChild(node, walk);
+  };
+  walk(src);
+  if (!bare && out.size !== 1) faults.push(`${path}: ${out.size} named exports (${[...out].join(', ')}), one is wanted`);
+};
+const plain = (path) => {
+  if (path.endsWith('package-lock.json')) {
+    if (/registry\.npm|"resolved": "http/.test(readFileSync(path, 'utf8'))) faults.push(`${path}: names a host`);
+    return;
+  }
+  const text = readFileSync(path, 'utf8');
+  if (/registry\.npm|https?:\/\/(?!127\.|x['"/)]|\$\{|HOST|\[|json-schema|www\.apache)|\/work\/|\/root\/|\/home\/|\/tmp\//.test(text)) faults.push(`${path}: names a host or a machine's path`);
+};
+const tree = (dir, fn, want) => {
+  for (const f of readdirSync(dir)) {
+    if (f === 'node_modules' || f === 'dist' || f === '.git' || f.startsWith('.yard')) continue;
+    const p = `${dir}/${f}`;
+    if (statSync(p).isDirectory()) tree(p, fn, want);
+    else if (want.test(f)) fn(p);
+  }
+};
+tree('packages', check, /\.ts$/);
+tree('.', plain, /\.(ts|md|json|mjs)$|^\.npmrc$/);
+for (const f of faults) console.error(f);
+console.log(`house: ${files} files, ${lines} lines, ${proofs} of them stand-ins, drills and tests (${Math.round((100 * proofs) / lines)}%); ${faults.length} faults`);
+process.exit(faults.length > 0 ? 1 : 0);
