--- /dev/null
+++ b/packages/counter/src/machines.test.ts
@@ -0,0 +1,33 @@
+import { expect } from 'chai';
+import { interpret, type Machine } from 'robot3';
+import { DaemonLife } from './daemonlife.js';
+import { VisitLife } from './visitlife.js';
+
+const run = (m: Machine, events: string[]): string => {
+  const s = interpret(m, () => undefined);
+  for (const e of events) s.send(e as never);
+  return String(s.machine.current);
+};
+const visits: [string, string][] = [
+  ['turn marked read send piece piece whole', 'ended'],
+  ['turn marked read send whole', 'ended'],
+  ['give', 'bounced'],
+  ['turn give', 'bounced'],
+  ['turn marked give', 'bounced'],
+  ['turn marked again read give', 'bounced'],
+  ['turn marked read send give', 'unsure'],
+  ['turn marked read send unrun give', 'bounced'],
+  ['turn marked read send lapse give', 'bounced'],
+  ['turn marked read send piece give', 'cut'],
+  ['turn marked read send piece unrun', 'streamed'],
+  ['turn marked read send piece lapse', 'streamed'],
+  ['turn send', 'marking'],
+  ['turn marked read send piece whole give', 'ended'],
+];
+const lives: [string, string][] = [
+  ['begin', 'asking'], ['begin sure', 'serving'], ['begin sure woke', 'asking'], ['begin sure woke sure', 'serving'],
+  ['begin sure leave', 'draining'], ['begin sure leave woke', 'draining'], ['begin sure leave empty', 'stopped'], ['begin leave sure', 'draining'], ['sure', 'starting'],
+];
+
+describe('VisitLife', () => { for (const [e, end] of visits) it(`${e} leads to ${end}`, () => expect(run(VisitLife as never, e.split(' '))).to.equal(end)); });
+describe('DaemonLife', () => { for (const [e, end] of lives) it(`${e} leads to ${end}`, () => expect(run(DaemonLife as never, e.split(' '))).to.equal(end)); });
--- /dev/null
+++ b/packages/forms/src/startupfile.test.ts
@@ -0,0 +1,39 @@
+import { expect } from 'chai';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { Type } from 'typebox';
+import { Addr } from './addr.js';
+import { StartupFile } from './startupfile.js';
+
+const form = Type.Object({ id: Type.String(), addr: Addr, seeds: Type.Array(Addr, { minItems: 3 }) }, { additionalProperties: false });
+const seeds = ['127.0.0.1:1', '127.0.0.1:2', '[::1]:3'];
+const cases: [string, string, Record<string, unknown>, string[]][] = [
+  ['a sound file', JSON.stringify({ id: 'e1', addr: '127.0.0.1:7', seeds }), {}, []],
+  ['flags over the file', JSON.stringify({ id: 'e1', addr: 'host:7', seeds }), { addr: '127.0.0.1:7' }, []],
+  ['a host name for an address', JSON.stringify({ id: 'e1', addr: 'host:7', seeds }), {}, ['/addr']],
+  ['a port too high', JSON.stringify({ id: 'e1', addr: '127.0.0.1:70000', seeds }), {}, ['/addr']],
+  ['too few seeds', JSON.stringify({ id: 'e1', addr: '127.0.0.1:7', seeds: seeds.slice(1) }), {}, ['/seeds']],
+  ['an unknown key', JSON.stringify({ id: 'e1', addr: '127.0.0.1:7', seeds, extra: 1 }), {}, ['/extra']],
+  ['two missing keys', JSON.stringify({ seeds }), {}, ['/id', '/addr']],
+];
+
+describe('StartupFile', () => {
+  let dir = '';
+  before(async () => { dir = await mkdtemp(join(tmpdir(), 'pb-')); });
+  after(() => rm(dir, { recursive: true }));
+  for (const [name, text, flags, paths] of cases) {
+    it(`reads ${name}`, async () => {
+      const file = join(dir, 'startup.json');
+      await writeFile(file, text);
+      const got = await StartupFile.read(form, file, flags);
+      expect(got.ok ? [] : got.val.map((f) => f.path).sort()).to.deep.equal([...paths].sort());
+    });
+  }
+  it('says which file is not JSON', async () => {
+    const file = join(dir, 'bad.json');
+    await writeFile(file, '{');
+    const got = await StartupFile.read(form, file, {});
+    expect(got.err && got.val[0]!.path).to.equal(file);
+  });
+});
--- a/packages/forms/src/tcpwire.ts
+++ b/packages/forms/src/tcpwire.ts
@@ -46,6 +46,7 @@
       });
       Framer.read(sock, (f) => {
         if (!('re' in f)) return;
+        if (f.re === null && peers.get(to) === peer) peers.delete(to);
         waits.get(f.n)?.(Ok(f.re));
         waits.delete(f.n);
       }, (why) => { log.warn(`Closed the line to ${to}: ${why}.`); sock.destroy(); });
--- a/packages/sim/src/commands/index.ts
+++ b/packages/sim/src/commands/index.ts
@@ -1,5 +1,6 @@
 import { ListCommand } from './list.js';
 import { RunCommand } from './run.js';
+import { SpreadCommand } from './spread.js';
 
 /** sim's commands, by name. */
-export const COMMANDS = { run: RunCommand, list: ListCommand };
+export const COMMANDS = { run: RunCommand, list: ListCommand, spread: SpreadCommand };
--- a/packages/sim/src/index.ts
+++ b/packages/sim/src/index.ts
@@ -43,6 +43,7 @@
 export { type Scene } from './scene.js';
 export { Seeds } from './seeds.js';
 export { SimDisk } from './simdisk.js';
+export { Spread } from './spread.js';
 export { Stage } from './stage.js';
 export { type Stand } from './stand.js';
 export { Text } from './text.js';
