Let visits with a handle wait by urgency for a decode server

Cause: after reading, visits polled for decode room, so a verdict had to be lucky against the reviews. Ruled out: the gate's waitlist (urgent first already), the readers (had room).

--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -56,7 +56,7 @@
     const watch = TownWatch.make(world, post, town, () => known().filter((p) => p.id !== ident.id));
     const ledger = Ledger.make(clock);
     LedgerDesk.make(post, ledger);
-    const loads = Loads.make(), shuns = Shuns.make(clock), waitlist = Waitlist.make(clock);
+    const loads = Loads.make(), shuns = Shuns.make(clock), waitlist = Waitlist.make(clock), hands = Waitlist.make(clock);
     const select = Select.make({ sheet, town: watch, loads, shuns, roster: crew });
     const demand = { read: 0, write: 0 };
     const awake = Awake.make(clock, () => {
@@ -74,7 +74,6 @@
     };
     const gate = Gate.make({
       site: ident.site, charter: sheet.charter, open: shut, young: watch.young, waitlist, select, loads,
-      shareAll: () => select.usable('prefill').reduce((a, s) => a + select.share(s.id), 0),
     });
     const pump = (): void => {
       const turns: (() => void)[] = [];
@@ -83,7 +82,12 @@
         turns.push(loads.take('*turn', rule.weight));
         return true;
       });
-      clock.after(0, () => { for (const f of turns) f(); });
+      hands.pump((rule) => {
+        if (!select.roomy('decode', rule, '*hand')) return false;
+        turns.push(loads.take('*hand', rule.weight));
+        return true;
+      });
+      if (turns.length > 0) clock.after(0, () => { for (const f of turns) f(); });
     };
     const duty = Duty.make(world, line, self, crew);
     const sighted = (s: Listed): void => {
@@ -98,7 +102,7 @@
     const mixer = Mixer.make({ world, sheet, town: watch, duty, purge, load: () => coreLoad, self: () => ident.id });
     const witness = Witness.make(world, post, crew);
     const bucket = Bucket.make(startup.tries?.rate ?? 0.2, startup.tries?.cap ?? 3);
-    const visit = Run.make({ world, gate, waitlist, select, loads, town: watch, witness, bucket, back, sighted, pump, demand, version: sheet.version });
+    const visit = Run.make({ world, gate, waitlist, hands, select, loads, town: watch, witness, bucket, back, sighted, pump, demand, version: sheet.version });
     const newest = Newest.make({ world, post, line, purge, shelf, self, known });
     const stops: (() => void)[] = [];
 
--- a/packages/counter/src/gate.ts
+++ b/packages/counter/src/gate.ts
@@ -6,7 +6,7 @@
 
 type Tools = {
   site: string; charter: () => Charter | null; open: () => Verdict | null; young: () => boolean;
-  waitlist: ReturnType<typeof Waitlist.make>; select: Selecting; loads: ReturnType<typeof Loads.make>; shareAll: () => number;
+  waitlist: ReturnType<typeof Waitlist.make>; select: Selecting; loads: ReturnType<typeof Loads.make>;
 };
 const HELD = '*turn';
 
@@ -17,12 +17,7 @@
 export const Gate = {
   make(t: Tools) {
     const under = new Map<string, number>();
-    const room = (rule: Rule): boolean => {
-      if ((under.get(rule.name) ?? 0) >= rule.limit) return false;
-      const list = t.select.usable('prefill');
-      const used = list.reduce((a, s) => a + t.loads.at(s.id), 0) + t.loads.at(HELD);
-      return list.length > 0 && (used === 0 || used + rule.weight <= t.shareAll());
-    };
+    const room = (rule: Rule): boolean => (under.get(rule.name) ?? 0) < rule.limit && t.select.roomy('prefill', rule, HELD);
     return {
       /** What the charter says of this visit, or why it may not come in. */
       check(v: Visit): Result<Rule, Verdict> {
--- a/packages/counter/src/run.ts
+++ b/packages/counter/src/run.ts
@@ -48,6 +48,17 @@
           await Timer.nap(world.clock, 20);
         }
       };
+      /** Waits among those with a handle, the most urgent first. */
+      const hand = async (pick: () => Listed | null): Promise<Listed | null> => {
+        for (;;) {
+          const spot = t.hands.enter(rule, due);
+          t.pump();
+          if (!(await spot.turn) || sink.gone()) return null;
+          const s = pick();
+          if (s) return s;
+          await Timer.nap(world.clock, 20);
+        }
+      };
       const read = async (): Promise<void> => {
         t.demand.read += rule.weight;
         const s = await room(() => select.prefill(rule, prefix, avoid) ?? (avoid.size > 0 ? select.prefill(rule, prefix, new Set()) : null));
@@ -70,7 +81,7 @@
       };
       const write = async (): Promise<void> => {
         t.demand.write += rule.weight;
-        const s = await room(() => select.decode(rule, reader!, avoid) ?? (avoid.size > 0 ? select.decode(rule, reader!, new Set()) : null));
+        const s = await hand(() => select.decode(rule, reader!, avoid) ?? (avoid.size > 0 ? select.decode(rule, reader!, new Set()) : null));
         const free = s ? loads.take(s.id, rule.weight) : null;
         if (s && free && handle && !sink.gone() && town.good(s.id, s.born)) {
           life.send('send');
--- a/packages/counter/src/runtools.ts
+++ b/packages/counter/src/runtools.ts
@@ -11,7 +11,7 @@
 
 /** What the run of a visit works with. */
 export type RunTools = {
-  world: World; gate: Gating; waitlist: ReturnType<typeof Waitlist.make>; select: Selecting; loads: LoadBook;
+  world: World; gate: Gating; waitlist: ReturnType<typeof Waitlist.make>; hands: ReturnType<typeof Waitlist.make>; select: Selecting; loads: LoadBook;
   town: TownView; witness: Witnessing; bucket: ReturnType<typeof Bucket.make>; back: Back;
   sighted: (s: Listed) => void; pump: () => void; version: () => number; demand: { read: number; write: number };
 };
--- a/packages/counter/src/select.ts
+++ b/packages/counter/src/select.ts
@@ -30,7 +30,12 @@
     return {
       usable,
       share,
-      room: (part: Part, rule: Rule): boolean => usable(part).some((s) => room(s, rule)),
+      /** Whether a part has room for one more, beside what is promised under the name `held`. */
+      roomy(part: Part, rule: Rule, held: string): boolean {
+        const list = usable(part);
+        const used = list.reduce((a, s) => a + t.loads.at(s.id), 0) + t.loads.at(held);
+        return list.length > 0 && (used === 0 || used + rule.weight <= list.reduce((a, s) => a + share(s.id), 0));
+      },
       /** The server most likely to hold the prefix, unless it has no room. */
       prefill(rule: Rule, prefix: string, not: ReadonlySet<string>): Listed | null {
         const list = usable('prefill').filter((s) => !not.has(s.id) && room(s, rule));
--- a/packages/sim/src/commands/index.ts
+++ b/packages/sim/src/commands/index.ts
@@ -1,6 +1,7 @@
 import { ListCommand } from './list.js';
+import { MeasureCommand } from './measure.js';
 import { RunCommand } from './run.js';
 import { SpreadCommand } from './spread.js';
 
 /** sim's commands, by name. */
-export const COMMANDS = { run: RunCommand, list: ListCommand, spread: SpreadCommand };
+export const COMMANDS = { run: RunCommand, list: ListCommand, spread: SpreadCommand, measure: MeasureCommand };
--- /dev/null
+++ b/packages/sim/src/commands/measure.ts
@@ -0,0 +1,44 @@
+import { Args, Command, Flags } from '@oclif/core';
+import { Deployments } from '../deployments.js';
+import { Drills } from '../drills.js';
+import { Measure } from '../measure.js';
+import { Seeds } from '../seeds.js';
+
+type Rows = ReturnType<typeof Measure.callers>;
+
+/** sim measure */
+export class MeasureCommand extends Command {
+  static override description = 'Figures of a drill, of an idle fleet, or of casting that follows the mix against a fixed cast.';
+  static override args = { what: Args.string({ description: 'cast, idle, or a drill', required: true }) };
+  static override flags = {
+    fleet: Flags.option({ options: ['coop', 'registry'] as const, default: 'coop' as const })({ description: 'which deployment' }),
+    seeds: Flags.string({ default: '1-3', description: '7, 1-20 or 3,5,8' }),
+  };
+
+  async run(): Promise<void> {
+    const { args, flags } = await this.parse(MeasureCommand);
+    const seeds = Seeds.read(flags.seeds);
+    if (!seeds || !(['cast', 'idle'].includes(args.what) || Drills.has(args.what))) {
+      process.stderr.write(`valid: cast, idle, ${[...Drills.keys()].join(', ')}; seeds 7, 1-20, 3,5,8\n`);
+      return this.exit(2);
+    }
+    const d = Deployments[flags.fleet];
+    const rows = (label: string, list: Rows): void => {
+      for (const r of list) this.log(`  ${label.padEnd(9)}${r.rule.padEnd(10)} ${String(r.whole).padStart(5)} of ${String(r.visits).padStart(5)} whole; first piece median ${r.median}, p95 ${r.p95}, worst ${r.worst} ms`);
+    };
+    for (const seed of seeds) {
+      this.log(`${flags.fleet} ${args.what}, seed ${seed}`);
+      if (args.what === 'cast') {
+        const m = await Measure.cast(d, seed);
+        rows('follows', m.follows.rows);
+        rows('fixed', m.fixed.rows);
+        this.log(`  swaps ${m.follows.swaps}, mixes ${m.follows.mixes}; nevers broken ${m.follows.broken} and ${m.fixed.broken}`);
+      } else {
+        const m = await Measure.drill(d, args.what, seed);
+        rows('', m.rows);
+        this.log(`  held by way of ${JSON.stringify(m.via)}; purge ${JSON.stringify(m.purge)}; slowest charter ${m.hold}; nevers broken ${m.broken}`);
+        if (args.what === 'idle') this.log(`  in ${m.idle.secs} s: ${m.idle.mails} mails, ${m.idle.repairs} repairs`);
+      }
+    }
+  }
+}
--- a/packages/sim/src/day.ts
+++ b/packages/sim/src/day.ts
@@ -1,8 +1,11 @@
 import { Dice } from '@pumicebarrow/forms';
+import { Cores } from './drills/cores.js';
 import { Drills } from './drills.js';
 import type { Scene } from './scene.js';
 
 const COOP = new Set(['clocks', 'diskstall', 'lone']);
+/** Faults that stop or cut off the core whole are not laid over another core fault: one core is lost at a time. */
+const ALONE = new Set(['restart', 'cutoff', 'lone']);
 const FINAL = ['restart', 'herd', 'corekill', 'cutoff', 'crash', 'wipe'];
 
 /** A whole day of mixed faults, two at a time now and then, which ends on one. */
@@ -14,8 +17,11 @@
     const names = Day.names(fleet);
     for (let i = 0; i < faults; i++) {
       const name = Dice.one(chance, names)!;
-      s.note('fault', { name });
-      await Drills.get(name)!.run(s);
+      const core = Cores.some((c) => c.name === name);
+      const other = Dice.one(chance, names.filter((n) => n !== name && Cores.some((c) => c.name === n) !== core && !ALONE.has(n)))!;
+      const both = chance.real() < 0.4 && !ALONE.has(name);
+      s.note('fault', { name: both ? `${name}+${other}` : name });
+      await Promise.all([name, ...(both ? [other] : [])].map((n) => Drills.get(n)!.run(s)));
       await s.nap(3000 + chance.real() * 4000);
     }
     const last = Dice.one(chance, FINAL)!;
--- a/packages/sim/src/drills/daemons.ts
+++ b/packages/sim/src/drills/daemons.ts
@@ -71,6 +71,17 @@
       for (const id of all) s.f.start(id);
     },
   },
+  {
+    name: 'rolling', about: 'every edge daemon in turn is told to leave, finishes its visits, and a new life starts',
+    async run(s) {
+      for (const id of s.f.edgeIds) {
+        await s.f.leave(id, 4000);
+        await s.nap(300);
+        s.f.start(id);
+        await s.nap(1200);
+      }
+    },
+  },
   {
     name: 'exchange', about: 'two edge daemons come back with their addresses exchanged',
     async run(s) {
--- a/packages/sim/src/fleet.ts
+++ b/packages/sim/src/fleet.ts
@@ -71,6 +71,14 @@
       tries(rate: number, cap: number): void { tries = { rate, cap }; },
       /** Tells of each kill, so that callers see their connections torn. */
       torn(fn: (id: string) => void): void { ears.push(fn); },
+      /** SIGTERM: the daemon leaves as it would, then stops. */
+      async leave(id: string, ms: number): Promise<void> {
+        const c = counters.get(id), life = boxes.get(id)!.life();
+        if (!c) return;
+        boxes.get(id)!.tell({ what: 'leaves' });
+        await Promise.race([c.leave(ms), new Promise((done) => { motor.at(motor.now() + ms + 2000, () => done(null)); })]);
+        if (boxes.get(id)!.life() === life) kill(id);
+      },
       freeze(id: string, ms: number): void {
         const b = boxes.get(id)!;
         b.freeze(ms);
--- a/packages/sim/src/index.ts
+++ b/packages/sim/src/index.ts
@@ -19,6 +19,7 @@
 export { History } from './history.js';
 export { Host } from './host.js';
 export { type Job } from './job.js';
+export { Measure } from './measure.js';
 export { Model } from './model.js';
 export { type Motor } from './motor.js';
 export { Net } from './net.js';
--- /dev/null
+++ b/packages/sim/src/measure.ts
@@ -0,0 +1,56 @@
+import type { Deed } from '@pumicebarrow/forms';
+import type { Deployment } from './deployment.js';
+import { Drills } from './drills.js';
+import type { History } from './history.js';
+import { Nevers } from './nevers.js';
+import { Stage } from './stage.js';
+
+const at = (l: readonly number[], p: number): number => Math.round([...l].sort((a, b) => a - b)[Math.min(l.length - 1, Math.floor(l.length * p))] ?? 0);
+
+/** Figures of runs: virtual time, counts and messages, never the machine's own time. */
+export const Measure = {
+  /** What callers saw of each rule: how many were whole, and how long until the first piece. */
+  callers(h: ReturnType<typeof History.make>, from = 0, to = Infinity) {
+    const first = new Map<unknown, number>(h.of('first').map((d) => [d['key'], d.at]));
+    const whole = new Set(h.of('whole').filter((d) => d['good'] === true).map((d) => d['key']));
+    const by = new Map<string, Deed[]>();
+    for (const d of h.of('wish')) if (d.at >= from && d.at < to) by.set(String(d['rule']), [...(by.get(String(d['rule'])) ?? []), d]);
+    return [...by].sort().map(([rule, list]) => {
+      const waits = list.flatMap((d) => (first.has(d['key']) ? [first.get(d['key'])! - d.at] : []));
+      return { rule, visits: list.length, whole: list.filter((d) => whole.has(d['key'])).length, median: at(waits, 0.5), p95: at(waits, 0.95), worst: at(waits, 1) };
+    });
+  },
+  /** One drill with parts that follow the mix, and with a fixed cast, on the same seed. */
+  async cast(d: Deployment, seed: number) {
+    const one = async (swing: boolean) => {
+      const charter = { ...d.charter, casting: { ...d.charter.casting, swing } };
+      const r = await Stage.run({ ...d, charter }, seed, (s) => Drills.get('swing')!.run(s));
+      return { rows: Measure.callers(r.history), swaps: r.history.of('swap').length, mixes: r.history.of('mix').length, broken: Nevers.flatMap((n) => n.judge(r.history).broken).length };
+    };
+    return { follows: await one(true), fixed: await one(false) };
+  },
+  /** One drill: what callers saw, how the charter reached the daemons, and what repair cost. */
+  async drill(d: Deployment, name: string, seed: number) {
+    let from = 0;
+    let idle = { mails: 0, repairs: 0, secs: 0 };
+    const r = await Stage.run(d, seed, async (s) => {
+      from = s.now();
+      if (name === 'idle') {
+        const sum = (k: 'repairs'): number => [...s.f.counters.values()].reduce((a, c) => a + c.purge.count()[k], 0);
+        const mails = s.f.net.mails(), repairs = sum('repairs');
+        await s.nap(60_000);
+        idle = { mails: s.f.net.mails() - mails, repairs: sum('repairs') - repairs, secs: 60 };
+      } else await Drills.get(name)!.run(s);
+    });
+    const via: Record<string, number> = {};
+    for (const x of r.history.of('held')) via[String(x['via'])] = (via[String(x['via'])] ?? 0) + 1;
+    const counts = [...r.f.counters.values()].map((c) => c.purge.count());
+    const sum = (k: keyof (typeof counts)[number]): number => counts.reduce((a, c) => a + c[k], 0);
+    return {
+      rows: Measure.callers(r.history, from), via, idle,
+      purge: { pulls: sum('pulls'), fallbacks: sum('fallbacks'), repairs: sum('repairs'), repaired: sum('repaired'), evicted: sum('evicted'), misses: sum('misses') },
+      hold: Nevers.find((n) => n.name === 'hold')!.judge(r.history).worst,
+      broken: Nevers.flatMap((n) => n.judge(r.history).broken).length,
+    };
+  },
+};
