Cast by what would ease the busier part, and count waiting where the room is short

Cause: visits at the gate counted as wanting readers even when decode was the bottleneck, so the mix moved the wrong way; and a move that did not help was undone and made again each calm. Ruled out: too short a calm, the charter's floor.

--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -128,8 +128,10 @@
         await Timer.nap(clock, 150);
       }
     };
+    /** Visits at the gate are wanting for readers only if it is the readers that have no room. */
+    const demandNow = () => ({ read: demand.read + (select.roomy('prefill', { weight: 1 }, '*turn') ? 0 : waitlist.weight()), write: demand.write });
     const checkin = async (): Promise<void> => {
-      const got = await line.checkin({ version: sheet.version(), sum: shelf.sum(), load: { ...demand } });
+      const got = await line.checkin({ version: sheet.version(), sum: shelf.sum(), load: demandNow() });
       if (!got) return;
       if (got.roster) roster = got.roster;
       coreLoad = got.load;
--- a/packages/counter/src/mixer.ts
+++ b/packages/counter/src/mixer.ts
@@ -6,18 +6,21 @@
 import type { TownView } from './townview.js';
 
 type Load = { read: number; write: number };
-const LEAN = 1.4;
+const GAIN = 0.85;
 const BUSY = 0.6;
 const TIMES = 4;
+const BACK = 2;
 
 /**
- * Says how many servers should read. Invariant: the number moves by one, only after the same lean was seen
- * several times running while that part was busy, and never twice within the charter's calm.
+ * Says how many servers should read. Invariant: the number moves by one, only after the same lean was seen several
+ * times running, only if the busier part would be clearly less busy for it, and never twice within the charter's calm;
+ * so under a steady load it comes to rest. A move that undoes the last one waits twice as long.
  */
 export const Mixer = {
   make(t: { world: World; sheet: SheetView; town: TownView; duty: Duties; purge: Purging; load: () => Load; self: () => string }) {
     let lean = 0;
     let moved = -Infinity;
+    let last = 0;
     return {
       name: 'mix',
       tick(): void {
@@ -25,15 +28,22 @@
         if (!c || fence === null || !c.casting.swing) { lean = 0; return; }
         const rows = [...t.sheet.rows().values()].map((r) => r.row).filter((r) => r.stage !== 'dark' && t.town.good(r.server, r.born));
         const slots = (p: string): number => rows.filter((r) => r.part === p).reduce((a, r) => a + (c.servers.find((s) => s.id === r.server)?.slots ?? 1), 0);
-        const load = t.load(), read = load.read / Math.max(1, slots('prefill')), write = load.write / Math.max(1, slots('decode'));
-        const now = read > BUSY && read > write * LEAN ? 1 : write > BUSY && write > read * LEAN ? -1 : 0;
+        const load = t.load(), one = (slots('prefill') + slots('decode')) / Math.max(1, rows.length);
+        /** How busy the busier part would be with `by` more readers. */
+        const worst = (by: number): number => {
+          const p = slots('prefill') + by * one, d = slots('decode') - by * one;
+          return p <= 0 || d <= 0 ? Infinity : Math.max(load.read / p, load.write / d);
+        };
+        const here = worst(0), now = here < BUSY ? 0 : worst(1) < here * GAIN ? 1 : worst(-1) < here * GAIN ? -1 : 0;
         lean = now === 0 ? 0 : Math.sign(lean) === now ? lean + now : now;
-        if (Math.abs(lean) < TIMES || t.world.clock.mono() - moved < c.casting.calm) return;
+        const calm = c.casting.calm * (Math.sign(lean) === -last ? BACK : 1);
+        if (Math.abs(lean) < TIMES || t.world.clock.mono() - moved < calm) return;
         const held = t.sheet.mix()?.prefill ?? c.casting.prefill;
-        const next = Target.count(c, held + Math.sign(lean), rows.length);
+        const way = Math.sign(lean), next = Target.count(c, held + way, rows.length);
         lean = 0;
         if (next === held) return;
         moved = t.world.clock.mono();
+        last = way;
         const old = t.sheet.mark('mix');
         const step = old && old[0] === fence ? old[1] + 1 : 0;
         t.purge.publish({ name: 'mix', mark: [fence, step], body: { prefill: next, by: t.self() } });
--- a/packages/counter/src/run.ts
+++ b/packages/counter/src/run.ts
@@ -142,10 +142,8 @@
         spot.leave();
         return end(book.bad, false);
       }
-      t.demand.read += rule.val.weight;
       t.pump();
       const turn = await spot.turn;
-      t.demand.read -= rule.val.weight;
       const mine = turn ? t.gate.begin(rule.val) : null;
       const marked = mine && !sink.gone() ? await witness.sent(v, book.owners, book.digest) : false;
       if (!mine || !marked || now() >= due) {
--- a/packages/counter/src/select.ts
+++ b/packages/counter/src/select.ts
@@ -31,7 +31,7 @@
       usable,
       share,
       /** Whether a part has room for one more, beside what is promised under the name `held`. */
-      roomy(part: Part, rule: Rule, held: string): boolean {
+      roomy(part: Part, rule: Pick<Rule, 'weight'>, held: string): boolean {
         const list = usable(part);
         const used = list.reduce((a, s) => a + t.loads.at(s.id), 0) + t.loads.at(held);
         return list.length > 0 && (used === 0 || used + rule.weight <= list.reduce((a, s) => a + share(s.id), 0));
--- a/packages/counter/src/waitlist.ts
+++ b/packages/counter/src/waitlist.ts
@@ -8,16 +8,19 @@
     const heap = new Heap<Waiter>((a, b) => b.rule.urgency - a.rule.urgency || a.due - b.due || a.order - b.order);
     let count = new Map<string, number>();
     let order = 0;
+    let weight = 0;
     const bump = (name: string, by: number): void => { count = new Map(count).set(name, (count.get(name) ?? 0) + by); };
     const leave = (w: Waiter, go: boolean): void => {
       if (!w.open) return;
       w.open = false;
       bump(w.rule.name, -1);
+      weight -= w.rule.weight;
       w.turn(go);
     };
     return {
       length: (name: string): number => count.get(name) ?? 0,
       total: (): number => [...count.values()].reduce((a, b) => a + b, 0),
+      weight: (): number => weight,
       /** Waits for a turn until `due`, then gives up at once. */
       enter(rule: Rule, due: number): { turn: Promise<boolean>; leave: () => void } {
         let say: (go: boolean) => void = () => undefined;
@@ -25,6 +28,7 @@
         const w: Waiter = { rule, due, order: order++, open: true, turn: say };
         heap.push(w);
         bump(rule.name, 1);
+        weight += rule.weight;
         const stop = clock.after(Math.max(0, due - clock.mono()), () => leave(w, false));
         void turn.then(stop);
         return { turn, leave: () => leave(w, false) };
