--- a/packages/yard/src/shortday.test.ts
+++ b/packages/yard/src/shortday.test.ts
@@ -1,11 +1,21 @@
 import { Deployments } from '@pumicebarrow/sim';
 import { expect } from 'chai';
-import { mkdtemp, rm } from 'node:fs/promises';
+import { spawn } from 'node:child_process';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
 import { Drive } from './drive.js';
 import { Plant } from './plant.js';
 
+const clerk = (at: string, ...args: string[]): Promise<{ code: number | null; text: string }> => new Promise((done) => {
+  const p = spawn(process.execPath, [fileURLToPath(import.meta.resolve('@pumicebarrow/clerk').replace(/dist\/index\.js$/, 'bin/run.js')), ...args], { env: { ...process.env, PUMICEBARROW_AT: at } });
+  let text = '';
+  p.stdout.on('data', (b: Buffer) => { text += b.toString('utf8'); });
+  p.stderr.on('data', (b: Buffer) => { text += b.toString('utf8'); });
+  p.once('close', (code) => done({ code, text }));
+});
+
 describe('A fleet of real processes', () => {
   it('takes a charter, serves, and serves on after a daemon, a server and the head are killed', async () => {
     const dir = await mkdtemp(join(tmpdir(), 'pb-'));
@@ -16,6 +26,22 @@
       await plant.start();
       await drive.holds(await drive.change(d.charter));
       await drive.serves();
+      const at = plant.edges[0]!.http;
+      await writeFile(join(dir, 'next.json'), JSON.stringify({ ...d.charter, fallback: 'review' }));
+      await writeFile(join(dir, 'bad.json'), JSON.stringify({ ...d.charter, fallback: 'none' }));
+      const bad = await clerk(at, 'plan', join(dir, 'bad.json'));
+      expect([bad.code, bad.text]).to.deep.equal([2, '/fallback names the unknown rule none\n']);
+      const planned = await clerk(at, 'plan', join(dir, 'next.json'));
+      expect(planned.text).to.contain('/fallback changes from changelog to review.');
+      const name = /clerk confirm (\S+)/.exec(planned.text)![1]!;
+      expect((await clerk(at, 'confirm', name)).code).to.equal(0);
+      expect((await clerk(at, 'confirm', name)).code).to.equal(0);
+      expect((await clerk(at, 'drop', name)).code).to.equal(1);
+      await drive.holds(2);
+      expect((await clerk(at, 'read', name)).text).to.contain('is won');
+      expect((await clerk(at, 'status')).text).to.match(/e1 .* holds 2/);
+      expect((await clerk(at, 'trace')).text).to.contain('charter 2: 6 of 6 daemons hold it');
+      expect((await clerk(at, 'trace', '--version', '99')).code).to.equal(1);
       const crowd = drive.crowd();
       crowd.start();
       const whole = (n: number) => drive.until(`${n} whole outcomes`, 60_000, () => Promise.resolve((crowd.tally['whole'] ?? 0) >= n));
