--- a/packages/clerk/src/commands/index.ts
+++ b/packages/clerk/src/commands/index.ts
@@ -4,6 +4,7 @@
 import { ReadCommand } from './read.js';
 import { StatusCommand } from './status.js';
 import { TraceCommand } from './trace.js';
+import { VisitCommand } from './visit.js';
 
 /** clerk's commands, by name. */
-export const COMMANDS = { plan: PlanCommand, confirm: ConfirmCommand, drop: DropCommand, read: ReadCommand, status: StatusCommand, trace: TraceCommand };
+export const COMMANDS = { plan: PlanCommand, confirm: ConfirmCommand, drop: DropCommand, read: ReadCommand, status: StatusCommand, trace: TraceCommand, visit: VisitCommand };
--- a/packages/clerk/src/index.ts
+++ b/packages/clerk/src/index.ts
@@ -3,3 +3,4 @@
 export { ExitCode } from './exitcode.js';
 export { Printer } from './printer.js';
 export { Story } from './story.js';
+export { VisitStory } from './visitstory.js';
--- a/packages/counter/src/control.ts
+++ b/packages/counter/src/control.ts
@@ -2,6 +2,7 @@
 import { Diff, TraceDesk, type CharterBody } from '@pumicebarrow/registry';
 import { Type } from 'typebox';
 import type { Counting } from './counting.js';
+import { VisitDesk } from './visitdesk.js';
 
 type Told = { verdict: Verdict; [key: string]: unknown };
 const Named = Type.Object({ plan: Type.String({ minLength: 1, maxLength: 60 }) }, { additionalProperties: false });
@@ -78,6 +79,15 @@
         if (!met) return { verdict: Verdicts.not('unknown', `No daemon has met ${name} ${version ?? ''}.`) };
         return { verdict: Verdicts.ran('read', 'As the daemons say.'), name, version: top, daemons: told };
       },
+      /** What became of a visit, as every daemon knows it. */
+      async visit(key: string): Promise<Told> {
+        const rows = await Promise.all((await everyone()).filter((w) => w.role === 'counter').map(async (who) => {
+          const r = await d.post.ask(who.addr, who.id, 'visit.tell', { key }, VisitDesk.forms.told, 800);
+          return { id: who.id, reached: r.ok, steps: r.ok ? r.val.steps : [], entry: r.ok ? r.val.entry : null };
+        }));
+        if (rows.every((r) => r.steps.length === 0 && r.entry === null)) return { verdict: Verdicts.not('unknown', `No daemon that replied knows ${key}.`) };
+        return { verdict: Verdicts.ran('read', 'As the daemons say.'), key, daemons: rows };
+      },
       held: (): CharterBody | null => (d.shelf.get('charter')?.body as CharterBody | undefined) ?? null,
     };
   },
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -24,6 +24,8 @@
 import type { Town } from './town.js';
 import { TownWatch } from './townwatch.js';
 import type { Visit } from './visit.js';
+import { VisitDesk } from './visitdesk.js';
+import { VisitDiary } from './visitdiary.js';
 import { Waitlist } from './waitlist.js';
 import { Witness } from './witness.js';
 
@@ -32,8 +34,9 @@
 
 /** A counter daemon put together: purge, ledger, casting and the visits' path. */
 export const Counter = {
-  make(world: World, startup: CounterStartup, back: Back, town: Town) {
-    const { clock } = world;
+  make(outer: World, startup: CounterStartup, back: Back, town: Town) {
+    const { clock } = outer;
+    const diary = VisitDiary.make(clock), world = diary.listen(outer);
     const log = world.log('counter');
     const ident: Ident = { id: startup.id, born: Dice.word(world.chance), addr: startup.addr, site: startup.site, role: 'counter' };
     const self = (): Ident => ident;
@@ -141,6 +144,7 @@
     };
 
     TraceDesk.make(post, self, purge, shelf);
+    VisitDesk.make(post, diary, ledger);
     return {
       ident, visit: (v: Visit, sink: CallerSink): Promise<Verdict> => visit(v, sink), gate,
       post, line, purge, shelf, sheet, watch, ledger, duty, shuns, roster: crew,
--- a/packages/counter/src/front.ts
+++ b/packages/counter/src/front.ts
@@ -67,6 +67,7 @@
       }
       app.get('/charter', (_req, res) => { void desk.read().then((r) => Front.say(res, r)); });
       app.get('/plan/:id', (req, res) => { void desk.fate(String(req.params['id'])).then((r) => Front.say(res, r)); });
+      app.get('/visit/:key', (req, res) => { void desk.visit(decodeURIComponent(String(req.params['key']))).then((r) => Front.say(res, r)); });
       app.get('/status', (_req, res) => { void desk.status().then((r) => Front.say(res, r)); });
       app.get('/trace/:name', (req, res) => {
         const raw = new URL(req.url, 'http://x').searchParams.get('version');
--- a/packages/counter/src/index.ts
+++ b/packages/counter/src/index.ts
@@ -43,6 +43,8 @@
 export { type TownView } from './townview.js';
 export { TownWatch } from './townwatch.js';
 export { Visit } from './visit.js';
+export { VisitDesk } from './visitdesk.js';
+export { VisitDiary } from './visitdiary.js';
 export { type VisitJob } from './visitjob.js';
 export { VisitLife } from './visitlife.js';
 export { type Waiter } from './waiter.js';
--- a/packages/counter/src/run.ts
+++ b/packages/counter/src/run.ts
@@ -94,7 +94,10 @@
             const look = check.look(p);
             if (!look.ok) { broken = look.why; return false; }
             if (look.n !== undefined) {
-              if (look.n === 1) loads.timed(reader!.id, s.id, now() - from);
+              if (look.n === 1) {
+                loads.timed(reader!.id, s.id, now() - from);
+                world.tell({ what: 'streams', key: v.key, attempt: v.attempt, server: s.id });
+              }
               life.send('piece');
               sink.piece(look.n, look.text!);
             } else if (look.end) { life.send('whole'); sink.end(look.end.count, look.end.digest); }
@@ -135,6 +138,7 @@
         return end(rule.val, false);
       }
       t.bucket.visit();
+      world.tell({ what: 'gated', key: v.key, attempt: v.attempt, rule: rule.val.name });
       const due = now() + rule.val.deadline;
       const spot = t.waitlist.enter(rule.val, due);
       const book = await witness.open(v);
@@ -142,6 +146,7 @@
         spot.leave();
         return end(book.bad, false);
       }
+      world.tell({ what: 'recorded', key: v.key, attempt: v.attempt, owners: book.owners.map((o) => o.id) });
       t.pump();
       const turn = await spot.turn;
       const mine = turn ? t.gate.begin(rule.val) : null;
--- a/packages/forms/src/check.ts
+++ b/packages/forms/src/check.ts
@@ -1,5 +1,6 @@
 import { type Static, type TSchema } from 'typebox';
 import { Compile } from 'typebox/compile';
+import { Value } from 'typebox/value';
 import { Err } from './err.js';
 import type { Fault } from './fault.js';
 import { Ok } from './ok.js';
@@ -26,6 +27,10 @@
       .flatMap(plain);
     return Err(list.length > 0 ? list.slice(0, 50) : [{ path: '', why: 'does not fit' }]);
   },
+  /** The value without keys that the schema does not know. */
+  known(form: TSchema, v: unknown): unknown {
+    return Check.tool(form).Check(v) ? v : Value.Clean(form, Value.Clone(v));
+  },
   tool(form: TSchema): Made {
     const old = made.get(form);
     if (old) return old;
--- a/packages/forms/src/post.ts
+++ b/packages/forms/src/post.ts
@@ -9,9 +9,13 @@
 import type { WireFault } from './wirefault.js';
 import type { World } from './world.js';
 
+const VOICE = 1;
 type Desk = { form: TSchema; fn: (body: never, from: Ident) => Promise<unknown> | unknown };
 
-/** The mail room of one daemon: checks what comes in and what comes back. */
+/**
+ * The mail room of one daemon: checks what comes in and what comes back.
+ * Keys not known are faults in mail of our own voice, and are left out of mail of the next release and of replies.
+ */
 export const Post = {
   make(world: World, self: () => Ident): PostBox {
     const desks = new Map<string, Desk>();
@@ -23,7 +27,8 @@
       if (mail.to !== '' && mail.to !== me.id) { log.warn(`Turned away ${mail.kind} meant for ${mail.to}.`); return null; }
       const desk = desks.get(mail.kind);
       if (!desk) { log.warn(`Turned away unknown ${mail.kind}.`); return null; }
-      const body = Check.parse(desk.form, mail.body);
+      if (Math.abs(mail.v - VOICE) > 1) { log.warn(`Turned away ${mail.kind} of voice ${mail.v}.`); return null; }
+      const body = Check.parse(desk.form, mail.v > VOICE ? Check.known(desk.form, mail.body) : mail.body);
       if (body.err) { log.warn(`Turned away bad ${mail.kind} from ${mail.from.id}.`); return null; }
       return (await desk.fn(body.val as never, mail.from)) ?? null;
     });
@@ -32,11 +37,11 @@
         desks.set(kind, { form, fn: fn as Desk['fn'] });
       },
       async ask<S extends TSchema>(addr: string, to: string, kind: string, body: unknown, form: S, ms: number): Promise<Result<Static<S>, WireFault>> {
-        const mail: Mail = { v: 1, to, from: self(), kind, body };
+        const mail: Mail = { v: VOICE, to, from: self(), kind, body };
         const back = await world.wire.ask(addr, mail, ms);
         if (back.err) return back;
         if (back.val === null) return Err('wrong');
-        const seen = Check.parse(form, back.val);
+        const seen = Check.parse(form, Check.known(form, back.val));
         if (seen.err) { log.warn(`Bad reply to ${kind} from ${addr}.`); return Err('wrong'); }
         return Ok(seen.val);
       },
--- a/packages/sim/src/net.ts
+++ b/packages/sim/src/net.ts
@@ -13,6 +13,8 @@
   make(motor: Motor) {
     const hosts: Box[] = [];
     let cuts: { a: ReadonlySet<string>; b: ReadonlySet<string> }[] = [];
+    let newer: ReadonlySet<string> = new Set();
+    const novel = (id: string, v: unknown): unknown => (newer.has(id) && typeof v === 'object' && v !== null ? { ...v, novel: 1 } : v);
     let slow = 0;
     let bend: Bend = (_kind, _from, _to, re) => re;
     let mails = 0;
@@ -28,6 +30,8 @@
         return () => { cuts = cuts.filter((x) => x !== c); };
       },
       linked: (x: Box, y: Box): boolean => !cut(x, y),
+      /** Daemons that speak as the next release may: one voice up, with a key that ours does not know. */
+      newer(list: readonly string[]): void { newer = new Set(list); },
       bend(fn: Bend): void { bend = fn; },
       slow(ms: number): void { slow = ms; },
       wire(me: Box): Wire {
@@ -36,7 +40,7 @@
           ask(to: string, mail: Mail, ms: number): Promise<Result<unknown, WireFault>> {
             mails++;
             const mine = me.life();
-            const text = JSON.stringify(mail);
+            const text = JSON.stringify(newer.has(me.id) ? { ...mail, v: mail.v + 1, body: novel(me.id, mail.body) } : mail);
             return new Promise((done) => {
               let open = true;
               const say = (r: Result<unknown, WireFault>, at: number): void => {
@@ -65,7 +69,7 @@
                   if (there.life() !== theirs || cut(me, there)) return;
                   const bent = bend(mail.kind, me.id, there.id, re ?? null, mail.body);
                   if (bent === undefined) return;
-                  const back = JSON.stringify(bent);
+                  const back = JSON.stringify(novel(there.id, bent));
                   say(Ok(JSON.parse(back) as unknown), motor.now() + delay());
                 });
               });
--- a/packages/sim/src/sabotages.ts
+++ b/packages/sim/src/sabotages.ts
@@ -33,7 +33,11 @@
     run: async (s) => {
       await s.ops.change();
       tamper('core.read', (re) => ({ ...re, charter: null }))(s.f);
-      await drill('kill')(s);
+      for (const id of s.f.edgeIds) {
+        s.f.kill(id);
+        s.f.start(id);
+        await s.nap(900);
+      }
     },
   },
   { never: 'lost', about: 'core disks say they have synced and have not', before: (f) => { for (const d of f.disks.values()) d.lie(); }, run: drill('restart') },
