--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -134,6 +134,7 @@
     /** Visits at the gate are wanting for readers only if it is the readers that have no room. */
     const demandNow = () => ({ read: demand.read + (select.roomy('prefill', { weight: 1 }, '*turn') ? 0 : waitlist.weight()), write: demand.write });
     const checkin = async (): Promise<void> => {
+      if (is() === 'draining' || is() === 'stopped') return;
       const got = await line.checkin({ version: sheet.version(), sum: shelf.sum(), load: demandNow() });
       if (!got) return;
       if (got.roster) roster = got.roster;
--- a/packages/counter/src/gate.ts
+++ b/packages/counter/src/gate.ts
@@ -32,7 +32,9 @@
         if (Buffer.byteLength(v.prefix) + Buffer.byteLength(v.part) > rule.bytes) return Err(Verdicts.not('toolarge', `Rule ${rule.name} takes ${rule.bytes} bytes at the most.`));
         if (!t.young()) return Err(Verdicts.not('oldlist', 'The platform\'s list is too old to send by.', 1));
         if (t.select.usable('prefill').length === 0 || t.select.usable('decode').length === 0) return Err(Verdicts.not('noserver', 'No server can take this now.', 1));
-        if (t.waitlist.length(rule.name) >= rule.waitlist) return Err(Verdicts.not('full', `The waitlist of ${rule.name} is full.`, Math.max(1, Math.ceil(rule.deadline / 2000))));
+        if (t.waitlist.length(rule.name) >= rule.waitlist) return Err(Verdicts.not('full', `The waitlist of ${rule.name} is full.`, Math.min(15, Math.max(1, Math.ceil(Math.max(rule.deadline / 2, t.waitlist.foresee(rule.urgency)) / 1000)))));
+        const wait = t.waitlist.foresee(rule.urgency);
+        if (wait > rule.deadline) return Err(Verdicts.not('slow', `The wait would be about ${Math.round(wait / 1000)} s, longer than ${rule.name} may wait.`, Math.max(1, Math.ceil((wait - rule.deadline) / 1000))));
         return Ok(rule);
       },
       room,
--- a/packages/counter/src/run.ts
+++ b/packages/counter/src/run.ts
@@ -11,7 +11,8 @@
 
 const IDLE = 2500;
 const PATIENCE = 4000;
-const tooOld = (): Verdict => Verdicts.not('late', 'No server had room in time.', 1);
+const MOST = 15;
+const tooOld = (wait: number): Verdict => Verdicts.not('late', 'No server had room in time.', Math.min(MOST, Math.max(1, Math.ceil(wait / 1000))));
 
 /**
  * One visit, from the gate to its outcome, written straight down.
@@ -30,7 +31,7 @@
       const avoid = new Set<string>();
       let handle: Handle | null = null;
       let reader: Listed | null = null;
-      let why: Verdict = tooOld();
+      let why: Verdict = tooOld(t.waitlist.foresee(rule.urgency));
       life.send('turn');
       life.send('marked');
       const spend = (f: BackFault, s: Listed): boolean => {
@@ -156,7 +157,7 @@
         mine?.over();
         await witness.close(v, book.owners, book.digest);
         t.pump();
-        return end(mine && !marked ? Verdicts.not('noledger', 'The visit could not be marked as sent.', 1) : tooOld(), false);
+        return end(mine && !marked ? Verdicts.not('noledger', 'The visit could not be marked as sent.', 1) : tooOld(t.waitlist.foresee(rule.val.urgency)), false);
       }
       const out = await go(v, rule.val, sink, due, mine.settled);
       mine.over();
--- a/packages/counter/src/waitlist.test.ts
+++ b/packages/counter/src/waitlist.test.ts
@@ -30,6 +30,26 @@
       expect(t.went).to.deep.equal(want);
     });
   }
+  const waits: [string, number, number, number, number][] = [['nothing known yet', 0, 20, 1, 0], ['few ahead', 10, 3, 1, 0], ['many ahead of the least urgent', 10, 20, 1, 600], ['none ahead of the most urgent', 10, 20, 9, 0]];
+  for (const [name, given, ahead, urgency, want] of waits) {
+    it(`foresees a wait: ${name}`, () => {
+      const t = make();
+      for (let i = 0; i < given; i++) t.enter('x', review, 9);
+      t.list.pump(() => true);
+      for (let i = 0; i < ahead; i++) t.enter('y', review, 9);
+      expect(t.list.foresee(urgency)).to.equal(want);
+    });
+  }
+  it('gives up at once those whose turn would come long after they are due', async () => {
+    const t = make();
+    for (let i = 0; i < 10; i++) t.enter('x', verdict, 9);
+    t.list.pump(() => true);
+    for (let i = 0; i < 30; i++) t.enter(`r${i}`, review, 300);
+    t.list.pump(() => false);
+    await Promise.resolve();
+    expect(t.went.filter((w) => w.endsWith('given up')).length).to.equal(14);
+    expect(t.list.total()).to.equal(16);
+  });
   it('does not let one without room hold up those behind it', async () => {
     const t = make();
     t.enter('v', verdict, 1);
--- a/packages/counter/src/waitlist.ts
+++ b/packages/counter/src/waitlist.ts
@@ -2,6 +2,11 @@
 import { Heap } from 'heap-js';
 import type { Waiter } from './waiter.js';
 
+const LOOK = 2000;
+const FEW = 8;
+const LEAST = 300;
+const HOPE = 1.5;
+
 /** The most urgent first, then the one due soonest, then the one that came first. */
 export const Waitlist = {
   make(clock: Clock) {
@@ -9,6 +14,7 @@
     let count = new Map<string, number>();
     let order = 0;
     let weight = 0;
+    let turns: readonly number[] = [];
     const bump = (name: string, by: number): void => { count = new Map(count).set(name, (count.get(name) ?? 0) + by); };
     const leave = (w: Waiter, go: boolean): void => {
       if (!w.open) return;
@@ -17,10 +23,20 @@
       weight -= w.rule.weight;
       w.turn(go);
     };
+    /** How many ms one turn has taken lately; 0 while too few were given to tell. */
+    const each = (): number => {
+      const seen = turns.filter((x) => x > clock.mono() - LOOK);
+      return seen.length < FEW ? 0 : Math.max(LEAST, clock.mono() - seen[0]!) / seen.length;
+    };
     return {
       length: (name: string): number => count.get(name) ?? 0,
       total: (): number => [...count.values()].reduce((a, b) => a + b, 0),
       weight: (): number => weight,
+      /** How long one of this urgency would wait, in ms, judged by the turns given lately; 0 when that can't be told. */
+      foresee(urgency: number): number {
+        const ahead = heap.toArray().filter((w) => w.open && w.rule.urgency >= urgency).length;
+        return ahead < FEW ? 0 : ahead * each();
+      },
       /** Waits for a turn until `due`, then gives up at once. */
       enter(rule: Rule, due: number): { turn: Promise<boolean>; leave: () => void } {
         let say: (go: boolean) => void = () => undefined;
@@ -33,14 +49,26 @@
         void turn.then(stop);
         return { turn, leave: () => leave(w, false) };
       },
-      /** Gives turns in order while `room` says so; one without room does not hold up those behind it. */
+      /**
+       * Gives turns in order while `room` says so; one without room does not hold up those behind it.
+       * One whose turn would come long after it is due is given up now rather than then.
+       */
       pump(room: (rule: Rule) => boolean): void {
         const back: Waiter[] = [];
         for (let w = heap.pop(); w; w = heap.pop()) {
           if (!w.open) continue;
-          if (room(w.rule)) leave(w, true); else back.push(w);
+          if (room(w.rule)) {
+          turns = [...turns.filter((x) => x > clock.mono() - LOOK), clock.mono()];
+          leave(w, true);
+        } else back.push(w);
+        }
+        const ms = each();
+        let ahead = 0;
+        for (const w of back) {
+          const hopeless = ahead * ms > (w.due - clock.mono()) * HOPE;
+          if (hopeless) leave(w, false);
+          else { heap.push(w); ahead++; }
         }
-        for (const w of back) heap.push(w);
       },
       clear(): void { for (const w of heap.toArray()) leave(w, false); },
     };
