--- a/packages/counter/src/waitlist.test.ts
+++ b/packages/counter/src/waitlist.test.ts
@@ -40,16 +40,6 @@
       expect(t.list.foresee(urgency)).to.equal(want);
     });
   }
-  it('gives up at once those whose turn would come long after they are due', async () => {
-    const t = make();
-    for (let i = 0; i < 10; i++) t.enter('x', verdict, 9);
-    t.list.pump(() => true);
-    for (let i = 0; i < 30; i++) t.enter(`r${i}`, review, 300);
-    t.list.pump(() => false);
-    await Promise.resolve();
-    expect(t.went.filter((w) => w.endsWith('given up')).length).to.equal(14);
-    expect(t.list.total()).to.equal(16);
-  });
   it('does not let one without room hold up those behind it', async () => {
     const t = make();
     t.enter('v', verdict, 1);
--- a/packages/counter/src/waitlist.ts
+++ b/packages/counter/src/waitlist.ts
@@ -5,7 +5,6 @@
 const LOOK = 2000;
 const FEW = 8;
 const LEAST = 300;
-const HOPE = 1.5;
 
 /** The most urgent first, then the one due soonest, then the one that came first. */
 export const Waitlist = {
@@ -49,10 +48,7 @@
         void turn.then(stop);
         return { turn, leave: () => leave(w, false) };
       },
-      /**
-       * Gives turns in order while `room` says so; one without room does not hold up those behind it.
-       * One whose turn would come long after it is due is given up now rather than then.
-       */
+      /** Gives turns in order while `room` says so; one without room does not hold up those behind it. */
       pump(room: (rule: Rule) => boolean): void {
         const back: Waiter[] = [];
         for (let w = heap.pop(); w; w = heap.pop()) {
@@ -62,13 +58,7 @@
           leave(w, true);
         } else back.push(w);
         }
-        const ms = each();
-        let ahead = 0;
-        for (const w of back) {
-          const hopeless = ahead * ms > (w.due - clock.mono()) * HOPE;
-          if (hopeless) leave(w, false);
-          else { heap.push(w); ahead++; }
-        }
+        for (const w of back) heap.push(w);
       },
       clear(): void { for (const w of heap.toArray()) leave(w, false); },
     };
