--- a/packages/counter/src/gate.ts
+++ b/packages/counter/src/gate.ts
@@ -1,4 +1,4 @@
-import { Verdicts, type Charter, type Result, type Rule, type Verdict, Err, Ok } from '@pumicebarrow/forms';
+import { Indices, Verdicts, type Charter, type Result, type Rule, type Verdict, Err, Ok } from '@pumicebarrow/forms';
 import type { Loads } from './loads.js';
 import type { Selecting } from './selecting.js';
 import type { Visit } from './visit.js';
@@ -16,8 +16,9 @@
  */
 export const Gate = {
   make(t: Tools) {
-    const under = new Map<string, number>();
-    const room = (rule: Rule): boolean => (under.get(rule.name) ?? 0) < rule.limit && t.select.roomy('prefill', rule, HELD);
+    const index = Indices.make();
+    const under: number[] = [];
+    const room = (rule: Rule): boolean => (under[index.of(rule.name)] ?? 0) < rule.limit && t.select.roomy('prefill', rule, HELD);
     return {
       /** What the charter says of this visit, or why it may not come in. */
       check(v: Visit): Result<Rule, Verdict> {
@@ -40,17 +41,18 @@
       room,
       /** Counts a visit as under way, and promises it room until it has a server. */
       begin(rule: Rule): { settled: () => void; over: () => void } {
-        under.set(rule.name, (under.get(rule.name) ?? 0) + 1);
+        const i = index.of(rule.name);
+        under[i] = (under[i] ?? 0) + 1;
         let open = true;
         return {
           settled: t.loads.take(HELD, rule.weight),
           over: () => {
-            if (open) under.set(rule.name, (under.get(rule.name) ?? 1) - 1);
+            if (open) under[i] = (under[i] ?? 1) - 1;
             open = false;
           },
         };
       },
-      under: (): number => [...under.values()].reduce((a, b) => a + b, 0),
+      under: (): number => under.reduce((a, b) => a + b, 0),
     };
   },
 };
--- a/packages/counter/src/waitlist.ts
+++ b/packages/counter/src/waitlist.ts
@@ -1,4 +1,4 @@
-import type { Clock, Rule } from '@pumicebarrow/forms';
+import { Indices, type Clock, type Rule } from '@pumicebarrow/forms';
 import { Heap } from 'heap-js';
 import type { Waiter } from './waiter.js';
 
@@ -10,11 +10,12 @@
 export const Waitlist = {
   make(clock: Clock) {
     const heap = new Heap<Waiter>((a, b) => b.rule.urgency - a.rule.urgency || a.due - b.due || a.order - b.order);
-    let count = new Map<string, number>();
+    const index = Indices.make();
+    const count: number[] = [];
     let order = 0;
     let weight = 0;
     let turns: readonly number[] = [];
-    const bump = (name: string, by: number): void => { count = new Map(count).set(name, (count.get(name) ?? 0) + by); };
+    const bump = (name: string, by: number): void => { const i = index.of(name); count[i] = (count[i] ?? 0) + by; };
     const leave = (w: Waiter, go: boolean): void => {
       if (!w.open) return;
       w.open = false;
@@ -28,8 +29,8 @@
       return seen.length < FEW ? 0 : Math.max(LEAST, clock.mono() - seen[0]!) / seen.length;
     };
     return {
-      length: (name: string): number => count.get(name) ?? 0,
-      total: (): number => [...count.values()].reduce((a, b) => a + b, 0),
+      length: (name: string): number => count[index.of(name)] ?? 0,
+      total: (): number => count.reduce((a, b) => a + b, 0),
       weight: (): number => weight,
       /** How long one of this urgency would wait, in ms, judged by the turns given lately; 0 when that can't be told. */
       foresee(urgency: number): number {
--- a/packages/forms/src/index.ts
+++ b/packages/forms/src/index.ts
@@ -16,6 +16,7 @@
 export { Framer } from './framer.js';
 export { Hash } from './hash.js';
 export { Ident } from './ident.js';
+export { Indices } from './indices.js';
 export { JsonBody } from './jsonbody.js';
 export { type Log } from './log.js';
 export { Logs } from './logs.js';
--- a/packages/sim/src/drills/daemons.ts
+++ b/packages/sim/src/drills/daemons.ts
@@ -82,6 +82,30 @@
       }
     },
   },
+  {
+    name: 'duty', about: 'duty holders are killed, frozen or cut off while their servers come back as new lives, again and again',
+    async run(s) {
+      for (let i = 0; i < 4; i++) {
+        const server = s.f.some(s.park.ids(), 1)[0]!;
+        const any = [...s.f.counters.values()][0];
+        const holder = any?.sheet.rows().get(server)?.row.by ?? s.f.edgeIds[0]!;
+        const rest = [...s.f.edgeIds, ...s.f.coreIds].filter((x) => x !== holder);
+        s.park.fall(server);
+        s.park.rise(server);
+        await s.nap(s.real() * 900);
+        if (i % 3 === 0) s.f.kill(holder);
+        if (i % 3 === 1) s.f.freeze(holder, 3000 + s.real() * 2500);
+        if (i % 3 === 2) s.cut([holder], rest, 4000);
+        for (let n = 0; n < 16; n++) {
+          s.park.fall(server);
+          s.park.rise(server);
+          await s.nap(500);
+        }
+        s.f.start(holder);
+        await s.nap(2000);
+      }
+    },
+  },
   {
     name: 'exchange', about: 'two edge daemons come back with their addresses exchanged',
     async run(s) {
