--- a/packages/purge/src/purge.ts
+++ b/packages/purge/src/purge.ts
@@ -79,7 +79,7 @@
     };
     const compare = async (who: Ident, sum: string): Promise<void> => {
       unlike = sum === shelf.sum() ? 0 : unlike + 1;
-      if (unlike >= 3) { unlike = 0; await repair(who); }
+      if (tunes.unlike > 0 && unlike >= tunes.unlike) { unlike = 0; await repair(who); }
     };
     const partner = (): Place | null => {
       const who = ids.oldest();
--- a/packages/purge/src/tunes.ts
+++ b/packages/purge/src/tunes.ts
@@ -7,5 +7,6 @@
   idLength: Type.Integer({ minimum: 1, maximum: 16, default: 1 }),
   noteLength: Type.Integer({ minimum: 1, maximum: 16, default: 3 }),
   round: Type.Integer({ minimum: 20, maximum: 60000, default: 150 }),
+  unlike: Type.Integer({ minimum: 0, maximum: 1000, default: 3, description: 'rounds of unlike digests before ranges are compared; 0 for never' }),
 }, { additionalProperties: false });
 export type Tunes = Static<typeof Tunes>;
--- a/packages/sim/src/spread.ts
+++ b/packages/sim/src/spread.ts
@@ -4,7 +4,7 @@
 import { Host } from './host.js';
 import { Net } from './net.js';
 
-type Asked = { seed: number; nodes: number; docs: number; gap: number; tunes: Tunes };
+type Asked = { seed: number; nodes: number; docs: number; gap: number; burst?: number; tunes: Tunes };
 const quiet = { say: () => undefined, warn: () => undefined };
 const WARM = 20;
 
@@ -41,7 +41,7 @@
     const put = (name: string): boolean => origin.purge.publish({ name, mark: [1, 0], body: null });
     for (let i = 0; i < a.tunes.notes; i++) motor.at((i + 2) * a.gap * a.tunes.round, () => put(`warm:${i}`));
     for (let i = 0; i < a.docs; i++) {
-      const at = (WARM + i * a.gap) * a.tunes.round;
+      const at = (WARM + Math.floor(i / (a.burst ?? 1)) * a.gap) * a.tunes.round;
       motor.at(at, () => { from.set(`doc:${i}`, motor.now()); put(`doc:${i}`); });
     }
     await motor.run((WARM + a.docs * a.gap + 60) * a.tunes.round);
