A late try for a view already in force no longer holds claims off

Cause: both survivors of a core's death propose; the slower one's own voter was still asked to prepare for the epoch just agreed, and held claims off for 1.5 s. Ruled out: silence, the claims of the old view, the chain's mending (ready 100 ms after the view). A case in the voter's table, seen to fail first; sim measure detect is new and so is a dark server that hangs a stream's start.

--- a/packages/registry/src/core.ts
+++ b/packages/registry/src/core.ts
@@ -44,7 +44,7 @@
     const desk = CoreDesk.make(world, post, { view: () => view, live, chain, isTail, isHead });
     const place = (next: View): void => {
       view = next;
-      voter.moved();
+      voter.moved(next.epoch);
       watch.reset();
       desk.moved();
       life.send(inside() ? 'placed' : 'found');
--- a/packages/registry/src/voter.test.ts
+++ b/packages/registry/src/voter.test.ts
@@ -11,7 +11,7 @@
 let now = 0, sick = false;
 const saved: unknown[] = [];
 const store = { put: (_k: string, v: unknown) => { if (!sick) saved.push(v); return Promise.resolve(sick ? Err('full') : Ok(undefined)); } } as unknown as Storing;
-type Step = ['prepare', number, number, boolean] | ['accept', number, number, boolean] | ['grant', number, boolean] | ['wait', number] | ['sick', boolean];
+type Step = ['moved', number] | ['prepare', number, number, boolean] | ['accept', number, number, boolean] | ['grant', number, boolean] | ['wait', number] | ['sick', boolean];
 const cases: [string, Step[]][] = [
   ['promises rise', [['prepare', 2, 8, true], ['prepare', 2, 8, false], ['prepare', 2, 7, false], ['prepare', 2, 16, true]]],
   ['an older ballot is not accepted', [['prepare', 2, 16, true], ['accept', 2, 8, false], ['accept', 2, 16, true]]],
@@ -19,6 +19,7 @@
   ['no claim once the next view is promised', [['prepare', 2, 8, true], ['wait', 5000], ['grant', 1, false]]],
   ['an attempt that waits holds claims off, for a while', [['grant', 1, true], ['prepare', 2, 8, false], ['grant', 1, false], ['wait', 1501], ['grant', 1, true]]],
   ['an epoch that is past is past', [['prepare', 3, 8, true], ['prepare', 2, 16, false], ['accept', 2, 16, false]]],
+  ['a late try for a view already in force holds nothing off', [['prepare', 2, 8, true], ['accept', 2, 8, true], ['moved', 2], ['prepare', 2, 16, false], ['grant', 2, true]]],
   ['what is not on disk is not said', [['sick', true], ['prepare', 2, 8, false], ['sick', false], ['prepare', 2, 8, true], ['sick', true], ['accept', 2, 8, false]]],
 ];
 
@@ -30,6 +31,7 @@
       const v = Voter.make(store, () => now, null);
       for (const s of steps) {
         if (s[0] === 'wait') now += s[1];
+        else if (s[0] === 'moved') v.moved(s[1]);
         else if (s[0] === 'sick') sick = s[1];
         else if (s[0] === 'grant') expect(v.grant(s[1], 800)).to.equal(s[2]);
         else if (s[0] === 'prepare') expect((await v.prepare(s[1], s[2])).ok).to.equal(s[3]);
--- a/packages/registry/src/voter.ts
+++ b/packages/registry/src/voter.ts
@@ -15,6 +15,7 @@
     let vote: Vote | null = kept;
     let held = 0;
     let moving = 0;
+    let present = 0;
     let chain: Promise<unknown> = Promise.resolve();
     const alone = <T>(fn: () => Promise<T>): Promise<T> => {
       const next = chain.then(fn, fn);
@@ -27,7 +28,7 @@
       return done;
     };
     const at = (epoch: number): Vote => (vote && vote.epoch === epoch ? vote : { epoch, promised: 0, took: null });
-    const past = (epoch: number): boolean => vote !== null && epoch < vote.epoch;
+    const past = (epoch: number): boolean => epoch <= present || (vote !== null && epoch < vote.epoch);
     const no = (epoch: number, wait: number): Prepared => ({ ok: false, wait, promised: at(epoch).promised, took: null });
     return {
       took: (): View | null => vote?.took?.view ?? null,
@@ -38,6 +39,7 @@
         return true;
       },
       prepare: (epoch: number, ballot: number): Promise<Prepared> => alone(async () => {
+        if (epoch <= present) return no(epoch, 0);
         moving = mono() + 1500;
         if (mono() < held) return no(epoch, held - mono());
         const mine = at(epoch);
@@ -53,7 +55,7 @@
         return { ok: done.ok, promised: ballot };
       }),
       /** A new view is in force; what was bound to the old one is over. */
-      moved(): void { moving = 0; },
+      moved(epoch: number): void { present = epoch; moving = 0; },
     };
   },
 };
--- a/packages/sim/src/commands/measure.ts
+++ b/packages/sim/src/commands/measure.ts
@@ -9,7 +9,7 @@
 /** sim measure */
 export class MeasureCommand extends Command {
   static override description = 'Figures of a drill, of an idle fleet, or of casting that follows the mix against a fixed cast.';
-  static override args = { what: Args.string({ description: 'cast, idle, or a drill', required: true }) };
+  static override args = { what: Args.string({ description: 'cast, idle, detect, or a drill', required: true }) };
   static override flags = {
     fleet: Flags.option({ options: ['coop', 'registry'] as const, default: 'coop' as const })({ description: 'which deployment' }),
     seeds: Flags.string({ default: '1-3', description: '7, 1-20 or 3,5,8' }),
@@ -18,8 +18,8 @@
   async run(): Promise<void> {
     const { args, flags } = await this.parse(MeasureCommand);
     const seeds = Seeds.read(flags.seeds);
-    if (!seeds || !(['cast', 'idle'].includes(args.what) || Drills.has(args.what))) {
-      process.stderr.write(`valid: cast, idle, ${[...Drills.keys()].join(', ')}; seeds 7, 1-20, 3,5,8\n`);
+    if (!seeds || !(['cast', 'idle', 'detect'].includes(args.what) || Drills.has(args.what))) {
+      process.stderr.write(`valid: cast, idle, detect, ${[...Drills.keys()].join(', ')}; seeds 7, 1-20, 3,5,8\n`);
       return this.exit(2);
     }
     const d = Deployments[flags.fleet];
@@ -28,7 +28,11 @@
     };
     for (const seed of seeds) {
       this.log(`${flags.fleet} ${args.what}, seed ${seed}`);
-      if (args.what === 'cast') {
+      if (args.what === 'detect') {
+        const m = await Measure.detect(d, seed);
+        this.log(`  a dead head, middle, tail: out of the chain after ${m.chain} ms; a charter confirmed again after ${m.again} ms`);
+        this.log(`  two dark servers: row dark after ${m.row} ms; ${m.sends} visits sent to them meanwhile, the last after ${m.last} ms; nevers broken ${m.broken}`);
+      } else if (args.what === 'cast') {
         const m = await Measure.cast(d, seed);
         rows('follows', m.follows.rows);
         rows('fixed', m.fixed.rows);
--- a/packages/sim/src/measure.ts
+++ b/packages/sim/src/measure.ts
@@ -29,6 +29,40 @@
     };
     return { follows: await one(true), fixed: await one(false) };
   },
+  /** How long until a dead core is out of the chain and a charter passes again, and until a dark server is shunned by all. */
+  async detect(d: Deployment, seed: number) {
+    const chain: number[] = [], again: number[] = [], row: number[] = [], last: number[] = [];
+    let sends = 0;
+    const r = await Stage.run(d, seed, async (s) => {
+      for (const place of [0, 1, -1]) {
+        const id = s.f.chain().at(place)!, from = s.now();
+        s.f.kill(id);
+        while (s.f.chain().includes(id)) await s.nap(10);
+        chain.push(s.now() - from);
+        await s.ops.change(40);
+        again.push(s.now() - from);
+        s.f.start(id);
+        await s.nap(6000);
+      }
+      for (const id of s.f.some(s.park.ids(), 2)) {
+        const from = s.now(), any = [...s.f.counters.values()][0]!;
+        s.park.dark(id, true);
+        while (any.sheet.rows().get(id)?.row.stage !== 'dark' && s.now() - from < 20_000) await s.nap(10);
+        row.push(s.now() - from);
+        await s.nap(4000);
+        s.note('lit', { server: id, from });
+        s.park.dark(id, false);
+        await s.nap(4000);
+      }
+    });
+    for (const x of r.history.of('lit')) {
+      const hits = r.history.of('reach').filter((h) => h.who === x['server'] && h['part'] !== 'order' && h.at > Number(x['from']) && h.at < x.at);
+      sends += hits.length;
+      last.push(Math.max(0, ...hits.map((h) => h.at - Number(x['from']))));
+    }
+    const ms = (l: readonly number[]): string => l.map((n) => Math.round(n)).join(', ');
+    return { chain: ms(chain), again: ms(again), row: ms(row), last: ms(last), sends, broken: Nevers.flatMap((n) => n.judge(r.history).broken).length };
+  },
   /** One drill: what callers saw, how the charter reached the daemons, and what repair cost. */
   async drill(d: Deployment, name: string, seed: number) {
     let from = 0;
--- a/packages/sim/src/park.ts
+++ b/packages/sim/src/park.ts
@@ -60,7 +60,7 @@
     };
     const back = (me: Box): Back => {
       /** One call to a server: refused, hung, broken off by a crash, or done. */
-      const go = <T>(addr: string, ms: number, reach: string, job: (s: Server) => Promise<T>): Promise<Result<T, BackFault>> => new Promise((done) => {
+      const go = <T>(addr: string, ms: number, reach: string, job: (s: Server) => Promise<T>, hang = ms): Promise<Result<T, BackFault>> => new Promise((done) => {
         const life = me.life();
         let open = true;
         const end = (r: Result<T, BackFault>): void => {
@@ -80,7 +80,7 @@
           if (reach !== 'state') say('reach', s.id, { part: reach, by: me.id, born: s.born });
           const snap = (): void => end(fault('broken', 'maybe'));
           s.open.add(snap);
-          if (s.dark) return;
+          if (s.dark) { motor.at(motor.now() + hang, snap); return; }
           void job(s).then((v) => { s.open.delete(snap); if (s.up && !s.dark) end(Ok(v)); });
         });
         motor.at(motor.now() + ms, () => end(fault('broken', 'maybe')));
@@ -106,7 +106,7 @@
               const watch = (): void => { if (motor.now() - last > ms) done({ code: 'broken' }); else if (on && me.life() === life) motor.at(motor.now() + 100, watch); };
               watch();
             }),
-          ]));
+          ]), ms);
           on = false;
           if (got.ok && got.val !== null && got.val.code === 'broken') return Err({ ran: 'maybe', code: 'broken', dark: true, why: 'silent' });
           const r = turn<null>(got as Result<null | { code: BackFault['code'] }, BackFault>);
