Holders of rows look at their servers once a second

Cause: a dark server was only noticed once a visit hung on it, per daemon, and its row went dark after the sighting. Ruled out: slow slips (a sighting is everywhere in half a second). The visits sent meanwhile (6 to 20 for two servers) still may have run.

--- a/packages/counter/src/casting.ts
+++ b/packages/counter/src/casting.ts
@@ -11,16 +11,19 @@
 type Tools = { world: World; sheet: SheetView; town: TownView; duty: Duties; purge: Purging; back: Back; self: () => string; suspect: (s: Listed) => boolean };
 const ASK = 500;
 const EMPTY = 6000;
+const PROBE = 900;
 
 /**
  * Orders servers to their parts. Invariants: an order leaves only under a fence that is live at that instant;
  * every row written carries that fence and a step above the last; a server is emptied before it swaps.
+ * The holder of a row looks at its server about once a second, and twice more quickly once it did not reply.
  */
 export const Casting = {
   make(t: Tools) {
     const busy = new Set<string>();
     const misses = new Map<string, number>();
     const now = (): number => t.world.clock.mono();
+    const probed = new Map<string, number>();
     let swapped = -Infinity;
     let emptied = new Map<string, number>();
     const log = t.world.log('cast');
@@ -44,6 +47,7 @@
       }
     };
     const probe = async (s: Listed): Promise<boolean> => {
+      probed.set(s.id, now());
       const got = await t.back.state(s.addr, ASK);
       const well = got.ok && got.val.born === s.born;
       misses.set(s.id, well ? 0 : (misses.get(s.id) ?? 0) + 1);
@@ -76,8 +80,9 @@
         if (await probe(s)) await order(s, row.part);
         return;
       }
-      const sight = t.sheet.sight(s.id);
-      if ((sight?.born === s.born || t.suspect(s)) && !(await probe(s)) && (misses.get(s.id) ?? 0) >= 2) {
+      const sight = t.sheet.sight(s.id), missed = (misses.get(s.id) ?? 0) > 0;
+      const due = now() - (probed.get(s.id) ?? -Infinity) > PROBE;
+      if ((sight?.born === s.born || t.suspect(s) || missed || due) && !(await probe(s)) && (misses.get(s.id) ?? 0) >= 2) {
         log.warn(`${s.id} is dark.`);
         write(fence, { ...row, stage: 'dark', by: t.self() });
         return;
