--- a/packages/counter/src/witness.ts
+++ b/packages/counter/src/witness.ts
@@ -20,7 +20,7 @@
     const doubt = new Map<string, number>();
     const ranked = (key: string): Ident[] => Lot.rank(
       `key:${key}`,
-      roster().filter((r) => r.role === 'counter' && (doubt.get(`${r.id}/${r.born}`) ?? 0) < clock.mono()),
+      roster().filter((r) => r.role === 'counter' && (doubt.get(`${r.id}/${r.born}`) ?? -Infinity) <= clock.mono()),
       (r) => r.id,
     );
     const ask = async (o: Ident, v: Visit, digest: string, proven: boolean): Promise<Say> => {
