Tell a paused machine from one that was awake by the wall clock too

Cause: a machine paused with its monotonic clock wakes with a list that looks young; visits waiting there were sent by it. The drill 'pause' is new and was seen to fail first. Claims and a core's claim on its view are let go in the same way.

--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -1,8 +1,7 @@
-import { Dice, Post, Timer, Verdicts, type Ident, type Verdict, type World } from '@pumicebarrow/forms';
+import { Awake, Dice, Post, Timer, Verdicts, type Ident, type Verdict, type World } from '@pumicebarrow/forms';
 import { Purge, Shelf } from '@pumicebarrow/purge';
 import { Line, Sound, TraceDesk, Views, type SheetRow } from '@pumicebarrow/registry';
 import { interpret } from 'robot3';
-import { Awake } from './awake.js';
 import type { Back } from './back.js';
 import { Bucket } from './bucket.js';
 import type { CallerSink } from './callersink.js';
@@ -56,17 +55,18 @@
       return [...all.values()];
     };
     const crew = (): readonly Ident[] => (roster.some((r) => r.id === ident.id) ? roster : known());
-    const watch = TownWatch.make(world, post, town, () => known().filter((p) => p.id !== ident.id));
+    const watch = TownWatch.make(world, post, town, () => known().filter((p) => p.id !== ident.id), () => awake.look());
     const ledger = Ledger.make(clock);
     LedgerDesk.make(post, ledger);
     const loads = Loads.make(), shuns = Shuns.make(clock), waitlist = Waitlist.make(clock), hands = Waitlist.make(clock);
     const select = Select.make({ sheet, town: watch, loads, shuns, roster: crew });
     const demand = { read: 0, write: 0 };
     const awake = Awake.make(clock, () => {
+      duty.drop();
+      watch.drop();
       if (is() !== 'serving') return;
       log.warn('This daemon slept. Asking for the newest charter.');
       world.tell({ what: 'woke' });
-      duty.drop();
       life.send('woke');
       void ask();
     });
@@ -92,7 +92,7 @@
       });
       if (turns.length > 0) clock.after(0, () => { for (const f of turns) f(); });
     };
-    const duty = Duty.make(world, line, self, crew);
+    const duty = Duty.make(world, line, self, crew, () => awake.look());
     const sighted = (s: Listed): void => {
       shuns.add(s.id, s.born, SHUN);
       const old = shelf.mark(`sight:${s.id}`);
--- a/packages/counter/src/duty.ts
+++ b/packages/counter/src/duty.ts
@@ -8,16 +8,20 @@
  * before waits out the quiet time, unless it is the first ever given for that name; without a live claim, no order.
  */
 export const Duty = {
-  make(world: World, line: CoreLine, self: () => Ident, roster: () => readonly Ident[]) {
+  make(world: World, line: CoreLine, self: () => Ident, roster: () => readonly Ident[], look: () => void = () => undefined) {
     const held = new Map<string, Held>();
     const busy = new Set<string>();
+    let slept = 0;
     const now = (): number => world.clock.mono();
     const mine = (name: string): boolean => Lot.rank(name, roster().filter((r) => r.role === 'counter'), (r) => r.id)[0]?.id === self().id;
     const renew = async (name: string): Promise<void> => {
       if (busy.has(name)) return;
       busy.add(name);
+      const before = slept;
       const got = await line.write({ do: 'claim', name, id: self().id, born: self().born }, 0);
       busy.delete(name);
+      look();
+      if (slept !== before) return;
       const fence = got.ruling.fence;
       if (got.ruling.verdict.ran !== 'yes' || fence === undefined) return;
       const old = held.get(name);
@@ -34,11 +38,12 @@
       },
       /** The fence to act under, at this instant; null when there is none. */
       fence(name: string): number | null {
+        look();
         const h = held.get(name);
         return h && h.until > now() && h.ready <= now() && mine(name) ? h.fence : null;
       },
       names: (): string[] => [...held].filter(([, h]) => h.until > now()).map(([n]) => n),
-      drop(): void { held.clear(); },
+      drop(): void { held.clear(); slept++; },
     };
   },
 };
--- a/packages/counter/src/index.ts
+++ b/packages/counter/src/index.ts
@@ -1,4 +1,3 @@
-export { Awake } from './awake.js';
 export { type Back } from './back.js';
 export { type BackFault } from './backfault.js';
 export { BackState } from './backstate.js';
--- a/packages/counter/src/townwatch.ts
+++ b/packages/counter/src/townwatch.ts
@@ -13,15 +13,17 @@
  * monotonic ms, and travels with it; nothing is read off a list older than 2.5 s.
  */
 export const TownWatch = {
-  make(world: World, post: PostBox, town: Town, peers: () => readonly Ident[]) {
+  make(world: World, post: PostBox, town: Town, peers: () => readonly Ident[], look: () => void = () => undefined) {
     let list: TownList | null = null;
     let from = -Infinity;
+    let dropped = -Infinity;
     let table: ReadonlyMap<string, Listed> = new Map();
     const ears: ((now: readonly Listed[]) => void)[] = [];
     let stop: () => void = () => undefined;
     const age = (): number => world.clock.mono() - from;
     const set = (next: TownList, at: number): void => {
-      if (at <= from) return;
+      look();
+      if (at <= from || at < dropped) return;
       list = next;
       from = at;
       table = new Map(next.servers.map((s) => [s.id, s]));
@@ -42,11 +44,18 @@
       start(): void { stop = Timer.every(world.clock, POLL, tick); },
       stop(): void { stop(); },
       heed(fn: (now: readonly Listed[]) => void): void { ears.push(fn); },
-      young: (): boolean => age() < OLD,
+      young(): boolean { look(); return age() < OLD; },
+      /** After a sleep of unknown length the list's age is unknown: it is let go, and asked for anew. */
+      drop(): void {
+        from = -Infinity;
+        dropped = world.clock.mono();
+        void tick();
+      },
       age,
-      all: (): readonly Listed[] => (age() < OLD ? list?.servers ?? [] : []),
+      all(): readonly Listed[] { look(); return age() < OLD ? list?.servers ?? [] : []; },
       /** The server, if at this instant a young list shows it serving; else null. */
       good(id: string, born?: string): Listed | null {
+        look();
         if (age() >= OLD) return null;
         const s = table.get(id);
         return s && s.mark === 'serving' && (born === undefined || s.born === born) ? s : null;
--- a/packages/forms/src/index.ts
+++ b/packages/forms/src/index.ts
@@ -1,4 +1,5 @@
 export { Addr } from './addr.js';
+export { Awake } from './awake.js';
 export { type Chance } from './chance.js';
 export { Charter } from './charter.js';
 export { Check } from './check.js';
--- a/packages/registry/src/watch.ts
+++ b/packages/registry/src/watch.ts
@@ -1,4 +1,4 @@
-import { type PostBox, type World } from '@pumicebarrow/forms';
+import { Awake, type PostBox, type World } from '@pumicebarrow/forms';
 import { CoreWords } from './corewords.js';
 import type { Member } from './member.js';
 import { Paces } from './paces.js';
@@ -20,6 +20,8 @@
     const now = (): number => world.clock.mono();
     const seen = (m: Member, h: Omit<Heard, 'at' | 'me'>): void => { heard.set(key(m), { ...h, me: m, at: now() }); };
     let since = now();
+    let slept = 0;
+    const awake = Awake.make(world.clock, () => { grants.clear(); slept++; });
 
     return {
       seen,
@@ -28,18 +30,21 @@
       silent: (m: Member): number => now() - Math.max(heard.get(key(m))?.at ?? 0, since),
       reset(): void { grants.clear(); since = now(); },
       live(view: View | null): boolean {
+        awake.look();
         if (!view || Views.place(view, me()) < 0) return false;
         const n = view.voters.filter((m) => (grants.get(key(m)) ?? 0) > now()).length;
         return n > view.voters.length / 2;
       },
       /** One beat to every other member; gives back the newest view met. */
       async beat(view: View, self: { sick: boolean; fresh: boolean }): Promise<View | null> {
-        const at = now(), inside = Views.place(view, me()) >= 0;
+        awake.look();
+        const at = now(), before = slept, inside = Views.place(view, me()) >= 0;
         let best: View | null = null;
         if (inside && Views.votes(view, me()) && voter.grant(view.epoch, Paces.hold)) grants.set(key(me()), at + Paces.hold);
         await Promise.all(Views.all(view).filter((m) => !Views.same(m, me())).map(async (m) => {
           const r = await post.ask(m.addr, m.id, 'core.beat', { me: me(), epoch: view.epoch, ...self }, CoreWords.beaten, Paces.ask);
-          if (!r.ok || !Views.same(r.val.me, m)) return;
+          awake.look();
+          if (!r.ok || slept !== before || !Views.same(r.val.me, m)) return;
           seen(m, { sick: r.val.sick, fresh: r.val.fresh, epoch: r.val.view?.epoch ?? 0 });
           if (r.val.claim && Views.votes(view, m)) grants.set(key(m), at + Paces.hold);
           if (r.val.view && r.val.view.epoch > (best?.epoch ?? view.epoch)) best = r.val.view;
--- a/packages/sim/src/drills/daemons.ts
+++ b/packages/sim/src/drills/daemons.ts
@@ -38,6 +38,24 @@
       }
     },
   },
+  {
+    name: 'pause', about: 'machines are paused with their monotonic clocks, while a server leaves and the charter changes',
+    async run(s) {
+      for (let i = 0; i < 4; i++) {
+        s.callers.crowd(500);
+        await s.nap(60);
+        const some = [...s.f.some(s.f.edgeIds, 3), s.f.chain().at(i % 2 === 0 ? 0 : -1)!];
+        for (const id of some) { s.f.boxes.get(id)!.pause(4500); s.f.boxes.get(id)!.tell({ what: 'frozen', ms: 4500 }); }
+        await s.nap(100);
+        const server = s.f.some(s.park.ids(), 1)[0]!;
+        for (const id of [server, ...s.f.some(s.park.ids(), 1)]) s.park.mark(id, 'draining');
+        await s.ops.change(8);
+        await s.nap(5500);
+        for (const id of s.park.ids()) if (s.park.get(id).mark === 'draining') { s.park.fall(id); s.park.rise(id); }
+        await s.nap(2500);
+      }
+    },
+  },
   {
     name: 'lone', about: 'a single machine is cut off from all the others, then another',
     async run(s) {
--- a/packages/sim/src/host.ts
+++ b/packages/sim/src/host.ts
@@ -5,7 +5,8 @@
 
 /**
  * One simulated machine. Invariants: what a killed life had scheduled never runs; what a frozen one had
- * scheduled runs when it thaws; the monotonic clock goes on through both.
+ * scheduled runs when it thaws; the monotonic clock goes on through both,
+ * but stands still through a pause.
  */
 export const Host = {
   make(motor: Motor, id: string, addr: string, site: string, disk: Disk | null, tell: (d: Deed) => void) {
@@ -14,9 +15,10 @@
     let up = false;
     let thaw = 0;
     let skew = 0;
+    let still = 0;
     let ear: Ear | null = null;
     const clockOf = (mine: number): Clock => ({
-      mono: motor.now,
+      mono: () => motor.now() - still,
       wall: () => 1_800_000_000_000 + motor.now() + skew,
       after(ms, fn) {
         let on = true;
@@ -39,6 +41,8 @@
       thaw: (): number => thaw,
       skew(ms: number): void { skew += ms; },
       freeze(ms: number): void { thaw = Math.max(thaw, motor.now() + ms); },
+      /** Frozen as a paused virtual machine is: its monotonic clock stands still, and its wall clock is set right on waking. */
+      pause(ms: number): void { this.freeze(ms); still += ms; },
       begin(): Clock { life++; up = true; thaw = 0; ear = null; return clockOf(life); },
       kill(): void { up = false; life++; ear = null; },
       hear(fn: Ear): void { ear = fn; },
