--- a/packages/sim/src/drills/daemons.ts
+++ b/packages/sim/src/drills/daemons.ts
@@ -68,6 +68,16 @@
       }
     },
   },
+  {
+    name: 'lossy', about: 'one mail in twenty between daemons is lost, and all are slow, while the charter changes',
+    async run(s) {
+      s.f.net.lose(0.05);
+      s.f.net.slow(15);
+      for (let i = 0; i < 4; i++) { await s.ops.change(6); await s.nap(2200); }
+      s.f.net.lose(0);
+      s.f.net.slow(0);
+    },
+  },
   {
     name: 'clocks', about: 'wall clocks jump both ways while the charter changes',
     async run(s) {
--- a/packages/sim/src/net.ts
+++ b/packages/sim/src/net.ts
@@ -16,6 +16,7 @@
     let newer: ReadonlySet<string> = new Set();
     const novel = (id: string, v: unknown): unknown => (newer.has(id) && typeof v === 'object' && v !== null ? { ...v, novel: 1 } : v);
     let slow = 0;
+    let loss = 0;
     let bend: Bend = (_kind, _from, _to, re) => re;
     let mails = 0;
     const cut = (x: Box, y: Box): boolean => cuts.some((c) => (c.a.has(x.id) && c.b.has(y.id)) || (c.a.has(y.id) && c.b.has(x.id)));
@@ -33,6 +34,8 @@
       /** Daemons that speak as the next release may: one voice up, with a key that ours does not know. */
       newer(list: readonly string[]): void { newer = new Set(list); },
       bend(fn: Bend): void { bend = fn; },
+      /** Each mail and each reply is lost with this chance. */
+      lose(part: number): void { loss = part; },
       slow(ms: number): void { slow = ms; },
       wire(me: Box): Wire {
         return {
@@ -59,6 +62,7 @@
                 return;
               }
               say(Err('lost'), motor.now() + ms);
+              if (loss > 0 && motor.chance.real() < loss) return;
               const theirs = there.life();
               motor.at(motor.now() + delay(), function arrive() {
                 if (there.life() !== theirs) { say(Err('lost'), motor.now()); return; }
@@ -68,7 +72,7 @@
                 void ear(JSON.parse(text) as Mail).then((re) => {
                   if (there.life() !== theirs || cut(me, there)) return;
                   const bent = bend(mail.kind, me.id, there.id, re ?? null, mail.body);
-                  if (bent === undefined) return;
+                  if (bent === undefined || (loss > 0 && motor.chance.real() < loss)) return;
                   const back = JSON.stringify(novel(there.id, bent));
                   say(Ok(JSON.parse(back) as unknown), motor.now() + delay());
                 });
