Yard takes its ports from below the range of outgoing connections

Cause: a killed daemon's port could be taken by some outgoing connection before it came back. Not seen to happen; ruled out by choice of range.

--- a/packages/yard/src/ports.ts
+++ b/packages/yard/src/ports.ts
@@ -1,12 +1,25 @@
-import { createServer } from 'node:net';
+import { createServer, type Server } from 'node:net';
 
-/** Free ports of this machine, all found before any is given back. */
+const LOW = 20_000;
+const SPAN = 10_000;
+
+/**
+ * Free ports of this machine, all found before any is given back. They lie below the range that outgoing
+ * connections take theirs from, so that none is taken by one while its daemon is down.
+ */
 export const Ports = {
   async free(n: number): Promise<number[]> {
-    const held = await Promise.all(Array.from({ length: n }, () => new Promise<ReturnType<typeof createServer>>((done) => {
-      const s = createServer();
-      s.listen(0, '127.0.0.1', () => done(s));
-    })));
+    const held: Server[] = [];
+    let next = Math.floor(Math.random() * SPAN);
+    for (let tries = 0; held.length < n && tries < SPAN; tries++) {
+      const port = LOW + (next++ % SPAN);
+      const s = await new Promise<Server | null>((done) => {
+        const one = createServer();
+        one.once('error', () => done(null));
+        one.listen(port, '127.0.0.1', () => done(one));
+      });
+      if (s) held.push(s);
+    }
     const list = held.map((s) => (s.address() as { port: number }).port);
     await Promise.all(held.map((s) => new Promise((done) => { s.close(done); })));
     return list;
