A core that lost a file can no longer come back as who it was, wherever a start is cut

Cause: looking at a damaged file renamed it, and the setting aside moved files one by one. A start killed between the two left the older vote as the newest and the name in place: the core came back as itself, having forgotten an acceptance that it had said. A kind of file that was gone altogether went unnoticed as well.

Ruled out: writing votes twice (the second copy is lost with the first); a folder a life (needs a pointer file, which is the same problem again).

Change: looking changes nothing; the files that say who the owner is go first, and for good, in a setting aside; a birth writes a file of every kind before the name, so a missing kind is seen. A setting aside that fails ends the start. The simulated disk now runs the daemons' own disk code over single operations (write, sync, rename, settle), each of which may be stopped, fail or find the disk full; what was not synced is lost or kept by chance.

Before: 'damaged, killed before the setting aside' came back as b1 with promise 8 after accepting under 16; 'all votes gone' came back as b1 with no vote. With the order taken out again, or the missing kind not looked for, the table fails.

--- a/packages/forms/src/disk.ts
+++ b/packages/forms/src/disk.ts
@@ -6,8 +6,8 @@
  */
 export type Disk = {
   put(kind: string, n: number, v: unknown): Promise<Result<void, string>>;
-  /** The newest version whole; `bad` when a newer file was damaged and has been set aside. */
+  /** The newest version whole; `bad` when a newer file is damaged. Looking changes nothing. */
   last(kind: string): Promise<Result<{ n: number; v: unknown; bad: boolean } | null, string>>;
-  /** Sets every file aside, out of the way of what comes after. */
+  /** Sets every file aside, out of the way of what comes after; those that say who the owner is go first. */
   aside(): Promise<Result<void, string>>;
 };
--- a/packages/registry/src/core.ts
+++ b/packages/registry/src/core.ts
@@ -94,7 +94,7 @@
       if (Views.same(Views.head(v), me()) && mates.some((m) => { const h = watch.heard(m); return h && !h.fresh && h.epoch === v.epoch; })) chain.remend();
     };
     const heal = async (): Promise<void> => {
-      const done = await store.put('self', { born: me().born });
+      const done = await store.name(me().born, false);
       if (done.ok) { log.say('The disk is well again.'); life.send('well'); }
     };
     const tick = async (): Promise<void> => {
--- a/packages/sim/src/fleet.ts
+++ b/packages/sim/src/fleet.ts
@@ -60,6 +60,7 @@
       const b = boxes.get(id)!;
       if (!b.up()) return;
       b.kill();
+      disks.get(id)?.stop();
       counters.delete(id);
       cores.delete(id);
       b.tell({ what: 'killed' });
