Sends and orders can't take hold late: each is bound on the server's own clock

Cause: a look at the list, or at the claim, holds for the instant of the send. What then lay in the buffers of a server that stood still was taken in seconds later: after the server was listed as leaving, or after another daemon had taken the duty over.

Ruled out: a bound on our clock (clocks jump and are not in step); a new stamp for each send (a round trip more); a shorter list age (does nothing about buffers). Change: each daemon knows, for each server's life, what the server's clock read in the last exchange (Hails); a send carries the life and the time on that clock after which it is turned away as 'late' and unrun. It is counted from when the reply came, so it errs to the early side alone, and an exchange long ago bounds as well as a new one. Visits are bound by the list's asking plus 3 s, orders by the claim's end and by our own wait for the reply. After a sleep nothing is known until the next exchange.

The simulated servers now keep what is sent while they stand still, or while a cut lasts, and hear it afterwards.

--- a/packages/counter/src/back.ts
+++ b/packages/counter/src/back.ts
@@ -1,16 +1,16 @@
 import type { Result } from '@pumicebarrow/forms';
 import type { BackFault } from './backfault.js';
+import type { Bound } from './bound.js';
 import type { BackState } from './backstate.js';
 import type { Handle } from './handle.js';
 import type { OrderSlip } from './orderslip.js';
 import type { Piece } from './piece.js';
-
 import type { VisitJob } from './visitjob.js';
 
 /** How model servers are reached. A stream gives pieces as they come; it ends with null, or with a fault. */
 export type Back = {
-  prefill(addr: string, job: VisitJob & { prefix: string; part: string; weight: number }, ms: number): Promise<Result<Handle, BackFault>>;
-  decode(addr: string, job: VisitJob & { handle: Handle; pieces: number; weight: number }, ms: number, take: (p: Piece) => boolean): Promise<Result<null, BackFault>>;
+  prefill(addr: string, job: VisitJob & Bound & { prefix: string; part: string; weight: number }, ms: number): Promise<Result<Handle, BackFault>>;
+  decode(addr: string, job: VisitJob & Bound & { handle: Handle; pieces: number; weight: number }, ms: number, take: (p: Piece) => boolean): Promise<Result<null, BackFault>>;
   order(addr: string, slip: OrderSlip, ms: number): Promise<Result<BackState, BackFault>>;
   state(addr: string, ms: number): Promise<Result<BackState, BackFault>>;
 };
--- a/packages/counter/src/backstate.ts
+++ b/packages/counter/src/backstate.ts
@@ -6,5 +6,6 @@
   part: Type.Union([Type.Literal('prefill'), Type.Literal('decode'), Type.Literal('none')]),
   stage: Type.Union([Type.Literal('serving'), Type.Literal('draining')]),
   fence: Type.Integer(), step: Type.Integer(), busy: Type.Integer(),
+  clock: Type.Number({ description: 'ms that have gone by at the server, by its own clock' }),
 }, { additionalProperties: false });
 export type BackState = Static<typeof BackState>;
--- a/packages/counter/src/casting.ts
+++ b/packages/counter/src/casting.ts
@@ -3,18 +3,22 @@
 import type { SheetRow } from '@pumicebarrow/registry';
 import type { Back } from './back.js';
 import type { Duties } from './duties.js';
+import type { Hailing } from './hailing.js';
 import type { Listed } from './listed.js';
 import type { SheetView } from './sheetview.js';
 import { Target } from './target.js';
 import type { TownView } from './townview.js';
 
-type Tools = { world: World; sheet: SheetView; town: TownView; duty: Duties; purge: Purging; back: Back; self: () => string; suspect: (s: Listed) => boolean };
+type Tools = {
+  hails: Hailing; world: World; sheet: SheetView; town: TownView; duty: Duties; purge: Purging; back: Back; self: () => string; suspect: (s: Listed) => boolean;
+};
 const ASK = 500;
 const EMPTY = 6000;
 const PROBE = 900;
 
 /**
- * Orders servers to their parts. Invariants: an order leaves only under a fence that is live at that instant;
+ * Orders servers to their parts. Invariants: an order leaves only under a fence that is live at that instant, and can't
+ * take hold once the claim is over, or later than we wait for its outcome;
  * every row written carries that fence and a step above the last; a server is emptied before it swaps.
  * The holder of a row looks at its server about once a second, and twice more quickly once it did not reply.
  */
@@ -36,11 +40,12 @@
     };
     const order = async (s: Listed, part: SheetRow['part']): Promise<void> => {
       const fence = t.duty.fence(`row:${s.id}`);
-      if (fence === null || !t.town.good(s.id, s.born)) return;
+      const bound = t.hails.bound(s, Math.min(t.duty.until(`row:${s.id}`), now() + ASK));
+      if (fence === null || !bound || !t.town.good(s.id, s.born)) return;
       const old = t.sheet.rows().get(s.id)?.mark;
       const step = old && old[0] === fence ? old[1] + 1 : 0;
       t.world.tell({ what: 'order', server: s.id, part, fence, step });
-      const got = await t.back.order(s.addr, { fence, step, part, stage: 'serving', by: t.self() }, ASK);
+      const got = await t.back.order(s.addr, { fence, step, part, stage: 'serving', who: t.self(), ...bound }, ASK);
       if (got.ok && got.val.born === s.born && got.val.part === part) {
         log.say(`${s.id} is to ${part}.`);
         write(fence, { server: s.id, born: s.born, part, stage: 'serving', by: t.self() });
@@ -48,7 +53,7 @@
     };
     const probe = async (s: Listed): Promise<boolean> => {
       probed.set(s.id, now());
-      const got = await t.back.state(s.addr, ASK);
+      const got = await t.hails.ask(s, ASK);
       const well = got.ok && got.val.born === s.born;
       misses.set(s.id, well ? 0 : (misses.get(s.id) ?? 0) + 1);
       return well;
@@ -90,7 +95,7 @@
       if (row.stage === 'draining') {
         const since = emptied.get(s.id) ?? now();
         emptied = new Map(emptied).set(s.id, since);
-        const st = await t.back.state(s.addr, ASK);
+        const st = await t.hails.ask(s, ASK);
         if (!st.ok || (st.val.busy > 0 && now() - since < EMPTY)) return;
         const to = row.part === 'prefill' ? 'decode' : 'prefill';
         await order(s, part !== null && now() - since >= EMPTY * 2 ? row.part : to);
--- a/packages/counter/src/control.ts
+++ b/packages/counter/src/control.ts
@@ -62,7 +62,7 @@
         const now = await d.line.read(undefined, 1500);
         const rows = await Promise.all((await everyone()).map(async (who) => {
           const t = await ask(who, undefined);
-          return { id: who.id, site: who.site, role: who.role, reached: t.reached, version: t.told?.marks.find((m) => m.name === 'charter')?.mark[0] ?? null };
+          return { id: who.id, site: who.site, role: who.role, reached: t.reached, sure: t.told?.sure ?? t.reached, version: t.told?.sure === false ? null : t.told?.marks.find((m) => m.name === 'charter')?.mark[0] ?? null };
         }));
         const sheet = [...d.sheet.rows().values()].map((r) => ({ ...r.row, mark: r.mark }));
         return { verdict: Verdicts.ran('read', 'As the daemons say.'), core: now ? 'reached' : 'unreached', version: now?.charter?.version ?? null, view: d.line.view(), daemons: rows, sheet };
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -10,6 +10,7 @@
 import { DaemonLife } from './daemonlife.js';
 import { Duty } from './duty.js';
 import { Gate } from './gate.js';
+import { Hails } from './hails.js';
 import { Ledger } from './ledger.js';
 import { LedgerDesk } from './ledgerdesk.js';
 import type { Listed } from './listed.js';
@@ -50,6 +51,7 @@
     const sheet = Sheet.make(shelf);
     let coreLoad = { read: 0, write: 0 };
     let behind = -1;
+    let certain = false;
     const known = (): readonly Ident[] => {
       const all = new Map([...purge.peers().filter((p) => p.role === 'counter'), ...roster, ident].map((p) => [p.id, p]));
       return [...all.values()];
@@ -59,11 +61,14 @@
     const ledger = Ledger.make(clock);
     LedgerDesk.make(post, ledger);
     const loads = Loads.make(), shuns = Shuns.make(clock), waitlist = Waitlist.make(clock), hands = Waitlist.make(clock);
-    const select = Select.make({ sheet, town: watch, loads, shuns, roster: crew });
+    const hails = Hails.make(clock, back, () => watch.all(), () => awake.look());
+    const select = Select.make({ hails, sheet, town: watch, loads, shuns, roster: crew });
     const demand = { read: 0, write: 0 };
     const awake = Awake.make(clock, () => {
       duty.drop();
       watch.drop();
+      hails.drop();
+      certain = false;
       if (is() !== 'serving') return;
       log.warn('This daemon slept. Asking for the newest charter.');
       world.tell({ what: 'woke' });
@@ -101,11 +106,11 @@
       if (seen?.born === s.born && seen.by === ident.id) return;
       purge.publish({ name: `sight:${s.id}`, mark: [(old?.[0] ?? 0) + 1, Dice.int(world.chance, 1e6)], body: { server: s.id, born: s.born, by: ident.id } });
     };
-    const casting = Casting.make({ world, sheet, town: watch, duty, purge, back, self: () => ident.id, suspect: (s) => shuns.has(s.id, s.born) });
+    const casting = Casting.make({ hails, world, sheet, town: watch, duty, purge, back, self: () => ident.id, suspect: (s) => shuns.has(s.id, s.born) });
     const mixer = Mixer.make({ world, sheet, town: watch, duty, purge, load: () => coreLoad, self: () => ident.id });
     const witness = Witness.make(world, post, crew);
     const bucket = Bucket.make(startup.tries?.rate ?? 0.2, startup.tries?.cap ?? 3);
-    const visit = Run.make({ world, gate, waitlist, hands, select, loads, town: watch, witness, bucket, back, sighted, pump, demand, version: sheet.version });
+    const visit = Run.make({ world, gate, waitlist, hands, select, loads, town: watch, hails, witness, bucket, back, sighted, pump, demand, version: sheet.version });
     const newest = Newest.make({ world, post, line, purge, shelf, self, known });
     const stops: (() => void)[] = [];
 
@@ -123,11 +128,11 @@
         if (s && body?.born === s.born && body.by !== ident.id && !shuns.has(s.id, s.born)) shuns.add(s.id, s.born, SHUN / 2);
       }
     });
-    watch.heed(() => pump());
+    watch.heed(() => { hails.tick(); pump(); });
     const ask = async (): Promise<void> => {
       while (is() === 'asking') {
         const sure = await newest.sure();
-        if (sure && is() === 'asking') { life.send('sure'); log.say('Serving.'); world.tell({ what: 'serving', version: sheet.version() }); pump(); return; }
+        if (sure && is() === 'asking') { certain = true; life.send('sure'); log.say('Serving.'); world.tell({ what: 'serving', version: sheet.version() }); pump(); return; }
         await Timer.nap(clock, 150);
       }
     };
@@ -144,18 +149,26 @@
       if (clock.mono() - behind > LAG) { await newest.tail(300); behind = -1; }
     };
 
-    TraceDesk.make(post, self, purge, shelf);
+    /** A daemon that has just started, or slept, may hold an older charter than it once did. */
+    const sure = (): boolean => {
+      awake.look();
+      return certain;
+    };
+    TraceDesk.make(post, self, purge, shelf, sure);
     VisitDesk.make(post, diary, ledger);
     return {
       ident, visit: (v: Visit, sink: CallerSink): Promise<Verdict> => visit(v, sink), gate,
       post, line, purge, shelf, sheet, watch, ledger, duty, shuns, roster: crew,
       life: is,
+      /** The charter's version; null while this daemon can't tell. */
+      version: (): number | null => (sure() ? sheet.version() : null),
       waiting: waitlist.total, under: gate.under, level: bucket.level,
       start(): void {
         life.send('begin');
         awake.start();
         purge.start();
         watch.start();
+        hails.start();
         void ask();
         stops.push(Timer.every(clock, 400, checkin));
         stops.push(Timer.every(clock, 300, async () => {
@@ -181,6 +194,7 @@
         for (const s of stops) s();
         awake.stop();
         watch.stop();
+        hails.stop();
         purge.stop();
         post.close();
       },
--- a/packages/counter/src/duty.ts
+++ b/packages/counter/src/duty.ts
@@ -42,6 +42,8 @@
         const h = held.get(name);
         return h && h.until > now() && h.ready <= now() && mine(name) ? h.fence : null;
       },
+      /** Until when the claim on a name lasts. */
+      until: (name: string): number => held.get(name)?.until ?? -Infinity,
       names: (): string[] => [...held].filter(([, h]) => h.until > now()).map(([n]) => n),
       drop(): void { held.clear(); slept++; },
     };
--- a/packages/counter/src/front.ts
+++ b/packages/counter/src/front.ts
@@ -49,7 +49,7 @@
     app.get('/health', (_req, res) => {
       const up = d.life() === 'serving';
       res.writeHead(up ? 200 : 503, { 'content-type': 'application/json' });
-      res.end(JSON.stringify({ life: d.life(), version: d.sheet.version(), list: d.watch.young() ? 'young' : 'old' }));
+      res.end(JSON.stringify({ life: d.life(), version: d.version(), list: d.watch.young() ? 'young' : 'old' }));
     });
     app.get('/metrics', (_req, res) => {
       const c = d.purge.count();
--- a/packages/counter/src/httpback.ts
+++ b/packages/counter/src/httpback.ts
@@ -8,7 +8,7 @@
 import { Piece } from './piece.js';
 
 const MOST = 1024 * 1024;
-const CODES = ['busy', 'wrongpart', 'lapsed', 'old', 'bad'] as const;
+const CODES = ['busy', 'wrongpart', 'lapsed', 'old', 'late', 'bad'] as const;
 const cause = (e: unknown): string => (e as { code?: string }).code ?? String((e as Error).message ?? e);
 
 /** A fault before any reply. Only a connection that was never made proves that nothing was heard. */
--- a/packages/counter/src/index.ts
+++ b/packages/counter/src/index.ts
@@ -1,6 +1,7 @@
 export { type Back } from './back.js';
 export { type BackFault } from './backfault.js';
 export { BackState } from './backstate.js';
+export { Bound } from './bound.js';
 export { Bucket } from './bucket.js';
 export { type CallerSink } from './callersink.js';
 export { Casting } from './casting.js';
@@ -15,6 +16,8 @@
 export { Front } from './front.js';
 export { Gate } from './gate.js';
 export { type Gating } from './gating.js';
+export { type Hailing } from './hailing.js';
+export { Hails } from './hails.js';
 export { Handle } from './handle.js';
 export { HttpBack } from './httpback.js';
 export { HttpTown } from './httptown.js';
--- a/packages/counter/src/run.ts
+++ b/packages/counter/src/run.ts
@@ -16,7 +16,8 @@
 
 /**
  * One visit, from the gate to its outcome, written straight down.
- * Invariants: every send is preceded, in the same turn, by a look at a young list; a visit is sent again only
+ * Invariants: every send is preceded, in the same turn, by a look at a young list, and bound by that list's age so that
+ * it can't take hold later; a visit is sent again only
  * on proof that it has not run, and each time from the bucket; the sink hears one outcome.
  */
 export const Run = {
@@ -65,9 +66,10 @@
         const s = await room(() => select.prefill(rule, prefix, avoid) ?? (avoid.size > 0 ? select.prefill(rule, prefix, new Set()) : null));
         settled();
         const free = s ? loads.take(s.id, rule.weight) : null;
-        if (s && free && town.good(s.id, s.born)) {
+        const bound = s && town.good(s.id, s.born) ? t.hails.bound(s, town.until()) : null;
+        if (s && free && bound) {
           world.tell({ what: 'send', part: 'prefill', server: s.id, key: v.key, attempt: v.attempt, version: t.version() });
-          const got = await t.back.prefill(s.addr, { key: v.key, attempt: v.attempt, prefix: v.prefix, part: v.part, weight: rule.weight }, Math.max(200, Math.min(PATIENCE, due - now())));
+          const got = await t.back.prefill(s.addr, { key: v.key, attempt: v.attempt, ...bound, prefix: v.prefix, part: v.part, weight: rule.weight }, Math.max(200, Math.min(PATIENCE, due - now())));
           const h = got.ok ? got.val : null;
           const fits = h && h.key === v.key && h.attempt === v.attempt && h.server === s.id && h.born === s.born && h.digest === Hash.text(v.prefix + v.part);
           if (h && fits) { handle = h; reader = s; life.send('read'); }
@@ -84,13 +86,14 @@
         t.demand.write += rule.weight;
         const s = await hand(() => select.decode(rule, reader!, avoid) ?? (avoid.size > 0 ? select.decode(rule, reader!, new Set()) : null));
         const free = s ? loads.take(s.id, rule.weight) : null;
-        if (s && free && handle && !sink.gone() && town.good(s.id, s.born)) {
+        const bound = s && town.good(s.id, s.born) ? t.hails.bound(s, town.until()) : null;
+        if (s && free && handle && bound && !sink.gone()) {
           life.send('send');
           world.tell({ what: 'send', part: 'decode', server: s.id, key: v.key, attempt: v.attempt });
           const check = StreamCheck.make({ key: v.key, attempt: v.attempt, born: s.born });
           const from = now();
           let broken: string | null = null;
-          const got = await t.back.decode(s.addr, { key: v.key, attempt: v.attempt, handle, pieces: rule.pieces, weight: rule.weight }, Math.max(IDLE, Math.min(PATIENCE, due - now())), (p) => {
+          const got = await t.back.decode(s.addr, { key: v.key, attempt: v.attempt, ...bound, handle, pieces: rule.pieces, weight: rule.weight }, Math.max(IDLE, Math.min(PATIENCE, due - now())), (p) => {
             if (broken) return false;
             const look = check.look(p);
             if (!look.ok) { broken = look.why; return false; }
--- a/packages/counter/src/runtools.ts
+++ b/packages/counter/src/runtools.ts
@@ -1,6 +1,7 @@
 import type { World } from '@pumicebarrow/forms';
 import type { Back } from './back.js';
 import type { Bucket } from './bucket.js';
+import type { Hailing } from './hailing.js';
 import type { Gating } from './gating.js';
 import type { Listed } from './listed.js';
 import type { LoadBook } from './loadbook.js';
@@ -12,6 +13,6 @@
 /** What the run of a visit works with. */
 export type RunTools = {
   world: World; gate: Gating; waitlist: ReturnType<typeof Waitlist.make>; hands: ReturnType<typeof Waitlist.make>; select: Selecting; loads: LoadBook;
-  town: TownView; witness: Witnessing; bucket: ReturnType<typeof Bucket.make>; back: Back;
+  town: TownView; hails: Hailing; witness: Witnessing; bucket: ReturnType<typeof Bucket.make>; back: Back;
   sighted: (s: Listed) => void; pump: () => void; version: () => number; demand: { read: number; write: number };
 };
--- a/packages/counter/src/select.ts
+++ b/packages/counter/src/select.ts
@@ -1,4 +1,5 @@
 import { Lot, type Ident, type Rule } from '@pumicebarrow/forms';
+import type { Hailing } from './hailing.js';
 import type { Listed } from './listed.js';
 import type { LoadBook } from './loadbook.js';
 import type { SheetView } from './sheetview.js';
@@ -6,7 +7,7 @@
 import type { TownView } from './townview.js';
 
 type Part = 'prefill' | 'decode';
-type Tools = { sheet: SheetView; town: TownView; loads: LoadBook; shuns: ReturnType<typeof Shuns.make>; roster: () => readonly Ident[] };
+type Tools = { hails: Hailing; sheet: SheetView; town: TownView; loads: LoadBook; shuns: ReturnType<typeof Shuns.make>; roster: () => readonly Ident[] };
 
 /** Which server a visit goes to. */
 export const Select = {
@@ -22,7 +23,7 @@
       for (const { row } of t.sheet.rows().values()) {
         if (row.part !== part || row.stage !== 'serving') continue;
         const s = t.town.good(row.server, row.born);
-        if (s && !t.shuns.has(s.id, s.born)) out.push(s);
+        if (s && t.hails.known(s) && !t.shuns.has(s.id, s.born)) out.push(s);
       }
       return out;
     };
--- a/packages/counter/src/townwatch.ts
+++ b/packages/counter/src/townwatch.ts
@@ -6,6 +6,8 @@
 
 const OLD = 2500;
 const POLL = 400;
+/** How long after it was asked for a list may still bring a send to a server. */
+const REACH = 3000;
 const Shared = Type.Object({ list: Type.Union([TownList, Type.Null()]), age: Type.Number({ minimum: 0 }) }, { additionalProperties: false });
 
 /**
@@ -52,6 +54,8 @@
         void tick();
       },
       age,
+      /** The instant after which nothing sent by this list may take hold. */
+      until: (): number => from + REACH,
       all(): readonly Listed[] { look(); return age() < OLD ? list?.servers ?? [] : []; },
       /** The server, if at this instant a young list shows it serving; else null. */
       good(id: string, born?: string): Listed | null {
--- a/packages/registry/src/registrar.ts
+++ b/packages/registry/src/registrar.ts
@@ -33,7 +33,7 @@
         purge.publish({ name: 'charter', mark: [s.charter.version, 0], body: { version: s.charter.version, plan: s.charter.plan, charter: s.charter.body } });
       },
     });
-    TraceDesk.make(post, () => ident, purge, shelf);
+    TraceDesk.make(post, () => ident, purge, shelf, () => core.live() && core.chain.passed() !== null);
     return Ok({
       ident, core, purge, shelf, post,
       start(): void { core.start(); purge.start(); },
--- a/packages/registry/src/tracedesk.ts
+++ b/packages/registry/src/tracedesk.ts
@@ -14,14 +14,16 @@
     ask: Type.Object({ name: Type.Optional(Type.String()) }, shut),
     told: Type.Object({
       who: Ident,
+      sure: Type.Optional(Type.Boolean({ description: 'whether it knows that its charter is not an older one than it had' })),
       marks: Type.Array(Type.Object({ name: Type.String(), mark: Mark }, shut)),
       steps: Type.Array(Step),
       count: Type.Record(Type.String(), Type.Number()),
     }, shut),
   },
-  make(post: PostBox, self: () => Ident, purge: Purging, shelf: Holding): void {
+  make(post: PostBox, self: () => Ident, purge: Purging, shelf: Holding, sure: () => boolean): void {
     post.on('trace.tell', TraceDesk.forms.ask, (body) => ({
       who: self(),
+      sure: sure(),
       marks: [...shelf.table().values()].filter((d) => body.name === undefined || d.name === body.name).map((d) => ({ name: d.name, mark: d.mark })),
       steps: purge.diary(body.name),
       count: purge.count(),
--- a/packages/sim/src/drills/daemons.ts
+++ b/packages/sim/src/drills/daemons.ts
@@ -99,6 +99,25 @@
       for (const id of all) s.f.start(id);
     },
   },
+  {
+    name: 'blackout', about: 'all machines, all servers and the platform stop, and return one by one in any order',
+    async run(s) {
+      void s.ops.change(1);
+      await s.nap(20 + s.real() * 60);
+      const daemons = [...s.f.coreIds, ...s.f.edgeIds], servers = s.park.ids();
+      for (const id of daemons) s.f.kill(id);
+      for (const id of servers) s.park.fall(id);
+      s.park.platform(false);
+      await s.nap(2500);
+      const all = [...daemons, ...servers, 'platform'];
+      for (const id of s.f.some(all, all.length)) {
+        if (id === 'platform') s.park.platform(true);
+        else if (servers.includes(id)) s.park.rise(id);
+        else s.f.start(id);
+        await s.nap(s.real() * 250);
+      }
+    },
+  },
   {
     name: 'rolling', about: 'every edge daemon in turn is told to leave, finishes its visits, and a new life starts',
     async run(s) {
--- a/packages/sim/src/drills/intents.ts
+++ b/packages/sim/src/drills/intents.ts
@@ -21,6 +21,28 @@
       await s.nap(3000);
     },
   },
+  {
+    name: 'readback', about: 'operators read all the while, and the first daemon to hold each new charter stops and starts at once',
+    async run(s) {
+      const version = (id: string): number => s.f.counters.get(id)?.sheet.version() ?? 0;
+      for (let i = 0; i < 8; i++) {
+        const top = Math.max(...s.f.edgeIds.map(version));
+        void s.ops.change(2);
+        for (let ms = 0; ms < 2000 && !s.f.edgeIds.some((id) => version(id) > top); ms++) await s.nap(1);
+        const first = s.f.edgeIds.find((id) => version(id) > top);
+        void s.ops.look();
+        await s.nap(8);
+        if (first) {
+          s.f.kill(first);
+          s.f.start(first);
+        }
+        for (let n = 0; n < 50; n++) { void s.ops.look(); await s.nap(6); }
+        s.f.freeze(s.f.some(s.f.edgeIds, 1)[0]!, 1200 + s.real() * 800);
+        await s.nap(1500);
+      }
+      await s.nap(2000);
+    },
+  },
   {
     name: 'racekill', about: 'operators race while the head is killed',
     async run(s) {
--- a/packages/sim/src/drills/servers.ts
+++ b/packages/sim/src/drills/servers.ts
@@ -29,6 +29,44 @@
       }
     },
   },
+  {
+    name: 'latesend', about: 'servers stand still with work in their buffers, are listed as leaving, and go on seconds later',
+    async run(s) {
+      for (let i = 0; i < 3; i++) {
+        const ids = s.f.some(s.park.ids(), 2);
+        s.callers.crowd(150);
+        await s.nap(20);
+        for (const id of ids) s.park.dark(id, true);
+        await s.nap(700);
+        for (const id of ids) s.park.mark(id, 'draining');
+        await s.nap(4500);
+        for (const id of ids) s.park.dark(id, false);
+        await s.nap(1500);
+        for (const id of ids) { s.park.fall(id); s.park.rise(id); }
+        await s.nap(2500);
+      }
+    },
+  },
+  {
+    name: 'lateorder', about: 'an order lies in the buffers of a server that stands still, while another daemon takes the duty over',
+    async run(s) {
+      for (let i = 0; i < 4; i++) {
+        const server = s.f.some(s.park.ids(), 1)[0]!;
+        s.park.fall(server);
+        s.park.rise(server);
+        const sent = s.f.orders(server);
+        for (let ms = 0; ms < 6000 && s.f.orders(server) === sent; ms++) await s.nap(0.5);
+        s.park.dark(server, true);
+        const holder = s.f.orderer(server);
+        if (holder) s.f.kill(holder);
+        await s.nap(4300 + s.real() * 3000);
+        s.park.dark(server, false);
+        await s.nap(2500);
+        if (holder) s.f.start(holder);
+        await s.nap(2500);
+      }
+    },
+  },
   {
     name: 'release', about: 'servers are replaced one by one: listed as leaving, stopped, back as new lives',
     async run(s) {
@@ -72,6 +110,21 @@
       s.park.trick(id, 'none');
     },
   },
+  {
+    name: 'flaky', about: 'servers turn much of their work away, while a herd of daemons is killed and starts again',
+    async run(s) {
+      const ids = s.f.some(s.park.ids(), Math.ceil(s.park.ids().length / 2)), herd = s.f.some(s.f.edgeIds, 4);
+      for (const id of ids) s.park.trick(id, 'flaky');
+      s.callers.crowd(200);
+      await s.nap(2500);
+      for (const id of herd) s.f.kill(id);
+      await s.nap(1500);
+      for (const id of herd) s.f.start(id);
+      s.callers.crowd(200);
+      await s.nap(4000);
+      for (const id of ids) s.park.trick(id, 'none');
+    },
+  },
   {
     name: 'nolist', about: 'the platform\'s list can\'t be had for a while',
     async run(s) {
--- a/packages/sim/src/fleet.ts
+++ b/packages/sim/src/fleet.ts
@@ -18,7 +18,7 @@
 export const Fleet = {
   make(motor: Motor, d: Deployment, tell: (deed: Deed) => void) {
     const net = Net.make(motor);
-    const park = Park.make(motor, d.charter.servers.map((s, i) => ({ id: s.id, addr: `10.2.0.${i + 1}:80`, site: s.site, slots: s.slots })), tell);
+    const park = Park.make(motor, d.charter.servers.map((s, i) => ({ id: s.id, addr: `10.2.0.${i + 1}:80`, site: s.site, slots: s.slots })), tell, net.mute);
     const boxes = new Map<string, Box>();
     const disks = new Map<string, Platter>();
     const counters = new Map<string, Counting>();
@@ -26,6 +26,11 @@
     const ears: ((id: string) => void)[] = [];
     let spare = 100;
     let tries = { rate: 0.2, cap: 3 };
+    const sent = new Map<string, { n: number; by: string }>();
+    const noted = (d: Deed): void => {
+      if (d.what === 'order') sent.set(String(d['server']), { n: (sent.get(String(d['server']))?.n ?? 0) + 1, by: d.who });
+      tell(d);
+    };
     const coreIds = Array.from({ length: d.cores }, (_, i) => `c${i + 1}`);
     const edgeIds = Array.from({ length: d.edges }, (_, i) => `e${i + 1}`);
     coreIds.forEach((id, i) => {
@@ -33,7 +38,7 @@
       disks.set(id, disk);
       boxes.set(id, Host.make(motor, id, `10.0.0.${i + 1}:7000`, d.sites[i % d.sites.length]!, disk.disk, tell));
     });
-    edgeIds.forEach((id, i) => boxes.set(id, Host.make(motor, id, `10.1.0.${i + 1}:7000`, d.sites[i % d.sites.length]!, null, tell)));
+    edgeIds.forEach((id, i) => boxes.set(id, Host.make(motor, id, `10.1.0.${i + 1}:7000`, d.sites[i % d.sites.length]!, null, noted)));
     for (const b of boxes.values()) net.add(b);
     const coreAddrs = coreIds.map((_, i) => `10.0.0.${i + 1}:7000`);
     const world = (b: Box): World => ({ clock: b.begin(), chance: b.chance, wire: net.wire(b), disk: b.disk, log: () => quiet, tell: (x) => b.tell(x) });
@@ -69,6 +74,9 @@
     return {
       d, motor, net, park, boxes, disks, counters, cores, coreIds, edgeIds, start, kill,
       startAll(): void { for (const id of [...coreIds, ...edgeIds]) start(id); },
+      /** How many orders daemons have sent to a server, and who sent the last. */
+      orders: (server: string): number => sent.get(server)?.n ?? 0,
+      orderer: (server: string): string | null => sent.get(server)?.by ?? null,
       /** The bucket of extra tries that counters start with. */
       tries(rate: number, cap: number): void { tries = { rate, cap }; },
       /** Tells of each kill, so that callers see their connections torn. */
--- a/packages/sim/src/history.ts
+++ b/packages/sim/src/history.ts
@@ -1,6 +1,9 @@
 import type { Deed } from '@pumicebarrow/forms';
 
 type Span = { from: number; to: number };
+type Stretch = Span & { life: number; born: boolean };
+/** How long the core takes to mend its chain after one of it returns. */
+const REST = 6000;
 
 /** A run's history, with the questions that rules ask of it. Invariant: in order of time. */
 export const History = {
@@ -20,15 +23,30 @@
       ...of('frozen').map((d) => ({ ids: [d.who], from: d.at, to: d.at + Number(d['ms']) })),
       ...of('cut').map((d) => ({ ids: d['ids'] as string[], from: d.at, to: Number(d['until']) })),
     ];
+    const still = (id: string, from: number, to: number): boolean =>
+      (ups.get(id) ?? []).some((s) => s.from <= from && s.to >= to) && !apart.some((a) => a.ids.includes(id) && a.from <= to && a.to >= from);
     return {
       all: list, of, end,
+      /** Whether no core was down, frozen or cut off from a while before until the end of a span. */
+      coreWhole: (from: number, to: number): boolean => [...ups.keys()].filter((id) => id.startsWith('c')).every((id) => still(id, from - REST, to)),
+      /** The spans in which a machine was up, awake and linked; `born` when one begins with a start. */
+      stretches(id: string): readonly Stretch[] {
+        return (ups.get(id) ?? []).flatMap((s) => {
+          const gaps = apart.filter((a) => a.ids.includes(id) && a.to > s.from && a.from < s.to).sort((a, b) => a.from - b.from);
+          const out: Stretch[] = [];
+          let from = s.from;
+          for (const g of gaps) {
+            if (g.from > from) out.push({ from, to: g.from, life: s.from, born: from === s.from });
+            from = Math.max(from, g.to);
+          }
+          if (from < s.to) out.push({ from, to: s.to, life: s.from, born: from === s.from });
+          return out;
+        });
+      },
       edges: [...ups.keys()].filter((id) => id.startsWith('e')),
       lives: (id: string): readonly Span[] => ups.get(id) ?? [],
       /** Whether a machine was up, awake and linked for the whole of a span. */
-      sound(id: string, from: number, to: number): boolean {
-        const up = (ups.get(id) ?? []).some((s) => s.from <= from && s.to >= to);
-        return up && !apart.some((a) => a.ids.includes(id) && a.from <= to && a.to >= from);
-      },
+      sound: still,
     };
   },
 };
--- a/packages/sim/src/measure.ts
+++ b/packages/sim/src/measure.ts
@@ -56,7 +56,7 @@
       }
     });
     for (const x of r.history.of('lit')) {
-      const hits = r.history.of('reach').filter((h) => h.who === x['server'] && h['part'] !== 'order' && h.at > Number(x['from']) && h.at < x.at);
+      const hits = r.history.of('reach').filter((h) => h.who === x['server'] && h.at > Number(x['from']) && h.at < x.at);
       sends += hits.length;
       last.push(Math.max(0, ...hits.map((h) => h.at - Number(x['from']))));
     }
--- a/packages/sim/src/model.ts
+++ b/packages/sim/src/model.ts
@@ -1,7 +1,8 @@
 import { Dice, Hash, Timer, type Chance, type Clock } from '@pumicebarrow/forms';
-import type { BackState, Handle, OrderSlip, Piece, VisitJob } from '@pumicebarrow/counter';
+import type { BackState, Bound, Handle, OrderSlip, Piece, VisitJob } from '@pumicebarrow/counter';
 import { createHash } from 'node:crypto';
 import { Text } from './text.js';
+import { Tide } from './tide.js';
 import type { Trick } from './trick.js';
 
 type Kept = { handle: Handle; until: number };
@@ -10,35 +11,49 @@
 type Hooks = {
   /** Fetches prompt memory from the server that read it; null when it has lapsed or can't be had. */
   fetch: (h: Handle) => Promise<Memory | null>;
+  /** Work is taken in, or turned away since it came too late. */
+  took: (part: 'prefill' | 'decode') => void;
+  late: (part: 'prefill' | 'decode' | 'order') => void;
   ran: (key: string, attempt: number, digest: string) => void;
   ordered: (slip: OrderSlip) => void;
   trick: () => Trick;
 };
-type Turned = { code: 'busy' | 'wrongpart' | 'lapsed' | 'old' | 'bad' };
+type Turned = { code: 'busy' | 'wrongpart' | 'lapsed' | 'old' | 'late' | 'bad' };
 
 /**
- * A stand-in model server. Invariants: an order older than the newest obeyed is turned away;
+ * A stand-in model server. Invariants: an order older than the newest obeyed is turned away, and so is whatever is
+ * meant for another life or comes after its bound, before it changes anything;
  * a decode that is turned away has not run and will not.
  */
 export const Model = {
   make(clock: Clock, chance: Chance, s: Startup, h: Hooks) {
-    let state: BackState = { id: s.id, born: s.born, part: 'none', stage: 'serving', fence: 0, step: 0, busy: 0 };
+    let state: BackState = { id: s.id, born: s.born, part: 'none', stage: 'serving', fence: 0, step: 0, busy: 0, clock: 0 };
+    const tide = Tide.make(clock);
+    /** Meant for another life, or come too late; nothing is changed by it. */
+    const past = (b: Bound, part: 'prefill' | 'decode' | 'order'): boolean => {
+      if (b.born === s.born && tide.now() <= b.by) return false;
+      h.late(part);
+      return true;
+    };
     const memory = new Map<string, Kept>();
     let prefixes: readonly string[] = [];
     const bump = (by: number): void => { state = { ...state, busy: state.busy + by }; };
     const fair = (): number => s.pace * (1 + Math.max(0, state.busy - s.slots) / s.slots);
     return {
-      state: (): BackState => state,
+      state: (): BackState => ({ ...state, clock: tide.now() }),
       lapse(): void { memory.clear(); },
       order(slip: OrderSlip): BackState | Turned {
+        if (past(slip, 'order')) return { code: 'late' };
         if (slip.fence < state.fence || (slip.fence === state.fence && slip.step < state.step)) return { code: 'old' };
         state = { ...state, part: slip.part, stage: slip.stage, fence: slip.fence, step: slip.step };
         h.ordered(slip);
-        return state;
+        return { ...state, clock: tide.now() };
       },
-      async prefill(job: VisitJob & { prefix: string; part: string; weight: number }): Promise<Handle | Turned> {
+      async prefill(job: VisitJob & Bound & { prefix: string; part: string; weight: number }): Promise<Handle | Turned> {
+        if (past(job, 'prefill')) return { code: 'late' };
         if (state.part !== 'prefill') return { code: 'wrongpart' };
         if (state.busy >= s.slots * 4) return { code: 'busy' };
+        h.took('prefill');
         bump(1);
         const prefix = Hash.text(job.prefix), known = prefixes.includes(prefix);
         prefixes = [prefix, ...prefixes.filter((p) => p !== prefix)].slice(0, 12);
@@ -56,9 +71,11 @@
         memory.delete(id);
         return { key: kept.handle.key, attempt: kept.handle.attempt, digest: kept.handle.digest };
       },
-      async decode(job: VisitJob & { handle: Handle; pieces: number }, emit: (p: Piece) => void, on: () => boolean): Promise<Turned | null> {
+      async decode(job: VisitJob & Bound & { handle: Handle; pieces: number }, emit: (p: Piece) => void, on: () => boolean): Promise<Turned | null> {
+        if (past(job, 'decode')) return { code: 'late' };
         if (state.part !== 'decode') return { code: 'wrongpart' };
         if (state.busy >= s.slots * 4 || h.trick() === 'flaky') return { code: 'busy' };
+        h.took('decode');
         bump(1);
         const got = await h.fetch(job.handle);
         const fits = got && got.key === job.key && got.attempt === job.attempt && got.digest === job.handle.digest;
--- a/packages/sim/src/net.ts
+++ b/packages/sim/src/net.ts
@@ -6,8 +6,9 @@
 type Bend = (kind: string, from: string, to: string, re: unknown, body: unknown) => unknown;
 
 /**
- * The simulated network between daemons. Mail is copied through JSON. A refused connection is 'unsent'; a cut one
- * is 'lost' or 'unsent' by chance, as an open connection or none would have it; a frozen hearer hears late.
+ * The simulated network between daemons. Mail is copied through JSON. A refused connection is 'unsent'; over a cut no
+ * connection is made ('unsent'), or one that was open keeps what was written until the cut is over ('lost', and heard
+ * late), by chance; a frozen hearer hears late.
  */
 export const Net = {
   make(motor: Motor) {
@@ -66,11 +67,10 @@
               };
               const there = hosts.find((h) => h.up() && h.addr() === to);
               if (!there) { say(Err('unsent'), motor.now() + delay()); return; }
+              const fresh = Dice.int(motor.chance, 2) === 0;
               if (mute(me.id, there.id)) {
                 dropped++;
-                const known = Dice.int(motor.chance, 2) === 0;
-                say(Err(known ? 'lost' : 'unsent'), motor.now() + (known ? ms : Math.min(ms, 300)));
-                return;
+                if (fresh) { say(Err('unsent'), motor.now() + Math.min(ms, 300)); return; }
               }
               say(Err('lost'), motor.now() + ms);
               if (loss > 0 && motor.chance.real() < loss) return;
@@ -78,6 +78,7 @@
               motor.at(motor.now() + delay(), function arrive() {
                 if (there.life() !== theirs) { say(Err('lost'), motor.now()); return; }
                 if (there.frozen()) { motor.at(there.thaw() + delay(), arrive); return; }
+                if (mute(me.id, there.id)) { motor.at(motor.now() + 50, arrive); return; }
                 const ear = there.ear();
                 if (!ear) { say(Err('lost'), motor.now()); return; }
                 void ear(JSON.parse(text) as Mail).then((re) => {
--- a/packages/sim/src/operators.ts
+++ b/packages/sim/src/operators.ts
@@ -52,7 +52,20 @@
       }
       return false;
     };
+    const glance = (of: string, who: string, from: number, version: unknown): void =>
+      tell({ what: 'readback', who, at: motor.now(), of, from, version: version ?? null });
+    /** Reads the charter back, and what status tells of each daemon. */
+    const look = async (): Promise<void> => {
+      const id = daemon(), from = motor.now();
+      const got = await call(id, (c) => c.read());
+      if (got?.verdict.ran === 'yes') glance('core', id, from, got['version']);
+      const again = motor.now(), all = await call(id, (c) => c.status());
+      if (all?.verdict.ran !== 'yes') return;
+      glance('core', id, again, all['version']);
+      for (const row of all['daemons'] as { id: string; version: number | null }[]) glance(row.id, id, again, row.version);
+    };
     return {
+      look,
       change, plan, confirm, write, daemon,
       /** n operators plan against one base, then all confirm at once. */
       async race(n: number): Promise<void> {
--- a/packages/sim/src/rules/leaving.ts
+++ b/packages/sim/src/rules/leaving.ts
@@ -10,7 +10,7 @@
     const marks = h.of('listed');
     let worst = 0;
     let checked = 0;
-    const broken = h.of('reach').filter((r) => r['part'] !== 'order').flatMap((r) => {
+    const broken = h.of('reach').flatMap((r) => {
       const since = marks.filter((m) => m.who === r.who && m.at <= r.at).at(-1);
       checked++;
       if (!since || since['mark'] === 'serving') return [];
--- a/packages/sim/src/stage.ts
+++ b/packages/sim/src/stage.ts
@@ -38,6 +38,12 @@
         await ops.change(40);
         await nap(12_000 - motor.now());
         callers.start();
+        void (async () => {
+          while (!over) {
+            await nap(400 + motor.chance.real() * 800);
+            void ops.look();
+          }
+        })();
         await nap(3000);
         await script(scene);
         note('over', {});
--- a/packages/yard/src/backhost.ts
+++ b/packages/yard/src/backhost.ts
@@ -22,6 +22,8 @@
         } catch { return null; }
       },
       ran: (key, attempt) => { ran.push(`${key} ${attempt}`); },
+      took: () => undefined,
+      late: () => undefined,
       ordered: () => undefined,
       trick: () => 'none',
     });
