Proof of 'not run' comes of making a connection alone, and no send waits in the client's pool

Cause: an error's code was taken for proof that nothing was heard, though a socket in use can fail with the same codes after its bytes were read. And 128 connections a server meant that the 129th send waited, after its look at the list. Replies were read whole, whatever their size.

Ruled out: telling by bytes written (the client does not say so for each request); a larger pool (it only moves the number). Change: errors are marked where connections are made; a connection that took longer than it may (the process was frozen) is not used; connections are made as work calls for them; replies and lines are read to a fixed size.

--- a/packages/counter/src/index.ts
+++ b/packages/counter/src/index.ts
@@ -1,6 +1,7 @@
 export { type Back } from './back.js';
 export { type BackFault } from './backfault.js';
 export { BackState } from './backstate.js';
+export { BodyReader } from './bodyreader.js';
 export { Bound } from './bound.js';
 export { Bucket } from './bucket.js';
 export { type CallerSink } from './callersink.js';
@@ -10,6 +11,7 @@
 export { type CounterStartup } from './counterstartup.js';
 export { type Counting } from './counting.js';
 export { DaemonLife } from './daemonlife.js';
+export { Dialer } from './dialer.js';
 export { type Duties } from './duties.js';
 export { Duty } from './duty.js';
 export { type Entry } from './entry.js';
