Callers that read slowly, never end a body or send no UTF-8 cost little and are told so

Cause: pieces for a caller that did not read were held without limit; a body that was too large was read on to its end after the 413; half a body held its connection for five minutes; bytes that are not UTF-8 were mended in silence. Ruled out: waiting for a slow caller (the decode server's stream would have to wait with it). Change: 1 MiB is held for a caller, then it is torn off; a too large body's connection ends with the reply; 15 s to send a visit; strict UTF-8.

--- a/packages/counter/src/front.ts
+++ b/packages/counter/src/front.ts
@@ -1,5 +1,5 @@
 import { Check, JsonBody, Verdicts, type Verdict, type World } from '@pumicebarrow/forms';
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import polka from 'polka';
 import type { CallerSink } from './callersink.js';
 import { Control } from './control.js';
@@ -8,6 +8,8 @@
 
 const STATUS: Record<string, number> = { bad: 400, json: 400, toolarge: 413, unknownrule: 404, unknown: 404, otherbody: 409, closed: 409, twin: 409, unproven: 409, mayhaverun: 409, ran: 409, lost: 409, dropped: 409, won: 409, stale: 409 };
 const MOST = 9 * 1024 * 1024;
+/** What is held for a caller that reads slowly, and how long one may take to send a visit. */
+const LIMITS = { held: 1024 * 1024, body: 15_000 };
 
 /** The daemon's HTTP side: visits, health, metrics and, where it is served, control. */
 export const Front = {
@@ -17,8 +19,13 @@
     res.writeHead(status, { 'content-type': 'application/json', ...(v.after === undefined ? {} : { 'retry-after': String(Math.ceil(v.after)) }) });
     res.end(JSON.stringify(body));
   },
-  sink(res: ServerResponse): CallerSink {
-    const line = (v: unknown): void => { if (!res.destroyed) res.write(`${JSON.stringify(v)}\n`); };
+  /** Invariant: what a caller has not read yet is bounded; one that stays behind is torn off, and so knows. */
+  sink(res: ServerResponse, held = LIMITS.held): CallerSink {
+    const line = (v: unknown): void => {
+      if (res.destroyed) return;
+      res.write(`${JSON.stringify(v)}\n`);
+      if (res.writableLength > held) res.destroy();
+    };
     const head = (): void => { if (!res.headersSent) res.writeHead(200, { 'content-type': 'application/x-ndjson' }); };
     return {
       piece(n, text) { head(); line({ n, text }); },
@@ -28,13 +35,18 @@
       gone: () => res.destroyed || res.socket?.destroyed === true,
     };
   },
-  async make(world: World, d: Counting, control: boolean, addr: string): Promise<{ close(): Promise<void> }> {
-    const app = polka();
+  async make(world: World, d: Counting, control: boolean, addr: string, limits = LIMITS): Promise<{ close(): Promise<void> }> {
+    const server = createServer({ connectionsCheckingInterval: limits.body / 3 });
+    server.headersTimeout = limits.body;
+    server.requestTimeout = limits.body;
+    const app = polka({ server });
     const desk = Control.make(world, d);
     const body = async (req: IncomingMessage, res: ServerResponse): Promise<{ v: unknown } | null> => {
       const got = await JsonBody.read(req, MOST);
       if (got.ok) return { v: got.val };
-      Front.say(res, { verdict: Verdicts.not(got.val === 'large' ? 'toolarge' : 'json', got.val === 'large' ? 'The body is too large.' : 'The body is not JSON.') });
+      // What is still to come of a body that is too large is not read.
+      if (got.val === 'large') res.once('finish', () => req.destroy());
+      Front.say(res, { verdict: Verdicts.not(got.val === 'large' ? 'toolarge' : 'json', got.val === 'large' ? 'The body is too large.' : 'The body is not JSON in UTF-8.') });
       return null;
     };
     app.post('/visit', (req, res) => {
@@ -43,7 +55,7 @@
         if (!got) return;
         const visit = Check.parse(Visit, got.v);
         if (visit.err) { Front.say(res, { verdict: Verdicts.bad(visit.val) }); return; }
-        await d.visit(visit.val, Front.sink(res));
+        await d.visit(visit.val, Front.sink(res, limits.held));
       })();
     });
     app.get('/health', (_req, res) => {
--- a/packages/forms/src/jsonbody.ts
+++ b/packages/forms/src/jsonbody.ts
@@ -3,7 +3,7 @@
 import { Ok } from './ok.js';
 import type { Result } from './result.js';
 
-/** The JSON body of an HTTP call, read up to a limit. */
+/** The JSON body of an HTTP call, read up to a limit. Invariant: bytes that are not UTF-8 are a fault, never mended. */
 export const JsonBody = {
   read(req: IncomingMessage, most: number): Promise<Result<unknown, 'large' | 'json' | 'torn'>> {
     return new Promise((done) => {
@@ -18,7 +18,7 @@
       req.on('close', () => done(Err('torn')));
       req.on('end', () => {
         try {
-          const text = Buffer.concat(bits).toString('utf8');
+          const text = new TextDecoder('utf-8', { fatal: true }).decode(Buffer.concat(bits));
           done(Ok(text === '' ? {} : JSON.parse(text) as unknown));
         } catch { done(Err('json')); }
       });
