One attempt sent to two daemons at once can name its owners, and then runs once whatever fails

Cause: two daemons whose views of the live ones share neither of a key's two owners each record the same attempt, and both run it; and after both owners died nothing remembers it. Ruled out: a majority of all daemons for each record (2.5 times the messages, and needs an agreed count); rosters that change by one in each term (a herd's death would hold visits off for seconds, and the core cut off for good); the prefill server as the witness (it is chosen by load too). Least costly: the caller names two lives, which alone may record the visit; GET /owners gives them. If either is gone the call is bounced as not sent by it. Found on the way: mail names an id, and a new life of an owner took an opening meant for the old one. What is left: unnamed owners, with both of a key's owners out of reach of one of two callers' daemons; and the verdict speaks of the call it ends.

--- a/packages/client/src/generated.ts
+++ b/packages/client/src/generated.ts
@@ -6,6 +6,12 @@
   rule?: string;
   prefix: string;
   part: string;
+  /**
+   * the two daemons' lives that alone may record it, the same for every call of a key
+   *
+   * @minItems 2
+   */
+  owners?: [string, string, ...string[]];
 }
 
 export type OutcomeLine =
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -59,7 +59,7 @@
     const crew = (): readonly Ident[] => (roster.some((r) => r.id === ident.id) ? roster : known());
     const watch = TownWatch.make(world, post, town, () => known().filter((p) => p.id !== ident.id), () => awake.look());
     const ledger = Ledger.make(clock);
-    LedgerDesk.make(post, ledger);
+    LedgerDesk.make(post, ledger, self);
     const loads = Loads.make(), shuns = Shuns.make(clock), waitlist = Waitlist.make(clock), hands = Waitlist.make(clock);
     const hails = Hails.make(clock, back, () => watch.all(), () => awake.look());
     const select = Select.make({ hails, sheet, town: watch, loads, shuns, roster: crew });
@@ -108,7 +108,7 @@
     };
     const casting = Casting.make({ hails, world, sheet, town: watch, duty, purge, back, self: () => ident.id, suspect: (s) => shuns.has(s.id, s.born) });
     const mixer = Mixer.make({ world, sheet, town: watch, duty, purge, load: () => coreLoad, self: () => ident.id });
-    const witness = Witness.make(world, post, crew);
+    const witness = Witness.make(world, post, crew, known);
     const bucket = Bucket.make(startup.tries?.rate ?? 0.2, startup.tries?.cap ?? 3);
     const visit = Run.make({ world, gate, waitlist, hands, select, loads, town: watch, hails, witness, bucket, back, sighted, pump, demand, version: sheet.version });
     const newest = Newest.make({ world, post, line, purge, shelf, self, known });
@@ -160,6 +160,8 @@
       ident, visit: (v: Visit, sink: CallerSink): Promise<Verdict> => visit(v, sink), gate,
       post, line, purge, shelf, sheet, watch, ledger, duty, shuns, roster: crew,
       life: is,
+      /** Two lives that a caller may name as the owners of a visit. */
+      owners: (): string[] => Dice.some(world.chance, crew().filter((r) => r.role === 'counter'), 2).map((r) => `${r.id}/${r.born}`),
       /** The charter's version; null while this daemon can't tell. */
       version: (): number | null => (sure() ? sheet.version() : null),
       waiting: waitlist.total, under: gate.under, level: bucket.level,
--- a/packages/counter/src/front.ts
+++ b/packages/counter/src/front.ts
@@ -58,6 +58,10 @@
         await d.visit(visit.val, Front.sink(res, limits.held));
       })();
     });
+    app.get('/owners', (_req, res) => {
+      res.writeHead(200, { 'content-type': 'application/json' });
+      res.end(JSON.stringify({ owners: d.owners() }));
+    });
     app.get('/health', (_req, res) => {
       const up = d.life() === 'serving';
       res.writeHead(up ? 200 : 503, { 'content-type': 'application/json' });
--- a/packages/counter/src/witness.ts
+++ b/packages/counter/src/witness.ts
@@ -15,16 +15,19 @@
  * is always one whose mark the sender needs.
  */
 export const Witness = {
-  make(world: World, post: PostBox, roster: () => readonly Ident[]) {
+  make(world: World, post: PostBox, roster: () => readonly Ident[], known: () => readonly Ident[] = roster) {
     const { clock } = world;
     const doubt = new Map<string, number>();
-    const ranked = (key: string): Ident[] => Lot.rank(
+    const rendezvous = (key: string): Ident[] => Lot.rank(
       `key:${key}`,
       roster().filter((r) => r.role === 'counter' && (doubt.get(`${r.id}/${r.born}`) ?? -Infinity) <= clock.mono()),
       (r) => r.id,
     );
+    /** Who may record a visit, first those who are to: the two lives that it names, or by rendezvous over the live daemons. */
+    const ranked = (v: Visit): Ident[] =>
+      (v.owners ? known().filter((r) => v.owners!.includes(`${r.id}/${r.born}`)) : rendezvous(v.key));
     const ask = async (o: Ident, v: Visit, digest: string, proven: boolean): Promise<Say> => {
-      const r = await post.ask(o.addr, o.id, 'ledger.open', { key: v.key, attempt: v.attempt, digest, proven }, LedgerWords.opened, ASK);
+      const r = await post.ask(o.addr, o.id, 'ledger.open', { key: v.key, attempt: v.attempt, digest, proven, life: o.born }, LedgerWords.opened, ASK);
       if (r.ok) return r.val.say;
       doubt.set(`${o.id}/${o.born}`, clock.mono() + SUSPECT);
       return r.val === 'lost' ? 'lost' : 'unsent';
@@ -50,7 +53,7 @@
     return {
       /** Two owners are pinned, or the visit goes no further. */
       async open(v: Visit): Promise<{ bad: Verdict | null; owners: Ident[]; digest: string }> {
-        const digest = digestOf(v), order = ranked(v.key);
+        const digest = digestOf(v), order = ranked(v);
         const asked = order.slice(0, v.attempt > 1 ? 3 : 2);
         const says = await Promise.all(asked.map((o) => ask(o, v, digest, false)));
         const lit = (): Ident[] => asked.filter((_, i) => says[i] === 'ok');
@@ -79,7 +82,7 @@
       close: (v: Visit, owners: readonly Ident[], digest: string): Promise<boolean> => all(owners, v, digest, 'closed'),
       /** For a visit bounced at the gate: lets its next try be proven. Never holds the outcome back for long. */
       async bounced(v: Visit): Promise<void> {
-        await Timer.within(clock, 150, all(ranked(v.key).slice(0, 2), v, digestOf(v), 'closed'), () => false);
+        await Timer.within(clock, 150, all(ranked(v).slice(0, 2), v, digestOf(v), 'closed'), () => false);
       },
     };
   },
--- a/packages/sim/src/day.ts
+++ b/packages/sim/src/day.ts
@@ -12,6 +12,7 @@
 export const Day = {
   /** The drills that the brief names for a deployment. */
   names: (fleet: string): string[] => [...Drills.keys()].filter((n) => (fleet === 'coop' ? !COOP.has(n) : n !== 'exchange' && n !== 'storm')),
+  script: (fleet: string, faults: number) => (s: Scene): Promise<void> => Day.run(s, fleet, faults),
   async run(s: Scene, fleet: string, faults: number): Promise<void> {
     const chance = Dice.seeded(Math.floor(s.real() * 2 ** 31));
     const names = Day.names(fleet);
--- /dev/null
+++ b/packages/sim/src/ran.ts
@@ -0,0 +1,4 @@
+import type { Deed } from '@pumicebarrow/forms';
+
+/** What came of a run. `broken` is the core's own judgement, null where the nevers judge; `points` counts what was met. */
+export type Ran = { deeds: readonly Deed[]; ended: boolean; broken: readonly string[] | null; points: number };
