--- a/packages/clerk/src/commands/index.ts
+++ b/packages/clerk/src/commands/index.ts
@@ -7,4 +7,12 @@
 import { VisitCommand } from './visit.js';
 
 /** clerk's commands, by name. */
-export const COMMANDS = { plan: PlanCommand, confirm: ConfirmCommand, drop: DropCommand, read: ReadCommand, status: StatusCommand, trace: TraceCommand, visit: VisitCommand };
+export const COMMANDS = {
+  plan: PlanCommand,
+  confirm: ConfirmCommand,
+  drop: DropCommand,
+  read: ReadCommand,
+  status: StatusCommand,
+  trace: TraceCommand,
+  visit: VisitCommand,
+};
--- a/packages/clerk/src/commands/plan.ts
+++ b/packages/clerk/src/commands/plan.ts
@@ -21,10 +21,14 @@
       this.exit(2);
     }
     const r = await Desk.ask(flags.at, 'POST', '/plan', { charter });
-    this.exit(Printer.show(r.body, flags.json, (b) => [
-      `Plan ${String(b['plan'])} is stored against version ${String(b['base'])}.`,
-      ...((b['changes'] as { words: string }[]).length === 0 ? ['  It changes nothing.'] : (b['changes'] as { words: string }[]).map((c) => `  ${c.words}`)),
-      `Confirm it with: clerk confirm ${String(b['plan'])}`,
-    ]));
+    this.exit(
+      Printer.show(r.body, flags.json, (b) => [
+        `Plan ${String(b['plan'])} is stored against version ${String(b['base'])}.`,
+        ...((b['changes'] as { words: string }[]).length === 0
+          ? ['  It changes nothing.']
+          : (b['changes'] as { words: string }[]).map((c) => `  ${c.words}`)),
+        `Confirm it with: clerk confirm ${String(b['plan'])}`,
+      ]),
+    );
   }
 }
--- a/packages/clerk/src/commands/read.ts
+++ b/packages/clerk/src/commands/read.ts
@@ -13,8 +13,12 @@
     const { args, flags } = await this.parse(ReadCommand);
     const path = args.plan === undefined ? '/charter' : `/plan/${encodeURIComponent(args.plan)}`;
     const r = await Desk.ask(flags.at, 'GET', path);
-    this.exit(Printer.show(r.body, flags.json, (b) => args.plan === undefined
-      ? [JSON.stringify(b['charter'], null, 2), `Version ${String(b['version'])}, from plan ${String(b['plan'])}.`]
-      : [(b['verdict'] as { why: string }).why]));
+    this.exit(
+      Printer.show(r.body, flags.json, (b) =>
+        args.plan === undefined
+          ? [JSON.stringify(b['charter'], null, 2), `Version ${String(b['version'])}, from plan ${String(b['plan'])}.`]
+          : [(b['verdict'] as { why: string }).why],
+      ),
+    );
   }
 }
--- a/packages/clerk/src/commands/status.ts
+++ b/packages/clerk/src/commands/status.ts
@@ -4,7 +4,8 @@
 import { Printer } from '../printer.js';
 
 /** What one daemon says of its charter; one that just started or woke says that it can't tell yet. */
-const held = (d: Row): string => (!d.reached ? 'UNREACHABLE' : d.sure ? `holds ${d.version ?? 'none'}` : 'can not tell yet');
+const held = (d: Row): string =>
+  !d.reached ? 'UNREACHABLE' : d.sure ? `holds ${d.version ?? 'none'}` : 'can not tell yet';
 
 type Row = { id: string; site: string; role: string; reached: boolean; sure: boolean; version: number | null };
 type Cast = { server: string; part: string; stage: string; by: string; mark: [number, number] };
@@ -17,14 +18,21 @@
   async run(): Promise<void> {
     const { flags } = await this.parse(StatusCommand);
     const r = await Desk.ask(flags.at, 'GET', '/status');
-    this.exit(Printer.show(r.body, flags.json, (b) => {
-      const view = b['view'] as { epoch: number; chain: { id: string }[] } | null;
-      return [
-        `Core ${String(b['core'])}: version ${String(b['version'] ?? 'unknown')}, chain ${view ? view.chain.map((m) => m.id).join(' > ') : 'unknown'}.`,
-        ...(b['daemons'] as Row[]).map((d) => `  ${d.id.padEnd(8)} ${d.role.padEnd(9)} ${d.site.padEnd(8)} ${held(d)}`),
-        'Casting:',
-        ...(b['sheet'] as Cast[]).map((c) => `  ${c.server.padEnd(8)} ${c.part.padEnd(8)} ${c.stage.padEnd(9)} by ${c.by} under fence ${c.mark[0]}.${c.mark[1]}`),
-      ];
-    }));
+    this.exit(
+      Printer.show(r.body, flags.json, (b) => {
+        const view = b['view'] as { epoch: number; chain: { id: string }[] } | null;
+        return [
+          `Core ${String(b['core'])}: version ${String(b['version'] ?? 'unknown')}, chain ${view ? view.chain.map((m) => m.id).join(' > ') : 'unknown'}.`,
+          ...(b['daemons'] as Row[]).map(
+            (d) => `  ${d.id.padEnd(8)} ${d.role.padEnd(9)} ${d.site.padEnd(8)} ${held(d)}`,
+          ),
+          'Casting:',
+          ...(b['sheet'] as Cast[]).map(
+            (c) =>
+              `  ${c.server.padEnd(8)} ${c.part.padEnd(8)} ${c.stage.padEnd(9)} by ${c.by} under fence ${c.mark[0]}.${c.mark[1]}`,
+          ),
+        ];
+      }),
+    );
   }
 }
--- a/packages/clerk/src/printer.ts
+++ b/packages/clerk/src/printer.ts
@@ -9,7 +9,12 @@
     const v = body?.['verdict'] as Told | undefined;
     const code = ExitCode.of(v);
     if (json) process.stdout.write(`${JSON.stringify(body, null, 2)}\n`);
-    else if (code === 0 && body) process.stdout.write(words(body).map((l) => `${l}\n`).join(''));
+    else if (code === 0 && body)
+      process.stdout.write(
+        words(body)
+          .map((l) => `${l}\n`)
+          .join(''),
+      );
     else if (v?.faults) process.stderr.write(v.faults.map((f) => `${f.path || '/'} ${f.why}\n`).join(''));
     else process.stderr.write(`${v ? `${v.code}: ${v.why}` : 'no daemon replied'}\n`);
     return code;
--- a/packages/clerk/src/visitstory.ts
+++ b/packages/clerk/src/visitstory.ts
@@ -1,11 +1,17 @@
 type Step = { what: string; wall: number; attempt: number; more: Record<string, unknown> };
-type Row = { id: string; reached: boolean; steps: Step[]; entry: { attempt: number; state: string; by: string } | null };
+type Row = {
+  id: string;
+  reached: boolean;
+  steps: Step[];
+  entry: { attempt: number; state: string; by: string } | null;
+};
 
 const text = (v: unknown): string => (Array.isArray(v) ? v.join(' and ') : String(v));
 const WORDS: Record<string, (m: Record<string, unknown>) => string> = {
   gated: (m) => `let it in by rule ${text(m['rule'])}`,
   recorded: (m) => `had it recorded at ${text(m['owners'])}`,
-  send: (m) => `sent it to ${text(m['server'])} to ${text(m['part'])}, under charter ${text(m['version'] ?? 'as before')}`,
+  send: (m) =>
+    `sent it to ${text(m['server'])} to ${text(m['part'])}, under charter ${text(m['version'] ?? 'as before')}`,
   streams: (m) => `had the first piece from ${text(m['server'])}`,
   extra: (m) => `spent an extra try, after: ${text(m['code'])}`,
   visit: (m) => `ended it: ran ${text(m['ran'])}, ${text(m['code'])}`,
@@ -18,8 +24,16 @@
     const first = steps[0]?.s.wall ?? 0;
     return [
       `Visit ${t.key}:`,
-      ...steps.map(({ d, s }) => `  +${String(s.wall - first).padStart(5)} ms  ${d.id.padEnd(6)} try ${s.attempt}: ${WORDS[s.what]?.(s.more) ?? s.what}.`),
-      ...t.daemons.filter((d) => d.entry).map((d) => `  ${d.id} keeps in its ledger: try ${d.entry!.attempt} is ${d.entry!.state}, for ${d.entry!.by.split('/')[0]}.`),
+      ...steps.map(
+        ({ d, s }) =>
+          `  +${String(s.wall - first).padStart(5)} ms  ${d.id.padEnd(6)} try ${s.attempt}: ${WORDS[s.what]?.(s.more) ?? s.what}.`,
+      ),
+      ...t.daemons
+        .filter((d) => d.entry)
+        .map(
+          (d) =>
+            `  ${d.id} keeps in its ledger: try ${d.entry!.attempt} is ${d.entry!.state}, for ${d.entry!.by.split('/')[0]}.`,
+        ),
       ...t.daemons.filter((d) => !d.reached).map((d) => `  ${d.id} is unreachable.`),
     ];
   },
--- a/packages/client/src/client.test.ts
+++ b/packages/client/src/client.test.ts
@@ -4,38 +4,125 @@
 import { Client } from './client.js';
 import type { Visit } from './generated.js';
 
-const digest = (list: string[]): string => { const h = createHash('sha256'); list.forEach((t, i) => h.update(`${i + 1}:${t}\n`)); return h.digest('hex').slice(0, 24); };
-const line = (res: ServerResponse, v: unknown): void => { res.write(`${JSON.stringify(v)}\n`); };
+const digest = (list: string[]): string => {
+  const h = createHash('sha256');
+  list.forEach((t, i) => h.update(`${i + 1}:${t}\n`));
+  return h.digest('hex').slice(0, 24);
+};
+const line = (res: ServerResponse, v: unknown): void => {
+  res.write(`${JSON.stringify(v)}\n`);
+};
 type Act = (res: ServerResponse) => void;
-const whole: Act = (res) => { line(res, { n: 1, text: 'a' }); line(res, { n: 2, text: 'b' }); line(res, { end: true, count: 2, digest: digest(['a', 'b']) }); res.end(); };
-const bounce = (ran: string, status: number): Act => (res) => { res.writeHead(status); res.end(JSON.stringify({ verdict: { ran, code: 'x', why: 'y', after: 2 } })); };
+const whole: Act = (res) => {
+  line(res, { n: 1, text: 'a' });
+  line(res, { n: 2, text: 'b' });
+  line(res, { end: true, count: 2, digest: digest(['a', 'b']) });
+  res.end();
+};
+const bounce =
+  (ran: string, status: number): Act =>
+  (res) => {
+    res.writeHead(status);
+    res.end(JSON.stringify({ verdict: { ran, code: 'x', why: 'y', after: 2 } }));
+  };
 const cases: [string, Act[], { whole: boolean; attempts: number[]; naps: number[] }][] = [
   ['a whole outcome', [whole], { whole: true, attempts: [1], naps: [] }],
-  ['not run, then whole: the next number, after the time told', [bounce('no', 503), whole], { whole: true, attempts: [1, 2], naps: [2000] }],
+  [
+    'not run, then whole: the next number, after the time told',
+    [bounce('no', 503), whole],
+    { whole: true, attempts: [1, 2], naps: [2000] },
+  ],
   ['may have run: no more tries', [bounce('maybe', 502), whole], { whole: false, attempts: [1], naps: [] }],
-  ['torn before a piece: asks again with the next number', [(res) => res.destroy(), whole], { whole: true, attempts: [1, 2], naps: [1000] }],
-  ['torn after a piece: no more tries', [(res) => { line(res, { n: 1, text: 'a' }); setImmediate(() => res.destroy()); }, whole], { whole: false, attempts: [1], naps: [] }],
-  ['cut', [(res) => { line(res, { n: 1, text: 'a' }); line(res, { cut: true, verdict: { ran: 'maybe', code: 'cut', why: 'z' } }); res.end(); }], { whole: false, attempts: [1], naps: [] }],
-  ['a clean end without the end', [(res) => { line(res, { n: 1, text: 'a' }); res.end(); }], { whole: false, attempts: [1], naps: [] }],
-  ['a gap', [(res) => { line(res, { n: 1, text: 'a' }); line(res, { n: 3, text: 'c' }); res.end(); }], { whole: false, attempts: [1], naps: [] }],
-  ['an end that does not agree', [(res) => { line(res, { n: 1, text: 'a' }); line(res, { end: true, count: 1, digest: 'x' }); res.end(); }], { whole: false, attempts: [1], naps: [] }],
+  [
+    'torn before a piece: asks again with the next number',
+    [(res) => res.destroy(), whole],
+    { whole: true, attempts: [1, 2], naps: [1000] },
+  ],
+  [
+    'torn after a piece: no more tries',
+    [
+      (res) => {
+        line(res, { n: 1, text: 'a' });
+        setImmediate(() => res.destroy());
+      },
+      whole,
+    ],
+    { whole: false, attempts: [1], naps: [] },
+  ],
+  [
+    'cut',
+    [
+      (res) => {
+        line(res, { n: 1, text: 'a' });
+        line(res, { cut: true, verdict: { ran: 'maybe', code: 'cut', why: 'z' } });
+        res.end();
+      },
+    ],
+    { whole: false, attempts: [1], naps: [] },
+  ],
+  [
+    'a clean end without the end',
+    [
+      (res) => {
+        line(res, { n: 1, text: 'a' });
+        res.end();
+      },
+    ],
+    { whole: false, attempts: [1], naps: [] },
+  ],
+  [
+    'a gap',
+    [
+      (res) => {
+        line(res, { n: 1, text: 'a' });
+        line(res, { n: 3, text: 'c' });
+        res.end();
+      },
+    ],
+    { whole: false, attempts: [1], naps: [] },
+  ],
+  [
+    'an end that does not agree',
+    [
+      (res) => {
+        line(res, { n: 1, text: 'a' });
+        line(res, { end: true, count: 1, digest: 'x' });
+        res.end();
+      },
+    ],
+    { whole: false, attempts: [1], naps: [] },
+  ],
 ];
 
 describe('Client', () => {
   let server: Server;
-  afterEach((done) => { server.close(() => done()); server.closeAllConnections(); });
+  afterEach((done) => {
+    server.close(() => done());
+    server.closeAllConnections();
+  });
   for (const [name, acts, want] of cases) {
     it(name, async () => {
-      const attempts: number[] = [], naps: number[] = [];
+      const attempts: number[] = [],
+        naps: number[] = [];
       let i = 0;
       server = createServer((req, res) => {
         let text = '';
-        req.on('data', (b: Buffer) => { text += b.toString('utf8'); });
-        req.on('end', () => { attempts.push((JSON.parse(text) as Visit).attempt); acts[i++]!(res); });
+        req.on('data', (b: Buffer) => {
+          text += b.toString('utf8');
+        });
+        req.on('end', () => {
+          attempts.push((JSON.parse(text) as Visit).attempt);
+          acts[i++]!(res);
+        });
+      });
+      await new Promise<void>((done) => {
+        server.listen(0, '127.0.0.1', done);
       });
-      await new Promise<void>((done) => { server.listen(0, '127.0.0.1', done); });
       const addr = `127.0.0.1:${(server.address() as { port: number }).port}`;
-      const got = await Client.make([addr], 4, (ms) => { naps.push(ms); return Promise.resolve(); }).visit({ key: 'k', prefix: 'p', part: 'q' });
+      const got = await Client.make([addr], 4, (ms) => {
+        naps.push(ms);
+        return Promise.resolve();
+      }).visit({ key: 'k', prefix: 'p', part: 'q' });
       expect({ whole: got.whole, attempts, naps }).to.deep.equal(want);
     });
   }
--- a/packages/counter/src/back.ts
+++ b/packages/counter/src/back.ts
@@ -9,8 +9,17 @@
 
 /** How model servers are reached. A stream gives pieces as they come; it ends with null, or with a fault. */
 export type Back = {
-  prefill(addr: string, job: VisitJob & Bound & { prefix: string; part: string; weight: number }, ms: number): Promise<Result<Handle, BackFault>>;
-  decode(addr: string, job: VisitJob & Bound & { handle: Handle; pieces: number; weight: number }, ms: number, take: (p: Piece) => boolean): Promise<Result<null, BackFault>>;
+  prefill(
+    addr: string,
+    job: VisitJob & Bound & { prefix: string; part: string; weight: number },
+    ms: number,
+  ): Promise<Result<Handle, BackFault>>;
+  decode(
+    addr: string,
+    job: VisitJob & Bound & { handle: Handle; pieces: number; weight: number },
+    ms: number,
+    take: (p: Piece) => boolean,
+  ): Promise<Result<null, BackFault>>;
   order(addr: string, slip: OrderSlip, ms: number): Promise<Result<BackState, BackFault>>;
   state(addr: string, ms: number): Promise<Result<BackState, BackFault>>;
 };
--- a/packages/counter/src/backstate.ts
+++ b/packages/counter/src/backstate.ts
@@ -1,11 +1,17 @@
 import { Type, type Static } from 'typebox';
 
 /** What a server says of itself. */
-export const BackState = Type.Object({
-  id: Type.String(), born: Type.String(),
-  part: Type.Union([Type.Literal('prefill'), Type.Literal('decode'), Type.Literal('none')]),
-  stage: Type.Union([Type.Literal('serving'), Type.Literal('draining')]),
-  fence: Type.Integer(), step: Type.Integer(), busy: Type.Integer(),
-  clock: Type.Number({ description: 'ms that have gone by at the server, by its own clock' }),
-}, { additionalProperties: false });
+export const BackState = Type.Object(
+  {
+    id: Type.String(),
+    born: Type.String(),
+    part: Type.Union([Type.Literal('prefill'), Type.Literal('decode'), Type.Literal('none')]),
+    stage: Type.Union([Type.Literal('serving'), Type.Literal('draining')]),
+    fence: Type.Integer(),
+    step: Type.Integer(),
+    busy: Type.Integer(),
+    clock: Type.Number({ description: 'ms that have gone by at the server, by its own clock' }),
+  },
+  { additionalProperties: false },
+);
 export type BackState = Static<typeof BackState>;
--- a/packages/counter/src/bucket.ts
+++ b/packages/counter/src/bucket.ts
@@ -6,7 +6,9 @@
   make(rate: number, cap: number) {
     let level = 0;
     return {
-      visit(): void { level = Math.min(cap, level + rate); },
+      visit(): void {
+        level = Math.min(cap, level + rate);
+      },
       take(): boolean {
         if (level < 1) return false;
         level -= 1;
--- a/packages/counter/src/casting.ts
+++ b/packages/counter/src/casting.ts
@@ -10,7 +10,15 @@
 import type { TownView } from './townview.js';
 
 type Tools = {
-  hails: Hailing; world: World; sheet: SheetView; town: TownView; duty: Duties; purge: Purging; back: Back; self: () => string; suspect: (s: Listed) => boolean;
+  hails: Hailing;
+  world: World;
+  sheet: SheetView;
+  town: TownView;
+  duty: Duties;
+  purge: Purging;
+  back: Back;
+  self: () => string;
+  suspect: (s: Listed) => boolean;
 };
 const ASK = 500;
 const EMPTY = 6000;
@@ -60,18 +68,23 @@
     };
     const live = (): { id: string; part: SheetRow['part'] | null }[] => {
       const rows = t.sheet.rows();
-      return t.town.all().filter((s) => s.mark === 'serving').flatMap((s) => {
-        const row = rows.get(s.id)?.row;
-        if (row && row.born === s.born && row.stage === 'dark') return [];
-        return [{ id: s.id, part: row ? row.part : null }];
-      });
+      return t.town
+        .all()
+        .filter((s) => s.mark === 'serving')
+        .flatMap((s) => {
+          const row = rows.get(s.id)?.row;
+          if (row && row.born === s.born && row.stage === 'dark') return [];
+          return [{ id: s.id, part: row ? row.part : null }];
+        });
     };
     const mind = async (s: Listed): Promise<void> => {
-      const c = t.sheet.charter(), fence = t.duty.fence(`row:${s.id}`);
+      const c = t.sheet.charter(),
+        fence = t.duty.fence(`row:${s.id}`);
       if (!c || fence === null) return;
       const row = t.sheet.rows().get(s.id)?.row;
       const all = live();
-      const reads = all.filter((l) => l.part === 'prefill').length, writes = all.filter((l) => l.part === 'decode').length;
+      const reads = all.filter((l) => l.part === 'prefill').length,
+        writes = all.filter((l) => l.part === 'decode').length;
       const short = reads < c.casting.floor.prefill || writes < c.casting.floor.decode;
       const moving = [...t.sheet.rows().values()].some((r) => r.row.stage === 'draining' && r.row.server !== s.id);
       const swaps = !moving && (short || now() - swapped > c.casting.calm);
@@ -85,9 +98,14 @@
         if (await probe(s)) await order(s, row.part);
         return;
       }
-      const sight = t.sheet.sight(s.id), missed = (misses.get(s.id) ?? 0) > 0;
+      const sight = t.sheet.sight(s.id),
+        missed = (misses.get(s.id) ?? 0) > 0;
       const due = now() - (probed.get(s.id) ?? -Infinity) > PROBE;
-      if ((sight?.born === s.born || t.suspect(s) || missed || due) && !(await probe(s)) && (misses.get(s.id) ?? 0) >= 2) {
+      if (
+        (sight?.born === s.born || t.suspect(s) || missed || due) &&
+        !(await probe(s)) &&
+        (misses.get(s.id) ?? 0) >= 2
+      ) {
         log.warn(`${s.id} is dark.`);
         write(fence, { ...row, stage: 'dark', by: t.self() });
         return;
@@ -113,12 +131,19 @@
     return {
       names: (): string[] => (t.sheet.charter()?.servers ?? []).map((s) => `row:${s.id}`),
       /** Some row changed its part: the calm begins anew, whoever ordered it. */
-      noted(): void { swapped = now(); },
+      noted(): void {
+        swapped = now();
+      },
       async tick(): Promise<void> {
-        await Promise.all(t.town.all().filter((s) => s.mark === 'serving' && !busy.has(s.id)).map(async (s) => {
-          busy.add(s.id);
-          await mind(s).finally(() => busy.delete(s.id));
-        }));
+        await Promise.all(
+          t.town
+            .all()
+            .filter((s) => s.mark === 'serving' && !busy.has(s.id))
+            .map(async (s) => {
+              busy.add(s.id);
+              await mind(s).finally(() => busy.delete(s.id));
+            }),
+        );
       },
     };
   },
--- a/packages/counter/src/control.ts
+++ b/packages/counter/src/control.ts
@@ -6,7 +6,10 @@
 
 type Told = { verdict: Verdict; [key: string]: unknown };
 const Named = Type.Object({ plan: Type.String({ minLength: 1, maxLength: 60 }) }, { additionalProperties: false });
-const Planned = Type.Object({ charter: Type.Unknown(), id: Type.Optional(Type.String({ pattern: '^[\\w.:-]{1,60}$' })) }, { additionalProperties: false });
+const Planned = Type.Object(
+  { charter: Type.Unknown(), id: Type.Optional(Type.String({ pattern: '^[\\w.:-]{1,60}$' })) },
+  { additionalProperties: false },
+);
 
 /** What operators may ask of a daemon that serves `control`. */
 export const Control = {
@@ -18,12 +21,27 @@
       const { ruling } = await d.line.write({ do: what, id: got.val.plan });
       if (ruling.version !== undefined && ruling.verdict.ran === 'yes' && ruling.version > d.sheet.version()) {
         const now = await d.line.read(undefined, 800);
-        if (now?.charter) d.purge.learn({ name: 'charter', mark: [now.charter.version, 0], body: { version: now.charter.version, plan: now.charter.plan, charter: now.charter.body } }, 'tail');
+        if (now?.charter)
+          d.purge.learn(
+            {
+              name: 'charter',
+              mark: [now.charter.version, 0],
+              body: { version: now.charter.version, plan: now.charter.plan, charter: now.charter.body },
+            },
+            'tail',
+          );
       }
       return { ...ruling, plan: got.val.plan };
     };
     const ask = async (who: Ident, name: string | undefined) => {
-      const r = await d.post.ask(who.addr, who.id, 'trace.tell', name === undefined ? {} : { name }, TraceDesk.forms.told, 800);
+      const r = await d.post.ask(
+        who.addr,
+        who.id,
+        'trace.tell',
+        name === undefined ? {} : { name },
+        TraceDesk.forms.told,
+        800,
+      );
       return { id: who.id, reached: r.ok, told: r.ok ? r.val : null };
     };
     const everyone = async (): Promise<Ident[]> => {
@@ -50,27 +68,55 @@
       async read(): Promise<Told> {
         const now = await d.line.read(undefined, 2500);
         if (!now) return unread();
-        return { verdict: Verdicts.ran('read', 'As the core has it.'), version: now.charter?.version ?? 0, plan: now.charter?.plan ?? null, charter: now.charter?.body ?? null };
+        return {
+          verdict: Verdicts.ran('read', 'As the core has it.'),
+          version: now.charter?.version ?? 0,
+          plan: now.charter?.plan ?? null,
+          charter: now.charter?.body ?? null,
+        };
       },
       async fate(plan: string): Promise<Told> {
         const now = await d.line.read(plan, 2500);
         if (!now) return unread();
         if (!now.plan) return { verdict: Verdicts.not('unknown', `There is no plan ${plan}.`) };
-        return { verdict: Verdicts.ran('read', `Plan ${plan} is ${now.plan.fate}.`), fate: now.plan.fate, version: now.plan.version ?? null, base: now.plan.base };
+        return {
+          verdict: Verdicts.ran('read', `Plan ${plan} is ${now.plan.fate}.`),
+          fate: now.plan.fate,
+          version: now.plan.version ?? null,
+          base: now.plan.base,
+        };
       },
       async status(): Promise<Told> {
         const now = await d.line.read(undefined, 1500);
-        const rows = await Promise.all((await everyone()).map(async (who) => {
-          const t = await ask(who, undefined);
-          return { id: who.id, site: who.site, role: who.role, reached: t.reached, sure: t.told?.sure ?? t.reached, version: t.told?.sure === false ? null : t.told?.marks.find((m) => m.name === 'charter')?.mark[0] ?? null };
-        }));
+        const rows = await Promise.all(
+          (await everyone()).map(async (who) => {
+            const t = await ask(who, undefined);
+            return {
+              id: who.id,
+              site: who.site,
+              role: who.role,
+              reached: t.reached,
+              sure: t.told?.sure ?? t.reached,
+              version:
+                t.told?.sure === false ? null : (t.told?.marks.find((m) => m.name === 'charter')?.mark[0] ?? null),
+            };
+          }),
+        );
         const sheet = [...d.sheet.rows().values()].map((r) => ({ ...r.row, mark: r.mark }));
-        return { verdict: Verdicts.ran('read', 'As the daemons say.'), core: now ? 'reached' : 'unreached', version: now?.charter?.version ?? null, view: d.line.view(), daemons: rows, sheet };
+        return {
+          verdict: Verdicts.ran('read', 'As the daemons say.'),
+          core: now ? 'reached' : 'unreached',
+          version: now?.charter?.version ?? null,
+          view: d.line.view(),
+          daemons: rows,
+          sheet,
+        };
       },
       async trace(name: string, version: number | null): Promise<Told> {
         const rows = await Promise.all((await everyone()).map((who) => ask(who, name)));
         const told = rows.map((r) => ({
-          id: r.id, reached: r.reached,
+          id: r.id,
+          reached: r.reached,
           holds: r.told?.marks.find((m) => m.name === name)?.mark ?? null,
           steps: (r.told?.steps ?? []).filter((s) => version === null || s.mark[0] === version),
         }));
@@ -81,11 +127,16 @@
       },
       /** What became of a visit, as every daemon knows it. */
       async visit(key: string): Promise<Told> {
-        const rows = await Promise.all((await everyone()).filter((w) => w.role === 'counter').map(async (who) => {
-          const r = await d.post.ask(who.addr, who.id, 'visit.tell', { key }, VisitDesk.forms.told, 800);
-          return { id: who.id, reached: r.ok, steps: r.ok ? r.val.steps : [], entry: r.ok ? r.val.entry : null };
-        }));
-        if (rows.every((r) => r.steps.length === 0 && r.entry === null)) return { verdict: Verdicts.not('unknown', `No daemon that replied knows ${key}.`) };
+        const rows = await Promise.all(
+          (await everyone())
+            .filter((w) => w.role === 'counter')
+            .map(async (who) => {
+              const r = await d.post.ask(who.addr, who.id, 'visit.tell', { key }, VisitDesk.forms.told, 800);
+              return { id: who.id, reached: r.ok, steps: r.ok ? r.val.steps : [], entry: r.ok ? r.val.entry : null };
+            }),
+        );
+        if (rows.every((r) => r.steps.length === 0 && r.entry === null))
+          return { verdict: Verdicts.not('unknown', `No daemon that replied knows ${key}.`) };
         return { verdict: Verdicts.ran('read', 'As the daemons say.'), key, daemons: rows };
       },
       held: (): CharterBody | null => (d.shelf.get('charter')?.body as CharterBody | undefined) ?? null,
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -6,6 +6,7 @@
 import { Bucket } from './bucket.js';
 import type { CallerSink } from './callersink.js';
 import { Casting } from './casting.js';
+import { Checkin } from './checkin.js';
 import type { CounterStartup } from './counterstartup.js';
 import { DaemonLife } from './daemonlife.js';
 import { Duty } from './duty.js';
@@ -13,7 +14,6 @@
 import { Hails } from './hails.js';
 import { Ledger } from './ledger.js';
 import { LedgerDesk } from './ledgerdesk.js';
-import type { Listed } from './listed.js';
 import { Loads } from './loads.js';
 import { Mixer } from './mixer.js';
 import { Newest } from './newest.js';
@@ -21,6 +21,7 @@
 import { Select } from './select.js';
 import { Sheet } from './sheet.js';
 import { Shuns } from './shuns.js';
+import { Sights } from './sights.js';
 import type { Town } from './town.js';
 import { TownWatch } from './townwatch.js';
 import type { Visit } from './visit.js';
@@ -29,41 +30,68 @@
 import { Waitlist } from './waitlist.js';
 import { Witness } from './witness.js';
 
-const LAG = 600;
-const SHUN = 1000;
-
 /** A counter daemon put together: purge, ledger, casting and the visits' path. */
 export const Counter = {
   make(outer: World, startup: CounterStartup, back: Back, town: Town) {
     const { clock } = outer;
-    const diary = VisitDiary.make(clock), world = diary.listen(outer);
+    const diary = VisitDiary.make(clock),
+      world = diary.listen(outer);
     const log = world.log('counter');
-    const ident: Ident = { id: startup.id, born: Dice.word(world.chance), addr: startup.addr, site: startup.site, role: 'counter' };
+    const ident: Ident = {
+      id: startup.id,
+      born: Dice.word(world.chance),
+      addr: startup.addr,
+      site: startup.site,
+      role: 'counter',
+    };
     const self = (): Ident => ident;
     const life = interpret(DaemonLife, () => undefined);
     const is = (): string => life.machine.current;
     const post = Post.make(world, self);
-    let roster: readonly Ident[] = [];
     const shelf = Shelf.make(Sound.doc);
     const seeds = (): readonly string[] => startup.seeds;
-    const purge = Purge.make(world, post, self, shelf, startup.tunes, seeds, (): readonly Ident[] => [...Views.idents(line.view()), ...roster]);
+    const purge = Purge.make(world, post, self, shelf, startup.tunes, seeds, (): readonly Ident[] => [
+      ...Views.idents(line.view()),
+      ...checkin.roster(),
+    ]);
     const line = Line.make(world, post, () => [...seeds(), ...purge.peers().map((p) => p.addr)]);
     const sheet = Sheet.make(shelf);
-    let coreLoad = { read: 0, write: 0 };
-    let behind = -1;
     let certain = false;
     const known = (): readonly Ident[] => {
-      const all = new Map([...purge.peers().filter((p) => p.role === 'counter'), ...roster, ident].map((p) => [p.id, p]));
+      const all = new Map(
+        [...purge.peers().filter((p) => p.role === 'counter'), ...checkin.roster(), ident].map((p) => [p.id, p]),
+      );
       return [...all.values()];
     };
-    const crew = (): readonly Ident[] => (roster.some((r) => r.id === ident.id) ? roster : known());
-    const watch = TownWatch.make(world, post, town, () => known().filter((p) => p.id !== ident.id), () => awake.look());
+    const crew = (): readonly Ident[] => (checkin.roster().some((r) => r.id === ident.id) ? checkin.roster() : known());
+    const watch = TownWatch.make(
+      world,
+      post,
+      town,
+      () => known().filter((p) => p.id !== ident.id),
+      () => awake.look(),
+    );
     const ledger = Ledger.make(clock);
     LedgerDesk.make(post, ledger, self);
-    const loads = Loads.make(), shuns = Shuns.make(clock), waitlist = Waitlist.make(clock), hands = Waitlist.make(clock);
-    const hails = Hails.make(clock, back, () => watch.all(), () => awake.look());
+    const loads = Loads.make(),
+      shuns = Shuns.make(clock),
+      waitlist = Waitlist.make(clock),
+      hands = Waitlist.make(clock);
+    const hails = Hails.make(
+      clock,
+      back,
+      () => watch.all(),
+      () => awake.look(),
+    );
     const select = Select.make({ hails, sheet, town: watch, loads, shuns, roster: crew });
     const demand = { read: 0, write: 0 };
+    /** Visits at the gate are wanting for readers only if it is the readers that have no room. */
+    const demandNow = () => ({
+      read: demand.read + (select.roomy('prefill', { weight: 1 }, '*turn') ? 0 : waitlist.weight()),
+      write: demand.write,
+    });
+    const newest = Newest.make({ world, post, line, purge, shelf, self, known });
+    const checkin = Checkin.make({ clock, line, sheet, shelf, newest, demand: demandNow });
     const awake = Awake.make(clock, () => {
       duty.drop();
       watch.drop();
@@ -78,11 +106,14 @@
     const shut = (): Verdict | null => {
       awake.look();
       if (is() === 'serving') return null;
-      return Verdicts.not(is() === 'asking' ? 'asking' : 'leaving', is() === 'asking' ? 'This daemon is learning the newest charter.' : 'This daemon is leaving.', 1);
+      return Verdicts.not(
+        is() === 'asking' ? 'asking' : 'leaving',
+        is() === 'asking' ? 'This daemon is learning the newest charter.' : 'This daemon is leaving.',
+        1,
+      );
     };
-    const gate = Gate.make({
-      site: ident.site, charter: sheet.charter, open: shut, young: watch.young, waitlist, select, loads,
-    });
+    const door = { site: ident.site, charter: sheet.charter, open: shut, young: watch.young };
+    const gate = Gate.make({ ...door, waitlist, select, loads });
     const pump = (): void => {
       const turns: (() => void)[] = [];
       waitlist.pump((rule) => {
@@ -95,60 +126,58 @@
         turns.push(loads.take('*hand', rule.weight));
         return true;
       });
-      if (turns.length > 0) clock.after(0, () => { for (const f of turns) f(); });
+      if (turns.length > 0)
+        clock.after(0, () => {
+          for (const f of turns) f();
+        });
     };
     const duty = Duty.make(world, line, self, crew, () => awake.look());
-    const sighted = (s: Listed): void => {
-      shuns.add(s.id, s.born, SHUN);
-      const old = shelf.mark(`sight:${s.id}`);
-      const seen = sheet.sight(s.id);
-      world.tell({ what: 'sighted', server: s.id });
-      if (seen?.born === s.born && seen.by === ident.id) return;
-      purge.publish({ name: `sight:${s.id}`, mark: [(old?.[0] ?? 0) + 1, Dice.int(world.chance, 1e6)], body: { server: s.id, born: s.born, by: ident.id } });
-    };
-    const casting = Casting.make({ hails, world, sheet, town: watch, duty, purge, back, self: () => ident.id, suspect: (s) => shuns.has(s.id, s.born) });
-    const mixer = Mixer.make({ world, sheet, town: watch, duty, purge, load: () => coreLoad, self: () => ident.id });
+    const sights = Sights.make({ world, shelf, sheet, shuns, purge, town: watch, self: ident.id });
+    const shared = { world, sheet, town: watch, hails, duty, purge, back, self: (): string => ident.id };
+    const casting = Casting.make({ ...shared, suspect: (s) => shuns.has(s.id, s.born) });
+    const mixer = Mixer.make({ ...shared, load: () => checkin.load() });
     const witness = Witness.make(world, post, crew, known);
     const bucket = Bucket.make(startup.tries?.rate ?? 0.2, startup.tries?.cap ?? 3);
-    const visit = Run.make({ world, gate, waitlist, hands, select, loads, town: watch, hails, witness, bucket, back, sighted, pump, demand, version: sheet.version });
-    const newest = Newest.make({ world, post, line, purge, shelf, self, known });
+    const lists = { waitlist, hands, select, loads };
+    const version = sheet.version;
+    const visit = Run.make({ ...shared, ...lists, gate, witness, bucket, sighted: sights.saw, pump, demand, version });
     const stops: (() => void)[] = [];
 
     shelf.heed((doc, old) => {
-      if (doc.name === 'charter') { log.say(`Charter ${doc.mark[0]} has taken hold.`); pump(); }
+      if (doc.name === 'charter') {
+        log.say(`Charter ${doc.mark[0]} has taken hold.`);
+        pump();
+      }
       if (doc.name.startsWith('row:')) {
-        const row = doc.body as SheetRow, was = old?.body as SheetRow | undefined;
+        const row = doc.body as SheetRow,
+          was = old?.body as SheetRow | undefined;
         if (was && was.part !== row.part) casting.noted();
         if (row.stage === 'serving' && was?.stage !== 'serving') shuns.clear(row.server, row.born);
         pump();
       }
-      if (doc.name.startsWith('sight:')) {
-        const s = watch.all().find((x) => `sight:${x.id}` === doc.name);
-        const body = sheet.sight(s?.id ?? '');
-        if (s && body?.born === s.born && body.by !== ident.id && !shuns.has(s.id, s.born)) shuns.add(s.id, s.born, SHUN / 2);
-      }
+      if (doc.name.startsWith('sight:')) sights.heard(doc);
+    });
+    watch.heed(() => {
+      hails.tick();
+      pump();
     });
-    watch.heed(() => { hails.tick(); pump(); });
     const ask = async (): Promise<void> => {
       while (is() === 'asking') {
         const sure = await newest.sure();
-        if (sure && is() === 'asking') { certain = true; life.send('sure'); log.say('Serving.'); world.tell({ what: 'serving', version: sheet.version() }); pump(); return; }
+        if (sure && is() === 'asking') {
+          certain = true;
+          life.send('sure');
+          log.say('Serving.');
+          world.tell({ what: 'serving', version: sheet.version() });
+          pump();
+          return;
+        }
         await Timer.nap(clock, 150);
       }
     };
-    /** Visits at the gate are wanting for readers only if it is the readers that have no room. */
-    const demandNow = () => ({ read: demand.read + (select.roomy('prefill', { weight: 1 }, '*turn') ? 0 : waitlist.weight()), write: demand.write });
-    const checkin = async (): Promise<void> => {
-      if (is() === 'draining' || is() === 'stopped') return;
-      const got = await line.checkin({ version: sheet.version(), sum: shelf.sum(), load: demandNow() });
-      if (!got) return;
-      if (got.roster) roster = got.roster;
-      coreLoad = got.load;
-      if (got.version <= sheet.version()) { behind = -1; return; }
-      if (behind < 0) behind = clock.mono();
-      if (clock.mono() - behind > LAG) { await newest.tail(300); behind = -1; }
+    const meet = async (): Promise<void> => {
+      if (is() !== 'draining' && is() !== 'stopped') await checkin.tick();
     };
-
     /** A daemon that has just started, or slept, may hold an older charter than it once did. */
     const sure = (): boolean => {
       awake.look();
@@ -156,15 +185,22 @@
     };
     TraceDesk.make(post, self, purge, shelf, sure);
     VisitDesk.make(post, diary, ledger);
+    const parts = { ident, gate, post, line, purge, shelf, sheet, watch, ledger, duty, shuns, roster: crew, life: is };
     return {
-      ident, visit: (v: Visit, sink: CallerSink): Promise<Verdict> => visit(v, sink), gate,
-      post, line, purge, shelf, sheet, watch, ledger, duty, shuns, roster: crew,
-      life: is,
+      ...parts,
+      visit: (v: Visit, sink: CallerSink): Promise<Verdict> => visit(v, sink),
       /** Two lives that a caller may name as the owners of a visit. */
-      owners: (): string[] => Dice.some(world.chance, crew().filter((r) => r.role === 'counter'), 2).map((r) => `${r.id}/${r.born}`),
+      owners: (): string[] =>
+        Dice.some(
+          world.chance,
+          crew().filter((r) => r.role === 'counter'),
+          2,
+        ).map((r) => `${r.id}/${r.born}`),
       /** The charter's version; null while this daemon can't tell. */
       version: (): number | null => (sure() ? sheet.version() : null),
-      waiting: waitlist.total, under: gate.under, level: bucket.level,
+      waiting: waitlist.total,
+      under: gate.under,
+      level: bucket.level,
       start(): void {
         life.send('begin');
         awake.start();
@@ -172,13 +208,15 @@
         watch.start();
         hails.start();
         void ask();
-        stops.push(Timer.every(clock, 400, checkin));
-        stops.push(Timer.every(clock, 300, async () => {
-          if (is() !== 'serving') return;
-          duty.tick([...casting.names(), mixer.name]);
-          mixer.tick();
-          await casting.tick();
-        }));
+        stops.push(Timer.every(clock, 400, meet));
+        stops.push(
+          Timer.every(clock, 300, async () => {
+            if (is() !== 'serving') return;
+            duty.tick([...casting.names(), mixer.name]);
+            mixer.tick();
+            await casting.tick();
+          }),
+        );
         stops.push(Timer.every(clock, 50, pump));
       },
       /** Stops letting visits in, lets those under way end, gives up its claims. */
--- a/packages/counter/src/counterstartup.ts
+++ b/packages/counter/src/counterstartup.ts
@@ -1,4 +1,12 @@
 import type { Tunes } from '@pumicebarrow/purge';
 
 /** What a counter daemon is started with. */
-export type CounterStartup = { id: string; addr: string; site: string; seeds: readonly string[]; control: boolean; tunes: Tunes; tries?: { rate: number; cap: number } };
+export type CounterStartup = {
+  id: string;
+  addr: string;
+  site: string;
+  seeds: readonly string[];
+  control: boolean;
+  tunes: Tunes;
+  tries?: { rate: number; cap: number };
+};
--- a/packages/counter/src/dialer.ts
+++ b/packages/counter/src/dialer.ts
@@ -19,7 +19,10 @@
         done(e, null);
       };
       dial(o, (e, s) => {
-        if (e) { fail(e); return; }
+        if (e) {
+          fail(e);
+          return;
+        }
         const sock = s as Socket;
         if (performance.now() - from > CONNECT + SLACK) {
           sock.destroy();
--- a/packages/counter/src/duty.test.ts
+++ b/packages/counter/src/duty.test.ts
@@ -6,14 +6,72 @@
 const me: Ident = { id: 'e1', born: 'b', addr: '10.0.0.1:1', site: 's', role: 'counter' };
 type Step = ['given', number] | ['held'] | ['unsure'] | ['wait', number] | ['drop'] | ['fence', number | null];
 const cases: [string, Step[]][] = [
-  ['the first claim ever acts at once', [['given', 1], ['fence', 1]]],
-  ['a claim taken over waits out the quiet time', [['given', 2], ['fence', null], ['wait', 1500], ['given', 2], ['wait', 1400], ['given', 2], ['fence', null], ['wait', 200], ['fence', 2]]],
-  ['a claim runs out unless renewed', [['given', 1], ['wait', 1999], ['fence', 1], ['wait', 2], ['fence', null]]],
+  [
+    'the first claim ever acts at once',
+    [
+      ['given', 1],
+      ['fence', 1],
+    ],
+  ],
+  [
+    'a claim taken over waits out the quiet time',
+    [
+      ['given', 2],
+      ['fence', null],
+      ['wait', 1500],
+      ['given', 2],
+      ['wait', 1400],
+      ['given', 2],
+      ['fence', null],
+      ['wait', 200],
+      ['fence', 2],
+    ],
+  ],
+  [
+    'a claim runs out unless renewed',
+    [
+      ['given', 1],
+      ['wait', 1999],
+      ['fence', 1],
+      ['wait', 2],
+      ['fence', null],
+    ],
+  ],
   ['a claim held by another gives nothing', [['held'], ['fence', null]]],
   ['an uncertain claim gives nothing', [['unsure'], ['fence', null]]],
-  ['a renewal under the same fence waits no quiet time', [['given', 1], ['wait', 1500], ['given', 1], ['fence', 1]]],
-  ['a new fence after one lost waits the quiet time', [['given', 1], ['wait', 2500], ['given', 3], ['fence', null]]],
-  ['a daemon that slept drops its claims, and waits as for a new one', [['given', 2], ['wait', 1900], ['given', 2], ['wait', 1900], ['given', 2], ['fence', 2], ['drop'], ['fence', null], ['given', 2], ['fence', null]]],
+  [
+    'a renewal under the same fence waits no quiet time',
+    [
+      ['given', 1],
+      ['wait', 1500],
+      ['given', 1],
+      ['fence', 1],
+    ],
+  ],
+  [
+    'a new fence after one lost waits the quiet time',
+    [
+      ['given', 1],
+      ['wait', 2500],
+      ['given', 3],
+      ['fence', null],
+    ],
+  ],
+  [
+    'a daemon that slept drops its claims, and waits as for a new one',
+    [
+      ['given', 2],
+      ['wait', 1900],
+      ['given', 2],
+      ['wait', 1900],
+      ['given', 2],
+      ['fence', 2],
+      ['drop'],
+      ['fence', null],
+      ['given', 2],
+      ['fence', null],
+    ],
+  ],
 ];
 
 describe('Duty', () => {
@@ -21,13 +79,28 @@
     it(name, async () => {
       let now = 1000;
       let next: Step = ['held'];
-      const world = { clock: { mono: () => now, wall: () => 0, after: () => () => undefined }, tell: () => undefined } as unknown as World;
+      const world = {
+        clock: { mono: () => now, wall: () => 0, after: () => () => undefined },
+        tell: () => undefined,
+      } as unknown as World;
       const line = {
-        write: () => Promise.resolve(next[0] === 'given'
-          ? { ruling: { verdict: Verdicts.ran('claimed', ''), fence: next[1] }, term: 2000, sent: now }
-          : { ruling: { verdict: next[0] === 'held' ? Verdicts.not('held', '') : Verdicts.maybe('unsure', '') }, term: 0, sent: now }),
+        write: () =>
+          Promise.resolve(
+            next[0] === 'given'
+              ? { ruling: { verdict: Verdicts.ran('claimed', ''), fence: next[1] }, term: 2000, sent: now }
+              : {
+                  ruling: { verdict: next[0] === 'held' ? Verdicts.not('held', '') : Verdicts.maybe('unsure', '') },
+                  term: 0,
+                  sent: now,
+                },
+          ),
       } as unknown as CoreLine;
-      const duty = Duty.make(world, line, () => me, () => [me]);
+      const duty = Duty.make(
+        world,
+        line,
+        () => me,
+        () => [me],
+      );
       for (const s of steps) {
         if (s[0] === 'wait') now += s[1];
         else if (s[0] === 'drop') duty.drop();
--- a/packages/counter/src/duty.ts
+++ b/packages/counter/src/duty.ts
@@ -8,12 +8,23 @@
  * before waits out the quiet time, unless it is the first ever given for that name; without a live claim, no order.
  */
 export const Duty = {
-  make(world: World, line: CoreLine, self: () => Ident, roster: () => readonly Ident[], look: () => void = () => undefined) {
+  make(
+    world: World,
+    line: CoreLine,
+    self: () => Ident,
+    roster: () => readonly Ident[],
+    look: () => void = () => undefined,
+  ) {
     const held = new Map<string, Held>();
     const busy = new Set<string>();
     let slept = 0;
     const now = (): number => world.clock.mono();
-    const mine = (name: string): boolean => Lot.rank(name, roster().filter((r) => r.role === 'counter'), (r) => r.id)[0]?.id === self().id;
+    const mine = (name: string): boolean =>
+      Lot.rank(
+        name,
+        roster().filter((r) => r.role === 'counter'),
+        (r) => r.id,
+      )[0]?.id === self().id;
     const renew = async (name: string): Promise<void> => {
       if (busy.has(name)) return;
       busy.add(name);
@@ -45,7 +56,10 @@
       /** Until when the claim on a name lasts. */
       until: (name: string): number => held.get(name)?.until ?? -Infinity,
       names: (): string[] => [...held].filter(([, h]) => h.until > now()).map(([n]) => n),
-      drop(): void { held.clear(); slept++; },
+      drop(): void {
+        held.clear();
+        slept++;
+      },
     };
   },
 };
--- a/packages/counter/src/front.test.ts
+++ b/packages/counter/src/front.test.ts
@@ -8,11 +8,19 @@
 const visit = JSON.stringify({ key: 'k', attempt: 1, rule: 'verdict', prefix: 'p', part: 'q' });
 const post = (body: string, length = Buffer.byteLength(body)): string =>
   `POST /visit HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\ncontent-length: ${length}\r\n\r\n${body}`;
-const tick = (): Promise<void> => new Promise((done) => { setImmediate(done); });
+const tick = (): Promise<void> =>
+  new Promise((done) => {
+    setImmediate(done);
+  });
 
 /** A daemon's HTTP side before a stand-in for the daemon, which deals with each visit as it is told to. */
 const stand = async (deal: (sink: CallerSink) => Promise<void>) => {
-  const d = { visit: async (_v: unknown, sink: CallerSink) => { await deal(sink); return Verdicts.ran('ran', ''); } } as unknown as Counting;
+  const d = {
+    visit: async (_v: unknown, sink: CallerSink) => {
+      await deal(sink);
+      return Verdicts.ran('ran', '');
+    },
+  } as unknown as Counting;
   for (let port = 21_000 + Math.floor(Math.random() * 8000); ; port++) {
     try {
       const front = await Front.make({} as World, d, false, `127.0.0.1:${port}`, { held: 1024 * 1024, body: 300 });
@@ -62,16 +70,26 @@
     expect(gone).to.equal(true);
     await front.close();
   });
-  const unfinished: [string, string][] = [['half a body', post(visit, 500)], ['half its headers', 'POST /visit HTTP/1.1\r\nhost: x\r\n']];
+  const unfinished: [string, string][] = [
+    ['half a body', post(visit, 500)],
+    ['half its headers', 'POST /visit HTTP/1.1\r\nhost: x\r\n'],
+  ];
   for (const [name, text] of unfinished) {
     it(`that sends ${name} and no more is let go of, and starts nothing`, async () => {
       let begun = false;
-      const { front, dial } = await stand(() => { begun = true; return Promise.resolve(); });
+      const { front, dial } = await stand(() => {
+        begun = true;
+        return Promise.resolve();
+      });
       const sock = dial();
       let said = '';
-      sock.on('data', (b: Buffer) => { said += b.toString(); });
+      sock.on('data', (b: Buffer) => {
+        said += b.toString();
+      });
       sock.write(text);
-      await new Promise((done) => { sock.once('close', done); });
+      await new Promise((done) => {
+        sock.once('close', done);
+      });
       expect(said).to.match(/^HTTP\/1.1 (408|400)/);
       expect(begun).to.equal(false);
       await front.close();
@@ -79,13 +97,22 @@
   }
   it('that sends bytes that are not UTF-8 is told so, and starts nothing', async () => {
     let begun = false;
-    const { front, dial } = await stand(() => { begun = true; return Promise.resolve(); });
-    const sock = dial(), body = Buffer.from(visit);
+    const { front, dial } = await stand(() => {
+      begun = true;
+      return Promise.resolve();
+    });
+    const sock = dial(),
+      body = Buffer.from(visit);
     let said = '';
     body[body.indexOf('p"') + 0] = 0xff;
     sock.write(post('', body.length));
     sock.write(body);
-    await new Promise<void>((done) => { sock.on('data', (b: Buffer) => { said += b.toString(); done(); }); });
+    await new Promise<void>((done) => {
+      sock.on('data', (b: Buffer) => {
+        said += b.toString();
+        done();
+      });
+    });
     expect(said).to.match(/^HTTP\/1.1 400/);
     expect(begun).to.equal(false);
     sock.destroy();
@@ -95,12 +122,18 @@
     const { front, dial } = await stand(() => Promise.resolve());
     const sock = dial();
     let said = '';
-    sock.on('data', (b: Buffer) => { said += b.toString(); });
+    sock.on('data', (b: Buffer) => {
+      said += b.toString();
+    });
     sock.write(post('"', 1e9));
-    const more = (): void => { while (!sock.destroyed && sock.write('x'.repeat(65536))); };
+    const more = (): void => {
+      while (!sock.destroyed && sock.write('x'.repeat(65536)));
+    };
     sock.on('drain', more);
     more();
-    await new Promise((done) => { sock.once('close', done); });
+    await new Promise((done) => {
+      sock.once('close', done);
+    });
     expect(said).to.match(/^HTTP\/1.1 413/);
     expect(sock.bytesWritten).to.be.lessThan(6e7);
     await front.close();
--- a/packages/counter/src/front.ts
+++ b/packages/counter/src/front.ts
@@ -6,7 +6,23 @@
 import type { Counting } from './counting.js';
 import { Visit } from './visit.js';
 
-const STATUS: Record<string, number> = { bad: 400, json: 400, toolarge: 413, unknownrule: 404, unknown: 404, otherbody: 409, closed: 409, twin: 409, unproven: 409, mayhaverun: 409, ran: 409, lost: 409, dropped: 409, won: 409, stale: 409 };
+const STATUS: Record<string, number> = {
+  bad: 400,
+  json: 400,
+  toolarge: 413,
+  unknownrule: 404,
+  unknown: 404,
+  otherbody: 409,
+  closed: 409,
+  twin: 409,
+  unproven: 409,
+  mayhaverun: 409,
+  ran: 409,
+  lost: 409,
+  dropped: 409,
+  won: 409,
+  stale: 409,
+};
 const MOST = 9 * 1024 * 1024;
 /** What is held for a caller that reads slowly, and how long one may take to send a visit. */
 const LIMITS = { held: 1024 * 1024, body: 15_000 };
@@ -14,9 +30,13 @@
 /** The daemon's HTTP side: visits, health, metrics and, where it is served, control. */
 export const Front = {
   say(res: ServerResponse, body: { verdict: Verdict }): void {
-    const v = body.verdict, good = v.ran === 'yes' && !['ran'].includes(v.code);
-    const status = good ? 200 : STATUS[v.code] ?? (v.ran === 'maybe' ? 502 : 503);
-    res.writeHead(status, { 'content-type': 'application/json', ...(v.after === undefined ? {} : { 'retry-after': String(Math.ceil(v.after)) }) });
+    const v = body.verdict,
+      good = v.ran === 'yes' && !['ran'].includes(v.code);
+    const status = good ? 200 : (STATUS[v.code] ?? (v.ran === 'maybe' ? 502 : 503));
+    res.writeHead(status, {
+      'content-type': 'application/json',
+      ...(v.after === undefined ? {} : { 'retry-after': String(Math.ceil(v.after)) }),
+    });
     res.end(JSON.stringify(body));
   },
   /** Invariant: what a caller has not read yet is bounded; one that stays behind is torn off, and so knows. */
@@ -26,16 +46,37 @@
       res.write(`${JSON.stringify(v)}\n`);
       if (res.writableLength > held) res.destroy();
     };
-    const head = (): void => { if (!res.headersSent) res.writeHead(200, { 'content-type': 'application/x-ndjson' }); };
+    const head = (): void => {
+      if (!res.headersSent) res.writeHead(200, { 'content-type': 'application/x-ndjson' });
+    };
     return {
-      piece(n, text) { head(); line({ n, text }); },
-      end(count, digest) { head(); line({ end: true, count, digest }); res.end(); },
-      cut(verdict) { head(); line({ cut: true, verdict }); res.end(); },
-      bounce(verdict) { Front.say(res, { verdict }); },
+      piece(n, text) {
+        head();
+        line({ n, text });
+      },
+      end(count, digest) {
+        head();
+        line({ end: true, count, digest });
+        res.end();
+      },
+      cut(verdict) {
+        head();
+        line({ cut: true, verdict });
+        res.end();
+      },
+      bounce(verdict) {
+        Front.say(res, { verdict });
+      },
       gone: () => res.destroyed || res.socket?.destroyed === true,
     };
   },
-  async make(world: World, d: Counting, control: boolean, addr: string, limits = LIMITS): Promise<{ close(): Promise<void> }> {
+  async make(
+    world: World,
+    d: Counting,
+    control: boolean,
+    addr: string,
+    limits = LIMITS,
+  ): Promise<{ close(): Promise<void> }> {
     const server = createServer({ connectionsCheckingInterval: limits.body / 3 });
     server.headersTimeout = limits.body;
     server.requestTimeout = limits.body;
@@ -46,7 +87,12 @@
       if (got.ok) return { v: got.val };
       // What is still to come of a body that is too large is not read.
       if (got.val === 'large') res.once('finish', () => req.destroy());
-      Front.say(res, { verdict: Verdicts.not(got.val === 'large' ? 'toolarge' : 'json', got.val === 'large' ? 'The body is too large.' : 'The body is not JSON in UTF-8.') });
+      Front.say(res, {
+        verdict: Verdicts.not(
+          got.val === 'large' ? 'toolarge' : 'json',
+          got.val === 'large' ? 'The body is too large.' : 'The body is not JSON in UTF-8.',
+        ),
+      });
       return null;
     };
     app.post('/visit', (req, res) => {
@@ -54,7 +100,10 @@
         const got = await body(req, res);
         if (!got) return;
         const visit = Check.parse(Visit, got.v);
-        if (visit.err) { Front.say(res, { verdict: Verdicts.bad(visit.val) }); return; }
+        if (visit.err) {
+          Front.say(res, { verdict: Verdicts.bad(visit.val) });
+          return;
+        }
         await d.visit(visit.val, Front.sink(res, limits.held));
       })();
     });
@@ -71,23 +120,41 @@
       const c = d.purge.count();
       const rows: [string, number][] = [
         ...Object.entries(c).map(([k, v]) => [`purge_${k}`, v] as [string, number]),
-        ['charter_version', d.sheet.version()], ['visits_waiting', d.waiting()], ['visits_under_way', d.under()],
-        ['ledger_rows', d.ledger.size()], ['claims_held', d.duty.names().length], ['extra_tries_left', d.level()],
+        ['charter_version', d.sheet.version()],
+        ['visits_waiting', d.waiting()],
+        ['visits_under_way', d.under()],
+        ['ledger_rows', d.ledger.size()],
+        ['claims_held', d.duty.names().length],
+        ['extra_tries_left', d.level()],
       ];
       res.writeHead(200, { 'content-type': 'text/plain' });
       res.end(rows.map(([k, v]) => `pumicebarrow_${k} ${v}\n`).join(''));
     });
     if (control) {
       for (const what of ['plan', 'confirm', 'drop'] as const) {
-        app.post(`/${what}`, (req, res) => { void body(req, res).then(async (got) => { if (got) Front.say(res, await desk[what](got.v)); }); });
+        app.post(`/${what}`, (req, res) => {
+          void body(req, res).then(async (got) => {
+            if (got) Front.say(res, await desk[what](got.v));
+          });
+        });
       }
-      app.get('/charter', (_req, res) => { void desk.read().then((r) => Front.say(res, r)); });
-      app.get('/plan/:id', (req, res) => { void desk.fate(String(req.params['id'])).then((r) => Front.say(res, r)); });
-      app.get('/visit/:key', (req, res) => { void desk.visit(decodeURIComponent(String(req.params['key']))).then((r) => Front.say(res, r)); });
-      app.get('/status', (_req, res) => { void desk.status().then((r) => Front.say(res, r)); });
+      app.get('/charter', (_req, res) => {
+        void desk.read().then((r) => Front.say(res, r));
+      });
+      app.get('/plan/:id', (req, res) => {
+        void desk.fate(String(req.params['id'])).then((r) => Front.say(res, r));
+      });
+      app.get('/visit/:key', (req, res) => {
+        void desk.visit(decodeURIComponent(String(req.params['key']))).then((r) => Front.say(res, r));
+      });
+      app.get('/status', (_req, res) => {
+        void desk.status().then((r) => Front.say(res, r));
+      });
       app.get('/trace/:name', (req, res) => {
         const raw = new URL(req.url, 'http://x').searchParams.get('version');
-        void desk.trace(decodeURIComponent(String(req.params['name'])), raw === null ? null : Number(raw)).then((r) => Front.say(res, r));
+        void desk
+          .trace(decodeURIComponent(String(req.params['name'])), raw === null ? null : Number(raw))
+          .then((r) => Front.say(res, r));
       });
     }
     const i = addr.lastIndexOf(':');
@@ -95,6 +162,12 @@
       app.listen(Number(addr.slice(i + 1)), addr.slice(0, i).replace(/^\[|\]$/g, ''), () => done());
       app.server?.once('error', fail);
     });
-    return { close: () => new Promise((done) => { app.server?.close(() => done()); app.server?.closeAllConnections(); }) };
+    return {
+      close: () =>
+        new Promise((done) => {
+          app.server?.close(() => done());
+          app.server?.closeAllConnections();
+        }),
+    };
   },
 };
--- a/packages/counter/src/gate.ts
+++ b/packages/counter/src/gate.ts
@@ -5,8 +5,13 @@
 import type { Waitlist } from './waitlist.js';
 
 type Tools = {
-  site: string; charter: () => Charter | null; open: () => Verdict | null; young: () => boolean;
-  waitlist: ReturnType<typeof Waitlist.make>; select: Selecting; loads: ReturnType<typeof Loads.make>;
+  site: string;
+  charter: () => Charter | null;
+  open: () => Verdict | null;
+  young: () => boolean;
+  waitlist: ReturnType<typeof Waitlist.make>;
+  select: Selecting;
+  loads: ReturnType<typeof Loads.make>;
 };
 const HELD = '*turn';
 
@@ -18,7 +23,8 @@
   make(t: Tools) {
     const index = Indices.make();
     const under: number[] = [];
-    const room = (rule: Rule): boolean => (under[index.of(rule.name)] ?? 0) < rule.limit && t.select.roomy('prefill', rule, HELD);
+    const room = (rule: Rule): boolean =>
+      (under[index.of(rule.name)] ?? 0) < rule.limit && t.select.roomy('prefill', rule, HELD);
     return {
       /** What the charter says of this visit, or why it may not come in. */
       check(v: Visit): Result<Rule, Verdict> {
@@ -29,13 +35,33 @@
         const name = v.rule ?? c.fallback;
         const rule = c.rules.find((r) => r.name === name);
         if (!rule) return Err(Verdicts.not('unknownrule', `There is no rule ${name ?? '(none named)'}.`));
-        if (rule.sites && !rule.sites.includes(t.site)) return Err(Verdicts.not('othersite', `Rule ${rule.name} is not served at ${t.site}.`));
-        if (Buffer.byteLength(v.prefix) + Buffer.byteLength(v.part) > rule.bytes) return Err(Verdicts.not('toolarge', `Rule ${rule.name} takes ${rule.bytes} bytes at the most.`));
-        if (!t.young()) return Err(Verdicts.not('oldlist', 'The platform\'s list is too old to send by.', 1));
-        if (t.select.usable('prefill').length === 0 || t.select.usable('decode').length === 0) return Err(Verdicts.not('noserver', 'No server can take this now.', 1));
-        if (t.waitlist.length(rule.name) >= rule.waitlist) return Err(Verdicts.not('full', `The waitlist of ${rule.name} is full.`, Math.min(15, Math.max(1, Math.ceil(Math.max(rule.deadline / 2, t.waitlist.foresee(rule.urgency)) / 1000)))));
+        if (rule.sites && !rule.sites.includes(t.site))
+          return Err(Verdicts.not('othersite', `Rule ${rule.name} is not served at ${t.site}.`));
+        if (Buffer.byteLength(v.prefix) + Buffer.byteLength(v.part) > rule.bytes)
+          return Err(Verdicts.not('toolarge', `Rule ${rule.name} takes ${rule.bytes} bytes at the most.`));
+        if (!t.young()) return Err(Verdicts.not('oldlist', "The platform's list is too old to send by.", 1));
+        if (t.select.usable('prefill').length === 0 || t.select.usable('decode').length === 0)
+          return Err(Verdicts.not('noserver', 'No server can take this now.', 1));
+        if (t.waitlist.length(rule.name) >= rule.waitlist)
+          return Err(
+            Verdicts.not(
+              'full',
+              `The waitlist of ${rule.name} is full.`,
+              Math.min(
+                15,
+                Math.max(1, Math.ceil(Math.max(rule.deadline / 2, t.waitlist.foresee(rule.urgency)) / 1000)),
+              ),
+            ),
+          );
         const wait = t.waitlist.foresee(rule.urgency);
-        if (wait > rule.deadline) return Err(Verdicts.not('slow', `The wait would be about ${Math.round(wait / 1000)} s, longer than ${rule.name} may wait.`, Math.max(1, Math.ceil((wait - rule.deadline) / 1000))));
+        if (wait > rule.deadline)
+          return Err(
+            Verdicts.not(
+              'slow',
+              `The wait would be about ${Math.round(wait / 1000)} s, longer than ${rule.name} may wait.`,
+              Math.max(1, Math.ceil((wait - rule.deadline) / 1000)),
+            ),
+          );
         return Ok(rule);
       },
       room,
--- a/packages/counter/src/hails.ts
+++ b/packages/counter/src/hails.ts
@@ -27,9 +27,11 @@
       return h && h.born === s.born && clock.mono() - h.at < LONGEST ? h : null;
     };
     const ask = async (s: Listed, ms: number): Promise<Result<BackState, BackFault>> => {
-      const before = dropped, got = await back.state(s.addr, ms);
+      const before = dropped,
+        got = await back.state(s.addr, ms);
       look();
-      if (got.ok && before === dropped) book = new Map(book).set(s.id, { born: got.val.born, clock: got.val.clock, at: clock.mono() });
+      if (got.ok && before === dropped)
+        book = new Map(book).set(s.id, { born: got.val.born, clock: got.val.clock, at: clock.mono() });
       return got;
     };
     const hail = async (s: Listed): Promise<void> => {
@@ -47,11 +49,18 @@
       }
     };
     return {
-      start(): void { stop = Timer.every(clock, TICK, tick); },
-      stop(): void { stop(); },
+      start(): void {
+        stop = Timer.every(clock, TICK, tick);
+      },
+      stop(): void {
+        stop();
+      },
       tick,
       ask,
-      drop(): void { book = new Map(); dropped++; },
+      drop(): void {
+        book = new Map();
+        dropped++;
+      },
       known: (s: Listed): boolean => get(s) !== null,
       /** The bound for a send that must not take hold after `until`, on our clock; null when none can be set. */
       bound(s: Listed, until: number): Bound | null {
--- a/packages/counter/src/httpback.ts
+++ b/packages/counter/src/httpback.ts
@@ -20,7 +20,12 @@
 /** A fault before any reply. Only a connection that was never made proves that nothing was heard. */
 const torn = (e: unknown, unmade: boolean): BackFault => {
   const code = cause(e);
-  return { ran: unmade ? 'no' : 'maybe', code: unmade ? 'unreached' : 'broken', dark: unmade || SILENT.includes(code), why: code };
+  return {
+    ran: unmade ? 'no' : 'maybe',
+    code: unmade ? 'unreached' : 'broken',
+    dark: unmade || SILENT.includes(code),
+    why: code,
+  };
 };
 /** A reply that is not 200: a server that turns a job away says why in JSON, and has not run it. */
 const turned = (body: unknown): BackFault => {
@@ -34,7 +39,11 @@
   let held = '';
   const line = (text: string): string | null => {
     let v: unknown = null;
-    try { v = JSON.parse(text); } catch { /* told below */ }
+    try {
+      v = JSON.parse(text);
+    } catch {
+      /* told below */
+    }
     if (!Check.is(Piece, v)) return 'streamed a line that is no piece';
     return take(v as Piece) ? null : 'the stream was given up';
   };
@@ -61,11 +70,23 @@
     const dialer = Dialer.make(met);
     const agent = new Agent({ connect: dialer.connect, keepAliveTimeout: 4000 });
     const fault = (e: unknown): BackFault => torn(e, dialer.unmade(e));
-    const ask = async <S extends TSchema>(method: 'GET' | 'POST', url: string, body: unknown, ms: number, form: S): Promise<Result<Static<S>, BackFault>> => {
+    const ask = async <S extends TSchema>(
+      method: 'GET' | 'POST',
+      url: string,
+      body: unknown,
+      ms: number,
+      form: S,
+    ): Promise<Result<Static<S>, BackFault>> => {
       try {
         const r = await call(url, {
-          method, dispatcher: agent, headersTimeout: ms, bodyTimeout: ms, signal: AbortSignal.timeout(Math.ceil(ms) + 300),
-          ...(body === undefined ? {} : { headers: { 'content-type': 'application/json' }, body: JSON.stringify(body) }),
+          method,
+          dispatcher: agent,
+          headersTimeout: ms,
+          bodyTimeout: ms,
+          signal: AbortSignal.timeout(Math.ceil(ms) + 300),
+          ...(body === undefined
+            ? {}
+            : { headers: { 'content-type': 'application/json' }, body: JSON.stringify(body) }),
         });
         const got = await BodyReader.json(r.body, MOST);
         if (r.statusCode !== 200) return Err(turned(got.ok ? got.val : null));
@@ -83,8 +104,13 @@
         const stop = new AbortController();
         try {
           const r = await call(`http://${addr}/decode`, {
-            method: 'POST', dispatcher: agent, headersTimeout: ms, bodyTimeout: ms, signal: stop.signal,
-            headers: { 'content-type': 'application/json' }, body: JSON.stringify(job),
+            method: 'POST',
+            dispatcher: agent,
+            headersTimeout: ms,
+            bodyTimeout: ms,
+            signal: stop.signal,
+            headers: { 'content-type': 'application/json' },
+            body: JSON.stringify(job),
           });
           if (r.statusCode !== 200) {
             const got = await BodyReader.json(r.body, SMALL);
--- a/packages/counter/src/httptown.ts
+++ b/packages/counter/src/httptown.ts
@@ -13,7 +13,12 @@
     return {
       async poll() {
         try {
-          const r = await call(`http://${addr}/list`, { dispatcher: agent, headersTimeout: 600, bodyTimeout: 600, signal: AbortSignal.timeout(900) });
+          const r = await call(`http://${addr}/list`, {
+            dispatcher: agent,
+            headersTimeout: 600,
+            bodyTimeout: 600,
+            signal: AbortSignal.timeout(900),
+          });
           const got = await BodyReader.json(r.body, MOST);
           const seen = r.statusCode === 200 && got.ok ? Check.parse(TownList, got.val) : null;
           return seen?.ok ? Ok(seen.val) : Err('the list does not fit');
--- a/packages/counter/src/ledger.ts
+++ b/packages/counter/src/ledger.ts
@@ -23,7 +23,8 @@
       size: (): number => rows.size,
       get: (key: string): Entry | undefined => rows.get(key),
       open(key: string, attempt: number, digest: string, proven: boolean, by: string): Say {
-        const r = rows.get(key), fresh: Entry = { digest, attempt, state: 'open', by, at: clock.mono() };
+        const r = rows.get(key),
+          fresh: Entry = { digest, attempt, state: 'open', by, at: clock.mono() };
         if (!r) {
           if (attempt > 1 && !proven) return 'unknown';
           put(key, fresh);
@@ -40,7 +41,10 @@
       },
       step(key: string, attempt: number, digest: string, to: 'sent' | 'closed' | 'ran', by: string): boolean {
         const r = rows.get(key);
-        if (to === 'closed' && !r && attempt === 1) { put(key, { digest, attempt, state: 'closed', by, at: clock.mono() }); return true; }
+        if (to === 'closed' && !r && attempt === 1) {
+          put(key, { digest, attempt, state: 'closed', by, at: clock.mono() });
+          return true;
+        }
         if (!r || r.digest !== digest) return false;
         if (to === 'closed' && attempt === r.attempt + 1 && (r.state === 'closed' || r.state === 'open')) {
           put(key, { digest, attempt, state: 'closed', by, at: clock.mono() });
--- a/packages/counter/src/ledgerdesk.ts
+++ b/packages/counter/src/ledgerdesk.ts
@@ -11,6 +11,8 @@
       if (b.life !== undefined && b.life !== self().born) return { say: 'unknown' };
       return { say: ledger.open(b.key, b.attempt, b.digest, b.proven, by(from)) };
     });
-    post.on('ledger.step', LedgerWords.step, (b, from) => ({ ok: ledger.step(b.key, b.attempt, b.digest, b.to, by(from)) }));
+    post.on('ledger.step', LedgerWords.step, (b, from) => ({
+      ok: ledger.step(b.key, b.attempt, b.digest, b.to, by(from)),
+    }));
   },
 };
--- a/packages/counter/src/loads.ts
+++ b/packages/counter/src/loads.ts
@@ -22,7 +22,9 @@
       },
       link: (from: string, to: string): number => links[index.of(from)]?.[index.of(to)] ?? 0,
       timed(from: string, to: string, ms: number): void {
-        const i = index.of(from), j = index.of(to), row = links[i] ?? [];
+        const i = index.of(from),
+          j = index.of(to),
+          row = links[i] ?? [];
         const old = row[j];
         row[j] = old === undefined ? ms : old * 0.7 + ms * 0.3;
         links[i] = row;
--- a/packages/counter/src/machines.test.ts
+++ b/packages/counter/src/machines.test.ts
@@ -25,9 +25,22 @@
   ['turn marked read send piece whole give', 'ended'],
 ];
 const lives: [string, string][] = [
-  ['begin', 'asking'], ['begin sure', 'serving'], ['begin sure woke', 'asking'], ['begin sure woke sure', 'serving'],
-  ['begin sure leave', 'draining'], ['begin sure leave woke', 'draining'], ['begin sure leave empty', 'stopped'], ['begin leave sure', 'draining'], ['sure', 'starting'],
+  ['begin', 'asking'],
+  ['begin sure', 'serving'],
+  ['begin sure woke', 'asking'],
+  ['begin sure woke sure', 'serving'],
+  ['begin sure leave', 'draining'],
+  ['begin sure leave woke', 'draining'],
+  ['begin sure leave empty', 'stopped'],
+  ['begin leave sure', 'draining'],
+  ['sure', 'starting'],
 ];
 
-describe('VisitLife', () => { for (const [e, end] of visits) it(`${e} leads to ${end}`, () => expect(run(VisitLife as never, e.split(' '))).to.equal(end)); });
-describe('DaemonLife', () => { for (const [e, end] of lives) it(`${e} leads to ${end}`, () => expect(run(DaemonLife as never, e.split(' '))).to.equal(end)); });
+describe('VisitLife', () => {
+  for (const [e, end] of visits)
+    it(`${e} leads to ${end}`, () => expect(run(VisitLife as never, e.split(' '))).to.equal(end));
+});
+describe('DaemonLife', () => {
+  for (const [e, end] of lives)
+    it(`${e} leads to ${end}`, () => expect(run(DaemonLife as never, e.split(' '))).to.equal(end));
+});
--- a/packages/counter/src/newest.ts
+++ b/packages/counter/src/newest.ts
@@ -4,7 +4,15 @@
 import { Type } from 'typebox';
 
 const Pulled = Type.Object({ doc: Type.Union([Doc, Type.Null()]) }, { additionalProperties: false });
-type Tools = { world: World; post: PostBox; line: CoreLine; purge: Purging; shelf: Holding; self: () => Ident; known: () => readonly Ident[] };
+type Tools = {
+  world: World;
+  post: PostBox;
+  line: CoreLine;
+  purge: Purging;
+  shelf: Holding;
+  self: () => Ident;
+  known: () => readonly Ident[];
+};
 
 /**
  * Seeks the newest charter outside a gossip: at the tail, or, with the core cut off, from a majority of known daemons.
@@ -16,15 +24,23 @@
       const got = await t.line.read(undefined, ms);
       if (!got) return false;
       const c = got.charter;
-      if (c) t.purge.learn({ name: 'charter', mark: [c.version, 0], body: { version: c.version, plan: c.plan, charter: c.body } }, 'tail');
+      if (c)
+        t.purge.learn(
+          { name: 'charter', mark: [c.version, 0], body: { version: c.version, plan: c.plan, charter: c.body } },
+          'tail',
+        );
       return true;
     };
     const most = async (): Promise<boolean> => {
       const others = t.known().filter((k) => k.role === 'counter' && k.id !== t.self().id);
-      const got = await Promise.all(others.map((o) => t.post.ask(o.addr, o.id, 'purge.pull', { name: 'charter' }, Pulled, 400)));
+      const got = await Promise.all(
+        others.map((o) => t.post.ask(o.addr, o.id, 'purge.pull', { name: 'charter' }, Pulled, 400)),
+      );
       const heard = got.flatMap((g) => (g.ok ? [g.val.doc] : []));
       if (heard.length + 1 <= (others.length + 1) / 2) return false;
-      const best = heard.filter((d): d is Doc => d !== null && Check.is(Doc, d)).sort((a, b) => Order.cmp(b.mark, a.mark))[0];
+      const best = heard
+        .filter((d): d is Doc => d !== null && Check.is(Doc, d))
+        .sort((a, b) => Order.cmp(b.mark, a.mark))[0];
       if (best) t.purge.learn(best, 'majority');
       return t.shelf.get('charter') !== null;
     };
--- a/packages/counter/src/piece.ts
+++ b/packages/counter/src/piece.ts
@@ -4,7 +4,26 @@
 
 /** One line of a decode server's stream: a numbered piece, or the end with its count and digest. */
 export const Piece = Type.Union([
-  Type.Object({ key: Type.String(), attempt: Type.Integer(), born: Type.String(), n: Type.Integer({ minimum: 1 }), text: Type.String() }, shut),
-  Type.Object({ key: Type.String(), attempt: Type.Integer(), born: Type.String(), end: Type.Literal(true), count: Type.Integer({ minimum: 0 }), digest: Type.String() }, shut),
+  Type.Object(
+    {
+      key: Type.String(),
+      attempt: Type.Integer(),
+      born: Type.String(),
+      n: Type.Integer({ minimum: 1 }),
+      text: Type.String(),
+    },
+    shut,
+  ),
+  Type.Object(
+    {
+      key: Type.String(),
+      attempt: Type.Integer(),
+      born: Type.String(),
+      end: Type.Literal(true),
+      count: Type.Integer({ minimum: 0 }),
+      digest: Type.String(),
+    },
+    shut,
+  ),
 ]);
 export type Piece = Static<typeof Piece>;
--- a/packages/counter/src/run.ts
+++ b/packages/counter/src/run.ts
@@ -12,7 +12,8 @@
 const IDLE = 2500;
 const PATIENCE = 4000;
 const MOST = 15;
-const tooOld = (wait: number): Verdict => Verdicts.not('late', 'No server had room in time.', Math.min(MOST, Math.max(1, Math.ceil(wait / 1000))));
+const tooOld = (wait: number): Verdict =>
+  Verdicts.not('late', 'No server had room in time.', Math.min(MOST, Math.max(1, Math.ceil(wait / 1000))));
 
 /**
  * One visit, from the gate to its outcome, written straight down.
@@ -25,7 +26,13 @@
     const { world, town, select, loads, witness } = t;
     const now = (): number => world.clock.mono();
 
-    const go = async (v: Visit, rule: Rule, sink: CallerSink, due: number, settled: () => void): Promise<{ verdict: Verdict; sent: boolean; ran: boolean }> => {
+    const go = async (
+      v: Visit,
+      rule: Rule,
+      sink: CallerSink,
+      due: number,
+      settled: () => void,
+    ): Promise<{ verdict: Verdict; sent: boolean; ran: boolean }> => {
       const life = interpret(VisitLife, () => undefined);
       const is = (): string => life.machine.current;
       const prefix = Hash.text(v.prefix);
@@ -63,18 +70,43 @@
       };
       const read = async (): Promise<void> => {
         t.demand.read += rule.weight;
-        const s = await room(() => select.prefill(rule, prefix, avoid) ?? (avoid.size > 0 ? select.prefill(rule, prefix, new Set()) : null));
+        const s = await room(
+          () =>
+            select.prefill(rule, prefix, avoid) ?? (avoid.size > 0 ? select.prefill(rule, prefix, new Set()) : null),
+        );
         settled();
         const free = s ? loads.take(s.id, rule.weight) : null;
         const bound = s && town.good(s.id, s.born) ? t.hails.bound(s, town.until()) : null;
         if (s && free && bound) {
-          world.tell({ what: 'send', part: 'prefill', server: s.id, key: v.key, attempt: v.attempt, version: t.version() });
-          const got = await t.back.prefill(s.addr, { key: v.key, attempt: v.attempt, ...bound, prefix: v.prefix, part: v.part, weight: rule.weight }, Math.max(200, Math.min(PATIENCE, due - now())));
+          world.tell({
+            what: 'send',
+            part: 'prefill',
+            server: s.id,
+            key: v.key,
+            attempt: v.attempt,
+            version: t.version(),
+          });
+          const got = await t.back.prefill(
+            s.addr,
+            { key: v.key, attempt: v.attempt, ...bound, prefix: v.prefix, part: v.part, weight: rule.weight },
+            Math.max(200, Math.min(PATIENCE, due - now())),
+          );
           const h = got.ok ? got.val : null;
-          const fits = h && h.key === v.key && h.attempt === v.attempt && h.server === s.id && h.born === s.born && h.digest === Hash.text(v.prefix + v.part);
-          if (h && fits) { handle = h; reader = s; life.send('read'); }
-          else {
-            const f: BackFault = got.ok ? { ran: 'no', code: 'bad', dark: false, why: 'gave a handle that does not fit the visit' } : got.val;
+          const fits =
+            h &&
+            h.key === v.key &&
+            h.attempt === v.attempt &&
+            h.server === s.id &&
+            h.born === s.born &&
+            h.digest === Hash.text(v.prefix + v.part);
+          if (h && fits) {
+            handle = h;
+            reader = s;
+            life.send('read');
+          } else {
+            const f: BackFault = got.ok
+              ? { ran: 'no', code: 'bad', dark: false, why: 'gave a handle that does not fit the visit' }
+              : got.val;
             life.send(spend({ ...f, ran: 'no' }, s) ? 'again' : 'give');
           }
         } else life.send('give');
@@ -84,7 +116,10 @@
       };
       const write = async (): Promise<void> => {
         t.demand.write += rule.weight;
-        const s = await hand(() => select.decode(rule, reader!, avoid) ?? (avoid.size > 0 ? select.decode(rule, reader!, new Set()) : null));
+        const s = await hand(
+          () =>
+            select.decode(rule, reader!, avoid) ?? (avoid.size > 0 ? select.decode(rule, reader!, new Set()) : null),
+        );
         const free = s ? loads.take(s.id, rule.weight) : null;
         const bound = s && town.good(s.id, s.born) ? t.hails.bound(s, town.until()) : null;
         if (s && free && handle && bound && !sink.gone()) {
@@ -93,29 +128,48 @@
           const check = StreamCheck.make({ key: v.key, attempt: v.attempt, born: s.born });
           const from = now();
           let broken: string | null = null;
-          const got = await t.back.decode(s.addr, { key: v.key, attempt: v.attempt, ...bound, handle, pieces: rule.pieces, weight: rule.weight }, Math.max(IDLE, Math.min(PATIENCE, due - now())), (p) => {
-            if (broken) return false;
-            const look = check.look(p);
-            if (!look.ok) { broken = look.why; return false; }
-            if (look.n !== undefined) {
-              if (look.n === 1) {
-                loads.timed(reader!.id, s.id, now() - from);
-                world.tell({ what: 'streams', key: v.key, attempt: v.attempt, server: s.id });
+          const got = await t.back.decode(
+            s.addr,
+            { key: v.key, attempt: v.attempt, ...bound, handle, pieces: rule.pieces, weight: rule.weight },
+            Math.max(IDLE, Math.min(PATIENCE, due - now())),
+            (p) => {
+              if (broken) return false;
+              const look = check.look(p);
+              if (!look.ok) {
+                broken = look.why;
+                return false;
               }
-              life.send('piece');
-              sink.piece(look.n, look.text!);
-            } else if (look.end) { life.send('whole'); sink.end(look.end.count, look.end.digest); }
-            return !sink.gone();
-          });
+              if (look.n !== undefined) {
+                if (look.n === 1) {
+                  loads.timed(reader!.id, s.id, now() - from);
+                  world.tell({ what: 'streams', key: v.key, attempt: v.attempt, server: s.id });
+                }
+                life.send('piece');
+                sink.piece(look.n, look.text!);
+              } else if (look.end) {
+                life.send('whole');
+                sink.end(look.end.count, look.end.digest);
+              }
+              return !sink.gone();
+            },
+          );
           if (is() !== 'ended') {
-            const f: BackFault = broken !== null ? { ran: 'maybe', code: 'broken', dark: false, why: broken } : got.ok ? { ran: 'maybe', code: 'broken', dark: false, why: 'the stream stopped before its end' } : got.val;
+            const f: BackFault =
+              broken !== null
+                ? { ran: 'maybe', code: 'broken', dark: false, why: broken }
+                : got.ok
+                  ? { ran: 'maybe', code: 'broken', dark: false, why: 'the stream stopped before its end' }
+                  : got.val;
             if (f.ran === 'no' && check.count() === 0) {
               const more = spend(f, s);
               life.send(f.code === 'lapsed' ? 'lapse' : 'unrun');
               if (!more) life.send('give');
             } else {
               if (f.dark) t.sighted(s);
-              why = check.count() > 0 ? Verdicts.maybe('cut', `The outcome was cut after ${check.count()} pieces: ${f.why}`) : Verdicts.maybe('mayhaverun', `${s.id}: ${f.why}`);
+              why =
+                check.count() > 0
+                  ? Verdicts.maybe('cut', `The outcome was cut after ${check.count()} pieces: ${f.why}`)
+                  : Verdicts.maybe('mayhaverun', `${s.id}: ${f.why}`);
               life.send('give');
             }
           }
@@ -133,7 +187,8 @@
     return async (v: Visit, sink: CallerSink): Promise<Verdict> => {
       const end = (verdict: Verdict, cut: boolean): Verdict => {
         world.tell({ what: 'visit', key: v.key, attempt: v.attempt, ran: verdict.ran, code: verdict.code });
-        if (cut) sink.cut(verdict); else sink.bounce(verdict);
+        if (cut) sink.cut(verdict);
+        else sink.bounce(verdict);
         return verdict;
       };
       const rule = t.gate.check(v);
@@ -160,7 +215,12 @@
         mine?.over();
         await witness.close(v, book.owners, book.digest);
         t.pump();
-        return end(mine && !marked ? Verdicts.not('noledger', 'The visit could not be marked as sent.', 1) : tooOld(t.waitlist.foresee(rule.val.urgency)), false);
+        return end(
+          mine && !marked
+            ? Verdicts.not('noledger', 'The visit could not be marked as sent.', 1)
+            : tooOld(t.waitlist.foresee(rule.val.urgency)),
+          false,
+        );
       }
       const out = await go(v, rule.val, sink, due, mine.settled);
       mine.over();
--- a/packages/counter/src/runtools.ts
+++ b/packages/counter/src/runtools.ts
@@ -12,7 +12,19 @@
 
 /** What the run of a visit works with. */
 export type RunTools = {
-  world: World; gate: Gating; waitlist: ReturnType<typeof Waitlist.make>; hands: ReturnType<typeof Waitlist.make>; select: Selecting; loads: LoadBook;
-  town: TownView; hails: Hailing; witness: Witnessing; bucket: ReturnType<typeof Bucket.make>; back: Back;
-  sighted: (s: Listed) => void; pump: () => void; version: () => number; demand: { read: number; write: number };
+  world: World;
+  gate: Gating;
+  waitlist: ReturnType<typeof Waitlist.make>;
+  hands: ReturnType<typeof Waitlist.make>;
+  select: Selecting;
+  loads: LoadBook;
+  town: TownView;
+  hails: Hailing;
+  witness: Witnessing;
+  bucket: ReturnType<typeof Bucket.make>;
+  back: Back;
+  sighted: (s: Listed) => void;
+  pump: () => void;
+  version: () => number;
+  demand: { read: number; write: number };
 };
--- a/packages/counter/src/select.ts
+++ b/packages/counter/src/select.ts
@@ -7,7 +7,14 @@
 import type { TownView } from './townview.js';
 
 type Part = 'prefill' | 'decode';
-type Tools = { hails: Hailing; sheet: SheetView; town: TownView; loads: LoadBook; shuns: ReturnType<typeof Shuns.make>; roster: () => readonly Ident[] };
+type Tools = {
+  hails: Hailing;
+  sheet: SheetView;
+  town: TownView;
+  loads: LoadBook;
+  shuns: ReturnType<typeof Shuns.make>;
+  roster: () => readonly Ident[];
+};
 
 /** Which server a visit goes to. */
 export const Select = {
@@ -27,7 +34,8 @@
       }
       return out;
     };
-    const room = (s: Listed, rule: Rule): boolean => t.loads.at(s.id) === 0 || t.loads.at(s.id) + rule.weight <= share(s.id);
+    const room = (s: Listed, rule: Rule): boolean =>
+      t.loads.at(s.id) === 0 || t.loads.at(s.id) + rule.weight <= share(s.id);
     return {
       usable,
       share,
@@ -44,7 +52,8 @@
       },
       /** The least laden, with slow links weighed in. */
       decode(rule: Rule, from: Listed, not: ReadonlySet<string>): Listed | null {
-        const cost = (s: Listed): number => t.loads.at(s.id) / share(s.id) + t.loads.link(from.id, s.id) / 400 + (s.site === from.site ? 0 : 0.05);
+        const cost = (s: Listed): number =>
+          t.loads.at(s.id) / share(s.id) + t.loads.link(from.id, s.id) / 400 + (s.site === from.site ? 0 : 0.05);
         const list = usable('decode').filter((s) => !not.has(s.id) && room(s, rule));
         return list.reduce<Listed | null>((a, b) => (a === null || cost(b) < cost(a) ? b : a), null);
       },
--- a/packages/counter/src/sheet.ts
+++ b/packages/counter/src/sheet.ts
@@ -20,8 +20,11 @@
         const table = shelf.table();
         if (table !== seen) {
           seen = table;
-          rows = new Map([...table.values()].filter((d) => d.name.startsWith('row:'))
-            .map((d) => [(d.body as SheetRow).server, { row: d.body as SheetRow, mark: d.mark }]));
+          rows = new Map(
+            [...table.values()]
+              .filter((d) => d.name.startsWith('row:'))
+              .map((d) => [(d.body as SheetRow).server, { row: d.body as SheetRow, mark: d.mark }]),
+          );
         }
         return rows;
       },
--- a/packages/counter/src/streamcheck.test.ts
+++ b/packages/counter/src/streamcheck.test.ts
@@ -5,8 +5,13 @@
 
 const base = { key: 'k', attempt: 1, born: 'b' };
 const p = (n: number, more: object = {}): Piece => ({ ...base, n, text: `t${n}`, ...more }) as Piece;
-const digest = (n: number): string => { const h = createHash('sha256'); for (let i = 1; i <= n; i++) h.update(`${i}:t${i}\n`); return h.digest('hex').slice(0, 24); };
-const end = (count: number, more: object = {}): Piece => ({ ...base, end: true, count, digest: digest(count), ...more }) as Piece;
+const digest = (n: number): string => {
+  const h = createHash('sha256');
+  for (let i = 1; i <= n; i++) h.update(`${i}:t${i}\n`);
+  return h.digest('hex').slice(0, 24);
+};
+const end = (count: number, more: object = {}): Piece =>
+  ({ ...base, end: true, count, digest: digest(count), ...more }) as Piece;
 const cases: [string, Piece[], boolean][] = [
   ['a whole stream', [p(1), p(2), end(2)], true],
   ['an empty stream with its end', [end(0)], true],
@@ -16,8 +21,8 @@
   ['an early end', [p(1), end(2)], false],
   ['an end with another digest', [p(1), end(1, { digest: 'x' })], false],
   ['a text that was changed', [p(1, { text: 'other' }), end(1)], false],
-  ['another visit\'s piece', [p(1, { key: 'other' })], false],
-  ['another try\'s piece', [p(1, { attempt: 2 })], false],
+  ["another visit's piece", [p(1, { key: 'other' })], false],
+  ["another try's piece", [p(1, { attempt: 2 })], false],
   ['another life of the server', [p(1), p(2, { born: 'old' })], false],
   ['a line after the end', [p(1), end(1), p(2)], false],
 ];
--- a/packages/counter/src/streamcheck.ts
+++ b/packages/counter/src/streamcheck.ts
@@ -2,7 +2,8 @@
 import type { Piece } from './piece.js';
 
 type Told = { key: string; attempt: number; born: string };
-type Look = { ok: true; text?: string; n?: number; end?: { count: number; digest: string } } | { ok: false; why: string };
+type Look =
+  { ok: true; text?: string; n?: number; end?: { count: number; digest: string } } | { ok: false; why: string };
 
 /** Holds a stream to its word: this visit, this server's life, no gap, no piece twice, and an end that agrees. */
 export const StreamCheck = {
--- a/packages/counter/src/target.ts
+++ b/packages/counter/src/target.ts
@@ -14,12 +14,20 @@
   },
   part(charter: Charter, wish: number, live: readonly Live[], id: string, swaps: boolean): Part | null {
     const may = (x: string): Part | 'either' | null => charter.servers.find((s) => s.id === x)?.part ?? null;
-    const me = live.find((l) => l.id === id), can = may(id);
+    const me = live.find((l) => l.id === id),
+      can = may(id);
     if (!me || can === null) return null;
     if (can !== 'either') return can;
     const want = Target.count(charter, wish, live.length);
-    const order = Lot.rank('cast', live.filter((l) => may(l.id) !== null), (l) => l.id);
-    const fixed = (l: Live): Part | null => { const m = may(l.id); return m === 'either' || m === null ? l.part : m; };
+    const order = Lot.rank(
+      'cast',
+      live.filter((l) => may(l.id) !== null),
+      (l) => l.id,
+    );
+    const fixed = (l: Live): Part | null => {
+      const m = may(l.id);
+      return m === 'either' || m === null ? l.part : m;
+    };
     let reads = order.filter((l) => fixed(l) === 'prefill').length;
     let plan: Part | null = me.part;
     for (const l of order.filter((x) => fixed(x) === null)) {
--- a/packages/counter/src/townwatch.ts
+++ b/packages/counter/src/townwatch.ts
@@ -8,7 +8,10 @@
 const POLL = 400;
 /** How long after it was asked for a list may still bring a send to a server. */
 const REACH = 3000;
-const Shared = Type.Object({ list: Type.Union([TownList, Type.Null()]), age: Type.Number({ minimum: 0 }) }, { additionalProperties: false });
+const Shared = Type.Object(
+  { list: Type.Union([TownList, Type.Null()]), age: Type.Number({ minimum: 0 }) },
+  { additionalProperties: false },
+);
 
 /**
  * The platform's list, as young as can be had. Invariants: its age is counted from before it was asked for, in
@@ -34,7 +37,10 @@
     const tick = async (): Promise<void> => {
       const at = world.clock.mono();
       const got = await town.poll();
-      if (got.ok) { set(got.val, at); return; }
+      if (got.ok) {
+        set(got.val, at);
+        return;
+      }
       const who = Dice.one(world.chance, peers());
       if (!who) return;
       const ask = world.clock.mono();
@@ -43,10 +49,19 @@
     };
     post.on('town.list', Type.Object({}), () => ({ list: age() < OLD ? list : null, age: list ? age() : 0 }));
     return {
-      start(): void { stop = Timer.every(world.clock, POLL, tick); },
-      stop(): void { stop(); },
-      heed(fn: (now: readonly Listed[]) => void): void { ears.push(fn); },
-      young(): boolean { look(); return age() < OLD; },
+      start(): void {
+        stop = Timer.every(world.clock, POLL, tick);
+      },
+      stop(): void {
+        stop();
+      },
+      heed(fn: (now: readonly Listed[]) => void): void {
+        ears.push(fn);
+      },
+      young(): boolean {
+        look();
+        return age() < OLD;
+      },
       /** After a sleep of unknown length the list's age is unknown: it is let go, and asked for anew. */
       drop(): void {
         from = -Infinity;
@@ -56,7 +71,10 @@
       age,
       /** The instant after which nothing sent by this list may take hold. */
       until: (): number => from + REACH,
-      all(): readonly Listed[] { look(); return age() < OLD ? list?.servers ?? [] : []; },
+      all(): readonly Listed[] {
+        look();
+        return age() < OLD ? (list?.servers ?? []) : [];
+      },
       /** The server, if at this instant a young list shows it serving; else null. */
       good(id: string, born?: string): Listed | null {
         look();
--- a/packages/counter/src/visitdesk.ts
+++ b/packages/counter/src/visitdesk.ts
@@ -9,10 +9,26 @@
 export const VisitDesk = {
   forms: {
     ask: Type.Object({ key: Type.String() }, shut),
-    told: Type.Object({
-      steps: Type.Array(Type.Object({ what: Type.String(), wall: Type.Number(), attempt: Type.Integer(), more: Type.Record(Type.String(), Type.Unknown()) }, shut)),
-      entry: Type.Union([Type.Null(), Type.Object({ attempt: Type.Integer(), state: Type.String(), by: Type.String() }, shut)]),
-    }, shut),
+    told: Type.Object(
+      {
+        steps: Type.Array(
+          Type.Object(
+            {
+              what: Type.String(),
+              wall: Type.Number(),
+              attempt: Type.Integer(),
+              more: Type.Record(Type.String(), Type.Unknown()),
+            },
+            shut,
+          ),
+        ),
+        entry: Type.Union([
+          Type.Null(),
+          Type.Object({ attempt: Type.Integer(), state: Type.String(), by: Type.String() }, shut),
+        ]),
+      },
+      shut,
+    ),
   },
   make(post: PostBox, diary: ReturnType<typeof VisitDiary.make>, ledger: ReturnType<typeof Ledger.make>): void {
     post.on('visit.tell', VisitDesk.forms.ask, (b) => {
--- a/packages/counter/src/waitlist.test.ts
+++ b/packages/counter/src/waitlist.test.ts
@@ -3,22 +3,76 @@
 import { Bucket } from './bucket.js';
 import { Waitlist } from './waitlist.js';
 
-const rule = (name: string, urgency: number): Rule => ({ name, weight: 1, urgency, limit: 9, waitlist: 9, deadline: 1000, pieces: 1, bytes: 1 });
-const review = rule('review', 1), verdict = rule('verdict', 9);
+const rule = (name: string, urgency: number): Rule => ({
+  name,
+  weight: 1,
+  urgency,
+  limit: 9,
+  waitlist: 9,
+  deadline: 1000,
+  pieces: 1,
+  bytes: 1,
+});
+const review = rule('review', 1),
+  verdict = rule('verdict', 9);
 
 describe('Waitlist', () => {
   const make = () => {
     const timers: { at: number; fn: () => void }[] = [];
-    const list = Waitlist.make({ mono: () => 0, wall: () => 0, after: (at, fn) => { timers.push({ at, fn }); return () => undefined; } });
+    const list = Waitlist.make({
+      mono: () => 0,
+      wall: () => 0,
+      after: (at, fn) => {
+        timers.push({ at, fn });
+        return () => undefined;
+      },
+    });
     const went: string[] = [];
-    const enter = (name: string, r: Rule, due: number) => { const w = list.enter(r, due); void w.turn.then((go) => went.push(go ? name : `${name} given up`)); return w; };
+    const enter = (name: string, r: Rule, due: number) => {
+      const w = list.enter(r, due);
+      void w.turn.then((go) => went.push(go ? name : `${name} given up`));
+      return w;
+    };
     return { list, enter, went, timers };
   };
   const cases: [string, [string, Rule, number][], number, string[]][] = [
-    ['the urgent first', [['r', review, 5], ['v', verdict, 900]], 9, ['v', 'r']],
-    ['then the one due soonest', [['a', review, 500], ['b', review, 300]], 9, ['b', 'a']],
-    ['then the first to come', [['a', review, 500], ['b', review, 500]], 9, ['a', 'b']],
-    ['only as many as there is room for', [['a', review, 1], ['b', review, 2], ['c', review, 3]], 2, ['a', 'b']],
+    [
+      'the urgent first',
+      [
+        ['r', review, 5],
+        ['v', verdict, 900],
+      ],
+      9,
+      ['v', 'r'],
+    ],
+    [
+      'then the one due soonest',
+      [
+        ['a', review, 500],
+        ['b', review, 300],
+      ],
+      9,
+      ['b', 'a'],
+    ],
+    [
+      'then the first to come',
+      [
+        ['a', review, 500],
+        ['b', review, 500],
+      ],
+      9,
+      ['a', 'b'],
+    ],
+    [
+      'only as many as there is room for',
+      [
+        ['a', review, 1],
+        ['b', review, 2],
+        ['c', review, 3],
+      ],
+      2,
+      ['a', 'b'],
+    ],
   ];
   for (const [name, list, room, want] of cases) {
     it(`gives turns: ${name}`, async () => {
@@ -30,7 +84,12 @@
       expect(t.went).to.deep.equal(want);
     });
   }
-  const waits: [string, number, number, number, number][] = [['nothing known yet', 0, 20, 1, 0], ['few ahead', 10, 3, 1, 0], ['many ahead of the least urgent', 10, 20, 1, 600], ['none ahead of the most urgent', 10, 20, 9, 0]];
+  const waits: [string, number, number, number, number][] = [
+    ['nothing known yet', 0, 20, 1, 0],
+    ['few ahead', 10, 3, 1, 0],
+    ['many ahead of the least urgent', 10, 20, 1, 600],
+    ['none ahead of the most urgent', 10, 20, 9, 0],
+  ];
   for (const [name, given, ahead, urgency, want] of waits) {
     it(`foresees a wait: ${name}`, () => {
       const t = make();
@@ -65,7 +124,10 @@
   it('starts empty and never gives more than a fifth of the visits', () => {
     const b = Bucket.make(0.2, 3);
     let taken = b.take() ? 1 : 0;
-    for (let i = 0; i < 1000; i++) { b.visit(); if (b.take()) taken++; }
+    for (let i = 0; i < 1000; i++) {
+      b.visit();
+      if (b.take()) taken++;
+    }
     expect(taken).to.be.at.most(200);
     expect(taken).to.be.at.least(150);
   });
--- a/packages/counter/src/waitlist.ts
+++ b/packages/counter/src/waitlist.ts
@@ -15,7 +15,10 @@
     let order = 0;
     let weight = 0;
     let turns: readonly number[] = [];
-    const bump = (name: string, by: number): void => { const i = index.of(name); count[i] = (count[i] ?? 0) + by; };
+    const bump = (name: string, by: number): void => {
+      const i = index.of(name);
+      count[i] = (count[i] ?? 0) + by;
+    };
     const leave = (w: Waiter, go: boolean): void => {
       if (!w.open) return;
       w.open = false;
@@ -40,7 +43,9 @@
       /** Waits for a turn until `due`, then gives up at once. */
       enter(rule: Rule, due: number): { turn: Promise<boolean>; leave: () => void } {
         let say: (go: boolean) => void = () => undefined;
-        const turn = new Promise<boolean>((done) => { say = done; });
+        const turn = new Promise<boolean>((done) => {
+          say = done;
+        });
         const w: Waiter = { rule, due, order: order++, open: true, turn: say };
         heap.push(w);
         bump(rule.name, 1);
@@ -55,13 +60,15 @@
         for (let w = heap.pop(); w; w = heap.pop()) {
           if (!w.open) continue;
           if (room(w.rule)) {
-          turns = [...turns.filter((x) => x > clock.mono() - LOOK), clock.mono()];
-          leave(w, true);
-        } else back.push(w);
+            turns = [...turns.filter((x) => x > clock.mono() - LOOK), clock.mono()];
+            leave(w, true);
+          } else back.push(w);
         }
         for (const w of back) heap.push(w);
       },
-      clear(): void { for (const w of heap.toArray()) leave(w, false); },
+      clear(): void {
+        for (const w of heap.toArray()) leave(w, false);
+      },
     };
   },
 };
--- a/packages/counter/src/witness.test.ts
+++ b/packages/counter/src/witness.test.ts
@@ -14,17 +14,28 @@
 const bench = () => {
   const ledgers = new Map(roster.map((r) => [r.id, Ledger.make(clock)]));
   const fates = new Map<string, Fate>();
-  const post = (by: string): PostBox => ({
-    on: () => undefined,
-    close: () => undefined,
-    ask: (_addr: string, to: string, kind: string, body: unknown) => {
-      const b = body as { key: string; attempt: number; digest: string; proven: boolean; to: 'sent' | 'closed' | 'ran' };
-      const fate = fates.get(to) ?? 'fine', l = ledgers.get(to)!;
-      if (fate === 'unsent' || fate === 'lost') return Promise.resolve(Err(fate));
-      const re = kind === 'ledger.open' ? { say: l.open(b.key, b.attempt, b.digest, b.proven, by) } : { ok: l.step(b.key, b.attempt, b.digest, b.to, by) };
-      return Promise.resolve(fate === 'heardlost' ? Err('lost') : Ok(re));
-    },
-  }) as unknown as PostBox;
+  const post = (by: string): PostBox =>
+    ({
+      on: () => undefined,
+      close: () => undefined,
+      ask: (_addr: string, to: string, kind: string, body: unknown) => {
+        const b = body as {
+          key: string;
+          attempt: number;
+          digest: string;
+          proven: boolean;
+          to: 'sent' | 'closed' | 'ran';
+        };
+        const fate = fates.get(to) ?? 'fine',
+          l = ledgers.get(to)!;
+        if (fate === 'unsent' || fate === 'lost') return Promise.resolve(Err(fate));
+        const re =
+          kind === 'ledger.open'
+            ? { say: l.open(b.key, b.attempt, b.digest, b.proven, by) }
+            : { ok: l.step(b.key, b.attempt, b.digest, b.to, by) };
+        return Promise.resolve(fate === 'heardlost' ? Err('lost') : Ok(re));
+      },
+    }) as unknown as PostBox;
   const world = { clock, log: Logs.quiet } as unknown as World;
   return {
     daemon: (by: string) => Witness.make(world, post(by), () => roster),
@@ -35,7 +46,8 @@
 
 describe('Witness', () => {
   it('pins two owners and marks both', async () => {
-    const b = bench(), w = b.daemon('x');
+    const b = bench(),
+      w = b.daemon('x');
     const o = await w.open(visit(1));
     expect(o.owners.map((i) => i.id)).to.deep.equal(order.slice(0, 2));
     expect(await w.sent(visit(1), o.owners, o.digest)).to.equal(true);
@@ -53,28 +65,39 @@
     expect([o.bad?.ran, o.bad?.code, o.owners.length]).to.deep.equal(['no', 'noledger', 0]);
   });
   it('shuts a waiting try out when a later one comes', async () => {
-    const b = bench(), x = b.daemon('x'), o = await x.open(visit(1));
+    const b = bench(),
+      x = b.daemon('x'),
+      o = await x.open(visit(1));
     const later = await b.daemon('y').open(visit(2));
     expect(later.bad).to.equal(null);
     expect(await x.sent(visit(1), o.owners, o.digest)).to.equal(false);
   });
-  const lost: [string, number[], string | undefined][] = [['one owner forgot', [0], 'mayhaverun'], ['both owners forgot', [0, 1], 'unproven']];
+  const lost: [string, number[], string | undefined][] = [
+    ['one owner forgot', [0], 'mayhaverun'],
+    ['both owners forgot', [0, 1], 'unproven'],
+  ];
   for (const [name, ranks, code] of lost) {
     it(`never opens a second try of a sent one: ${name}`, async () => {
-      const b = bench(), x = b.daemon('x'), o = await x.open(visit(1));
+      const b = bench(),
+        x = b.daemon('x'),
+        o = await x.open(visit(1));
       await x.sent(visit(1), o.owners, o.digest);
       for (const r of ranks) b.forget(r);
       expect((await b.daemon('y').open(visit(2))).bad?.code).to.equal(code);
     });
   }
   it('opens a second try of a waiting one whose mark can no longer be had, though one owner forgot', async () => {
-    const b = bench(), x = b.daemon('x'), o = await x.open(visit(1));
+    const b = bench(),
+      x = b.daemon('x'),
+      o = await x.open(visit(1));
     b.forget(0);
     expect((await b.daemon('y').open(visit(2))).bad).to.equal(null);
     expect(await x.sent(visit(1), o.owners, o.digest)).to.equal(false);
   });
   it('opens the next try after one closed by the daemon that sent it', async () => {
-    const b = bench(), x = b.daemon('x'), o = await x.open(visit(1));
+    const b = bench(),
+      x = b.daemon('x'),
+      o = await x.open(visit(1));
     await x.sent(visit(1), o.owners, o.digest);
     await x.close(visit(1), o.owners, o.digest);
     expect((await b.daemon('y').open(visit(2))).bad).to.equal(null);
--- a/packages/counter/src/witness.ts
+++ b/packages/counter/src/witness.ts
@@ -18,22 +18,37 @@
   make(world: World, post: PostBox, roster: () => readonly Ident[], known: () => readonly Ident[] = roster) {
     const { clock } = world;
     const doubt = new Map<string, number>();
-    const rendezvous = (key: string): Ident[] => Lot.rank(
-      `key:${key}`,
-      roster().filter((r) => r.role === 'counter' && (doubt.get(`${r.id}/${r.born}`) ?? -Infinity) <= clock.mono()),
-      (r) => r.id,
-    );
+    const rendezvous = (key: string): Ident[] =>
+      Lot.rank(
+        `key:${key}`,
+        roster().filter((r) => r.role === 'counter' && (doubt.get(`${r.id}/${r.born}`) ?? -Infinity) <= clock.mono()),
+        (r) => r.id,
+      );
     /** Who may record a visit, first those who are to: the two lives that it names, or by rendezvous over the live daemons. */
     const ranked = (v: Visit): Ident[] =>
-      (v.owners ? known().filter((r) => v.owners!.includes(`${r.id}/${r.born}`)) : rendezvous(v.key));
+      v.owners ? known().filter((r) => v.owners!.includes(`${r.id}/${r.born}`)) : rendezvous(v.key);
     const ask = async (o: Ident, v: Visit, digest: string, proven: boolean): Promise<Say> => {
-      const r = await post.ask(o.addr, o.id, 'ledger.open', { key: v.key, attempt: v.attempt, digest, proven, life: o.born }, LedgerWords.opened, ASK);
+      const r = await post.ask(
+        o.addr,
+        o.id,
+        'ledger.open',
+        { key: v.key, attempt: v.attempt, digest, proven, life: o.born },
+        LedgerWords.opened,
+        ASK,
+      );
       if (r.ok) return r.val.say;
       doubt.set(`${o.id}/${o.born}`, clock.mono() + SUSPECT);
       return r.val === 'lost' ? 'lost' : 'unsent';
     };
     const step = async (o: Ident, v: Visit, digest: string, to: Step): Promise<boolean> => {
-      const r = await post.ask(o.addr, o.id, 'ledger.step', { key: v.key, attempt: v.attempt, digest, to }, LedgerWords.stepped, ASK);
+      const r = await post.ask(
+        o.addr,
+        o.id,
+        'ledger.step',
+        { key: v.key, attempt: v.attempt, digest, to },
+        LedgerWords.stepped,
+        ASK,
+      );
       return r.ok && r.val.ok;
     };
     const all = async (list: readonly Ident[], v: Visit, digest: string, to: Step): Promise<boolean> =>
@@ -53,7 +68,8 @@
     return {
       /** Two owners are pinned, or the visit goes no further. */
       async open(v: Visit): Promise<{ bad: Verdict | null; owners: Ident[]; digest: string }> {
-        const digest = digestOf(v), order = ranked(v);
+        const digest = digestOf(v),
+          order = ranked(v);
         const asked = order.slice(0, v.attempt > 1 ? 3 : 2);
         const says = await Promise.all(asked.map((o) => ask(o, v, digest, false)));
         const lit = (): Ident[] => asked.filter((_, i) => says[i] === 'ok');
@@ -64,7 +80,8 @@
         const first = judge(says);
         if (first) return give(first);
         if (v.attempt > 1) {
-          if (!says.includes('ok')) return give(Verdicts.maybe('unproven', 'Nothing here proves that the earlier try did not run.'));
+          if (!says.includes('ok'))
+            return give(Verdicts.maybe('unproven', 'Nothing here proves that the earlier try did not run.'));
           for (const [i, o] of asked.entries()) if (says[i] === 'unknown') says[i] = await ask(o, v, digest, true);
         }
         for (const o of order.slice(asked.length)) {
@@ -74,7 +91,8 @@
         }
         const late = judge(says);
         if (late) return give(late);
-        if (lit().length < 2) return give(Verdicts.not('noledger', 'Too few daemons can be reached to record the visit.', 1));
+        if (lit().length < 2)
+          return give(Verdicts.not('noledger', 'Too few daemons can be reached to record the visit.', 1));
         return { bad: null, owners: lit(), digest };
       },
       sent: (v: Visit, owners: readonly Ident[], digest: string): Promise<boolean> => all(owners, v, digest, 'sent'),
--- a/packages/counterd/src/main.ts
+++ b/packages/counterd/src/main.ts
@@ -4,12 +4,12 @@
 import { Startup } from './startup.js';
 
 const LIST = [
-  { name: 'id', help: 'the daemon\'s name', kind: 'text' },
+  { name: 'id', help: "the daemon's name", kind: 'text' },
   { name: 'addr', help: 'IP:PORT towards other daemons', kind: 'text' },
   { name: 'http', help: 'IP:PORT towards callers and operators', kind: 'text' },
   { name: 'site', help: 'the site it stands in', kind: 'text' },
   { name: 'seeds', help: 'IP:PORT of another daemon; three are needed', kind: 'list' },
-  { name: 'town', help: 'IP:PORT of the platform\'s list', kind: 'text' },
+  { name: 'town', help: "IP:PORT of the platform's list", kind: 'text' },
   { name: 'control', help: 'serve operators too', kind: 'yes' },
   { name: 'level', help: 'debug, info or warn', kind: 'text' },
 ] as const;
@@ -20,8 +20,21 @@
     const s = await Program.startup('counterd', 'a counter daemon of pumicebarrow', LIST, Startup, argv);
     try {
       const world = await Machine.make(s.id, s.addr, s.level ?? 'info', null);
-      const back = HttpBack.make(), town = HttpTown.make(s.town);
-      const d = Counter.make(world, { id: s.id, addr: s.addr, site: s.site, seeds: s.seeds, control: s.control ?? false, tunes: { ...Tuned, ...s.purge } }, back, town);
+      const back = HttpBack.make(),
+        town = HttpTown.make(s.town);
+      const d = Counter.make(
+        world,
+        {
+          id: s.id,
+          addr: s.addr,
+          site: s.site,
+          seeds: s.seeds,
+          control: s.control ?? false,
+          tunes: { ...Tuned, ...s.purge },
+        },
+        back,
+        town,
+      );
       const front = await Front.make(world, d, s.control ?? false, s.http);
       d.start();
       Program.until(async () => {
--- a/packages/forms/src/awake.ts
+++ b/packages/forms/src/awake.ts
@@ -24,6 +24,12 @@
       look();
       clock.after(BEAT, beat);
     };
-    return { start: beat, stop: (): void => { off = true; }, look };
+    return {
+      start: beat,
+      stop: (): void => {
+        off = true;
+      },
+      look,
+    };
   },
 };
--- a/packages/forms/src/check.ts
+++ b/packages/forms/src/check.ts
@@ -9,7 +9,8 @@
 type Told = { instancePath: string; message: string; keyword: string; params?: { requiredProperties?: string[] } };
 type Made = { Check(v: unknown): boolean; Errors(v: unknown): Iterable<Told> };
 const plain = (e: Told): Fault[] => {
-  if (e.keyword === 'required') return (e.params?.requiredProperties ?? []).map((n) => ({ path: `${e.instancePath}/${n}`, why: 'is missing' }));
+  if (e.keyword === 'required')
+    return (e.params?.requiredProperties ?? []).map((n) => ({ path: `${e.instancePath}/${n}`, why: 'is missing' }));
   return [{ path: e.instancePath, why: e.keyword === 'boolean' ? 'is not known' : e.message }];
 };
 const made = new WeakMap<object, Made>();
@@ -22,9 +23,7 @@
   parse<S extends TSchema>(form: S, v: unknown): Result<Static<S>, Fault[]> {
     const tool = Check.tool(form);
     if (tool.Check(v)) return Ok(v as Static<S>);
-    const list = [...tool.Errors(v)]
-      .filter((e) => e.keyword !== 'additionalProperties')
-      .flatMap(plain);
+    const list = [...tool.Errors(v)].filter((e) => e.keyword !== 'additionalProperties').flatMap(plain);
     return Err(list.length > 0 ? list.slice(0, 50) : [{ path: '', why: 'does not fit' }]);
   },
   /** The value without keys that the schema does not know. */
--- a/packages/forms/src/clauses.ts
+++ b/packages/forms/src/clauses.ts
@@ -19,12 +19,20 @@
   faults(c: Charter): Fault[] {
     const out: Fault[] = [
       ...twice(c.sites, (i) => `/sites/${i}`),
-      ...twice(c.rules.map((r) => r.name), (i) => `/rules/${i}/name`),
-      ...twice(c.servers.map((s) => s.id), (i) => `/servers/${i}/id`),
+      ...twice(
+        c.rules.map((r) => r.name),
+        (i) => `/rules/${i}/name`,
+      ),
+      ...twice(
+        c.servers.map((s) => s.id),
+        (i) => `/servers/${i}/id`,
+      ),
     ];
-    c.rules.forEach((r, i) => r.sites?.forEach((s, j) => {
-      if (!c.sites.includes(s)) out.push({ path: `/rules/${i}/sites/${j}`, why: `names the unknown site ${s}` });
-    }));
+    c.rules.forEach((r, i) =>
+      r.sites?.forEach((s, j) => {
+        if (!c.sites.includes(s)) out.push({ path: `/rules/${i}/sites/${j}`, why: `names the unknown site ${s}` });
+      }),
+    );
     c.servers.forEach((s, i) => {
       if (!c.sites.includes(s.site)) out.push({ path: `/servers/${i}/site`, why: `names the unknown site ${s.site}` });
     });
@@ -33,13 +41,15 @@
     }
     const can = (p: string): number => c.servers.filter((s) => s.part === p || s.part === 'either').length;
     for (const p of ['prefill', 'decode'] as const) {
-      if (can(p) < c.casting.floor[p]) out.push({ path: `/casting/floor/${p}`, why: `asks for ${c.casting.floor[p]} but ${can(p)} servers can ${p}` });
+      if (can(p) < c.casting.floor[p])
+        out.push({ path: `/casting/floor/${p}`, why: `asks for ${c.casting.floor[p]} but ${can(p)} servers can ${p}` });
     }
     if (c.casting.floor.prefill + c.casting.floor.decode > c.servers.length) {
       out.push({ path: '/casting/floor', why: 'asks for more servers than there are' });
     }
     if (c.casting.prefill < c.casting.floor.prefill) out.push({ path: '/casting/prefill', why: 'is below its floor' });
-    if (c.servers.length - c.casting.prefill < c.casting.floor.decode) out.push({ path: '/casting/prefill', why: 'leaves decode below its floor' });
+    if (c.servers.length - c.casting.prefill < c.casting.floor.decode)
+      out.push({ path: '/casting/prefill', why: 'leaves decode below its floor' });
     return out;
   },
 };
--- a/packages/forms/src/filedisk.test.ts
+++ b/packages/forms/src/filedisk.test.ts
@@ -6,7 +6,9 @@
 
 describe('FileDisk', () => {
   let dir = '';
-  beforeEach(async () => { dir = await mkdtemp(join(tmpdir(), 'pb-')); });
+  beforeEach(async () => {
+    dir = await mkdtemp(join(tmpdir(), 'pb-'));
+  });
   afterEach(() => rm(dir, { recursive: true }));
 
   it('gives back the newest version and keeps few', async () => {
--- a/packages/forms/src/filedisk.ts
+++ b/packages/forms/src/filedisk.ts
@@ -38,10 +38,12 @@
   make: async (dir: string): Promise<Disk> => FileDisk.over(await RealFolder.make(dir)),
   over(folder: Folder): Disk {
     const numbers = async (kind: string): Promise<number[]> =>
-      (await folder.list()).flatMap((f) => {
-        const m = NAME.exec(f);
-        return m && m[1] === kind ? [Number(m[2])] : [];
-      }).sort((a, b) => b - a);
+      (await folder.list())
+        .flatMap((f) => {
+          const m = NAME.exec(f);
+          return m && m[1] === kind ? [Number(m[2])] : [];
+        })
+        .sort((a, b) => b - a);
     const read = async (name: string): Promise<{ v: unknown } | null> => sound(await folder.read(name).catch(() => ''));
     /** Room is made once the new version counts; a file that can't be removed costs room and nothing else. */
     const thin = async (kind: string, n: number): Promise<void> => {
@@ -49,32 +51,36 @@
       for (const x of old) await folder.remove(`${kind}.${x}.json`);
     };
     return {
-      put: (kind, n, v) => guard(async () => {
-        const name = `${kind}.${n}.json`, text = JSON.stringify(v);
-        await folder.write(`${name}.tmp`, JSON.stringify({ sum: Hash.text(text), text }));
-        await folder.sync(`${name}.tmp`);
-        await folder.rename(`${name}.tmp`, name);
-        await folder.settle();
-        await thin(kind, n).catch(() => undefined);
-      }),
-      last: (kind) => guard(async () => {
-        const list = await numbers(kind);
-        for (const [i, n] of list.entries()) {
-          const got = await read(`${kind}.${n}.json`);
-          if (got) return { n, v: got.v, bad: i > 0 };
-        }
-        return list.length > 0 ? { n: list[0]!, v: null, bad: true } : null;
-      }),
-      aside: () => guard(async () => {
-        const all = await folder.list();
-        const turn = 1 + all.reduce((a, f) => Math.max(a, Number(/^aside\.(\d+)\./.exec(f)?.[1] ?? 0)), 0);
-        const live = all.filter((f) => !f.startsWith('aside.') && f.includes('.json'));
-        const first = live.filter((f) => f.startsWith(`${FIRST}.`));
-        for (const list of [first, live.filter((f) => !first.includes(f))]) {
-          for (const f of list) await folder.rename(f, `aside.${turn}.${f}`);
+      put: (kind, n, v) =>
+        guard(async () => {
+          const name = `${kind}.${n}.json`,
+            text = JSON.stringify(v);
+          await folder.write(`${name}.tmp`, JSON.stringify({ sum: Hash.text(text), text }));
+          await folder.sync(`${name}.tmp`);
+          await folder.rename(`${name}.tmp`, name);
           await folder.settle();
-        }
-      }),
+          await thin(kind, n).catch(() => undefined);
+        }),
+      last: (kind) =>
+        guard(async () => {
+          const list = await numbers(kind);
+          for (const [i, n] of list.entries()) {
+            const got = await read(`${kind}.${n}.json`);
+            if (got) return { n, v: got.v, bad: i > 0 };
+          }
+          return list.length > 0 ? { n: list[0]!, v: null, bad: true } : null;
+        }),
+      aside: () =>
+        guard(async () => {
+          const all = await folder.list();
+          const turn = 1 + all.reduce((a, f) => Math.max(a, Number(/^aside\.(\d+)\./.exec(f)?.[1] ?? 0)), 0);
+          const live = all.filter((f) => !f.startsWith('aside.') && f.includes('.json'));
+          const first = live.filter((f) => f.startsWith(`${FIRST}.`));
+          for (const list of [first, live.filter((f) => !first.includes(f))]) {
+            for (const f of list) await folder.rename(f, `aside.${turn}.${f}`);
+            await folder.settle();
+          }
+        }),
     };
   },
 };
--- a/packages/forms/src/framer.ts
+++ b/packages/forms/src/framer.ts
@@ -10,10 +10,17 @@
     let held: Buffer[] = [];
     let size = 0;
     let off = false;
-    const fail = (why: string): void => { off = true; bad(why); };
+    const fail = (why: string): void => {
+      off = true;
+      bad(why);
+    };
     const line = (text: string): void => {
       let v: unknown;
-      try { v = JSON.parse(text); } catch { return fail('a line that is not JSON'); }
+      try {
+        v = JSON.parse(text);
+      } catch {
+        return fail('a line that is not JSON');
+      }
       if (!Check.is(Frame, v)) return fail('a line that is no frame');
       take(v as Frame);
     };
--- a/packages/forms/src/hash.ts
+++ b/packages/forms/src/hash.ts
@@ -8,7 +8,10 @@
   num(s: string): number {
     let h = 0x811c9dc5;
     for (let i = 0; i < s.length; i++) h = Math.imul(h ^ s.charCodeAt(i), 0x01000193);
-    h ^= h >>> 16; h = Math.imul(h, 0x85ebca6b); h ^= h >>> 13; h = Math.imul(h, 0xc2b2ae35);
+    h ^= h >>> 16;
+    h = Math.imul(h, 0x85ebca6b);
+    h ^= h >>> 13;
+    h = Math.imul(h, 0xc2b2ae35);
     return (h ^ (h >>> 16)) >>> 0;
   },
 };
--- a/packages/forms/src/jsonbody.ts
+++ b/packages/forms/src/jsonbody.ts
@@ -12,15 +12,20 @@
       req.on('data', (b: Buffer) => {
         size += b.length;
         if (size <= most) bits.push(b);
-        else { bits.length = 0; done(Err('large')); }
+        else {
+          bits.length = 0;
+          done(Err('large'));
+        }
       });
       req.on('error', () => done(Err('torn')));
       req.on('close', () => done(Err('torn')));
       req.on('end', () => {
         try {
           const text = new TextDecoder('utf-8', { fatal: true }).decode(Buffer.concat(bits));
-          done(Ok(text === '' ? {} : JSON.parse(text) as unknown));
-        } catch { done(Err('json')); }
+          done(Ok(text === '' ? {} : (JSON.parse(text) as unknown)));
+        } catch {
+          done(Err('json'));
+        }
       });
     });
   },
--- a/packages/forms/src/logs.ts
+++ b/packages/forms/src/logs.ts
@@ -8,13 +8,20 @@
       level,
       format: winston.format.combine(
         winston.format.timestamp(),
-        winston.format.printf((i) => `${String(i['timestamp'])} ${id} ${i.level === 'warn' ? '! ' : ''}[${String(i['part'])}] ${String(i.message)}`),
+        winston.format.printf(
+          (i) =>
+            `${String(i['timestamp'])} ${id} ${i.level === 'warn' ? '! ' : ''}[${String(i['part'])}] ${String(i.message)}`,
+        ),
       ),
       transports: [new winston.transports.Console({ stderrLevels: ['error', 'warn', 'info'] })],
     });
     return (part) => ({
-      say: (text) => { all.info(text, { part }); },
-      warn: (text) => { all.warn(text, { part }); },
+      say: (text) => {
+        all.info(text, { part });
+      },
+      warn: (text) => {
+        all.warn(text, { part });
+      },
     });
   },
   quiet: (): Log => ({ say: () => undefined, warn: () => undefined }),
--- a/packages/forms/src/machine.ts
+++ b/packages/forms/src/machine.ts
@@ -8,7 +8,12 @@
 
 /** The world of a daemon on a real machine. */
 export const Machine = {
-  async make(id: string, addr: string, level: string, disk: Disk | null): Promise<World & { wire: Wire & { close(): Promise<void> } }> {
+  async make(
+    id: string,
+    addr: string,
+    level: string,
+    disk: Disk | null,
+  ): Promise<World & { wire: Wire & { close(): Promise<void> } }> {
     const log = Logs.make(id, level);
     const tale = log('deed');
     return {
@@ -17,7 +22,9 @@
       wire: await TcpWire.make(addr, log('wire')),
       disk,
       log,
-      tell: (d: Omit<Deed, 'who' | 'at'>) => { if (level === 'debug') tale.say(JSON.stringify(d)); },
+      tell: (d: Omit<Deed, 'who' | 'at'>) => {
+        if (level === 'debug') tale.say(JSON.stringify(d));
+      },
     };
   },
 };
--- a/packages/forms/src/post.test.ts
+++ b/packages/forms/src/post.test.ts
@@ -25,7 +25,15 @@
   for (const [name, change, want] of cases) {
     it(`${want === null ? 'turns away' : 'takes'} ${name}`, async () => {
       let ear: (m: Mail) => Promise<unknown> = () => Promise.resolve(null);
-      const world = { wire: { hear: (fn: typeof ear) => { ear = fn; }, ask: () => Promise.resolve(Ok(null)) }, log: Logs.quiet } as unknown as World;
+      const world = {
+        wire: {
+          hear: (fn: typeof ear) => {
+            ear = fn;
+          },
+          ask: () => Promise.resolve(Ok(null)),
+        },
+        log: Logs.quiet,
+      } as unknown as World;
       Post.make(world, () => me).on('add', form, (b) => ({ n: b.n + 1 }));
       const got = await ear({ v: 1, to: 'me', from: { ...me, id: 'you' }, kind: 'add', body: { n: 1 }, ...change });
       expect(got).to.deep.equal(want);
--- a/packages/forms/src/post.ts
+++ b/packages/forms/src/post.ts
@@ -24,28 +24,56 @@
     world.wire.hear(async (mail) => {
       const me = self();
       if (shut) return null;
-      if (mail.to !== '' && mail.to !== me.id) { log.warn(`Turned away ${mail.kind} meant for ${mail.to}.`); return null; }
+      if (mail.to !== '' && mail.to !== me.id) {
+        log.warn(`Turned away ${mail.kind} meant for ${mail.to}.`);
+        return null;
+      }
       const desk = desks.get(mail.kind);
-      if (!desk) { log.warn(`Turned away unknown ${mail.kind}.`); return null; }
-      if (Math.abs(mail.v - VOICE) > 1) { log.warn(`Turned away ${mail.kind} of voice ${mail.v}.`); return null; }
+      if (!desk) {
+        log.warn(`Turned away unknown ${mail.kind}.`);
+        return null;
+      }
+      if (Math.abs(mail.v - VOICE) > 1) {
+        log.warn(`Turned away ${mail.kind} of voice ${mail.v}.`);
+        return null;
+      }
       const body = Check.parse(desk.form, mail.v > VOICE ? Check.known(desk.form, mail.body) : mail.body);
-      if (body.err) { log.warn(`Turned away bad ${mail.kind} from ${mail.from.id}.`); return null; }
+      if (body.err) {
+        log.warn(`Turned away bad ${mail.kind} from ${mail.from.id}.`);
+        return null;
+      }
       return (await desk.fn(body.val as never, mail.from)) ?? null;
     });
     return {
-      on<S extends TSchema>(kind: string, form: S, fn: (body: Static<S>, from: Ident) => Promise<unknown> | unknown): void {
+      on<S extends TSchema>(
+        kind: string,
+        form: S,
+        fn: (body: Static<S>, from: Ident) => Promise<unknown> | unknown,
+      ): void {
         desks.set(kind, { form, fn: fn as Desk['fn'] });
       },
-      async ask<S extends TSchema>(addr: string, to: string, kind: string, body: unknown, form: S, ms: number): Promise<Result<Static<S>, WireFault>> {
+      async ask<S extends TSchema>(
+        addr: string,
+        to: string,
+        kind: string,
+        body: unknown,
+        form: S,
+        ms: number,
+      ): Promise<Result<Static<S>, WireFault>> {
         const mail: Mail = { v: VOICE, to, from: self(), kind, body };
         const back = await world.wire.ask(addr, mail, ms);
         if (back.err) return back;
         if (back.val === null) return Err('wrong');
         const seen = Check.parse(form, Check.known(form, back.val));
-        if (seen.err) { log.warn(`Bad reply to ${kind} from ${addr}.`); return Err('wrong'); }
+        if (seen.err) {
+          log.warn(`Bad reply to ${kind} from ${addr}.`);
+          return Err('wrong');
+        }
         return Ok(seen.val);
       },
-      close(): void { shut = true; },
+      close(): void {
+        shut = true;
+      },
     };
   },
 };
--- a/packages/forms/src/postbox.ts
+++ b/packages/forms/src/postbox.ts
@@ -6,6 +6,13 @@
 /** A daemon's way to hear and to ask. */
 export type PostBox = {
   on<S extends TSchema>(kind: string, form: S, fn: (body: Static<S>, from: Ident) => Promise<unknown> | unknown): void;
-  ask<S extends TSchema>(addr: string, to: string, kind: string, body: unknown, form: S, ms: number): Promise<Result<Static<S>, WireFault>>;
+  ask<S extends TSchema>(
+    addr: string,
+    to: string,
+    kind: string,
+    body: unknown,
+    form: S,
+    ms: number,
+  ): Promise<Result<Static<S>, WireFault>>;
   close(): void;
 };
--- a/packages/forms/src/program.ts
+++ b/packages/forms/src/program.ts
@@ -13,7 +13,13 @@
     process.exit(2);
   },
   /** A daemon's startup from file and flags; ends the program when it is wrong, or when only help was asked for. */
-  async startup<S extends TSchema>(program: string, about: string, list: readonly Flag[], form: S, argv: readonly string[]): Promise<Static<S>> {
+  async startup<S extends TSchema>(
+    program: string,
+    about: string,
+    list: readonly Flag[],
+    form: S,
+    argv: readonly string[],
+  ): Promise<Static<S>> {
     const got = Flags.read(program, about, list, argv);
     if ('say' in got) {
       (got.code === 0 ? process.stdout : process.stderr).write(`${got.say}\n`);
@@ -33,7 +39,10 @@
     const end = (): void => {
       if (off) return;
       off = true;
-      void stop().then(() => process.exit(0), () => process.exit(1));
+      void stop().then(
+        () => process.exit(0),
+        () => process.exit(1),
+      );
     };
     process.on('SIGTERM', end);
     process.on('SIGINT', end);
--- a/packages/forms/src/startupfile.test.ts
+++ b/packages/forms/src/startupfile.test.ts
@@ -6,7 +6,10 @@
 import { Addr } from './addr.js';
 import { StartupFile } from './startupfile.js';
 
-const form = Type.Object({ id: Type.String(), addr: Addr, seeds: Type.Array(Addr, { minItems: 3 }) }, { additionalProperties: false });
+const form = Type.Object(
+  { id: Type.String(), addr: Addr, seeds: Type.Array(Addr, { minItems: 3 }) },
+  { additionalProperties: false },
+);
 const seeds = ['127.0.0.1:1', '127.0.0.1:2', '[::1]:3'];
 const cases: [string, string, Record<string, unknown>, string[]][] = [
   ['a sound file', JSON.stringify({ id: 'e1', addr: '127.0.0.1:7', seeds }), {}, []],
@@ -20,7 +23,9 @@
 
 describe('StartupFile', () => {
   let dir = '';
-  before(async () => { dir = await mkdtemp(join(tmpdir(), 'pb-')); });
+  before(async () => {
+    dir = await mkdtemp(join(tmpdir(), 'pb-'));
+  });
   after(() => rm(dir, { recursive: true }));
   for (const [name, text, flags, paths] of cases) {
     it(`reads ${name}`, async () => {
--- a/packages/forms/src/startupfile.ts
+++ b/packages/forms/src/startupfile.ts
@@ -8,7 +8,11 @@
 
 /** Reads a daemon's startup from a file with flags laid over it, and checks it before any port is opened. */
 export const StartupFile = {
-  async read<S extends TSchema>(form: S, path: string | undefined, flags: Record<string, unknown>): Promise<Result<Static<S>, Fault[]>> {
+  async read<S extends TSchema>(
+    form: S,
+    path: string | undefined,
+    flags: Record<string, unknown>,
+  ): Promise<Result<Static<S>, Fault[]>> {
     let base: unknown = {};
     if (path !== undefined) {
       try {
@@ -16,9 +20,13 @@
       } catch (e) {
         return Err([{ path, why: `can't be read: ${e instanceof Error ? e.message : String(e)}` }]);
       }
-      if (typeof base !== 'object' || base === null || Array.isArray(base)) return Err([{ path, why: 'must hold one JSON object' }]);
+      if (typeof base !== 'object' || base === null || Array.isArray(base))
+        return Err([{ path, why: 'must hold one JSON object' }]);
     }
-    const all = { ...(base as object), ...Object.fromEntries(Object.entries(flags).filter(([, v]) => v !== undefined)) };
+    const all = {
+      ...(base as object),
+      ...Object.fromEntries(Object.entries(flags).filter(([, v]) => v !== undefined)),
+    };
     const got = Check.parse(form, all);
     if (got.err) return got;
     const ports = StartupFile.ports(got.val);
--- a/packages/forms/src/tcpwire.test.ts
+++ b/packages/forms/src/tcpwire.test.ts
@@ -4,20 +4,37 @@
 import type { Mail } from './mail.js';
 import { TcpWire } from './tcpwire.js';
 
-const port = (): Promise<number> => new Promise((done) => {
-  const s = createServer().listen(0, '127.0.0.1', () => { const p = (s.address() as { port: number }).port; s.close(() => done(p)); });
+const port = (): Promise<number> =>
+  new Promise((done) => {
+    const s = createServer().listen(0, '127.0.0.1', () => {
+      const p = (s.address() as { port: number }).port;
+      s.close(() => done(p));
+    });
+  });
+const mail = (kind: string, to = ''): Mail => ({
+  v: 1,
+  to,
+  from: { id: 'a', born: 'x', addr: '127.0.0.1:1', site: 's', role: 'counter' },
+  kind,
+  body: { n: 1 },
 });
-const mail = (kind: string, to = ''): Mail => ({ v: 1, to, from: { id: 'a', born: 'x', addr: '127.0.0.1:1', site: 's', role: 'counter' }, kind, body: { n: 1 } });
 
 describe('TcpWire', () => {
-  let a: Awaited<ReturnType<typeof TcpWire.make>>, b: typeof a, at = '';
+  let a: Awaited<ReturnType<typeof TcpWire.make>>,
+    b: typeof a,
+    at = '';
   beforeEach(async () => {
     at = `127.0.0.1:${await port()}`;
     a = await TcpWire.make(`127.0.0.1:${await port()}`, Logs.quiet());
     b = await TcpWire.make(at, Logs.quiet());
-    b.hear((m) => Promise.resolve(m.kind === 'echo' ? m.body : m.kind === 'hang' ? new Promise(() => undefined) : null));
+    b.hear((m) =>
+      Promise.resolve(m.kind === 'echo' ? m.body : m.kind === 'hang' ? new Promise(() => undefined) : null),
+    );
+  });
+  afterEach(async () => {
+    await a.close();
+    await b.close();
   });
-  afterEach(async () => { await a.close(); await b.close(); });
 
   it('carries many asks on one connection', async () => {
     const got = await Promise.all(Array.from({ length: 50 }, () => a.ask(at, mail('echo'), 5000)));
@@ -35,8 +52,11 @@
     expect((await job).val).to.equal('lost');
   });
   const bad: [string, string][] = [
-    ['no JSON', 'hello\n'], ['no frame', '{"n":1}\n'], ['a frame of no voice', `${JSON.stringify({ n: 1, mail: { ...mail('echo'), v: 0 } })}\n`],
-    ['a frame with more in it', `${JSON.stringify({ n: 1, mail: mail('echo'), more: 1 })}\n`], ['a line too long', 'x'.repeat(9 * 1024 * 1024)],
+    ['no JSON', 'hello\n'],
+    ['no frame', '{"n":1}\n'],
+    ['a frame of no voice', `${JSON.stringify({ n: 1, mail: { ...mail('echo'), v: 0 } })}\n`],
+    ['a frame with more in it', `${JSON.stringify({ n: 1, mail: mail('echo'), more: 1 })}\n`],
+    ['a line too long', 'x'.repeat(9 * 1024 * 1024)],
   ];
   for (const [name, text] of bad) {
     it(`closes a connection that sends ${name}, and no other`, async () => {
@@ -44,7 +64,9 @@
       const s = connect(Number(p), host);
       s.on('error', () => undefined);
       s.write(text);
-      await new Promise((done) => { s.once('close', done); });
+      await new Promise((done) => {
+        s.once('close', done);
+      });
       expect((await a.ask(at, mail('echo'), 5000)).ok).to.equal(true);
     });
   }
--- a/packages/forms/src/tcpwire.ts
+++ b/packages/forms/src/tcpwire.ts
@@ -33,9 +33,18 @@
       sock.setNoDelay(true);
       const waits: Peer['waits'] = new Map();
       const ready = new Promise<boolean>((done) => {
-        const late = setTimeout(() => { sock.destroy(); done(false); }, 300);
-        sock.once('connect', () => { clearTimeout(late); done(true); });
-        sock.once('close', () => { clearTimeout(late); done(false); });
+        const late = setTimeout(() => {
+          sock.destroy();
+          done(false);
+        }, 300);
+        sock.once('connect', () => {
+          clearTimeout(late);
+          done(true);
+        });
+        sock.once('close', () => {
+          clearTimeout(late);
+          done(false);
+        });
       });
       const peer = { sock, ready, waits };
       sock.on('error', () => undefined);
@@ -44,12 +53,19 @@
         for (const w of waits.values()) w(Err('lost'));
         waits.clear();
       });
-      Framer.read(sock, (f) => {
-        if (!('re' in f)) return;
-        if (f.re === null && peers.get(to) === peer) peers.delete(to);
-        waits.get(f.n)?.(Ok(f.re));
-        waits.delete(f.n);
-      }, (why) => { log.warn(`Closed the line to ${to}: ${why}.`); sock.destroy(); });
+      Framer.read(
+        sock,
+        (f) => {
+          if (!('re' in f)) return;
+          if (f.re === null && peers.get(to) === peer) peers.delete(to);
+          waits.get(f.n)?.(Ok(f.re));
+          waits.delete(f.n);
+        },
+        (why) => {
+          log.warn(`Closed the line to ${to}: ${why}.`);
+          sock.destroy();
+        },
+      );
       peers.set(to, peer);
       return peer;
     };
@@ -58,35 +74,55 @@
       sock.setNoDelay(true);
       sock.on('error', () => undefined);
       sock.on('close', () => open.delete(sock));
-      Framer.read(sock, (f) => {
-        if (!('mail' in f)) return;
-        void ear(f.mail).then((re) => {
-          Framer.write(sock, { n: f.n, re: re ?? null });
-          if (re === null) { log.warn(`Closed the line from ${f.mail.from.id}: its ${f.mail.kind} was turned away.`); sock.end(); }
-        });
-      }, (why) => { log.warn(`Closed a line: ${why}.`); sock.destroy(); });
+      Framer.read(
+        sock,
+        (f) => {
+          if (!('mail' in f)) return;
+          void ear(f.mail).then((re) => {
+            Framer.write(sock, { n: f.n, re: re ?? null });
+            if (re === null) {
+              log.warn(`Closed the line from ${f.mail.from.id}: its ${f.mail.kind} was turned away.`);
+              sock.end();
+            }
+          });
+        },
+        (why) => {
+          log.warn(`Closed a line: ${why}.`);
+          sock.destroy();
+        },
+      );
     });
     await new Promise<void>((done, fail) => {
       server.once('error', fail);
       server.listen({ ...split(addr) }, done);
     });
     return {
-      hear(fn) { ear = fn; },
+      hear(fn) {
+        ear = fn;
+      },
       async ask(to, mail, ms) {
         const peer = dial(to);
         if (!(await peer.ready)) return Err('unsent') as Result<unknown, WireFault>;
         if (peer.sock.destroyed) return Err('unsent') as Result<unknown, WireFault>;
         const n = next++;
         return new Promise((done) => {
-          const late = setTimeout(() => { peer.waits.delete(n); done(Err('lost')); }, ms);
-          peer.waits.set(n, (r) => { clearTimeout(late); done(r); });
+          const late = setTimeout(() => {
+            peer.waits.delete(n);
+            done(Err('lost'));
+          }, ms);
+          peer.waits.set(n, (r) => {
+            clearTimeout(late);
+            done(r);
+          });
           Framer.write(peer.sock, { n, mail });
         });
       },
       async close() {
         for (const s of open) s.destroy();
         for (const p of peers.values()) p.sock.destroy();
-        await new Promise<void>((done) => { server.close(() => done()); });
+        await new Promise<void>((done) => {
+          server.close(() => done());
+        });
       },
     };
   },
--- a/packages/forms/src/timer.ts
+++ b/packages/forms/src/timer.ts
@@ -2,12 +2,24 @@
 
 /** Small tools over a clock. */
 export const Timer = {
-  nap: (clock: Clock, ms: number): Promise<void> => new Promise((done) => { clock.after(ms, done); }),
+  nap: (clock: Clock, ms: number): Promise<void> =>
+    new Promise((done) => {
+      clock.after(ms, done);
+    }),
   /** Settles with the value, or with `late` after ms. */
   within<T>(clock: Clock, ms: number, job: Promise<T>, late: () => T): Promise<T> {
     return new Promise((done, fail) => {
       const stop = clock.after(ms, () => done(late()));
-      job.then((v) => { stop(); done(v); }, (e: unknown) => { stop(); fail(e as Error); });
+      job.then(
+        (v) => {
+          stop();
+          done(v);
+        },
+        (e: unknown) => {
+          stop();
+          fail(e as Error);
+        },
+      );
     });
   },
   /** Runs fn again and again, one at a time, until stopped. */
@@ -20,6 +32,8 @@
       }
     };
     void loop();
-    return () => { off = true; };
+    return () => {
+      off = true;
+    };
   },
 };
--- a/packages/purge/src/ageing.ts
+++ b/packages/purge/src/ageing.ts
@@ -8,7 +8,8 @@
  */
 export const Ageing = {
   linear: ((ages) => {
-    const top = Math.max(...ages), low = Math.min(...ages);
+    const top = Math.max(...ages),
+      low = Math.min(...ages);
     return ages.map((a) => top + low - a);
   }) as Weigh,
   age2: ((ages) => ages.map((a) => 1 / (a * a))) as Weigh,
@@ -22,8 +23,12 @@
     const rest = [...list];
     const out: T[] = [];
     while (out.length < n && rest.length > 0) {
-      const odds = Ageing.chances(weigh, rest.map((t) => Math.max(least, age(t))));
-      let r = chance.real(), i = 0;
+      const odds = Ageing.chances(
+        weigh,
+        rest.map((t) => Math.max(least, age(t))),
+      );
+      let r = chance.real(),
+        i = 0;
       while (i < rest.length - 1 && r >= odds[i]!) r -= odds[i++]!;
       out.push(...rest.splice(i, 1));
     }
--- a/packages/purge/src/caches.test.ts
+++ b/packages/purge/src/caches.test.ts
@@ -13,20 +13,50 @@
   const make = (size: number) => IdCache.make(clock, Dice.seeded(1), size, () => who('me'));
   it('takes the oldest pointer as partner, out of the view', () => {
     const c = make(5);
-    c.take([{ who: who('a'), age: 10 }, { who: who('b'), age: 30 }, { who: who('c'), age: 20 }], []);
+    c.take(
+      [
+        { who: who('a'), age: 10 },
+        { who: who('b'), age: 30 },
+        { who: who('c'), age: 20 },
+      ],
+      [],
+    );
     expect(c.oldest()?.id).to.equal('b');
-    expect(c.all().map((i) => i.id).sort()).to.deep.equal(['a', 'c']);
+    expect(
+      c
+        .all()
+        .map((i) => i.id)
+        .sort(),
+    ).to.deep.equal(['a', 'c']);
   });
   it('drops pointers to itself and keeps one an id, the freshest', () => {
     const c = make(5);
-    c.take([{ who: who('me'), age: 0 }, { who: who('a', 'old'), age: 9 }, { who: who('a', 'new'), age: 1 }], []);
+    c.take(
+      [
+        { who: who('me'), age: 0 },
+        { who: who('a', 'old'), age: 9 },
+        { who: who('a', 'new'), age: 1 },
+      ],
+      [],
+    );
     expect(c.all().map((i) => i.born)).to.deep.equal(['new']);
   });
   it('lets what was received take the place of what was sent', () => {
     const c = make(2);
-    c.take([{ who: who('a'), age: 1 }, { who: who('b'), age: 5 }], []);
+    c.take(
+      [
+        { who: who('a'), age: 1 },
+        { who: who('b'), age: 5 },
+      ],
+      [],
+    );
     c.take([{ who: who('c'), age: 3 }], [{ who: who('a'), age: 1 }]);
-    expect(c.all().map((i) => i.id).sort()).to.deep.equal(['b', 'c']);
+    expect(
+      c
+        .all()
+        .map((i) => i.id)
+        .sort(),
+    ).to.deep.equal(['b', 'c']);
   });
   it('leads with itself, fresh', () => expect(make(3).lead(1)).to.deep.equal([{ who: who('me'), age: 0 }]));
 });
@@ -58,12 +88,17 @@
 });
 
 describe('Shelf', () => {
-  const marks: [string, [number, number], boolean][] = [['a newer', [2, 1], true], ['the same', [2, 0], false], ['an older', [1, 9], false]];
+  const marks: [string, [number, number], boolean][] = [
+    ['a newer', [2, 1], true],
+    ['the same', [2, 0], false],
+    ['an older', [1, 9], false],
+  ];
   for (const [name, mark, taken] of marks) {
     it(`${taken ? 'takes' : 'leaves'} ${name} version, swapping the table whole`, () => {
       const s = Shelf.make(() => true);
       s.offer({ name: 'charter', mark: [2, 0], body: 1 });
-      const before = s.table(), sum = s.sum();
+      const before = s.table(),
+        sum = s.sum();
       expect(s.offer({ name: 'charter', mark, body: 2 })).to.equal(taken);
       expect(s.table() !== before).to.equal(taken);
       expect(s.sum() !== sum).to.equal(taken);
--- a/packages/purge/src/idcache.ts
+++ b/packages/purge/src/idcache.ts
@@ -25,13 +25,18 @@
       back: (g: number): Pointer[] => Dice.some(chance, held, g).map(wire),
       /** Takes what was received; what was sent makes room for it. */
       take(got: readonly Pointer[], sent: readonly Pointer[]): void {
-        const now = clock.mono(), me = self().id;
+        const now = clock.mono(),
+          me = self().id;
         const next = new Map(held.map((h) => [h.who.id, h]));
         const fresh = new Set<string>();
         for (const p of got) {
           if (p.who.id === me) continue;
-          const old = next.get(p.who.id), at = now - p.age;
-          if (!old || at >= old.at) { next.set(p.who.id, { who: p.who, at }); fresh.add(p.who.id); }
+          const old = next.get(p.who.id),
+            at = now - p.age;
+          if (!old || at >= old.at) {
+            next.set(p.who.id, { who: p.who, at });
+            fresh.add(p.who.id);
+          }
         }
         const spare = sent.map((p) => p.who.id).filter((id) => !fresh.has(id));
         for (const id of spare) if (next.size > size) next.delete(id);
@@ -43,7 +48,9 @@
       touch(who: Ident): void {
         if (held.length < size) this.take([{ who, age: 0 }], []);
       },
-      forget(id: string): void { held = held.filter((h) => h.who.id !== id); },
+      forget(id: string): void {
+        held = held.filter((h) => h.who.id !== id);
+      },
     };
   },
 };
--- a/packages/purge/src/notecache.ts
+++ b/packages/purge/src/notecache.ts
@@ -16,13 +16,18 @@
       all: (): readonly Note[] => held.map((h) => ({ ...h.note, age: age(h) })),
       evicted: (): number => evicted,
       /** LINEAR chooses what to send. */
-      send: (g: number): Note[] => Ageing.draw(chance, held, g, age, Ageing.linear, least)
-        .map((h) => ({ ...h.note, age: age(h), hops: h.note.hops + 1 })),
+      send: (g: number): Note[] =>
+        Ageing.draw(chance, held, g, age, Ageing.linear, least).map((h) => ({
+          ...h.note,
+          age: age(h),
+          hops: h.note.hops + 1,
+        })),
       add(list: readonly Note[]): void {
         const next = new Map(held.map((h) => [h.note.name, h]));
         for (const note of list) {
           const old = next.get(note.name);
-          if (!old || Order.newer(note.date, old.note.date)) next.set(note.name, { note, born: clock.mono() - note.age });
+          if (!old || Order.newer(note.date, old.note.date))
+            next.set(note.name, { note, born: clock.mono() - note.age });
         }
         held = [...next.values()];
       },
--- a/packages/purge/src/purge.ts
+++ b/packages/purge/src/purge.ts
@@ -18,7 +18,15 @@
  * so a pull from the sender finds it for as long as the sender lives.
  */
 export const Purge = {
-  make(world: World, post: PostBox, self: () => Ident, shelf: Holding, tunes: Tunes, seeds: () => readonly string[], known: () => readonly Ident[] = () => []) {
+  make(
+    world: World,
+    post: PostBox,
+    self: () => Ident,
+    shelf: Holding,
+    tunes: Tunes,
+    seeds: () => readonly string[],
+    known: () => readonly Ident[] = () => [],
+  ) {
     const { clock, chance } = world;
     const log = world.log('purge');
     const ids = IdCache.make(clock, chance, tunes.ids, self);
@@ -36,7 +44,14 @@
     };
     const pull = async (from: Place, name: string): Promise<Doc | null> => {
       count.pulls++;
-      const got = await post.ask(from.addr, from.who?.id ?? '', 'purge.pull', { name }, Slips.pulled, Math.max(400, tunes.round * 2));
+      const got = await post.ask(
+        from.addr,
+        from.who?.id ?? '',
+        'purge.pull',
+        { name },
+        Slips.pulled,
+        Math.max(400, tunes.round * 2),
+      );
       return got.ok ? got.val.doc : null;
     };
     /** Step 5: fetch from the sender; when it is gone, from others of the view. */
@@ -44,18 +59,33 @@
       if (!Order.newer(note.date, shelf.mark(note.name))) return true;
       const step = { from: sender.id, origin: note.from, hops: note.hops, age: note.age };
       const doc = await pull({ who: sender, addr: sender.addr }, note.name);
-      if (doc && !Order.newer(note.date, doc.mark)) { enter(doc, { ...step, via: 'sender' }); return true; }
-      const spare = Dice.some(chance, ids.all().filter((p) => p.id !== sender.id), 3);
+      if (doc && !Order.newer(note.date, doc.mark)) {
+        enter(doc, { ...step, via: 'sender' });
+        return true;
+      }
+      const spare = Dice.some(
+        chance,
+        ids.all().filter((p) => p.id !== sender.id),
+        3,
+      );
       for (const p of spare) {
         count.fallbacks++;
         const other = await pull({ who: p, addr: p.addr }, note.name);
-        if (other && !Order.newer(note.date, other.mark)) { enter(other, { ...step, from: p.id, via: 'fallback' }); return true; }
+        if (other && !Order.newer(note.date, other.mark)) {
+          enter(other, { ...step, from: p.id, via: 'fallback' });
+          return true;
+        }
       }
       count.misses++;
       return !Order.newer(note.date, shelf.mark(note.name));
     };
     /** Steps 5 to 7, alike for both sides. */
-    const handle = async (got: readonly Note[], sender: Ident, theirs: readonly Pointer[], sent: readonly Pointer[]): Promise<void> => {
+    const handle = async (
+      got: readonly Note[],
+      sender: Ident,
+      theirs: readonly Pointer[],
+      sent: readonly Pointer[],
+    ): Promise<void> => {
       ids.take(theirs, sent);
       const good = await Promise.all(got.map((n) => fetch(n, sender)));
       notes.add(got.filter((_, i) => good[i]));
@@ -63,7 +93,14 @@
     };
     const repair = async (who: Ident): Promise<void> => {
       count.repairs++;
-      const back = await post.ask(who.addr, who.id, 'purge.sums', { sums: Ranges.sums(shelf.table()) }, Slips.marks, tunes.round * 4);
+      const back = await post.ask(
+        who.addr,
+        who.id,
+        'purge.sums',
+        { sums: Ranges.sums(shelf.table()) },
+        Slips.marks,
+        tunes.round * 4,
+      );
       if (!back.ok) return;
       const { want, give } = Ranges.sort(shelf.table(), back.val.marks, back.val.sums);
       for (const name of want) {
@@ -73,24 +110,35 @@
           notes.add([{ name, date: doc.mark, age: 0, from: who.id, hops: 0 }]);
         }
       }
-      const mine = give.map((name) => shelf.get(name)!).map((d) => ({ name: d.name, date: d.mark, age: 0, from: self().id, hops: 0 }));
+      const mine = give
+        .map((name) => shelf.get(name)!)
+        .map((d) => ({ name: d.name, date: d.mark, age: 0, from: self().id, hops: 0 }));
       notes.add(Dice.some(chance, mine, tunes.notes));
       notes.keep();
     };
     const compare = async (who: Ident, sum: string): Promise<void> => {
       unlike = sum === shelf.sum() ? 0 : unlike + 1;
-      if (tunes.unlike > 0 && unlike >= tunes.unlike) { unlike = 0; await repair(who); }
+      if (tunes.unlike > 0 && unlike >= tunes.unlike) {
+        unlike = 0;
+        await repair(who);
+      }
     };
     const partner = (): Place | null => {
       const who = ids.oldest();
       if (who) return { who, addr: who.addr };
-      const addr = Dice.one(chance, seeds().filter((a) => a !== self().addr));
+      const addr = Dice.one(
+        chance,
+        seeds().filter((a) => a !== self().addr),
+      );
       return addr ? { who: null, addr } : null;
     };
     /** Now and then one that is known by other means but not in the view is let in, as an introducer would. */
     const rejoin = (): void => {
       const held = new Set(ids.all().map((p) => p.id));
-      const who = Dice.one(chance, known().filter((k) => !held.has(k.id) && k.id !== self().id));
+      const who = Dice.one(
+        chance,
+        known().filter((k) => !held.has(k.id) && k.id !== self().id),
+      );
       if (who) ids.take([{ who, age: 0 }], []);
     };
     const round = async (): Promise<void> => {
@@ -101,7 +149,14 @@
       const sent = ids.lead(tunes.idLength);
       const slips = notes.send(tunes.noteLength);
       count.mails++;
-      const back = await post.ask(to.addr, to.who?.id ?? '', 'purge.news', { ids: sent, notes: slips, sum: shelf.sum() }, Slips.reply, tunes.round * 4);
+      const back = await post.ask(
+        to.addr,
+        to.who?.id ?? '',
+        'purge.news',
+        { ids: sent, notes: slips, sum: shelf.sum() },
+        Slips.reply,
+        tunes.round * 4,
+      );
       if (!back.ok) return;
       const who = back.val.who;
       await handle(back.val.notes, who, back.val.ids, sent);
@@ -116,14 +171,19 @@
       return { who: self(), ids: sent, notes: slips, sum: shelf.sum() };
     });
     post.on('purge.pull', Slips.pull, (body) => ({ doc: shelf.get(body.name) }));
-    post.on('purge.sums', Slips.sums, (body) => ({ marks: Ranges.unlike(shelf.table(), body.sums), sums: Ranges.sums(shelf.table()) }));
+    post.on('purge.sums', Slips.sums, (body) => ({
+      marks: Ranges.unlike(shelf.table(), body.sums),
+      sums: Ranges.sums(shelf.table()),
+    }));
 
     return {
       start(): void {
         log.say('Gossip begins.');
         stop = Timer.every(clock, tunes.round, round);
       },
-      stop(): void { stop(); },
+      stop(): void {
+        stop();
+      },
       /** A version made here: held first, then told. */
       publish(doc: Doc): boolean {
         if (!enter(doc, { via: 'origin', from: self().id, origin: self().id, hops: 0, age: 0 })) return false;
@@ -136,7 +196,11 @@
         notes.add([{ name: doc.name, date: doc.mark, age: 0, from, hops: 0 }]);
         return true;
       },
-      meet: (list: readonly Ident[]): void => ids.take(list.map((who) => ({ who, age: 0 })), []),
+      meet: (list: readonly Ident[]): void =>
+        ids.take(
+          list.map((who) => ({ who, age: 0 })),
+          [],
+        ),
       forget: (id: string): void => ids.forget(id),
       round,
       peers: (): readonly Ident[] => ids.all(),
--- a/packages/purge/src/ranges.ts
+++ b/packages/purge/src/ranges.ts
@@ -22,7 +22,9 @@
   sort(table: ReadonlyMap<string, Doc>, theirs: readonly { name: string; mark: Mark }[], sums: readonly string[]) {
     const got = new Map(theirs.map((t) => [t.name, t.mark]));
     const want = theirs.filter((t) => Order.newer(t.mark, table.get(t.name)?.mark)).map((t) => t.name);
-    const give = Ranges.unlike(table, sums).filter((m) => Order.newer(m.mark, got.get(m.name))).map((m) => m.name);
+    const give = Ranges.unlike(table, sums)
+      .filter((m) => Order.newer(m.mark, got.get(m.name)))
+      .map((m) => m.name);
     return { want, give };
   },
 };
--- a/packages/purge/src/shelf.ts
+++ b/packages/purge/src/shelf.ts
@@ -17,7 +17,9 @@
       get: (name: string): Doc | null => table.get(name) ?? null,
       mark: (name: string): Mark | null => table.get(name)?.mark ?? null,
       sum: (): string => sum,
-      heed(fn: Ear): void { ears.push(fn); },
+      heed(fn: Ear): void {
+        ears.push(fn);
+      },
       /** Takes the version if it is newer than the one held and sound. */
       offer(doc: Doc): boolean {
         const old = table.get(doc.name) ?? null;
--- a/packages/registry/src/apply.test.ts
+++ b/packages/registry/src/apply.test.ts
@@ -5,8 +5,12 @@
 import { Diff } from './diff.js';
 
 const charter = (limit: number): Charter => ({
-  sites: ['s1'], rules: [{ name: 'verdict', weight: 1, urgency: 9, limit, waitlist: 5, deadline: 2000, pieces: 2, bytes: 1000 }],
-  servers: [{ id: 'm1', site: 's1', part: 'prefill', slots: 4 }, { id: 'm2', site: 's1', part: 'decode', slots: 4 }],
+  sites: ['s1'],
+  rules: [{ name: 'verdict', weight: 1, urgency: 9, limit, waitlist: 5, deadline: 2000, pieces: 2, bytes: 1000 }],
+  servers: [
+    { id: 'm1', site: 's1', part: 'prefill', slots: 4 },
+    { id: 'm2', site: 's1', part: 'decode', slots: 4 },
+  ],
   casting: { prefill: 1, floor: { prefill: 1, decode: 1 }, swing: false, calm: 5000 },
 });
 const plan = (id: string, base: number): Command => ({ do: 'plan', id, base, charter: charter(base + 1) });
@@ -15,10 +19,28 @@
 const claim = (id: string): Command => ({ do: 'claim', name: 'row:m1', id, born: 'b' });
 const cases: [string, Command[], string[], number, string | null][] = [
   ['plan and confirm', [plan('a', 0), confirm('a')], ['planned', 'confirmed'], 1, 'a'],
-  ['two confirms of one plan', [plan('a', 0), confirm('a'), confirm('a')], ['planned', 'confirmed', 'confirmed'], 1, 'a'],
-  ['two plans against one base', [plan('a', 0), plan('b', 0), confirm('a'), confirm('b'), confirm('b')], ['planned', 'planned', 'confirmed', 'lost', 'lost'], 1, 'a'],
+  [
+    'two confirms of one plan',
+    [plan('a', 0), confirm('a'), confirm('a')],
+    ['planned', 'confirmed', 'confirmed'],
+    1,
+    'a',
+  ],
+  [
+    'two plans against one base',
+    [plan('a', 0), plan('b', 0), confirm('a'), confirm('b'), confirm('b')],
+    ['planned', 'planned', 'confirmed', 'lost', 'lost'],
+    1,
+    'a',
+  ],
   ['a plan against an old base', [plan('a', 0), confirm('a'), plan('b', 0)], ['planned', 'confirmed', 'stale'], 1, 'a'],
-  ['a dropped plan', [plan('a', 0), drop('a'), confirm('a'), drop('a')], ['planned', 'dropped', 'dropped', 'dropped'], 0, null],
+  [
+    'a dropped plan',
+    [plan('a', 0), drop('a'), confirm('a'), drop('a')],
+    ['planned', 'dropped', 'dropped', 'dropped'],
+    0,
+    null,
+  ],
   ['dropping what has won', [plan('a', 0), confirm('a'), drop('a')], ['planned', 'confirmed', 'won'], 1, 'a'],
   ['a plan sent twice', [plan('a', 0), plan('a', 0)], ['planned', 'planned'], 0, null],
   ['a plan nobody made', [confirm('x'), drop('x')], ['unknown', 'unknown'], 0, null],
@@ -29,14 +51,22 @@
   for (const [name, list, codes, version, who] of cases) {
     it(`rules on ${name}`, () => {
       let s = Apply.empty;
-      const got = list.map((c) => { const d = Apply.one(s, c); s = d.state; return d.ruling.verdict.code; });
+      const got = list.map((c) => {
+        const d = Apply.one(s, c);
+        s = d.state;
+        return d.ruling.verdict.code;
+      });
       expect(got).to.deep.equal(codes);
       expect([s.charter?.version ?? 0, s.charter?.plan ?? null]).to.deep.equal([version, who]);
     });
   }
   it('raises the fence with each claim', () => {
     let s = Apply.empty;
-    const fences = ['e1', 'e2', 'e1'].map((id) => { const d = Apply.one(s, claim(id)); s = d.state; return d.ruling.fence; });
+    const fences = ['e1', 'e2', 'e1'].map((id) => {
+      const d = Apply.one(s, claim(id));
+      s = d.state;
+      return d.ruling.fence;
+    });
     expect(fences).to.deep.equal([1, 2, 3]);
   });
   it('writes nothing for what it bounces', () => {
@@ -52,5 +82,6 @@
     ['a number', charter(1), charter(2), ['/rules/verdict/limit changes from 1 to 2.']],
     ['a first charter', null, charter(1), ['There is no charter yet; all of this is new.']],
   ];
-  for (const [name, was, will, words] of cases2) it(`tells ${name} in plain words`, () => expect(Diff.of(was, will).map((c) => c.words)).to.deep.equal(words));
+  for (const [name, was, will, words] of cases2)
+    it(`tells ${name} in plain words`, () => expect(Diff.of(was, will).map((c) => c.words)).to.deep.equal(words));
 });
--- a/packages/registry/src/apply.ts
+++ b/packages/registry/src/apply.ts
@@ -17,44 +17,74 @@
 export const Apply = {
   empty: { seq: 0, charter: null, plans: [], claims: {} } as CoreState,
   one(state: CoreState, c: Command): Done {
-    const no = (code: string, why: string, fate?: string): Done =>
-      ({ state, ruling: { verdict: Verdicts.not(code, why), ...(fate === undefined ? {} : { fate }) } });
+    const no = (code: string, why: string, fate?: string): Done => ({
+      state,
+      ruling: { verdict: Verdicts.not(code, why), ...(fate === undefined ? {} : { fate }) },
+    });
     const held = c.do === 'claim' ? undefined : state.plans.find((p) => p.id === c.id);
     const now = state.charter?.version ?? 0;
     switch (c.do) {
       case 'plan': {
-        if (held) return { state, ruling: { verdict: Verdicts.ran('planned', `Plan ${c.id} is stored.`), fate: held.fate } };
+        if (held)
+          return { state, ruling: { verdict: Verdicts.ran('planned', `Plan ${c.id} is stored.`), fate: held.fate } };
         if (c.base !== now) return no('stale', `The plan is against version ${c.base}; version ${now} is in force.`);
-        if (state.plans.filter((p) => p.fate === 'open').length >= OPEN) return no('full', 'Too many plans are open; drop some.');
+        if (state.plans.filter((p) => p.fate === 'open').length >= OPEN)
+          return no('full', 'Too many plans are open; drop some.');
         const next = settle(state, { id: c.id, base: c.base, fate: 'open', charter: c.charter });
         return { state: next, ruling: { verdict: Verdicts.ran('planned', `Plan ${c.id} is stored.`), fate: 'open' } };
       }
       case 'confirm': {
         if (!held) return no('unknown', `There is no plan ${c.id}.`);
-        if (held.fate === 'won') return { state, ruling: { verdict: Verdicts.ran('confirmed', `Plan ${c.id} is version ${held.version}.`), version: held.version!, fate: 'won' } };
-        if (held.fate !== 'open') return no(held.fate, `Plan ${c.id} was ${held.fate}; it will never take hold.`, held.fate);
+        if (held.fate === 'won')
+          return {
+            state,
+            ruling: {
+              verdict: Verdicts.ran('confirmed', `Plan ${c.id} is version ${held.version}.`),
+              version: held.version!,
+              fate: 'won',
+            },
+          };
+        if (held.fate !== 'open')
+          return no(held.fate, `Plan ${c.id} was ${held.fate}; it will never take hold.`, held.fate);
         if (held.base !== now) {
           const next = settle(state, { id: held.id, base: held.base, fate: 'lost' });
-          return { state: next, ruling: { verdict: Verdicts.not('lost', `Plan ${c.id} lost to version ${now}; it will never take hold.`), fate: 'lost' } };
+          return {
+            state: next,
+            ruling: {
+              verdict: Verdicts.not('lost', `Plan ${c.id} lost to version ${now}; it will never take hold.`),
+              fate: 'lost',
+            },
+          };
         }
         const next = settle(state, { id: held.id, base: held.base, fate: 'won', version: now + 1 });
         return {
           state: { ...next, charter: { version: now + 1, plan: held.id, body: held.charter! } },
-          ruling: { verdict: Verdicts.ran('confirmed', `Plan ${c.id} is version ${now + 1}.`), version: now + 1, fate: 'won' },
+          ruling: {
+            verdict: Verdicts.ran('confirmed', `Plan ${c.id} is version ${now + 1}.`),
+            version: now + 1,
+            fate: 'won',
+          },
         };
       }
       case 'drop': {
         if (!held) return no('unknown', `There is no plan ${c.id}.`);
-        if (held.fate === 'dropped') return { state, ruling: { verdict: Verdicts.ran('dropped', `Plan ${c.id} is dropped.`), fate: 'dropped' } };
+        if (held.fate === 'dropped')
+          return { state, ruling: { verdict: Verdicts.ran('dropped', `Plan ${c.id} is dropped.`), fate: 'dropped' } };
         if (held.fate !== 'open') return no(held.fate, `Plan ${c.id} was ${held.fate} before.`, held.fate);
         const next = settle(state, { id: held.id, base: held.base, fate: 'dropped' });
-        return { state: next, ruling: { verdict: Verdicts.ran('dropped', `Plan ${c.id} is dropped.`), fate: 'dropped' } };
+        return {
+          state: next,
+          ruling: { verdict: Verdicts.ran('dropped', `Plan ${c.id} is dropped.`), fate: 'dropped' },
+        };
       }
       case 'claim': {
         const old = state.claims[c.name];
         const fence = (old?.fence ?? 0) + 1;
         const claims = { ...state.claims, [c.name]: { id: c.id, born: c.born, fence } };
-        return { state: { ...state, claims }, ruling: { verdict: Verdicts.ran('claimed', `${c.id} holds ${c.name}.`), fence } };
+        return {
+          state: { ...state, claims },
+          ruling: { verdict: Verdicts.ran('claimed', `${c.id} holds ${c.name}.`), fence },
+        };
       }
     }
   },
--- a/packages/registry/src/chain.ts
+++ b/packages/registry/src/chain.ts
@@ -11,7 +11,13 @@
 import { Views } from './views.js';
 
 type Wait = { command: Command; done: (r: Ruling) => void };
-type Hooks = { view: () => View | null; live: () => boolean; me: () => Member; ill: (why: string) => void; passed: (s: CoreState) => void };
+type Hooks = {
+  view: () => View | null;
+  live: () => boolean;
+  me: () => Member;
+  ill: (why: string) => void;
+  passed: (s: CoreState) => void;
+};
 
 /**
  * The chain: entered at the head, each version synced before it is passed on, answered at the tail.
@@ -28,7 +34,9 @@
     let held: Wait[] = [];
     let lock: Promise<unknown> = Promise.resolve();
     let turn: () => void = () => undefined;
-    let turned = new Promise<null>((done) => { turn = () => done(null); });
+    let turned = new Promise<null>((done) => {
+      turn = () => done(null);
+    });
     const log = world.log('chain');
     const alone = <T>(fn: () => Promise<T>): Promise<T> => {
       const next = lock.then(fn, fn);
@@ -38,18 +46,28 @@
     const save = async (next: CoreState): Promise<boolean> => {
       if (next !== state && JSON.stringify(next) !== JSON.stringify(state)) {
         const done = await store.put('state', next);
-        if (done.err) { hooks.ill(done.val); return false; }
+        if (done.err) {
+          hooks.ill(done.val);
+          return false;
+        }
       }
       state = next;
       return true;
     };
-    const pass = (s: CoreState): void => { passed = s; hooks.passed(s); };
+    const pass = (s: CoreState): void => {
+      passed = s;
+      hooks.passed(s);
+    };
     /** Hands the version down; true when the tail holds it. */
     const down = async (view: View, s: CoreState): Promise<boolean> => {
-      const place = Views.place(view, hooks.me()), next = view.chain[place + 1];
+      const place = Views.place(view, hooks.me()),
+        next = view.chain[place + 1];
       if (place < 0) return false;
       if (next) {
-        const r = await Promise.race([turned, post.ask(next.addr, next.id, 'core.push', { epoch: view.epoch, state: s }, CoreWords.done, Paces.push)]);
+        const r = await Promise.race([
+          turned,
+          post.ask(next.addr, next.id, 'core.push', { epoch: view.epoch, state: s }, CoreWords.done, Paces.push),
+        ]);
         if (r === null || !r.ok || !r.val.ok) return false;
       }
       if (hooks.view()?.epoch !== view.epoch) return false;
@@ -72,25 +90,45 @@
         const batch = held;
         held = [];
         await alone(async () => {
-          const why = able(), view = hooks.view();
+          const why = able(),
+            view = hooks.view();
           if (why !== null || !view) {
             for (const w of batch) w.done({ verdict: Verdicts.not('unready', why ?? 'No view.', 1) });
             return;
           }
           let draft = state;
           const out = batch.map((w) => {
-            const before = draft, done = Apply.one(draft, w.command);
+            const before = draft,
+              done = Apply.one(draft, w.command);
             draft = done.state;
             return { w, ruling: done.ruling, wrote: before !== done.state };
           });
           const next = draft === state ? state : { ...draft, seq: state.seq + 1 };
-          if (next !== state) world.tell({ what: 'write', seq: next.seq, version: next.charter?.version ?? 0, plan: next.charter?.plan ?? '' });
+          if (next !== state)
+            world.tell({
+              what: 'write',
+              seq: next.seq,
+              version: next.charter?.version ?? 0,
+              plan: next.charter?.plan ?? '',
+            });
           const good = (await save(next)) && (await down(view, next)) && hooks.live();
           for (const o of out) {
-            const maybe = Verdicts.maybe('unsure', 'The chain broke under the write; ask for the plan to learn its fate.');
-            o.w.done(good ? o.ruling : o.wrote || o.ruling.verdict.ran !== 'no' ? { verdict: maybe } : { verdict: Verdicts.not('unready', 'The chain broke.', 1) });
+            const maybe = Verdicts.maybe(
+              'unsure',
+              'The chain broke under the write; ask for the plan to learn its fate.',
+            );
+            o.w.done(
+              good
+                ? o.ruling
+                : o.wrote || o.ruling.verdict.ran !== 'no'
+                  ? { verdict: maybe }
+                  : { verdict: Verdicts.not('unready', 'The chain broke.', 1) },
+            );
+          }
+          if (!good) {
+            ready = 0;
+            void mend();
           }
-          if (!good) { ready = 0; void mend(); }
         });
       }
       busy = false;
@@ -101,7 +139,10 @@
       while (view && hooks.view()?.epoch === view.epoch && isHead(view) && ready !== view.epoch) {
         await alone(async () => {
           if (hooks.view()?.epoch !== view.epoch) return;
-          if (await down(view, state)) { ready = view.epoch; fresh = view.epoch; }
+          if (await down(view, state)) {
+            ready = view.epoch;
+            fresh = view.epoch;
+          }
         });
         if (ready !== view.epoch) await Timer.nap(world.clock, 200);
       }
@@ -111,7 +152,8 @@
       const ok = await alone(async () => {
         const view = hooks.view();
         if (!view || view.epoch !== body.epoch) return false;
-        const place = Views.place(view, hooks.me()), above = view.chain[place - 1];
+        const place = Views.place(view, hooks.me()),
+          above = view.chain[place - 1];
         if (place < 1 || !Views.same(above, from)) return false;
         if (fresh === view.epoch && body.state.seq < state.seq) return false;
         if (!(await save(body.state))) return false;
@@ -127,23 +169,42 @@
       ready: (): boolean => able() === null,
       fresh: (): boolean => fresh === hooks.view()?.epoch,
       backlog: (): number => held.length,
-      write: (command: Command): Promise<Ruling> => new Promise((done) => {
-        const why = able();
-        if (why !== null) { done({ verdict: Verdicts.not('unready', why, 1) }); return; }
-        if (held.length >= 256) { done({ verdict: Verdicts.not('full', 'Too many commands wait.', 1) }); return; }
-        held = [...held, { command, done }];
-        void work();
-      }),
+      write: (command: Command): Promise<Ruling> =>
+        new Promise((done) => {
+          const why = able();
+          if (why !== null) {
+            done({ verdict: Verdicts.not('unready', why, 1) });
+            return;
+          }
+          if (held.length >= 256) {
+            done({ verdict: Verdicts.not('full', 'Too many commands wait.', 1) });
+            return;
+          }
+          held = [...held, { command, done }];
+          void work();
+        }),
       moved(): void {
         passed = null;
         turn();
-        turned = new Promise<null>((done) => { turn = () => done(null); });
+        turned = new Promise<null>((done) => {
+          turn = () => done(null);
+        });
         log.say(`Chain of view ${hooks.view()?.epoch ?? 0}.`);
         void mend();
       },
       /** A member below has lost its place, or holds nothing of this view yet. */
-      remend(): void { if (ready !== 0) { ready = 0; void mend(); } },
-      forget(): void { state = Apply.empty; passed = null; fresh = 0; ready = 0; },
+      remend(): void {
+        if (ready !== 0) {
+          ready = 0;
+          void mend();
+        }
+      },
+      forget(): void {
+        state = Apply.empty;
+        passed = null;
+        fresh = 0;
+        ready = 0;
+      },
     };
   },
 };
--- a/packages/registry/src/charterbody.ts
+++ b/packages/registry/src/charterbody.ts
@@ -2,7 +2,12 @@
 import { Type, type Static } from 'typebox';
 
 /** The body of the shared doc `charter`. Its mark is (version, 0). */
-export const CharterBody = Type.Object({
-  version: Type.Integer({ minimum: 1 }), plan: Type.String(), charter: Charter,
-}, { additionalProperties: false });
+export const CharterBody = Type.Object(
+  {
+    version: Type.Integer({ minimum: 1 }),
+    plan: Type.String(),
+    charter: Charter,
+  },
+  { additionalProperties: false },
+);
 export type CharterBody = Static<typeof CharterBody>;
--- a/packages/registry/src/claims.ts
+++ b/packages/registry/src/claims.ts
@@ -14,13 +14,17 @@
     const asked = new Set<string>();
     let calm = 0;
     return {
-      moved(): void { until.clear(); calm = clock.mono() + Paces.claim; },
+      moved(): void {
+        until.clear();
+        calm = clock.mono() + Paces.claim;
+      },
       yield(name: string, id: string, born: string): void {
         const held = chain.passed()?.claims[name];
         if (held && held.id === id && held.born === born) until.set(name, 0);
       },
       async take(name: string, id: string, born: string): Promise<Ruling> {
-        const held = chain.passed()?.claims[name], now = clock.mono();
+        const held = chain.passed()?.claims[name],
+          now = clock.mono();
         if (!live() || !chain.ready()) return { verdict: Verdicts.not('unready', 'The core is not ready.', 1) };
         if (held && held.id === id && held.born === born) {
           if (asked.has(name)) return { verdict: Verdicts.not('busy', 'The claim is changing hands.', 1) };
@@ -28,7 +32,8 @@
           return { verdict: Verdicts.ran('claimed', `${id} holds ${name}.`), fence: held.fence };
         }
         const wait = held ? (until.get(name) ?? calm) - now : 0;
-        if (wait > 0 || asked.has(name)) return { verdict: Verdicts.not('held', `${name} is held.`, Math.max(wait, 100) / 1000) };
+        if (wait > 0 || asked.has(name))
+          return { verdict: Verdicts.not('held', `${name} is held.`, Math.max(wait, 100) / 1000) };
         asked.add(name);
         const ruling = await chain.write({ do: 'claim', name, id, born });
         asked.delete(name);
--- a/packages/registry/src/command.ts
+++ b/packages/registry/src/command.ts
@@ -5,9 +5,25 @@
 
 /** What enters at the head. */
 export const Command = Type.Union([
-  Type.Object({ do: Type.Literal('plan'), id: Type.String({ minLength: 1, maxLength: 60 }), base: Type.Integer({ minimum: 0 }), charter: Charter }, shut),
+  Type.Object(
+    {
+      do: Type.Literal('plan'),
+      id: Type.String({ minLength: 1, maxLength: 60 }),
+      base: Type.Integer({ minimum: 0 }),
+      charter: Charter,
+    },
+    shut,
+  ),
   Type.Object({ do: Type.Literal('confirm'), id: Type.String() }, shut),
   Type.Object({ do: Type.Literal('drop'), id: Type.String() }, shut),
-  Type.Object({ do: Type.Literal('claim'), name: Type.String({ minLength: 1, maxLength: 80 }), id: Type.String(), born: Type.String() }, shut),
+  Type.Object(
+    {
+      do: Type.Literal('claim'),
+      name: Type.String({ minLength: 1, maxLength: 80 }),
+      id: Type.String(),
+      born: Type.String(),
+    },
+    shut,
+  ),
 ]);
 export type Command = Static<typeof Command>;
--- a/packages/registry/src/coredesk.ts
+++ b/packages/registry/src/coredesk.ts
@@ -6,7 +6,13 @@
 import { Roll } from './roll.js';
 import type { View } from './view.js';
 
-type Hooks = { view: () => View | null; live: () => boolean; chain: Links; isTail: () => boolean; isHead: () => boolean };
+type Hooks = {
+  view: () => View | null;
+  live: () => boolean;
+  chain: Links;
+  isTail: () => boolean;
+  isHead: () => boolean;
+};
 
 /** Where other daemons come to the core: commands and check-ins at the head, reading at the tail, the view anywhere. */
 export const CoreDesk = {
@@ -27,14 +33,21 @@
     });
     post.on('core.read', CoreWords.read, (body) => {
       const s = h.chain.passed();
-      if (!s || !h.isTail() || !h.live() || !h.chain.fresh()) return { ok: false, view: h.view(), charter: null, plan: null };
-      const plan = body.plan === undefined ? null : s.plans.find((p) => p.id === body.plan) ?? null;
+      if (!s || !h.isTail() || !h.live() || !h.chain.fresh())
+        return { ok: false, view: h.view(), charter: null, plan: null };
+      const plan = body.plan === undefined ? null : (s.plans.find((p) => p.id === body.plan) ?? null);
       return { ok: true, view: h.view(), charter: s.charter, plan };
     });
     post.on('core.checkin', CoreWords.checkin, (body, from) => {
       const ok = head && h.live();
       if (ok) roll.note(from, body.version, body.sum, body.load);
-      return { ok, view: h.view(), version: h.chain.passed()?.charter?.version ?? 0, roster: ok ? roll.roster() : null, load: roll.load() };
+      return {
+        ok,
+        view: h.view(),
+        version: h.chain.passed()?.charter?.version ?? 0,
+        roster: ok ? roll.roster() : null,
+        load: roll.load(),
+      };
     });
     post.on('core.leave', CoreWords.leave, (body, from) => {
       for (const n of body.names) claims.yield(n, from.id, from.born);
--- a/packages/registry/src/corelife.test.ts
+++ b/packages/registry/src/corelife.test.ts
@@ -3,8 +3,15 @@
 import { CoreLife } from './corelife.js';
 
 const cases: [string[], string][] = [
-  [[], 'blank'], [['placed'], 'member'], [['found'], 'newcomer'], [['found', 'placed'], 'member'], [['placed', 'found'], 'newcomer'],
-  [['placed', 'ill'], 'sick'], [['placed', 'ill', 'placed'], 'sick'], [['placed', 'ill', 'found'], 'sick'], [['ill', 'well'], 'newcomer'],
+  [[], 'blank'],
+  [['placed'], 'member'],
+  [['found'], 'newcomer'],
+  [['found', 'placed'], 'member'],
+  [['placed', 'found'], 'newcomer'],
+  [['placed', 'ill'], 'sick'],
+  [['placed', 'ill', 'placed'], 'sick'],
+  [['placed', 'ill', 'found'], 'sick'],
+  [['ill', 'well'], 'newcomer'],
 ];
 describe('CoreLife', () => {
   for (const [events, end] of cases) {
--- a/packages/registry/src/corestate.ts
+++ b/packages/registry/src/corestate.ts
@@ -6,10 +6,25 @@
  * All that the core keeps, one immutable version a write.
  * Invariants: `seq` rises by one a write; `charter.version` rises by one a confirm; a claim's fence only rises.
  */
-export const CoreState = Type.Object({
-  seq: Type.Integer({ minimum: 0 }),
-  charter: Type.Union([Type.Null(), Type.Object({ version: Type.Integer({ minimum: 1 }), plan: Type.String(), body: Charter }, { additionalProperties: false })]),
-  plans: Type.Array(Plan),
-  claims: Type.Record(Type.String(), Type.Object({ id: Type.String(), born: Type.String(), fence: Type.Integer({ minimum: 1 }) }, { additionalProperties: false })),
-}, { additionalProperties: false });
+export const CoreState = Type.Object(
+  {
+    seq: Type.Integer({ minimum: 0 }),
+    charter: Type.Union([
+      Type.Null(),
+      Type.Object(
+        { version: Type.Integer({ minimum: 1 }), plan: Type.String(), body: Charter },
+        { additionalProperties: false },
+      ),
+    ]),
+    plans: Type.Array(Plan),
+    claims: Type.Record(
+      Type.String(),
+      Type.Object(
+        { id: Type.String(), born: Type.String(), fence: Type.Integer({ minimum: 1 }) },
+        { additionalProperties: false },
+      ),
+    ),
+  },
+  { additionalProperties: false },
+);
 export type CoreState = Static<typeof CoreState>;
--- a/packages/registry/src/helm.ts
+++ b/packages/registry/src/helm.ts
@@ -6,7 +6,13 @@
 import { Views } from './views.js';
 import type { Voting } from './voting.js';
 
-type Voice = { ok: boolean; wait?: number; promised: number; took?: { ballot: number; view: View } | null; view: View | null };
+type Voice = {
+  ok: boolean;
+  wait?: number;
+  promised: number;
+  took?: { ballot: number; view: View } | null;
+  view: View | null;
+};
 
 /**
  * Proposes the next view to the voters of the present one.
@@ -19,7 +25,10 @@
     const log = world.log('view');
 
     const ballot = (voters: readonly Member[]): number => {
-      const mine = Math.max(0, voters.findIndex((m) => m.id === me().id));
+      const mine = Math.max(
+        0,
+        voters.findIndex((m) => m.id === me().id),
+      );
       const n = Math.floor(top / 8) * 8 + 8 + mine;
       top = n;
       return n;
@@ -29,7 +38,9 @@
       return got.filter((v): v is Voice => v !== null);
     };
     const round = async (voters: readonly Member[], next: View): Promise<View | null> => {
-      const n = ballot(voters), epoch = next.epoch, most = Math.floor(voters.length / 2) + 1;
+      const n = ballot(voters),
+        epoch = next.epoch,
+        most = Math.floor(voters.length / 2) + 1;
       const first = await poll(voters, async (m) => {
         if (Views.same(m, me())) return { ...(await voter.prepare(epoch, n)), view: null };
         const r = await post.ask(m.addr, m.id, 'core.prepare', { epoch, ballot: n }, CoreWords.prepared, Paces.ask);
@@ -37,18 +48,31 @@
       });
       for (const v of first) top = Math.max(top, v.promised);
       const ahead = first.find((v) => v.view && v.view.epoch >= epoch);
-      if (ahead?.view) { await adopt(ahead.view); return null; }
+      if (ahead?.view) {
+        await adopt(ahead.view);
+        return null;
+      }
       const yes = first.filter((v) => v.ok);
       if (yes.length < most) {
         const wait = Math.min(Paces.hold, Math.max(...first.map((v) => v.wait ?? 0), 0));
         await Timer.nap(world.clock, wait + Dice.int(world.chance, 60));
         return null;
       }
-      const took = yes.map((v) => v.took).filter((t) => !!t).sort((a, b) => b!.ballot - a!.ballot)[0];
+      const took = yes
+        .map((v) => v.took)
+        .filter((t) => !!t)
+        .sort((a, b) => b!.ballot - a!.ballot)[0];
       const view = took ? took.view : next;
       const second = await poll(voters, async (m) => {
         if (Views.same(m, me())) return { ...(await voter.accept(epoch, n, view)), view: null };
-        const r = await post.ask(m.addr, m.id, 'core.accept', { epoch, ballot: n, view }, CoreWords.accepted, Paces.ask);
+        const r = await post.ask(
+          m.addr,
+          m.id,
+          'core.accept',
+          { epoch, ballot: n, view },
+          CoreWords.accepted,
+          Paces.ask,
+        );
         return r.ok ? r.val : null;
       });
       for (const v of second) top = Math.max(top, v.promised);
--- a/packages/registry/src/line.ts
+++ b/packages/registry/src/line.ts
@@ -17,17 +17,25 @@
 export const Line = {
   make(world: World, post: PostBox, seeds: () => readonly string[]) {
     let view: View | null = null;
-    const learn = (v: View | null): void => { if (v && v.epoch > (view?.epoch ?? 0)) view = v; };
+    const learn = (v: View | null): void => {
+      if (v && v.epoch > (view?.epoch ?? 0)) view = v;
+    };
     const look = async (): Promise<void> => {
       const known = view ? Views.all(view).map((m) => m.addr) : [];
       const all = [...new Set([...known, ...seeds()])];
-      await Promise.all(Dice.some(world.chance, all, 4).map(async (a) => {
-        const r = await post.ask(a, '', 'core.hint', {}, CoreWords.hint, Paces.ask);
-        if (r.ok) learn(r.val.view);
-      }));
+      await Promise.all(
+        Dice.some(world.chance, all, 4).map(async (a) => {
+          const r = await post.ask(a, '', 'core.hint', {}, CoreWords.hint, Paces.ask);
+          if (r.ok) learn(r.val.view);
+        }),
+      );
     };
     /** Asks at the head or the tail until it replies as such, or until time is up. */
-    const reach = async <T>(where: 'head' | 'tail', ms: number, one: (addr: string, id: string) => Promise<{ got: T | null; view: View | null }>): Promise<T | null> => {
+    const reach = async <T>(
+      where: 'head' | 'tail',
+      ms: number,
+      one: (addr: string, id: string) => Promise<{ got: T | null; view: View | null }>,
+    ): Promise<T | null> => {
       const end = world.clock.mono() + ms;
       for (;;) {
         if (!view) await look();
@@ -54,9 +62,15 @@
         const got = await reach('head', ms, async (addr, id) => {
           sent = world.clock.mono();
           const r = await post.ask(addr, id, 'core.write', { command }, CoreWords.written, 5000);
-          if (r.err) { if (r.val === 'lost') unsure = true; return { got: null, view: null }; }
+          if (r.err) {
+            if (r.val === 'lost') unsure = true;
+            return { got: null, view: null };
+          }
           const ruling = r.val.ruling;
-          const again = ruling === null || ruling.verdict.code === 'unready' || (ruling.verdict.ran === 'maybe' && command.do !== 'claim');
+          const again =
+            ruling === null ||
+            ruling.verdict.code === 'unready' ||
+            (ruling.verdict.ran === 'maybe' && command.do !== 'claim');
           if (ruling?.verdict.ran === 'maybe') unsure = true;
           return { got: again ? null : { ruling, term: r.val.term }, view: r.val.view };
         });
@@ -66,20 +80,38 @@
           : Verdicts.not('unready', 'The core can take no writes now.', 1);
         return { ruling: { verdict }, term: 0, sent };
       },
-      read: (plan: string | undefined, ms: number): Promise<Readout | null> => reach('tail', ms, async (addr, id) => {
-        const r = await post.ask(addr, id, 'core.read', plan === undefined ? {} : { plan }, CoreWords.readout, Paces.ask);
-        return r.ok ? { got: r.val.ok ? r.val : null, view: r.val.view } : { got: null, view: null };
-      }),
-      checkin: (body: Static<typeof CoreWords.checkin>): Promise<Checked | null> => reach('head', 0, async (addr, id) => {
-        const r = await post.ask(addr, id, 'core.checkin', body, CoreWords.checked, Paces.ask);
-        return r.ok ? { got: r.val.ok ? r.val : null, view: r.val.view } : { got: null, view: null };
-      }),
-      roll: (): Promise<Static<typeof CoreWords.roll> | null> => reach('head', 1500, async (addr, id) => {
-        const r = await post.ask(addr, id, 'core.roll', {}, CoreWords.roll, Paces.ask);
-        return r.ok ? { got: r.val.roster.length > 0 ? r.val : null, view: r.val.view } : { got: null, view: null };
-      }),
+      read: (plan: string | undefined, ms: number): Promise<Readout | null> =>
+        reach('tail', ms, async (addr, id) => {
+          const r = await post.ask(
+            addr,
+            id,
+            'core.read',
+            plan === undefined ? {} : { plan },
+            CoreWords.readout,
+            Paces.ask,
+          );
+          return r.ok ? { got: r.val.ok ? r.val : null, view: r.val.view } : { got: null, view: null };
+        }),
+      checkin: (body: Static<typeof CoreWords.checkin>): Promise<Checked | null> =>
+        reach('head', 0, async (addr, id) => {
+          const r = await post.ask(addr, id, 'core.checkin', body, CoreWords.checked, Paces.ask);
+          return r.ok ? { got: r.val.ok ? r.val : null, view: r.val.view } : { got: null, view: null };
+        }),
+      roll: (): Promise<Static<typeof CoreWords.roll> | null> =>
+        reach('head', 1500, async (addr, id) => {
+          const r = await post.ask(addr, id, 'core.roll', {}, CoreWords.roll, Paces.ask);
+          return r.ok ? { got: r.val.roster.length > 0 ? r.val : null, view: r.val.view } : { got: null, view: null };
+        }),
       async leave(names: readonly string[]): Promise<void> {
-        if (view) await post.ask(Views.head(view).addr, Views.head(view).id, 'core.leave', { names }, CoreWords.done, Paces.ask);
+        if (view)
+          await post.ask(
+            Views.head(view).addr,
+            Views.head(view).id,
+            'core.leave',
+            { names },
+            CoreWords.done,
+            Paces.ask,
+          );
       },
     };
   },
--- a/packages/registry/src/registrar.ts
+++ b/packages/registry/src/registrar.ts
@@ -24,20 +24,57 @@
     const post = Post.make(world, () => ident);
     const shelf = Shelf.make(Sound.doc);
     const seeds = (): readonly string[] => startup.seeds;
-    const purge = Purge.make(world, post, () => ident, shelf, startup.tunes, seeds, (): readonly Ident[] => [...Views.idents(core.view()), ...core.desk.live()]);
-    const cores = (): string[] => [...new Set([...seeds(), ...purge.peers().filter((p) => p.role === 'registry').map((p) => p.addr)])];
+    const purge = Purge.make(
+      world,
+      post,
+      () => ident,
+      shelf,
+      startup.tunes,
+      seeds,
+      (): readonly Ident[] => [...Views.idents(core.view()), ...core.desk.live()],
+    );
+    const cores = (): string[] => [
+      ...new Set([
+        ...seeds(),
+        ...purge
+          .peers()
+          .filter((p) => p.role === 'registry')
+          .map((p) => p.addr),
+      ]),
+    ];
     const core = Core.make(world, post, () => ident, cores, store, kept.val, {
       passed: (s) => {
         if (!s.charter || s.charter.version <= (shelf.mark('charter')?.[0] ?? 0)) return;
         world.tell({ what: 'confirmed', version: s.charter.version, plan: s.charter.plan });
-        purge.publish({ name: 'charter', mark: [s.charter.version, 0], body: { version: s.charter.version, plan: s.charter.plan, charter: s.charter.body } });
+        purge.publish({
+          name: 'charter',
+          mark: [s.charter.version, 0],
+          body: { version: s.charter.version, plan: s.charter.plan, charter: s.charter.body },
+        });
       },
     });
-    TraceDesk.make(post, () => ident, purge, shelf, () => core.live() && core.chain.passed() !== null);
+    TraceDesk.make(
+      post,
+      () => ident,
+      purge,
+      shelf,
+      () => core.live() && core.chain.passed() !== null,
+    );
     return Ok({
-      ident, core, purge, shelf, post,
-      start(): void { core.start(); purge.start(); },
-      stop(): void { core.stop(); purge.stop(); post.close(); },
+      ident,
+      core,
+      purge,
+      shelf,
+      post,
+      start(): void {
+        core.start();
+        purge.start();
+      },
+      stop(): void {
+        core.stop();
+        purge.stop();
+        post.close();
+      },
     });
   },
 };
--- a/packages/registry/src/roll.ts
+++ b/packages/registry/src/roll.ts
@@ -14,7 +14,10 @@
     let since = clock.mono();
     const live = (): Seen[] => [...seen.values()].filter((s) => clock.mono() - s.at < Paces.gone);
     return {
-      reset(): void { seen = new Map(); since = clock.mono(); },
+      reset(): void {
+        seen = new Map();
+        since = clock.mono();
+      },
       note(who: Ident, version: number, sum: string, load: Load): void {
         const next = new Map(seen);
         next.set(who.id, { who, version, sum, load, at: clock.mono() });
@@ -25,9 +28,16 @@
         next.delete(id);
         seen = next;
       },
-      roster: (): Ident[] | null => (clock.mono() - since < Paces.gone ? null : live().map((s) => s.who).sort((a, b) => (a.id < b.id ? -1 : 1))),
-      load: (): Load => live().reduce((a, s) => ({ read: a.read + s.load.read, write: a.write + s.load.write }), { read: 0, write: 0 }),
-      all: () => [...seen.values()].map((s) => ({ who: s.who, version: s.version, sum: s.sum, age: clock.mono() - s.at })),
+      roster: (): Ident[] | null =>
+        clock.mono() - since < Paces.gone
+          ? null
+          : live()
+              .map((s) => s.who)
+              .sort((a, b) => (a.id < b.id ? -1 : 1)),
+      load: (): Load =>
+        live().reduce((a, s) => ({ read: a.read + s.load.read, write: a.write + s.load.write }), { read: 0, write: 0 }),
+      all: () =>
+        [...seen.values()].map((s) => ({ who: s.who, version: s.version, sum: s.sum, age: clock.mono() - s.at })),
     };
   },
 };
--- a/packages/registry/src/store.ts
+++ b/packages/registry/src/store.ts
@@ -6,12 +6,17 @@
 import { Vote } from './vote.js';
 
 const Self = Type.Object({ born: Type.String(), whole: Type.Optional(Type.Boolean()) });
-const FORMS = [['self', Self], ['view', Type.Union([View, Type.Null()])], ['vote', Type.Union([Vote, Type.Null()])], ['state', CoreState]] as const;
+const FORMS = [
+  ['self', Self],
+  ['view', Type.Union([View, Type.Null()])],
+  ['vote', Type.Union([Vote, Type.Null()])],
+  ['state', CoreState],
+] as const;
 type Kept = { born: string | null; view: View | null; vote: Vote | null; state: CoreState; bad: boolean };
 
 /** Whether a kind is missing. Folders of the release before this one did not begin with a file of each. */
 const short = (self: Static<typeof Self> | undefined, got: ReadonlyMap<string, unknown>): boolean =>
-  (self ? self.whole === true && got.size < FORMS.length : got.size > 0);
+  self ? self.whole === true && got.size < FORMS.length : got.size > 0;
 
 /**
  * What a core daemon has on disk. Invariants: each kind's file number only rises, whatever the version inside;
@@ -24,7 +29,8 @@
     const started = new Map<number, number>();
     let jobs = 0;
     const put = async (kind: string, v: unknown): Promise<Result<void, string>> => {
-      const n = (next.get(kind) ?? 0) + 1, job = ++jobs;
+      const n = (next.get(kind) ?? 0) + 1,
+        job = ++jobs;
       next.set(kind, n);
       started.set(job, world.clock.mono());
       const done = await disk.put(kind, n, v);
@@ -66,7 +72,13 @@
       },
       /** Says who this daemon is. Invariant: not before there is a file of every other kind. */
       async name(born: string, fresh: boolean): Promise<Result<void, string>> {
-        for (const [kind, v] of fresh ? [['view', null], ['vote', null], ['state', Apply.empty]] as const : []) {
+        for (const [kind, v] of fresh
+          ? ([
+              ['view', null],
+              ['vote', null],
+              ['state', Apply.empty],
+            ] as const)
+          : []) {
           const done = await put(kind, v);
           if (done.err) return done;
         }
--- a/packages/registry/src/tracedesk.ts
+++ b/packages/registry/src/tracedesk.ts
@@ -3,28 +3,45 @@
 import { Type } from 'typebox';
 
 const shut = { additionalProperties: false } as const;
-const Step = Type.Object({
-  name: Type.String(), mark: Mark, via: Type.String(), from: Type.String(), origin: Type.String(),
-  hops: Type.Integer(), age: Type.Number(), round: Type.Integer(), wall: Type.Number(),
-}, shut);
+const Step = Type.Object(
+  {
+    name: Type.String(),
+    mark: Mark,
+    via: Type.String(),
+    from: Type.String(),
+    origin: Type.String(),
+    hops: Type.Integer(),
+    age: Type.Number(),
+    round: Type.Integer(),
+    wall: Type.Number(),
+  },
+  shut,
+);
 
 /** Where a daemon tells what it holds and how that came to be. */
 export const TraceDesk = {
   forms: {
     ask: Type.Object({ name: Type.Optional(Type.String()) }, shut),
-    told: Type.Object({
-      who: Ident,
-      sure: Type.Optional(Type.Boolean({ description: 'whether it knows that its charter is not an older one than it had' })),
-      marks: Type.Array(Type.Object({ name: Type.String(), mark: Mark }, shut)),
-      steps: Type.Array(Step),
-      count: Type.Record(Type.String(), Type.Number()),
-    }, shut),
+    told: Type.Object(
+      {
+        who: Ident,
+        sure: Type.Optional(
+          Type.Boolean({ description: 'whether it knows that its charter is not an older one than it had' }),
+        ),
+        marks: Type.Array(Type.Object({ name: Type.String(), mark: Mark }, shut)),
+        steps: Type.Array(Step),
+        count: Type.Record(Type.String(), Type.Number()),
+      },
+      shut,
+    ),
   },
   make(post: PostBox, self: () => Ident, purge: Purging, shelf: Holding, sure: () => boolean): void {
     post.on('trace.tell', TraceDesk.forms.ask, (body) => ({
       who: self(),
       sure: sure(),
-      marks: [...shelf.table().values()].filter((d) => body.name === undefined || d.name === body.name).map((d) => ({ name: d.name, mark: d.mark })),
+      marks: [...shelf.table().values()]
+        .filter((d) => body.name === undefined || d.name === body.name)
+        .map((d) => ({ name: d.name, mark: d.mark })),
       steps: purge.diary(body.name),
       count: purge.count(),
     }));
--- a/packages/registry/src/view.ts
+++ b/packages/registry/src/view.ts
@@ -6,9 +6,12 @@
  * Invariants: one view an epoch, chosen by a majority of the voters of the epoch before;
  * voters change by one member at a time; a newcomer is in the chain before it is a voter.
  */
-export const View = Type.Object({
-  epoch: Type.Integer({ minimum: 1 }),
-  voters: Type.Array(Member, { minItems: 3, maxItems: 3 }),
-  chain: Type.Array(Member, { minItems: 1, maxItems: 3 }),
-}, { additionalProperties: false });
+export const View = Type.Object(
+  {
+    epoch: Type.Integer({ minimum: 1 }),
+    voters: Type.Array(Member, { minItems: 3, maxItems: 3 }),
+    chain: Type.Array(Member, { minItems: 1, maxItems: 3 }),
+  },
+  { additionalProperties: false },
+);
 export type View = Static<typeof View>;
--- a/packages/registry/src/views.ts
+++ b/packages/registry/src/views.ts
@@ -16,7 +16,8 @@
     return [...v.chain, ...v.voters.filter((m) => Views.place(v, m) < 0)];
   },
   /** The members as daemons to gossip with. */
-  idents: (v: View | null): Ident[] => (v ? Views.all(v).map((m) => ({ ...m, site: 'core', role: 'registry' as const })) : []),
+  idents: (v: View | null): Ident[] =>
+    v ? Views.all(v).map((m) => ({ ...m, site: 'core', role: 'registry' as const })) : [],
   without(v: View, w: Who): View {
     return { ...v, epoch: v.epoch + 1, chain: v.chain.filter((m) => !same(m, w)) };
   },
--- a/packages/registry/src/voter.test.ts
+++ b/packages/registry/src/voter.test.ts
@@ -8,19 +8,96 @@
   const m = Array.from({ length: 3 }, (_, i) => ({ id: `c${i}`, born: 'b', addr: `10.0.0.${i}:1` }));
   return { epoch, voters: m, chain: m.slice(0, n) };
 };
-let now = 0, sick = false;
+let now = 0,
+  sick = false;
 const saved: unknown[] = [];
-const store = { put: (_k: string, v: unknown) => { if (!sick) saved.push(v); return Promise.resolve(sick ? Err('full') : Ok(undefined)); } } as unknown as Storing;
-type Step = ['moved', number] | ['prepare', number, number, boolean] | ['accept', number, number, boolean] | ['grant', number, boolean] | ['wait', number] | ['sick', boolean];
+const store = {
+  put: (_k: string, v: unknown) => {
+    if (!sick) saved.push(v);
+    return Promise.resolve(sick ? Err('full') : Ok(undefined));
+  },
+} as unknown as Storing;
+type Step =
+  | ['moved', number]
+  | ['prepare', number, number, boolean]
+  | ['accept', number, number, boolean]
+  | ['grant', number, boolean]
+  | ['wait', number]
+  | ['sick', boolean];
 const cases: [string, Step[]][] = [
-  ['promises rise', [['prepare', 2, 8, true], ['prepare', 2, 8, false], ['prepare', 2, 7, false], ['prepare', 2, 16, true]]],
-  ['an older ballot is not accepted', [['prepare', 2, 16, true], ['accept', 2, 8, false], ['accept', 2, 16, true]]],
-  ['a live claim holds the next view off', [['grant', 1, true], ['prepare', 2, 8, false], ['wait', 801], ['prepare', 2, 8, true]]],
-  ['no claim once the next view is promised', [['prepare', 2, 8, true], ['wait', 5000], ['grant', 1, false]]],
-  ['an attempt that waits holds claims off, for a while', [['grant', 1, true], ['prepare', 2, 8, false], ['grant', 1, false], ['wait', 1501], ['grant', 1, true]]],
-  ['an epoch that is past is past', [['prepare', 3, 8, true], ['prepare', 2, 16, false], ['accept', 2, 16, false]]],
-  ['a late try for a view already in force holds nothing off', [['prepare', 2, 8, true], ['accept', 2, 8, true], ['moved', 2], ['prepare', 2, 16, false], ['grant', 2, true]]],
-  ['what is not on disk is not said', [['sick', true], ['prepare', 2, 8, false], ['sick', false], ['prepare', 2, 8, true], ['sick', true], ['accept', 2, 8, false]]],
+  [
+    'promises rise',
+    [
+      ['prepare', 2, 8, true],
+      ['prepare', 2, 8, false],
+      ['prepare', 2, 7, false],
+      ['prepare', 2, 16, true],
+    ],
+  ],
+  [
+    'an older ballot is not accepted',
+    [
+      ['prepare', 2, 16, true],
+      ['accept', 2, 8, false],
+      ['accept', 2, 16, true],
+    ],
+  ],
+  [
+    'a live claim holds the next view off',
+    [
+      ['grant', 1, true],
+      ['prepare', 2, 8, false],
+      ['wait', 801],
+      ['prepare', 2, 8, true],
+    ],
+  ],
+  [
+    'no claim once the next view is promised',
+    [
+      ['prepare', 2, 8, true],
+      ['wait', 5000],
+      ['grant', 1, false],
+    ],
+  ],
+  [
+    'an attempt that waits holds claims off, for a while',
+    [
+      ['grant', 1, true],
+      ['prepare', 2, 8, false],
+      ['grant', 1, false],
+      ['wait', 1501],
+      ['grant', 1, true],
+    ],
+  ],
+  [
+    'an epoch that is past is past',
+    [
+      ['prepare', 3, 8, true],
+      ['prepare', 2, 16, false],
+      ['accept', 2, 16, false],
+    ],
+  ],
+  [
+    'a late try for a view already in force holds nothing off',
+    [
+      ['prepare', 2, 8, true],
+      ['accept', 2, 8, true],
+      ['moved', 2],
+      ['prepare', 2, 16, false],
+      ['grant', 2, true],
+    ],
+  ],
+  [
+    'what is not on disk is not said',
+    [
+      ['sick', true],
+      ['prepare', 2, 8, false],
+      ['sick', false],
+      ['prepare', 2, 8, true],
+      ['sick', true],
+      ['accept', 2, 8, false],
+    ],
+  ],
 ];
 
 describe('Voter', () => {
