The client spends an attempt's number unless no connection was made; owners, a deadline

Cause: the client took EHOSTUNREACH and its like for proof that nothing was heard, on sockets in use as well, and sent the same attempt number to the next daemon. Before: attempts 1, 1 after the visit had been read. Ruled out: never using a number twice (a refused connection would then cost proof of the try before). Change: errors are marked where connections are made; a deadline over all tries; owners named on wish; lines bounded.

--- a/packages/client/src/client.test.ts
+++ b/packages/client/src/client.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import { createHash } from 'node:crypto';
 import { createServer, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { Client } from './client.js';
 import type { Visit } from './generated.js';
 
@@ -119,11 +120,76 @@
         server.listen(0, '127.0.0.1', done);
       });
       const addr = `127.0.0.1:${(server.address() as { port: number }).port}`;
-      const got = await Client.make([addr], 4, (ms) => {
+      const nap = (ms: number): Promise<void> => {
         naps.push(ms);
         return Promise.resolve();
-      }).visit({ key: 'k', prefix: 'p', part: 'q' });
+      };
+      const got = await Client.make([addr], { nap }).visit({ key: 'k', prefix: 'p', part: 'q' });
       expect({ whole: got.whole, attempts, naps }).to.deep.equal(want);
     });
   }
+  const listen = async (deal: (v: Visit, res: ServerResponse, n: number) => void): Promise<string> => {
+    let n = 0;
+    server = createServer((req, res) => {
+      let text = '';
+      req.on('data', (b: Buffer) => {
+        text += b.toString('utf8');
+      });
+      req.on('end', () => {
+        if (req.url === '/owners') res.end(JSON.stringify({ owners: ['e1/a', 'e2/b'] }));
+        else deal(JSON.parse(text) as Visit, res, ++n);
+      });
+    });
+    await new Promise<void>((done) => {
+      server.listen(0, '127.0.0.1', done);
+    });
+    return `127.0.0.1:${(server.address() as { port: number }).port}`;
+  };
+  const body = { key: 'k', prefix: 'p', part: 'q' };
+  const nap = (): Promise<void> => Promise.resolve();
+
+  it('a connection in use that fails as an unreachable host does spends the number', async () => {
+    const attempts: number[] = [];
+    let sock: Socket | null = null;
+    const addr = await listen((v, res, n) => {
+      attempts.push(v.attempt);
+      if (n === 1) sock?.destroy(Object.assign(new Error('x'), { code: 'EHOSTUNREACH' }));
+      else whole(res);
+    });
+    const met = (s: Socket): void => {
+      sock = s;
+    };
+    const got = await Client.make([addr], { nap, met }).visit(body);
+    expect({ whole: got.whole, attempts }).to.deep.equal({ whole: true, attempts: [1, 2] });
+  });
+  it('a daemon that is not there spends nothing, and the next is asked', async () => {
+    const attempts: number[] = [];
+    const addr = await listen((v, res) => {
+      attempts.push(v.attempt);
+      whole(res);
+    });
+    const got = await Client.make(['127.0.0.1:1', addr], { nap }).visit(body);
+    expect({ whole: got.whole, attempts }).to.deep.equal({ whole: true, attempts: [1] });
+  });
+  it('names the owners that a daemon gave, the same for each call of a key', async () => {
+    const named: (string[] | undefined)[] = [];
+    const addr = await listen((v, res, n) => {
+      named.push(v.owners);
+      if (n === 1) bounce('no', 503)(res);
+      else whole(res);
+    });
+    await Client.make([addr], { nap, pin: true }).visit(body);
+    expect(named).to.deep.equal([
+      ['e1/a', 'e2/b'],
+      ['e1/a', 'e2/b'],
+    ]);
+  });
+  it('gives up at its deadline, and does not ask again for a time beyond it', async () => {
+    const addr = await listen((_v, res, n) => {
+      if (n === 1) bounce('no', 503)(res);
+    });
+    const got = await Client.make([addr], { deadline: 1500 }).visit(body);
+    expect(got.whole).to.equal(false);
+    expect(got.attempt).to.equal(1);
+  });
 });
--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -1,86 +1,72 @@
-import { createHash } from 'node:crypto';
-import { request as call } from 'undici';
-import type { OutcomeLine, Verdict, Visit } from './generated.js';
+import type { Socket } from 'node:net';
+import type { Verdict, Visit } from './generated.js';
+import { Line } from './line.js';
+import type { Trying } from './trying.js';
 import type { Visiting } from './visiting.js';
 
-type Try = { whole: true; text: string } | { whole: false; verdict: Verdict; pieces: number; made: boolean };
-const NEVER = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'];
-const torn = (why: string): Verdict => ({ ran: 'maybe', code: 'torn', why });
+type Options = {
+  /** Calls at the most. */
+  tries?: number;
+  /** ms from the start in which the outcome must have come. */
+  deadline?: number;
+  /** Names the owners of each visit, so that it runs once even if a call is doubled on its way. */
+  pin?: boolean;
+  nap?: (ms: number) => Promise<void>;
+  met?: (s: Socket) => void;
+};
+const ASK = 1000;
+const AGAIN = 1;
+const SOON = 0.2;
+const sleep = (ms: number): Promise<void> =>
+  new Promise((done) => {
+    setTimeout(done, ms);
+  });
+const unreached: Verdict = { ran: 'no', code: 'unreached', why: 'no daemon could be reached' };
+/** Whether asking again is safe: nothing was used, it has not run, or the next daemon will know if it may have. */
+const again = (t: Extract<Trying, { whole: false }>): boolean =>
+  !t.made || t.verdict.ran === 'no' || (t.verdict.code === 'torn' && t.pieces === 0);
 
 /**
  * A caller. Invariants: an attempt number is used once, but for a connection that was never made; a visit is tried
- * again only when told that it has not run, after the time it was told; a text is given only if it is whole.
+ * again only when told that it has not run, after the time it was told, and at the next daemon; a text is given only
+ * if it is whole; nothing goes on after the deadline.
  */
 export const Client = {
-  make(
-    daemons: readonly string[],
-    tries = 4,
-    nap: (ms: number) => Promise<void> = (ms) =>
-      new Promise((done) => {
-        setTimeout(done, ms);
-      }),
-  ) {
+  make(daemons: readonly string[], o: Options = {}) {
+    const line = Line.make(o.met);
+    const tries = o.tries ?? 4;
+    const nap = o.nap ?? sleep;
     let next = 0;
-    const once = async (addr: string, v: Visit, piece: (text: string) => void): Promise<Try> => {
-      let n = 0;
-      try {
-        const r = await call(`http://${addr}/visit`, {
-          method: 'POST',
-          headers: { 'content-type': 'application/json' },
-          body: JSON.stringify(v),
-        });
-        if (r.statusCode !== 200)
-          return {
-            whole: false,
-            verdict: ((await r.body.json()) as { verdict: Verdict }).verdict,
-            pieces: 0,
-            made: true,
-          };
-        const hash = createHash('sha256');
-        let text = '',
-          held = '';
-        for await (const bit of r.body.setEncoding('utf8') as AsyncIterable<string>) {
-          held += bit;
-          for (let i = held.indexOf('\n'); i >= 0; i = held.indexOf('\n')) {
-            const line = JSON.parse(held.slice(0, i)) as OutcomeLine;
-            held = held.slice(i + 1);
-            if ('cut' in line) return { whole: false, verdict: line.verdict, pieces: n, made: true };
-            if ('end' in line) {
-              const good = line.count === n && line.digest === hash.digest('hex').slice(0, 24);
-              return good
-                ? { whole: true, text }
-                : { whole: false, verdict: torn('the end does not agree with the pieces'), pieces: n, made: true };
-            }
-            if (line.n !== n + 1)
-              return { whole: false, verdict: torn('a piece is missing or came twice'), pieces: n, made: true };
-            n = line.n;
-            hash.update(`${n}:${line.text}\n`);
-            text += line.text;
-            piece(line.text);
-          }
-        }
-        return { whole: false, verdict: torn('the stream ended without its end'), pieces: n, made: true };
-      } catch (e) {
-        const code = (e as { code?: string }).code ?? '';
-        return { whole: false, verdict: torn(code), pieces: n, made: !NEVER.includes(code) };
+    const daemon = (): string => daemons[next++ % daemons.length]!;
+    const pins = async (): Promise<string[] | null> => {
+      for (let i = 0; i < daemons.length; i++) {
+        const got = await line.owners(daemon(), ASK);
+        if (got) return got;
       }
+      return null;
     };
     return {
+      close: line.close,
       async visit(v: Omit<Visit, 'attempt'>, piece: (text: string) => void = () => undefined): Promise<Visiting> {
+        const end = performance.now() + (o.deadline ?? 60_000);
+        const owners = o.pin ? await pins() : null;
+        if (o.pin && !owners) return { whole: false, verdict: unreached, pieces: 0, attempt: 0 };
+        const named = owners ? { ...v, owners: owners as [string, string] } : v;
         let attempt = 1;
-        for (let i = 0; ; i++) {
-          const got = await once(daemons[next++ % daemons.length]!, { ...v, attempt }, piece);
+        for (let i = 1; ; i++) {
+          const got = await line.visit(
+            daemon(),
+            { ...named, attempt },
+            Math.max(1, Math.ceil(end - performance.now())),
+            piece,
+          );
           if (got.whole) return { whole: true, text: got.text, attempt };
-          const again = !got.made || got.verdict.ran === 'no' || (got.verdict.code === 'torn' && got.pieces === 0);
-          if (!again || i + 1 >= tries)
-            return {
-              whole: false,
-              verdict: got.made ? got.verdict : { ran: 'no', code: 'unreached', why: 'no daemon could be reached' },
-              pieces: got.pieces,
-              attempt,
-            };
+          const wait = (got.verdict.after ?? (got.made ? AGAIN : SOON)) * 1000;
+          if (!again(got) || i >= tries || performance.now() + wait > end) {
+            return { whole: false, verdict: got.made ? got.verdict : unreached, pieces: got.pieces, attempt };
+          }
           if (got.made) attempt++;
-          await nap((got.verdict.after ?? (got.made ? 1 : 0.2)) * 1000);
+          await nap(wait);
         }
       },
     };
