Explored schedules read by an old view, confirm beside a cut core, and hand claims over

A second reader that learns views late, charters confirmed while a core is cut off, and claims across a lost head.

--- a/packages/sim/src/act.ts
+++ b/packages/sim/src/act.ts
@@ -18,5 +18,6 @@
     | 'confirm'
     | 'race'
     | 'read'
-    | 'claim';
+    | 'claim'
+    | 'handover';
 };
--- a/packages/sim/src/bench.ts
+++ b/packages/sim/src/bench.ts
@@ -11,7 +11,7 @@
 const IDS = ['c1', 'c2', 'c3'];
 const quiet = { say: () => undefined, warn: () => undefined };
 
-/** The core alone on three simulated machines, and one machine that asks things of it. */
+/** The core alone on three simulated machines, and two machines that ask things of it. */
 export const Bench = {
   ids: IDS,
   make(motor: Motor, pace: number, tell: (d: Deed) => void) {
@@ -20,12 +20,12 @@
     const boxes = new Map(
       IDS.map((id, i) => [id, Host.make(motor, id, `10.0.0.${i + 1}:7000`, 's1', disks.get(id)!.disk, tell)]),
     );
-    const desk = Host.make(motor, 'o1', '10.3.0.1:7000', 's1', null, tell);
+    const desks = ['o1', 'o2'].map((id, i) => Host.make(motor, id, `10.3.0.${i + 1}:7000`, 's1', null, tell));
     const cores = new Map<string, Core>();
     const faults: string[] = [];
     const seeds = IDS.map((_, i) => `10.0.0.${i + 1}:7000`);
     let spare = 10;
-    for (const b of [...boxes.values(), desk]) net.add(b);
+    for (const b of [...boxes.values(), ...desks]) net.add(b);
     const world = (b: Box): World => ({
       clock: b.begin(),
       chance: b.chance,
@@ -68,21 +68,24 @@
       cores.delete(id);
       b.tell({ what: 'killed' });
     };
-    const w = world(desk);
-    const me: Ident = { id: 'o1', born: 'o', addr: desk.addr(), site: 's1', role: 'counter' };
-    const line = Line.make(
-      w,
-      Post.make(w, () => me),
-      () => seeds,
-    );
+    /** One writes, the other only reads, and so may know an old view for long. */
+    const [line, reader] = desks.map((b) => {
+      const w = world(b);
+      const me: Ident = { id: b.id, born: 'o', addr: b.addr(), site: 's1', role: 'counter' };
+      return Line.make(
+        w,
+        Post.make(w, () => me),
+        () => seeds,
+      );
+    }) as [ReturnType<typeof Line.make>, ReturnType<typeof Line.make>];
     return {
       motor,
       net,
       disks,
       boxes,
-      desk,
       cores,
       line,
+      reader,
       faults,
       start,
       kill,
--- a/packages/sim/src/corerun.ts
+++ b/packages/sim/src/corerun.ts
@@ -52,7 +52,7 @@
       },
       async read() {
         const from = motor.now(),
-          got = await b.line.read(undefined, 2000);
+          got = await b.reader.read(undefined, 2000);
         if (got) note('read', { from, version: got.charter?.version ?? 0 });
       },
       async claim(name, by) {
--- a/packages/sim/src/explore.ts
+++ b/packages/sim/src/explore.ts
@@ -29,6 +29,8 @@
   'read',
   'claim',
   'claim',
+  'handover',
+  'handover',
 ];
 const SOFT = new Set<Act['does']>(['confirm', 'race', 'read', 'claim']);
 const NAMES = ['row:m1', 'row:m2'];
@@ -36,6 +38,26 @@
 const others = (id: string): string[] => Bench.ids.filter((x) => x !== id);
 const kind = (a: Act): string => KINDS[Math.floor(a.size * KINDS.length)]!;
 
+/** A charter is confirmed by whoever is left, and read all the while by one that may still know the old view. */
+const watched = async (s: Scripter): Promise<void> => {
+  for (let i = 0; i < 30; i++) {
+    await s.nap(150);
+    if (i % 10 === 9) void s.change(1);
+    void s.read();
+  }
+};
+
+/** One claims a name, the head goes, and another claims it again and again at whoever is the head then. */
+const handover = async (s: Scripter, a: Act): Promise<void> => {
+  await s.claim(NAMES[0]!, 'x');
+  if (a.size < 0.5) s.down(a.who, 900);
+  else s.b.boxes.get(a.who)!.freeze(1800);
+  for (let i = 0; i < 30; i++) {
+    await s.nap(100);
+    void s.claim(NAMES[0]!, 'y');
+  }
+};
+
 /** What each act does. Sizes are parts of one, so that a list of acts can be shortened and run again. */
 const doing = (s: Scripter): Record<Act['does'], (a: Act) => void> => {
   const { b, down } = s;
@@ -43,7 +65,10 @@
   return {
     kill: (a) => down(a.who, 10 + a.size * 3000),
     freeze: (a) => b.boxes.get(a.who)!.freeze(300 + a.size * 4000),
-    cut: (a) => lift(500 + a.size * 4000, b.net.cut([a.who], [...others(a.who), 'o1'])),
+    cut: (a) => {
+      lift(1500 + a.size * 4000, b.net.cut([a.who], [...others(a.who), 'o1']));
+      void watched(s);
+    },
     oneway: (a) => lift(500 + a.size * 4000, b.net.cut([a.who], others(a.who), true)),
     stall: (a) => b.disks.get(a.who)!.stall(500 + a.size * 4000),
     fail: (a) => {
@@ -65,6 +90,7 @@
     race: () => void s.change(3),
     read: () => void s.read(),
     claim: (a) => void s.claim(NAMES[a.size < 0.5 ? 0 : 1]!, a.who),
+    handover: (a) => void handover(s, a),
   };
 };
 
