Mail speaks with the next release's voice, now that an opening names the life it means

Cause: ledger.open had gained a key under the old voice; owners of the release before would have turned it away, and with it every visit during a rolling upgrade.

--- a/packages/forms/src/post.ts
+++ b/packages/forms/src/post.ts
@@ -9,7 +9,8 @@
 import type { WireFault } from './wirefault.js';
 import type { World } from './world.js';
 
-const VOICE = 1;
+/** Raised with each release that adds a key to any mail: 2 names the life meant in `ledger.open`. */
+const VOICE = 2;
 type Desk = { form: TSchema; fn: (body: never, from: Ident) => Promise<unknown> | unknown };
 
 /**
