--- a/packages/sim/src/drills/daemons.ts
+++ b/packages/sim/src/drills/daemons.ts
@@ -112,12 +112,14 @@
   },
   {
     name: 'doors',
-    about: 'the daemons that operators start from exchange addresses while plans are open and confirms under way',
+    about:
+      'the daemons that operators start from, then two cores, exchange addresses while plans are open and confirms under way',
     async run(s) {
-      for (let i = 0; i < 2; i++) {
-        const [a, b] = s.f.some(s.f.edgeIds, 2) as [string, string];
-        const open = await s.ops.plan(a, s.ops.write());
-        void s.ops.confirm(b, open.name);
+      for (const group of [s.f.edgeIds, s.f.coreIds]) {
+        const [a, b] = s.f.some(group, 2) as [string, string];
+        const [door, other] = s.f.some(s.f.edgeIds, 2) as [string, string];
+        const open = await s.ops.plan(door, s.ops.write());
+        void s.ops.confirm(other, open.name);
         await s.nap(s.real() * 12);
         for (const id of [a, b]) s.f.kill(id);
         const x = s.f.boxes.get(a)!;
@@ -127,9 +129,9 @@
         y.move(old);
         await s.nap(300);
         for (const id of [a, b]) s.f.start(id);
-        void s.ops.confirm(a, open.name);
-        await s.nap(1200);
-        await s.ops.change(5);
+        void s.ops.confirm(door, open.name);
+        await s.nap(5000);
+        await s.ops.change(20);
       }
     },
   },
