Take out what this change left dead, and make one world for the fleet and the core alone

Found on reading the whole change again: two copies of a simulated daemon's world (now Net.world); a bench's list of faults, a count of dropped mail, two tricks and the counter's own bucket option that nothing used any more; the ways of a disk point listed twice.

--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -30,6 +30,10 @@
 import { Waitlist } from './waitlist.js';
 import { Witness } from './witness.js';
 
+/** Extra tries: so many a visit, and so many saved at the most. */
+const RATE = 0.2;
+const CAP = 3;
+
 /** A counter daemon put together: purge, ledger, casting and the visits' path. */
 export const Counter = {
   make(outer: World, startup: CounterStartup, back: Back, town: Town) {
@@ -137,7 +141,7 @@
     const casting = Casting.make({ ...shared, suspect: (s) => shuns.has(s.id, s.born) });
     const mixer = Mixer.make({ ...shared, load: () => checkin.load() });
     const witness = Witness.make(world, post, crew, known);
-    const bucket = Bucket.make(startup.tries?.rate ?? 0.2, startup.tries?.cap ?? 3);
+    const bucket = Bucket.make(RATE, CAP);
     const lists = { waitlist, hands, select, loads };
     /** A daemon that has just started, or slept, may hold an older charter than it once did. */
     const sure = (): boolean => {
--- a/packages/counter/src/counterstartup.ts
+++ b/packages/counter/src/counterstartup.ts
@@ -8,5 +8,4 @@
   seeds: readonly string[];
   control: boolean;
   tunes: Tunes;
-  tries?: { rate: number; cap: number };
 };
--- a/packages/sim/src/bench.ts
+++ b/packages/sim/src/bench.ts
@@ -1,4 +1,4 @@
-import { Err, Post, type Charter, type Deed, type Ident, type Result, type World } from '@pumicebarrow/forms';
+import { Err, Post, type Charter, type Deed, type Ident, type Result } from '@pumicebarrow/forms';
 import { Tuned } from '@pumicebarrow/purge';
 import { Line, Registrar } from '@pumicebarrow/registry';
 import type { Box } from './box.js';
@@ -9,7 +9,6 @@
 
 type Core = Extract<Awaited<ReturnType<typeof Registrar.make>>, { ok: true }>['val'];
 const IDS = ['c1', 'c2', 'c3'];
-const quiet = { say: () => undefined, warn: () => undefined };
 
 /** The core alone on three simulated machines, and two machines that ask things of it. */
 export const Bench = {
@@ -22,22 +21,13 @@
     );
     const desks = ['o1', 'o2'].map((id, i) => Host.make(motor, id, `10.3.0.${i + 1}:7000`, 's1', null, tell));
     const cores = new Map<string, Core>();
-    const faults: string[] = [];
     const seeds = IDS.map((_, i) => `10.0.0.${i + 1}:7000`);
     let spare = 10;
     for (const b of [...boxes.values(), ...desks]) net.add(b);
-    const world = (b: Box): World => ({
-      clock: b.begin(),
-      chance: b.chance,
-      wire: net.wire(b),
-      disk: b.disk,
-      log: () => quiet,
-      tell: (x) => b.tell(x),
-    });
     const start = async (id: string): Promise<void> => {
       const b = boxes.get(id)!;
       if (b.up()) return;
-      const w = world(b),
+      const w = net.world(b),
         life = b.life();
       b.tell({ what: 'start' });
       const made = await Registrar.make(w, {
@@ -50,7 +40,6 @@
       if (b.life() !== life) return;
       if (made.err) {
         // A daemon that can't use its disk ends; who looks after the machine starts it again.
-        faults.push(`${id}: ${made.val}`);
         b.kill();
         motor.at(motor.now() + 500, () => {
           void start(id);
@@ -70,7 +59,7 @@
     };
     /** One writes, the other only reads, and so may know an old view for long. */
     const [line, reader] = desks.map((b) => {
-      const w = world(b);
+      const w = net.world(b);
       const me: Ident = { id: b.id, born: 'o', addr: b.addr(), site: 's1', role: 'counter' };
       return Line.make(
         w,
@@ -86,7 +75,6 @@
       cores,
       line,
       reader,
-      faults,
       start,
       kill,
       ids: IDS,
--- a/packages/sim/src/diskpoints.ts
+++ b/packages/sim/src/diskpoints.ts
@@ -2,7 +2,8 @@
 import { CoreRun } from './corerun.js';
 import type { Scripter } from './scripter.js';
 
-type Way = 'stop' | 'fail' | 'full';
+const WAYS = ['stop', 'fail', 'full'] as const;
+type Way = (typeof WAYS)[number];
 type Job = 'confirm' | 'view' | 'damaged' | 'birth';
 type Point = { job: Job; way: Way; all: boolean; at: number };
 
@@ -62,11 +63,9 @@
     const { broken } = await CoreRun.run(seed, script);
     return { broken, met };
   },
-  jobs: Object.keys(JOBS) as Job[],
-  ways: ['stop', 'fail', 'full'] as const,
   /** Every job, way and reach, as the name of a run. All cores are never made to lose their disks at once. */
   names: (Object.keys(JOBS) as Job[]).flatMap((job) =>
-    (['stop', 'fail', 'full'] as const).flatMap((way) =>
+    WAYS.flatMap((way) =>
       (job === 'damaged' || job === 'birth' ? ['one'] : ['one', 'all']).map((reach) => `points ${job} ${way} ${reach}`),
     ),
   ),
--- a/packages/sim/src/fleet.ts
+++ b/packages/sim/src/fleet.ts
@@ -1,4 +1,4 @@
-import { Dice, type Deed, type World } from '@pumicebarrow/forms';
+import { Dice, type Deed } from '@pumicebarrow/forms';
 import { Counter, type Counting } from '@pumicebarrow/counter';
 import { Tuned } from '@pumicebarrow/purge';
 import { Registrar } from '@pumicebarrow/registry';
@@ -12,7 +12,6 @@
 import { SimDisk } from './simdisk.js';
 
 type Core = Extract<Awaited<ReturnType<typeof Registrar.make>>, { ok: true }>['val'];
-const quiet = { say: () => undefined, warn: () => undefined };
 
 /** A whole fleet on simulated machines: the daemons' own code, everything round it made here. */
 export const Fleet = {
@@ -48,18 +47,10 @@
     );
     for (const b of boxes.values()) net.add(b);
     const coreAddrs = coreIds.map((_, i) => `10.0.0.${i + 1}:7000`);
-    const world = (b: Box): World => ({
-      clock: b.begin(),
-      chance: b.chance,
-      wire: net.wire(b),
-      disk: b.disk,
-      log: () => quiet,
-      tell: (x) => b.tell(x),
-    });
     const start = (id: string): void => {
       const b = boxes.get(id)!;
       if (b.up()) return;
-      const w = world(b);
+      const w = net.world(b);
       b.tell({ what: 'start' });
       if (coreIds.includes(id)) {
         const life = b.life();
--- a/packages/sim/src/model.ts
+++ b/packages/sim/src/model.ts
@@ -116,10 +116,9 @@
           return { code: got ? 'bad' : 'lapsed' };
         }
         const trick = h.trick();
-        const digest = trick === 'memory' ? Hash.text(`other ${got.digest}`) : got.digest;
+        const { digest } = got;
         h.ran(job.key, job.attempt, digest);
-        const all = Text.count(got.digest, job.pieces),
-          count = trick === 'short' ? all - 1 : all,
+        const count = Text.count(digest, job.pieces),
           hash = createHash('sha256');
         const base = {
           key: trick === 'other' ? 'another' : job.key,
--- a/packages/sim/src/net.ts
+++ b/packages/sim/src/net.ts
@@ -1,4 +1,14 @@
-import { Err, Ok, Dice, type Mail, type Result, type Wire, type WireFault } from '@pumicebarrow/forms';
+import {
+  Err,
+  Ok,
+  Dice,
+  Logs,
+  type Mail,
+  type Result,
+  type Wire,
+  type WireFault,
+  type World,
+} from '@pumicebarrow/forms';
 import type { Box } from './box.js';
 import type { Motor } from './motor.js';
 
@@ -22,20 +32,17 @@
     let loss = 0;
     let bend: Bend = (_kind, _from, _to, re) => re;
     let mails = 0;
-    let dropped = 0;
     /** Whether what x sends never comes to y; y may still come to x if the cut is one way. */
     const mute = (x: string, y: string): boolean =>
       cuts.some((c) => (c.a.has(x) && c.b.has(y)) || (!c.oneway && c.a.has(y) && c.b.has(x)));
     const delay = (): number => (vary ? vary() : usual());
     const usual = (): number => 0.3 + motor.chance.real() * 1.5 + (motor.chance.real() < 0.01 ? 20 : 0) + slow;
-    return {
+    const net = {
       add(h: Box): void {
         hosts.push(h);
       },
       hosts: (): readonly Box[] => hosts,
       mails: (): number => mails,
-      /** Mails and replies that a cut has dropped. */
-      dropped: (): number => dropped,
       /** Cuts what goes from a to b, and back unless it is one way; gives what lifts it. */
       cut(a: readonly string[], b: readonly string[], oneway = false): () => void {
         const c = { a: new Set(a), b: new Set(b), oneway };
@@ -63,6 +70,15 @@
       slow(ms: number): void {
         slow = ms;
       },
+      /** All that the daemon on a machine may touch; a new life of the machine begins with it. */
+      world: (b: Box): World => ({
+        clock: b.begin(),
+        chance: b.chance,
+        wire: net.wire(b),
+        disk: b.disk,
+        log: Logs.quiet,
+        tell: (x) => b.tell(x),
+      }),
       wire(me: Box): Wire {
         return {
           hear: (fn) => me.hear(fn),
@@ -92,7 +108,6 @@
               }
               const fresh = Dice.int(motor.chance, 2) === 0;
               if (mute(me.id, there.id)) {
-                dropped++;
                 if (fresh) {
                   say(Err('unsent'), motor.now() + Math.min(ms, 300));
                   return;
@@ -122,7 +137,6 @@
                 void ear(JSON.parse(text) as Mail).then((re) => {
                   if (there.life() !== theirs) return;
                   if (mute(there.id, me.id)) {
-                    dropped++;
                     return;
                   }
                   const bent = bend(mail.kind, me.id, there.id, re ?? null, mail.body);
@@ -136,5 +150,6 @@
         };
       },
     };
+    return net;
   },
 };
--- a/packages/sim/src/work.ts
+++ b/packages/sim/src/work.ts
@@ -11,8 +11,8 @@
   const [, job, way, reach] = j.drill.split(' ');
   const r = await DiskPoints.sweep(
     j.seed,
-    job as (typeof DiskPoints.jobs)[number],
-    way as (typeof DiskPoints.ways)[number],
+    job as Parameters<typeof DiskPoints.sweep>[1],
+    way as Parameters<typeof DiskPoints.sweep>[2],
     reach === 'all',
   );
   return { deeds: [], ended: true, broken: r.broken, points: r.points };
