--- a/packages/registry/src/chain.ts
+++ b/packages/registry/src/chain.ts
@@ -21,7 +21,8 @@
 
 /**
  * The chain: entered at the head, each version synced before it is passed on, answered at the tail.
- * Invariants: what a member holds, every member before it in the chain held first; `passed` is known to be held by all;
+ * Invariants: what a member holds, every member before it in the chain held first; `passed` is known to be held by all
+ * of the view in force, and is nothing until the head has handed its version down in that view;
  * a command is bounced with 'no' only if no version that carries its effect was ever begun.
  */
 export const Chain = {
@@ -199,12 +200,6 @@
           void mend();
         }
       },
-      forget(): void {
-        state = Apply.empty;
-        passed = null;
-        fresh = 0;
-        ready = 0;
-      },
     };
   },
 };
--- a/packages/registry/src/coredesk.ts
+++ b/packages/registry/src/coredesk.ts
@@ -33,8 +33,7 @@
     });
     post.on('core.read', CoreWords.read, (body) => {
       const s = h.chain.passed();
-      if (!s || !h.isTail() || !h.live() || !h.chain.fresh())
-        return { ok: false, view: h.view(), charter: null, plan: null };
+      if (!s || !h.isTail() || !h.live()) return { ok: false, view: h.view(), charter: null, plan: null };
       const plan = body.plan === undefined ? null : (s.plans.find((p) => p.id === body.plan) ?? null);
       return { ok: true, view: h.view(), charter: s.charter, plan };
     });
--- a/packages/sim/src/bench.ts
+++ b/packages/sim/src/bench.ts
@@ -81,6 +81,11 @@
       move(id: string): void {
         boxes.get(id)!.move(`10.0.1.${spare++}:7000`);
       },
+      /** The ids on the chain, head first, as the newest view met has it. */
+      chain(): string[] {
+        const views = [...cores.values()].map((c) => c.core.view()).filter((v) => v !== null);
+        return views.sort((a, b) => b.epoch - a.epoch)[0]?.chain.map((m) => m.id) ?? [];
+      },
       /** All are up, in the chain and voting, with nothing of the last fault left. */
       whole(): boolean {
         const view = [...cores.values()]
--- a/packages/sim/src/commands/list.ts
+++ b/packages/sim/src/commands/list.ts
@@ -1,4 +1,5 @@
 import { Command } from '@oclif/core';
+import { Alone } from '../drills/alone.js';
 import { Drills } from '../drills.js';
 
 /** sim list */
@@ -7,6 +8,6 @@
 
   async run(): Promise<void> {
     await this.parse(ListCommand);
-    for (const d of Drills.values()) this.log(`${d.name.padEnd(10)} ${d.about}`);
+    for (const d of [...Drills.values(), ...Alone]) this.log(`${d.name.padEnd(10)} ${d.about}`);
   }
 }
--- a/packages/sim/src/commands/run.ts
+++ b/packages/sim/src/commands/run.ts
@@ -2,6 +2,7 @@
 import { Crew } from '../crew.js';
 import { Day } from '../day.js';
 import { DiskPoints } from '../diskpoints.js';
+import { Alone } from '../drills/alone.js';
 import { Drills } from '../drills.js';
 import { Explore } from '../explore.js';
 import { Guards } from '../guards.js';
@@ -9,7 +10,7 @@
 import { Seeds } from '../seeds.js';
 
 type Fleet = Job['fleet'];
-const SETS = ['all', 'day', 'explore', 'points'];
+const SETS = ['all', 'day', 'core', 'explore', 'points'];
 const FLEETS = ['coop', 'registry', 'both'];
 
 /** sim run */
@@ -24,7 +25,7 @@
     '<%= config.bin %> run duty --without quiet',
   ];
   static override args = {
-    drill: Args.string({ description: "a drill's name, `all`, `day`, `explore` or `points`", required: true }),
+    drill: Args.string({ description: "a drill's name, `all`, `day`, `core`, `explore` or `points`", required: true }),
   };
   static override flags = {
     fleet: Flags.string({ default: 'coop', description: 'coop, registry or both' }),
@@ -40,8 +41,9 @@
     const seeds = Seeds.read(flags.seeds);
     const faults = /^\d{1,3}$/.test(flags.faults) ? Number(flags.faults) : 0;
     const guard = Guards.find((g) => g.name === flags.without) ?? null;
-    if (!SETS.includes(args.drill) && !Drills.has(args.drill)) {
-      wrong.push(`unknown drill ${args.drill}; valid: ${[...SETS, ...Drills.keys()].join(', ')}`);
+    const names = [...SETS, ...Drills.keys(), ...Alone.map((d) => d.name)];
+    if (!names.includes(args.drill)) {
+      wrong.push(`unknown drill ${args.drill}; valid: ${names.join(', ')}`);
     }
     if (!seeds) wrong.push(`bad seeds ${flags.seeds}; valid: 7, 1-20, 3,5,8`);
     if (!FLEETS.includes(flags.fleet)) wrong.push(`unknown fleet ${flags.fleet}; valid: ${FLEETS.join(', ')}`);
@@ -62,9 +64,9 @@
     const tick = (j: Job, n: number): void => {
       if (n > 0) bad.push(`${j.fleet} ${j.drill} seed ${j.seed}: ${n}`);
     };
-    const { report, unfinished, core, points } = await Crew.report(jobs, tick, guard);
+    const { report, unfinished, core, points, unmet } = await Crew.report(jobs, tick, guard);
     if (flags.json)
-      this.log(JSON.stringify({ runs: jobs.length, rows: report.rows(), core, points, unfinished }, null, 2));
+      this.log(JSON.stringify({ runs: jobs.length, rows: report.rows(), core, points, unfinished, unmet }, null, 2));
     else {
       this.log(`${jobs.length} runs${points > 0 ? `, ${points} points or acts` : ''}`);
       if (points === 0) for (const l of report.lines()) this.log(l);
@@ -76,9 +78,11 @@
           this.log(`    ${JSON.stringify(a)}`);
       }
       for (const b of bad.sort()) this.log(`broken in ${b}`);
+      for (const u of unmet)
+        this.log(`${u.job.fleet} ${u.job.drill} seed ${u.job.seed} did not bring about: ${u.what.join(', ')}`);
       for (const u of unfinished) this.log(`did not end: ${u.fleet} ${u.drill} seed ${u.seed}`);
     }
-    if (report.broken() || unfinished.length > 0 || core.length > 0) this.exit(1);
+    if (report.broken() || unfinished.length + core.length + (guard ? 0 : unmet.length) > 0) this.exit(1);
   }
 
   /** The jobs that a name stands for. */
@@ -86,6 +90,12 @@
     const all = (names: readonly string[], fleet: Fleet): Job[] =>
       names.flatMap((n) => seeds.map((seed) => ({ fleet, drill: n, faults, seed })));
     if (drill === 'explore') return all(['explore'], 'coop');
+    if (drill === 'core')
+      return all(
+        Alone.map((d) => d.name),
+        'coop',
+      );
+    if (Alone.some((d) => d.name === drill)) return all([drill], 'coop');
     if (drill === 'points') return all(DiskPoints.names, 'coop');
     return fleets.flatMap((fleet) => all(drill === 'all' ? Day.names(fleet) : [drill], fleet));
   }
--- /dev/null
+++ b/packages/sim/src/coredrill.ts
@@ -0,0 +1,4 @@
+import type { Scripter } from './scripter.js';
+
+/** One way to bring the core alone to the edge of what it promises; `run` tells whether that was met. */
+export type CoreDrill = { name: string; about: string; run(s: Scripter): Promise<boolean> };
--- a/packages/sim/src/corerun.ts
+++ b/packages/sim/src/corerun.ts
@@ -32,7 +32,7 @@
       note('planned', { plan: id, base: base ?? 0, ran: ruling.verdict.ran, code: ruling.verdict.code });
       return ruling.verdict.ran === 'yes' ? id : null;
     };
-    const confirm = async (id: string): Promise<void> => {
+    const confirm = async (id: string): Promise<boolean> => {
       const { ruling } = await b.line.write({ do: 'confirm', id });
       note('verdict', {
         plan: id,
@@ -40,12 +40,24 @@
         code: ruling.verdict.code,
         version: ruling.version ?? null,
       });
+      return ruling.verdict.code === 'confirmed';
     };
     const s: Scripter = {
       b,
       nap,
       note,
       now: motor.now,
+      deeds: () => deeds,
+      plan,
+      confirm,
+      async until(fn, ms) {
+        const end = motor.now() + ms;
+        while (!fn() && motor.now() < end) await nap(0.1);
+        return fn();
+      },
+      async spray(ms, every, fn) {
+        for (const end = motor.now() + ms; motor.now() < end; await nap(every)) fn();
+      },
       async change(n) {
         const ids = await Promise.all(Array.from({ length: n }, () => plan()));
         await Promise.all(ids.flatMap((id) => (id ? [confirm(id)] : [])));
--- a/packages/sim/src/crew.ts
+++ b/packages/sim/src/crew.ts
@@ -50,11 +50,13 @@
     const report = Report.make();
     const unfinished: Job[] = [];
     const core: { job: Job; why: readonly string[] }[] = [];
+    const unmet: { job: Job; what: readonly string[] }[] = [];
     let points = 0;
     await Crew.run(
       jobs,
       (b) => {
         points += b.points;
+        if (b.unmet.length > 0) unmet.push({ job: b.job, what: b.unmet });
         if (!b.ended) unfinished.push(b.job);
         if (b.broken && b.broken.length > 0) core.push({ job: b.job, why: b.broken });
         tick(
@@ -64,6 +66,6 @@
       },
       guard,
     );
-    return { report, unfinished, core, points };
+    return { report, unfinished, core, points, unmet };
   },
 };
--- a/packages/sim/src/day.ts
+++ b/packages/sim/src/day.ts
@@ -33,7 +33,11 @@
       await s.nap(3000 + chance.real() * 4000);
     }
     const last = Dice.one(chance, FINAL)!;
-    s.note('fault', { name: last, last: true });
-    await Drills.get(last)!.run(s);
+    await Day.last(s, last);
+  },
+  /** A fault that must be met: the only one of a drill, or the one that a day ends on. */
+  async last(s: Scene, name: string): Promise<void> {
+    s.note('fault', { name, last: true });
+    await Drills.get(name)!.run(s);
   },
 };
--- a/packages/sim/src/drills.test.ts
+++ b/packages/sim/src/drills.test.ts
@@ -4,6 +4,7 @@
 import { Crew } from './crew.js';
 import { Day } from './day.js';
 import { DiskPoints } from './diskpoints.js';
+import { Alone } from './drills/alone.js';
 import { GuardRun } from './guardrun.js';
 import { Guards } from './guards.js';
 import type { Job } from './job.js';
@@ -12,7 +13,8 @@
 
 const SEEDS = [101, 102];
 /** Within so many seeds a missing guard is caught, on each deployment; schedules of the core are quick. */
-const most = (drill: string): number => (drill === 'explore' ? 16 : 2);
+const core = (drill: string): boolean => Alone.some((d) => d.name === drill);
+const most = (drill: string): number => (drill === 'explore' || core(drill) ? 16 : 2);
 const jobs = (fleet: Job['fleet'], names: readonly string[], faults = 1, seeds: readonly number[] = SEEDS): Job[] =>
   names.flatMap((drill) => seeds.map((seed) => ({ fleet, drill, faults, seed })));
 const clean = async (list: readonly Job[]) => {
@@ -20,6 +22,7 @@
   expect(got.report.broken(), got.report.lines().join('\n')).to.equal(false);
   expect(got.core).to.deep.equal([]);
   expect(got.unfinished).to.deep.equal([]);
+  expect(got.unmet).to.deep.equal([]);
   return got;
 };
 
@@ -45,6 +48,16 @@
     const seeds = Array.from({ length: 64 }, (_, i) => i + 1);
     expect((await clean(jobs('coop', ['explore'], 14, seeds))).points).to.be.greaterThan(64 * 10);
   });
+  it('holds at the edge of each of its promises', async () => {
+    await clean(
+      jobs(
+        'coop',
+        Alone.map((d) => d.name),
+        1,
+        [1, 2, 3, 4],
+      ),
+    );
+  });
   it('holds where a disk is stopped, fails or is full at any single operation', async () => {
     expect((await clean(jobs('coop', DiskPoints.names, 1, [1]))).points).to.be.greaterThan(500);
   });
--- a/packages/sim/src/drills/cores.ts
+++ b/packages/sim/src/drills/cores.ts
@@ -5,12 +5,13 @@
   {
     name: 'corekill',
     about: 'each core in turn is killed while operators confirm, and starts again',
+    meets: ['corekilled', 'view', 'apart'],
     async run(s) {
       for (const id of s.f.coreIds) {
         void s.ops.change(6);
         await s.nap(s.real() * 40);
         s.f.kill(id);
-        await s.nap(3500);
+        await Promise.race([s.ops.change(6), s.nap(6000)]);
         void s.ops.change(6);
         s.f.start(id);
         await s.nap(4500);
@@ -20,12 +21,13 @@
   {
     name: 'wipe',
     about: 'a core loses its disk just after a confirm, and returns empty',
+    meets: ['wiped', 'apart'],
     async run(s) {
       for (const place of [0, -1, 1]) {
         const done = await s.ops.change(10);
         const id = s.f.chain().at(place) ?? s.f.coreIds[0]!;
         if (done) s.f.wipe(id);
-        await s.nap(1500);
+        await Promise.race([s.ops.change(6), s.nap(6000)]);
         void s.ops.change(6);
         s.f.start(id);
         await s.nap(5000);
@@ -35,6 +37,7 @@
   {
     name: 'tailkill',
     about: 'the tail is killed at the instant it has passed a new charter',
+    meets: ['atonce'],
     async run(s) {
       for (let i = 0; i < 3; i++) {
         const id = s.f.chain().at(-1) ?? s.f.coreIds[0]!;
@@ -52,6 +55,7 @@
   {
     name: 'moved',
     about: 'a core machine returns empty at a new address',
+    meets: ['wiped', 'moved'],
     async run(s) {
       for (const place of [0, -1]) {
         await s.ops.change(10);
@@ -67,6 +71,7 @@
   {
     name: 'diskslow',
     about: 'core disks slow down',
+    meets: ['disk', 'confirmed'],
     async run(s) {
       for (const id of s.f.coreIds) s.f.disks.get(id)!.slow(150);
       for (let i = 0; i < 4; i++) {
@@ -79,6 +84,7 @@
   {
     name: 'diskfull',
     about: 'a core disk fills, and is cleared later',
+    meets: ['disk'],
     async run(s) {
       for (const id of s.f.some(s.f.coreIds, 2)) {
         s.f.disks.get(id)!.fill(true);
@@ -92,6 +98,7 @@
   {
     name: 'diskstall',
     about: 'a core disk stalls for seconds',
+    meets: ['disk'],
     async run(s) {
       for (const id of s.f.some(s.f.coreIds, 2)) {
         s.f.disks.get(id)!.stall(4000);
@@ -103,11 +110,12 @@
   {
     name: 'torn',
     about: 'a core finds its newest file damaged at a start',
+    meets: ['spoilt'],
     async run(s) {
       const id = s.f.some(s.f.coreIds, 1)[0]!;
       await s.ops.change(8);
       s.f.kill(id);
-      s.f.disks.get(id)!.tear(s.real() < 0.5 ? 'state' : 'vote');
+      if (s.f.disks.get(id)!.tear(s.real() < 0.5 ? 'state' : 'vote')) s.note('spoilt', { id });
       await s.nap(2500);
       s.f.start(id);
       await s.nap(5000);
@@ -117,6 +125,7 @@
   {
     name: 'split',
     about: 'the core is cut in two',
+    meets: ['cutmet', 'view'],
     async run(s) {
       for (let i = 0; i < 2; i++) {
         const one = s.f.some(s.f.coreIds, 1),
@@ -131,6 +140,7 @@
   {
     name: 'cutoff',
     about: 'the core is cut off from the edge; a daemon starts meanwhile',
+    meets: ['cutmet', 'killed'],
     async run(s) {
       s.cut(s.f.coreIds, s.f.edgeIds, 7000);
       await s.nap(1000);
@@ -145,6 +155,7 @@
   {
     name: 'corefreeze',
     about: 'a core machine freezes and wakes',
+    meets: ['corefrozen', 'view'],
     async run(s) {
       for (const place of [0, -1]) {
         const id = s.f.chain().at(place) ?? s.f.coreIds[0]!;
--- a/packages/sim/src/drills/crowds.ts
+++ b/packages/sim/src/drills/crowds.ts
@@ -5,6 +5,7 @@
   {
     name: 'crowd',
     about: 'a crowd arrives all at once, twice',
+    meets: ['burst'],
     async run(s) {
       s.callers.crowd(1200);
       await s.nap(6000);
@@ -15,6 +16,7 @@
   {
     name: 'swing',
     about: 'the mix swings between long prompts and long outcomes',
+    meets: ['swung'],
     async run(s) {
       s.callers.long(6);
       s.callers.mix(
--- a/packages/sim/src/drills/daemons.ts
+++ b/packages/sim/src/drills/daemons.ts
@@ -5,6 +5,7 @@
   {
     name: 'kill',
     about: 'daemons are killed singly, and start again',
+    meets: ['killed'],
     async run(s) {
       for (const id of s.f.some(s.f.edgeIds, 3)) {
         s.f.kill(id);
@@ -18,6 +19,7 @@
   {
     name: 'freeze',
     about: 'edge machines freeze with visits in hand while the charter changes, and wake on a slow network',
+    meets: ['frozenbusy', 'apart'],
     async run(s) {
       for (const id of s.f.some(s.f.edgeIds, 3)) {
         s.f.net.slow(40);
@@ -35,27 +37,25 @@
   {
     name: 'pause',
     about: 'machines are paused with their monotonic clocks, while a server leaves and the charter changes',
+    meets: ['frozenbusy', 'draining', 'apart'],
     async run(s) {
       for (let i = 0; i < 4; i++) {
         s.f.net.slow(40);
         s.callers.crowd(500);
         await s.nap(100 + s.real() * 200);
         const some = [...s.f.some(s.f.edgeIds, 3), s.f.chain().at(i % 2 === 0 ? 0 : -1)!];
-        for (const id of some) {
-          s.f.boxes.get(id)!.pause(4500);
-          s.f.boxes.get(id)!.tell({ what: 'frozen', ms: 4500 });
-        }
+        for (const id of some) s.f.pause(id, s.f.coreIds.includes(id) ? 7500 : 4500);
         await s.nap(100);
         const server = s.f.some(s.park.ids(), 1)[0]!;
         for (const id of [server, ...s.f.some(s.park.ids(), 1)]) s.park.mark(id, 'draining');
         s.f.net.slow(0);
+        for (const _ of ['two', 'operators']) void s.ops.change(8);
         await s.ops.change(8);
         s.f.net.slow(40);
         await s.nap(5500);
         for (const id of s.park.ids())
           if (s.park.get(id).mark === 'draining') {
-            s.park.fall(id);
-            s.park.rise(id);
+            s.park.renew(id);
           }
         s.f.net.slow(0);
         await s.nap(2500);
@@ -65,6 +65,7 @@
   {
     name: 'lone',
     about: 'a single machine is cut off from all the others, then another',
+    meets: ['cutmet'],
     async run(s) {
       for (const id of s.f.some([...s.f.edgeIds, ...s.f.coreIds], 2)) {
         const rest = [...s.f.edgeIds, ...s.f.coreIds].filter((x) => x !== id);
@@ -78,6 +79,7 @@
   {
     name: 'lossy',
     about: 'one mail in twenty between daemons is lost, and all are slow, while the charter changes',
+    meets: ['lost', 'confirmed'],
     async run(s) {
       s.f.net.lose(0.05);
       s.f.net.slow(15);
@@ -86,12 +88,14 @@
         await s.nap(2200);
       }
       s.f.net.lose(0);
+      s.note('lifted', { lost: s.f.net.met().lost });
       s.f.net.slow(0);
     },
   },
   {
     name: 'alone',
     about: 'a single machine loses all its links: daemons, servers, platform and callers; some of them one way only',
+    meets: ['cutmet', 'draining'],
     async run(s) {
       for (let i = 0; i < 3; i++) {
         const id = s.f.some(s.f.edgeIds, 1)[0]!;
@@ -104,8 +108,7 @@
         s.park.mark(server, 'draining');
         void s.ops.change(4);
         await s.nap(5000);
-        s.park.fall(server);
-        s.park.rise(server);
+        s.park.renew(server);
         await s.nap(1500);
       }
     },
@@ -114,6 +117,7 @@
     name: 'doors',
     about:
       'the daemons that operators start from, then two cores, exchange addresses while plans are open and confirms under way',
+    meets: ['moved', 'confirmed'],
     async run(s) {
       for (const group of [s.f.edgeIds, s.f.coreIds]) {
         const [a, b] = s.f.some(group, 2) as [string, string];
@@ -122,11 +126,7 @@
         void s.ops.confirm(other, open.name);
         await s.nap(s.real() * 12);
         for (const id of [a, b]) s.f.kill(id);
-        const x = s.f.boxes.get(a)!;
-        const y = s.f.boxes.get(b)!;
-        const old = x.addr();
-        x.move(y.addr());
-        y.move(old);
+        s.f.exchange(a, b);
         await s.nap(300);
         for (const id of [a, b]) s.f.start(id);
         void s.ops.confirm(door, open.name);
@@ -138,10 +138,13 @@
   {
     name: 'clocks',
     about: 'wall clocks jump both ways while the charter changes',
+    meets: ['skewed'],
     async run(s) {
       for (let i = 0; i < 6; i++) {
-        for (const id of s.f.some([...s.f.edgeIds, ...s.f.coreIds], 3))
+        for (const id of s.f.some([...s.f.edgeIds, ...s.f.coreIds], 3)) {
           s.f.boxes.get(id)!.skew((s.real() - 0.5) * 7_200_000);
+          s.note('skewed', { id });
+        }
         void s.ops.change(2);
         await s.nap(1200);
       }
@@ -150,8 +153,10 @@
   {
     name: 'restart',
     about: 'all machines stop at once and start again with their disks',
+    meets: ['corekilled', 'killedbusy'],
     async run(s) {
       void s.ops.change(1);
+      s.callers.crowd(80);
       await s.nap(20 + s.real() * 60);
       const all = [...s.f.coreIds, ...s.f.edgeIds];
       for (const id of all) s.f.kill(id);
@@ -162,6 +167,7 @@
   {
     name: 'blackout',
     about: 'all machines, all servers and the platform stop, and return one by one in any order',
+    meets: ['corekilled', 'fell'],
     async run(s) {
       void s.ops.change(1);
       await s.nap(20 + s.real() * 60);
@@ -183,6 +189,7 @@
   {
     name: 'rolling',
     about: 'every edge daemon in turn is told to leave, finishes its visits, and a new life starts',
+    meets: ['leaves'],
     async run(s) {
       for (const id of s.f.edgeIds) {
         await s.f.leave(id, 4000);
@@ -195,21 +202,20 @@
   {
     name: 'duty',
     about: 'duty holders are killed, frozen or cut off while their servers come back as new lives, again and again',
+    meets: ['hands'],
     async run(s) {
       for (let i = 0; i < 4; i++) {
         const server = s.f.some(s.park.ids(), 1)[0]!;
         const any = [...s.f.counters.values()][0];
         const holder = any?.sheet.rows().get(server)?.row.by ?? s.f.edgeIds[0]!;
         const rest = [...s.f.edgeIds, ...s.f.coreIds].filter((x) => x !== holder);
-        s.park.fall(server);
-        s.park.rise(server);
+        s.park.renew(server);
         await s.nap(s.real() * 900);
         if (i % 3 === 0) s.f.kill(holder);
         if (i % 3 === 1) s.f.freeze(holder, 3000 + s.real() * 2500);
         if (i % 3 === 2) s.cut([holder], rest, 4000);
         for (let n = 0; n < 16; n++) {
-          s.park.fall(server);
-          s.park.rise(server);
+          s.park.renew(server);
           await s.nap(500);
         }
         s.f.start(holder);
@@ -220,15 +226,12 @@
   {
     name: 'exchange',
     about: 'two edge daemons come back with their addresses exchanged',
+    meets: ['moved'],
     async run(s) {
       const [a, b] = s.f.some(s.f.edgeIds, 2) as [string, string];
       s.f.kill(a);
       s.f.kill(b);
-      const x = s.f.boxes.get(a)!,
-        y = s.f.boxes.get(b)!,
-        ax = x.addr();
-      x.move(y.addr());
-      y.move(ax);
+      s.f.exchange(a, b);
       await s.nap(500);
       s.f.start(a);
       s.f.start(b);
--- a/packages/sim/src/drills/intents.ts
+++ b/packages/sim/src/drills/intents.ts
@@ -5,6 +5,7 @@
   {
     name: 'single',
     about: 'charters change one after another',
+    meets: ['confirmed'],
     async run(s) {
       for (let i = 0; i < 5; i++) {
         await s.ops.change();
@@ -15,6 +16,7 @@
   {
     name: 'race',
     about: 'several operators confirm against one base at once',
+    meets: ['beaten'],
     async run(s) {
       for (let i = 0; i < 4; i++) {
         await s.ops.race(4);
@@ -25,6 +27,7 @@
   {
     name: 'storm',
     about: 'charters change in a storm',
+    meets: ['storm'],
     async run(s) {
       await s.ops.storm(40, 150);
       await s.nap(3000);
@@ -33,6 +36,7 @@
   {
     name: 'readback',
     about: 'operators read all the while, and the first daemon to hold each new charter stops and starts at once',
+    meets: ['readback', 'killed'],
     async run(s) {
       const version = (id: string): number => s.f.counters.get(id)?.sheet.version() ?? 0;
       for (let i = 0; i < 8; i++) {
@@ -59,6 +63,7 @@
   {
     name: 'racekill',
     about: 'operators race while the head is killed',
+    meets: ['corekilled'],
     async run(s) {
       for (let i = 0; i < 3; i++) {
         const job = s.ops.race(4);
--- a/packages/sim/src/drills/servers.ts
+++ b/packages/sim/src/drills/servers.ts
@@ -8,6 +8,7 @@
   {
     name: 'crash',
     about: 'model servers crash and come back as new lives',
+    meets: ['fell'],
     async run(s) {
       for (const id of s.f.some(s.park.ids(), 3)) {
         s.park.fall(id);
@@ -22,6 +23,7 @@
   {
     name: 'dark',
     about: 'a model server stops replying and the list does not say so',
+    meets: ['sighted'],
     async run(s) {
       for (const id of s.f.some(s.park.ids(), 2)) {
         s.park.dark(id, true);
@@ -34,6 +36,7 @@
   {
     name: 'latesend',
     about: 'servers stand still with work in their buffers, are listed as leaving, and go on seconds later',
+    meets: ['late', 'draining'],
     async run(s) {
       for (let i = 0; i < 3; i++) {
         const ids = s.f.some(s.park.ids(), 2);
@@ -46,8 +49,7 @@
         for (const id of ids) s.park.dark(id, false);
         await s.nap(1500);
         for (const id of ids) {
-          s.park.fall(id);
-          s.park.rise(id);
+          s.park.renew(id);
         }
         await s.nap(2500);
       }
@@ -56,11 +58,11 @@
   {
     name: 'lateorder',
     about: 'an order lies in the buffers of a server that stands still, while another daemon takes the duty over',
+    meets: ['lateorder'],
     async run(s) {
       for (let i = 0; i < 4; i++) {
         const server = s.f.some(s.park.ids(), 1)[0]!;
-        s.park.fall(server);
-        s.park.rise(server);
+        s.park.renew(server);
         const sent = s.f.orders(server);
         for (let ms = 0; ms < 6000 && s.f.orders(server) === sent; ms++) await s.nap(0.5);
         s.park.dark(server, true);
@@ -77,6 +79,7 @@
   {
     name: 'release',
     about: 'servers are replaced one by one: listed as leaving, stopped, back as new lives',
+    meets: ['draining', 'fell'],
     async run(s) {
       for (const id of s.park.ids()) {
         s.park.mark(id, 'draining');
@@ -92,6 +95,7 @@
   {
     name: 'links',
     about: 'links between servers slow down',
+    meets: ['slowlink'],
     async run(s) {
       const ids = s.f.some(s.park.ids(), 2);
       for (const id of ids) s.park.slow(id, 700);
@@ -102,6 +106,7 @@
   {
     name: 'lapse',
     about: 'held prompt memory lapses early',
+    meets: ['lapsed'],
     async run(s) {
       for (let i = 0; i < 60; i++) {
         s.park.lapse();
@@ -112,13 +117,13 @@
   {
     name: 'crashes',
     about: 'servers crash with many visits in hand, again and again',
+    meets: ['fellbusy'],
     async run(s) {
       for (let i = 0; i < 4; i++) {
         s.callers.crowd(120);
         await s.nap(60 + s.real() * 120);
         for (const id of s.f.some(s.park.ids(), 3)) {
-          s.park.fall(id);
-          s.park.rise(id);
+          s.park.renew(id);
         }
         await s.nap(2500);
       }
@@ -127,6 +132,7 @@
   {
     name: 'swapped',
     about: 'servers give the handles of other visits, and hand over from any',
+    meets: ['tricked'],
     async run(s) {
       for (const id of s.park.ids()) s.park.trick(id, 'swap');
       s.callers.crowd(60);
@@ -137,6 +143,7 @@
   {
     name: 'tricks',
     about: 'a server answers for another visit, skips, repeats, ends early, claims an old life',
+    meets: ['tricked'],
     async run(s) {
       const id = s.f.some(s.park.ids(), 1)[0]!;
       for (const t of TRICKS) {
@@ -149,6 +156,7 @@
   {
     name: 'flaky',
     about: 'servers turn much of their work away, while a herd of daemons is killed and starts again',
+    meets: ['turned', 'killed'],
     async run(s) {
       const ids = s.f.some(s.park.ids(), Math.ceil(s.park.ids().length / 2)),
         herd = s.f.some(s.f.edgeIds, 4);
@@ -166,6 +174,7 @@
   {
     name: 'nolist',
     about: "the platform's list can't be had for a while",
+    meets: ['oldlist', 'draining'],
     async run(s) {
       s.park.platform(false);
       await s.nap(1000);
@@ -173,8 +182,7 @@
       s.park.mark(id, 'draining');
       await s.nap(5000);
       s.park.platform(true);
-      s.park.fall(id);
-      s.park.rise(id);
+      s.park.renew(id);
     },
   },
 ];
--- a/packages/sim/src/drills/visits.ts
+++ b/packages/sim/src/drills/visits.ts
@@ -5,6 +5,7 @@
   {
     name: 'bustle',
     about: 'daemons are killed with many visits in hand, again and again',
+    meets: ['killedbusy'],
     async run(s) {
       for (let i = 0; i < 4; i++) {
         s.callers.crowd(80);
@@ -21,6 +22,7 @@
     name: 'twins',
     about:
       'one attempt goes to two daemons at once: as it is, with an owner frozen, between rosters that differ, after both owners died',
+    meets: ['twin', 'frozen', 'cutmet', 'killed'],
     async run(s) {
       const pair = (): [string, string] => s.f.some(s.f.edgeIds, 2) as [string, string];
       const pins = (): { owners: string[]; ids: string[] } => {
@@ -74,6 +76,7 @@
   {
     name: 'herd',
     about: 'half the edge is killed at once, while an operator confirms through one of them',
+    meets: ['killed'],
     async run(s) {
       const herd = s.f.some(s.f.edgeIds, Math.ceil(s.f.edgeIds.length / 2));
       const p = await s.ops.plan(herd[0]!, s.ops.write());
--- a/packages/sim/src/explore.ts
+++ b/packages/sim/src/explore.ts
@@ -5,33 +5,10 @@
 import type { Scripter } from './scripter.js';
 
 type Run = { deeds: readonly Deed[]; broken: readonly string[]; met: Readonly<Record<string, number>>; events: number };
-const WAYS: readonly Act['does'][] = [
-  'kill',
-  'kill',
-  'freeze',
-  'cut',
-  'oneway',
-  'stall',
-  'fail',
-  'wipe',
-  'wipe',
-  'tear',
-  'lose',
-  'snare',
-  'snare',
-  'move',
-  'confirm',
-  'confirm',
-  'confirm',
-  'race',
-  'race',
-  'read',
-  'read',
-  'claim',
-  'claim',
-  'handover',
-  'handover',
-];
+const WAYS = [
+  'kill kill freeze cut oneway stall fail wipe wipe tear lose snare snare move',
+  'confirm confirm confirm race race read read claim claim handover handover',
+].flatMap((l) => l.split(' ') as Act['does'][]);
 const SOFT = new Set<Act['does']>(['confirm', 'race', 'read', 'claim']);
 const NAMES = ['row:m1', 'row:m2'];
 const KINDS = ['self', 'vote', 'view', 'state'];
--- a/packages/sim/src/fleet.ts
+++ b/packages/sim/src/fleet.ts
@@ -38,7 +38,7 @@
     const coreIds = Array.from({ length: d.cores }, (_, i) => `c${i + 1}`);
     const edgeIds = Array.from({ length: d.edges }, (_, i) => `e${i + 1}`);
     coreIds.forEach((id, i) => {
-      const disk = SimDisk.make(motor, d.diskPace);
+      const disk = SimDisk.make(motor, d.diskPace, (how) => tell({ what: 'disk', who: id, at: motor.now(), how }));
       disks.set(id, disk);
       boxes.set(id, Host.make(motor, id, `10.0.0.${i + 1}:7000`, d.sites[i % d.sites.length]!, disk.disk, tell));
     });
@@ -137,12 +137,25 @@
         b.freeze(ms);
         b.tell({ what: 'frozen', ms });
       },
+      /** Two machines that are down come back at each other's address. */
+      exchange(one: string, two: string): void {
+        const [a, b] = [boxes.get(one)!, boxes.get(two)!],
+          old = a.addr();
+        a.move(b.addr());
+        b.move(old);
+        for (const x of [a, b]) x.tell({ what: 'moved' });
+      },
+      pause(id: string, ms: number): void {
+        const b = boxes.get(id)!;
+        b.pause(ms);
+        b.tell({ what: 'frozen', ms });
+      },
       /** A core machine that comes back with an empty disk at another address. */
       replace(id: string): void {
         kill(id);
         disks.get(id)!.wipe();
         boxes.get(id)!.move(`10.0.1.${spare++}:7000`);
-        boxes.get(id)!.tell({ what: 'wiped' });
+        for (const what of ['wiped', 'moved']) boxes.get(id)!.tell({ what });
       },
       wipe(id: string): void {
         kill(id);
--- /dev/null
+++ b/packages/sim/src/meets.ts
@@ -0,0 +1,95 @@
+import type { Deed } from '@pumicebarrow/forms';
+
+type List = readonly Deed[];
+type Count = (list: List) => number;
+const of = (list: List, what: string): List => list.filter((d) => d.what === what);
+const some =
+  (what: string, fits: (d: Deed) => boolean = () => true): Count =>
+  (list) =>
+    of(list, what).filter(fits).length;
+const core = (d: Deed): boolean => d.who.startsWith('c');
+const has =
+  (key: string, ...wanted: readonly string[]) =>
+  (d: Deed): boolean =>
+    wanted.includes(String(d[key]));
+
+/** Daemons that were stopped with visits in hand. */
+const busy =
+  (what: string): Count =>
+  (list) =>
+    of(list, what).filter((k) => {
+      const own = list.filter((d) => d.who === k.who && d.at <= k.at && d.at > k.at - 15_000);
+      const over = new Set(of(own, 'visit').map((d) => `${String(d['key'])} ${String(d['attempt'])}`));
+      return of(own, 'gated').some((d) => !over.has(`${String(d['key'])} ${String(d['attempt'])}`));
+    }).length;
+/** Charters confirmed while a machine was down, frozen or cut off. */
+const apart: Count = (list) => {
+  const yes = of(list, 'verdict').filter(has('code', 'confirmed'));
+  const spans = list.flatMap((d) => {
+    if (d.what === 'frozen') return [{ from: d.at, to: d.at + Number(d['ms']) }];
+    if (d.what === 'cut') return [{ from: d.at, to: Number(d['until']) }];
+    if (d.what !== 'killed') return [];
+    return [{ from: d.at, to: list.find((x) => x.what === 'start' && x.who === d.who && x.at > d.at)?.at ?? Infinity }];
+  });
+  return yes.filter((d) => spans.some((s) => s.from < d.at && d.at <= s.to)).length;
+};
+/** The most wishes of one instant, and the share of the heaviest rule. */
+const burst: Count = (list) => {
+  const by = new Map<number, number>();
+  for (const d of of(list, 'wish')) by.set(d.at, (by.get(d.at) ?? 0) + 1);
+  return Math.max(0, ...by.values()) >= 1000 ? 1 : 0;
+};
+const swung: Count = (list) =>
+  of(list, 'wish').filter(has('rule', 'review')).length > of(list, 'wish').length * 0.4 ? 1 : 0;
+/** The tail killed at the instant it passed a charter on. */
+const atonce: Count = (list) =>
+  of(list, 'killed').filter((k) => of(list, 'confirmed').some((c) => c.who === k.who && k.at - c.at < 2)).length;
+const hands: Count = (list) => {
+  const by = new Map<string, Set<string>>();
+  for (const d of of(list, 'ordered')) by.set(d.who, (by.get(d.who) ?? new Set()).add(String(d['by'])));
+  return [...by.values()].filter((s) => s.size > 1).length;
+};
+const storm: Count = (list) => (of(list, 'verdict').filter(has('code', 'confirmed')).length >= 8 ? 1 : 0);
+
+/** What a drill must have brought about, by name, counted in the deeds of its time; a run in which one is 0 has failed. */
+export const Meets = {
+  burst,
+  swung,
+  atonce,
+  hands,
+  storm,
+  apart,
+  killed: some('killed'),
+  killedbusy: busy('killed'),
+  frozenbusy: busy('frozen'),
+  frozen: some('frozen'),
+  corekilled: some('killed', core),
+  corefrozen: some('frozen', core),
+  wiped: some('wiped'),
+  moved: some('moved'),
+  leaves: some('leaves'),
+  cutmet: some('lifted', (d) => Number(d['met']) > 0),
+  lost: some('lifted', (d) => Number(d['lost']) > 0),
+  skewed: some('skewed'),
+  spoilt: some('spoilt'),
+  disk: some('disk'),
+  view: some('view'),
+  fell: some('fell'),
+  fellbusy: some('fell', (d) => Number(d['open']) > 0),
+  sighted: some('sighted'),
+  late: some('late', has('part', 'prefill', 'decode')),
+  lateorder: some('late', has('part', 'order')),
+  draining: some('listed', has('mark', 'draining')),
+  slowlink: some('slowlink'),
+  lapsed: some('extra', has('code', 'lapsed')),
+  turned: some('extra', has('code', 'busy')),
+  tricked: (list: List): number =>
+    some('extra', has('code', 'bad'))(list) + some('visit', has('code', 'bad', 'cut', 'mayhaverun'))(list),
+  oldlist: some('told', has('code', 'oldlist')),
+  twin: some('twin'),
+  confirmed: some('verdict', has('code', 'confirmed')),
+  beaten: some('verdict', has('code', 'lost')),
+  unsure: some('verdict', (d) => d['ran'] === 'maybe' || d['code'] === 'unready'),
+  readback: some('readback'),
+  deadseeds: some('deadseeds'),
+} as const satisfies Record<string, Count>;
--- a/packages/sim/src/net.ts
+++ b/packages/sim/src/net.ts
@@ -23,7 +23,7 @@
 export const Net = {
   make(motor: Motor) {
     const hosts: Box[] = [];
-    let cuts: { a: ReadonlySet<string>; b: ReadonlySet<string>; oneway: boolean }[] = [];
+    let cuts: { a: ReadonlySet<string>; b: ReadonlySet<string>; oneway: boolean; curt: boolean }[] = [];
     let vary: (() => number) | null = null;
     let newer: ReadonlySet<string> = new Set();
     const novel = (id: string, v: unknown): unknown =>
@@ -32,9 +32,21 @@
     let loss = 0;
     let bend: Bend = (_kind, _from, _to, re) => re;
     let mails = 0;
+    let held = 0;
+    let lost = 0;
     /** Whether what x sends never comes to y; y may still come to x if the cut is one way. */
-    const mute = (x: string, y: string): boolean =>
-      cuts.some((c) => (c.a.has(x) && c.b.has(y)) || (!c.oneway && c.a.has(y) && c.b.has(x)));
+    const mute = (x: string, y: string): boolean => {
+      const on = cuts.some((c) => (c.a.has(x) && c.b.has(y)) || (!c.oneway && c.a.has(y) && c.b.has(x)));
+      if (on) held++;
+      return on;
+    };
+    const curt = (x: string, y: string): boolean =>
+      cuts.some((c) => c.curt && ((c.a.has(x) && c.b.has(y)) || (c.a.has(y) && c.b.has(x))));
+    const gone = (): boolean => {
+      const by = loss > 0 && motor.chance.real() < loss;
+      if (by) lost++;
+      return by;
+    };
     const delay = (): number => (vary ? vary() : usual());
     const usual = (): number => 0.3 + motor.chance.real() * 1.5 + (motor.chance.real() < 0.01 ? 20 : 0) + slow;
     const net = {
@@ -43,9 +55,14 @@
       },
       hosts: (): readonly Box[] => hosts,
       mails: (): number => mails,
-      /** Cuts what goes from a to b, and back unless it is one way; gives what lifts it. */
-      cut(a: readonly string[], b: readonly string[], oneway = false): () => void {
-        const c = { a: new Set(a), b: new Set(b), oneway };
+      /** How often something was held up by a cut, and how many mails and replies were lost by chance. */
+      met: (): { held: number; lost: number } => ({ held, lost }),
+      /**
+       * Cuts what goes from a to b, and back unless it is one way; gives what lifts it. A curt cut is told at once, as
+       * by a wall that turns connections away; any other is noticed by silence.
+       */
+      cut(a: readonly string[], b: readonly string[], oneway = false, sharp = false): () => void {
+        const c = { a: new Set(a), b: new Set(b), oneway, curt: sharp };
         cuts = [...cuts, c];
         return () => {
           cuts = cuts.filter((x) => x !== c);
@@ -106,6 +123,10 @@
                 say(Err('unsent'), motor.now() + delay());
                 return;
               }
+              if (curt(me.id, there.id)) {
+                say(Err('unsent'), motor.now() + delay());
+                return;
+              }
               const fresh = Dice.int(motor.chance, 2) === 0;
               if (mute(me.id, there.id)) {
                 if (fresh) {
@@ -114,7 +135,7 @@
                 }
               }
               say(Err('lost'), motor.now() + ms);
-              if (loss > 0 && motor.chance.real() < loss) return;
+              if (gone()) return;
               const theirs = there.life();
               motor.at(motor.now() + delay(), function arrive() {
                 if (there.life() !== theirs) {
@@ -140,7 +161,7 @@
                     return;
                   }
                   const bent = bend(mail.kind, me.id, there.id, re ?? null, mail.body);
-                  if (bent === undefined || (loss > 0 && motor.chance.real() < loss)) return;
+                  if (bent === undefined || gone()) return;
                   const back = JSON.stringify(novel(there.id, bent));
                   say(Ok(JSON.parse(back) as unknown), motor.now() + delay());
                 });
--- a/packages/sim/src/operators.ts
+++ b/packages/sim/src/operators.ts
@@ -2,6 +2,8 @@
 import { Control } from '@pumicebarrow/counter';
 import type { Fleeting } from './fleeting.js';
 
+/** After which an operator leaves a daemon that does not reply, and tries another. */
+const PATIENCE = 4500;
 type Told = { verdict: Verdict; [key: string]: unknown };
 
 /** Simulated operators: they plan, confirm, race, and take down what they were told. */
@@ -34,7 +36,7 @@
           },
           c,
         );
-        motor.at(motor.now() + 12_000, () => done(null));
+        motor.at(motor.now() + PATIENCE, () => done(null));
         void job(desk).then((r) => {
           if (box.life() === life) done(r);
         });
--- a/packages/sim/src/park.ts
+++ b/packages/sim/src/park.ts
@@ -51,6 +51,7 @@
           const from = servers.get(h.server),
             slow = now.slow + (from?.slow ?? 0);
           const cut = !from || apart(now.id, from.id);
+          if (slow > 0) say('slowlink', now.id, { ms: slow });
           const wait = cut ? FETCH : lag() + slow * (0.5 + motor.chance.real());
           motor.at(motor.now() + wait, () => {
             const there = from && !cut && from.up && !from.dark && from.born === h.born && !apart(now.id, from.id);
@@ -93,6 +94,7 @@
     for (const s of list) rise(s);
     const fall = (id: string): void => {
       const s = servers.get(id)!;
+      say('fell', id, { open: s.open.size });
       s.up = false;
       s.buffers = [];
       for (const f of [...s.open]) f();
@@ -133,6 +135,11 @@
       ids: (): string[] => [...servers.keys()],
       get: (id: string): Server => servers.get(id)!,
       rise: (id: string): void => rise(list.find((s) => s.id === id)!),
+      /** Crashes, and is back at once as a new life. */
+      renew(id: string): void {
+        fall(id);
+        rise(list.find((s) => s.id === id)!);
+      },
       /** Stands still, as a frozen process does: what is sent to it lies in its buffers until it goes on. */
       dark(id: string, on: boolean): void {
         const s = servers.get(id)!,
--- a/packages/sim/src/simdisk.ts
+++ b/packages/sim/src/simdisk.ts
@@ -7,18 +7,24 @@
  * between any two operations, or wiped, as a fault wants it.
  */
 export const SimDisk = {
-  make(motor: Motor, pace: number) {
+  make(motor: Motor, pace: number, met: (how: string) => void = () => undefined) {
     let extra = 0;
     let full = false;
     let stall = 0;
     let lies = false;
     let ill: { after: number; why: string } | null = null;
-    const wait = (costly: boolean): number =>
-      costly ? Math.max(stall - motor.now(), 0) + (pace + extra + motor.chance.real() * pace) / 2 : 0.02;
+    const wait = (costly: boolean): number => {
+      if (!costly) return 0.02;
+      if (extra > 0) met('slow');
+      if (stall > motor.now()) met('stalled');
+      return Math.max(stall - motor.now(), 0) + (pace + extra + motor.chance.real() * pace) / 2;
+    };
     const fault = (what: string): string | null => {
-      if (full && (what === 'write' || what === 'rename')) return 'the disk is full';
-      if (ill && what !== 'list' && what !== 'read' && ill.after-- <= 0) return ill.why;
-      return null;
+      let why: string | null = null;
+      if (full && (what === 'write' || what === 'rename')) why = 'the disk is full';
+      else if (ill && what !== 'list' && what !== 'read' && ill.after-- <= 0) ({ why } = ill);
+      if (why !== null) met(why);
+      return why;
     };
     const sim = SimFolder.make(motor, wait, fault);
     const real = FileDisk.over(sim.folder);
--- a/packages/sim/src/stage.ts
+++ b/packages/sim/src/stage.ts
@@ -42,9 +42,13 @@
       note,
       real: () => motor.chance.real(),
       cut(a, b, ms, oneway = false) {
-        const lift = f.net.cut(a, b, oneway);
+        const lift = f.net.cut(a, b, oneway),
+          before = f.net.met();
         note('cut', { ids: [...a, ...b], until: motor.now() + ms });
-        motor.at(motor.now() + ms, lift);
+        motor.at(motor.now() + ms, () => {
+          lift();
+          note('lifted', { met: f.net.met().held - before.held });
+        });
       },
       now: motor.now,
     };
--- a/packages/sim/src/work.ts
+++ b/packages/sim/src/work.ts
@@ -1,10 +1,15 @@
+import { CoreRun } from './corerun.js';
 import { Day } from './day.js';
 import { Deployments } from './deployments.js';
 import { DiskPoints } from './diskpoints.js';
+import { Alone } from './drills/alone.js';
 import { Drills } from './drills.js';
 import { Explore } from './explore.js';
+import type { History } from './history.js';
+import { Meets } from './meets.js';
 import type { Job } from './job.js';
 import type { Ran } from './ran.js';
+import type { Scene } from './scene.js';
 import { Stage } from './stage.js';
 
 const points = async (j: Job): Promise<Ran> => {
@@ -15,11 +20,34 @@
     way as Parameters<typeof DiskPoints.sweep>[2],
     reach === 'all',
   );
-  return { deeds: [], ended: true, broken: r.broken, points: r.points };
+  return { deeds: [], ended: true, broken: r.broken, points: r.points, unmet: [] };
 };
 const explore = async (j: Job): Promise<Ran> => {
   const r = await Explore.run(j.seed, Explore.acts(j.seed, j.faults));
-  return { deeds: [], ended: true, broken: r.broken, points: Object.values(r.met).reduce((a, b) => a + b, 0) };
+  return {
+    deeds: [],
+    ended: true,
+    broken: r.broken,
+    points: Object.values(r.met).reduce((a, b) => a + b, 0),
+    unmet: [],
+  };
+};
+/** What the last fault of a run should have met and has not. */
+const unmet = (h: ReturnType<typeof History.make>): string[] => {
+  const fault = h.of('fault').findLast((d) => d['last'] === true);
+  const since = h.all.filter((d) => fault && d.at >= fault.at);
+  return (Drills.get(String(fault?.['name']))?.meets ?? ['none']).filter((m) => m === 'none' || Meets[m](since) === 0);
+};
+/** A drill of the core alone; it judges nothing unless its fault was met. */
+const alone = async (j: Job): Promise<Ran | null> => {
+  const drill = Alone.find((d) => d.name === j.drill);
+  if (!drill) return null;
+  let met = false;
+  const r = await CoreRun.run(j.seed, async (s) => {
+    await s.healed();
+    met = await drill.run(s);
+  });
+  return { deeds: [], ended: true, broken: r.broken, points: 1, unmet: met ? [] : [drill.about] };
 };
 
 /** Makes one run. */
@@ -27,8 +55,10 @@
   async run(j: Job): Promise<Ran> {
     if (j.drill.startsWith('points ')) return points(j);
     if (j.drill === 'explore') return explore(j);
-    const script = j.drill === 'day' ? Day.script(j.fleet, j.faults) : Drills.get(j.drill)!.run;
+    const core = await alone(j);
+    if (core) return core;
+    const script = j.drill === 'day' ? Day.script(j.fleet, j.faults) : (s: Scene) => Day.last(s, j.drill);
     const r = await Stage.run(Deployments[j.fleet], j.seed, script);
-    return { deeds: r.history.all, ended: r.ended, broken: null, points: 0 };
+    return { deeds: r.history.all, ended: r.ended, broken: null, points: 0, unmet: unmet(r.history) };
   },
 };
