A forgotten plan is never told as not done; the plan in force is never forgotten

Cause: the core keeps the fates of 200 plans. Confirming one that had gone told 'no, unknown', though it may have won; and 200 dropped plans pushed out even the plan in force, whose second confirm then said that nothing was done. Ruled out: keeping all, which grows without end. Now the plan in force and open plans stay, and once any plan may have gone an unknown one gets 'may have' (forgotten).

--- a/packages/clerk/src/commands/plan.ts
+++ b/packages/clerk/src/commands/plan.ts
@@ -27,6 +27,7 @@
         ...((b['changes'] as { words: string }[]).length === 0
           ? ['  It changes nothing.']
           : (b['changes'] as { words: string }[]).map((c) => `  ${c.words}`)),
+        ...(b['warnings'] as string[]).map((w) => `  LOOK TWICE: ${w}.`),
         `Confirm it with: clerk confirm ${String(b['plan'])}`,
       ]),
     );
--- a/packages/counter/src/control.ts
+++ b/packages/counter/src/control.ts
@@ -1,6 +1,6 @@
 import type { Ident } from '@pumicebarrow/forms';
 import { Check, Clauses, Dice, Verdicts, type Verdict, type World } from '@pumicebarrow/forms';
-import { Diff, TraceDesk, type CharterBody } from '@pumicebarrow/registry';
+import { Diff, TraceDesk, Warnings, type CharterBody } from '@pumicebarrow/registry';
 import { Type } from 'typebox';
 import type { Counting } from './counting.js';
 import { VisitDesk } from './visitdesk.js';
@@ -63,7 +63,10 @@
         const base = now.charter?.version ?? 0;
         const id = got.val.id ?? `p-${Dice.word(world.chance)}`;
         const { ruling } = await d.line.write({ do: 'plan', id, base, charter: will.val });
-        return { ...ruling, plan: id, base, changes: Diff.of(now.charter?.body ?? null, will.val) };
+        const was = now.charter?.body ?? null,
+          rows = [...d.sheet.rows().values()].map((r) => r.row);
+        const said = { changes: Diff.of(was, will.val), warnings: Warnings.of(was, will.val, rows) };
+        return { ...ruling, plan: id, base, ...said };
       },
       confirm: (body: unknown): Promise<Told> => settle('confirm', body),
       drop: (body: unknown): Promise<Told> => settle('drop', body),
@@ -80,7 +83,8 @@
       async fate(plan: string): Promise<Told> {
         const now = await d.line.read(plan, 2500);
         if (!now) return unread();
-        if (!now.plan) return { verdict: Verdicts.not('unknown', `There is no plan ${plan}.`) };
+        if (!now.plan)
+          return { verdict: Verdicts.not('unknown', `No plan ${plan} is remembered; the latest 200 are.`) };
         return {
           verdict: Verdicts.ran('read', `Plan ${plan} is ${now.plan.fate}.`),
           fate: now.plan.fate,
--- a/packages/counter/src/witness.ts
+++ b/packages/counter/src/witness.ts
@@ -1,4 +1,14 @@
-import { Hash, Lot, Timer, Verdicts, type Ident, type PostBox, type Verdict, type World } from '@pumicebarrow/forms';
+import {
+  Fading,
+  Hash,
+  Lot,
+  Timer,
+  Verdicts,
+  type Ident,
+  type PostBox,
+  type Verdict,
+  type World,
+} from '@pumicebarrow/forms';
 import type { Static } from 'typebox';
 import { LedgerWords } from './ledgerwords.js';
 import type { Visit } from './visit.js';
@@ -7,6 +17,7 @@
 type Step = 'sent' | 'closed' | 'ran';
 const ASK = 350;
 const SUSPECT = 3000;
+const DOUBTS = 1024;
 
 /**
  * The visit's side of the ledger. Invariants: nothing goes to a server before both owners pinned at the opening
@@ -17,11 +28,12 @@
 export const Witness = {
   make(world: World, post: PostBox, roster: () => readonly Ident[], known: () => readonly Ident[] = roster) {
     const { clock } = world;
-    const doubt = new Map<string, number>();
+    /** Owners that did not reply lately. */
+    const doubt = Fading.make<true>(clock.mono, DOUBTS);
     const rendezvous = (key: string): Ident[] =>
       Lot.rank(
         `key:${key}`,
-        roster().filter((r) => r.role === 'counter' && (doubt.get(`${r.id}/${r.born}`) ?? -Infinity) <= clock.mono()),
+        roster().filter((r) => r.role === 'counter' && !doubt.get(`${r.id}/${r.born}`)),
         (r) => r.id,
       );
     /**
@@ -40,7 +52,7 @@
         ASK,
       );
       if (r.ok) return r.val.say;
-      doubt.set(`${o.id}/${o.born}`, clock.mono() + SUSPECT);
+      doubt.set(`${o.id}/${o.born}`, true, SUSPECT);
       return r.val === 'lost' ? 'lost' : 'unsent';
     };
     const step = async (o: Ident, v: Visit, digest: string, to: Step): Promise<boolean> => {
--- a/packages/forms/src/index.ts
+++ b/packages/forms/src/index.ts
@@ -10,6 +10,7 @@
 export { type Disk } from './disk.js';
 export { Doc } from './doc.js';
 export { Err } from './err.js';
+export { Fading } from './fading.js';
 export { Fault } from './fault.js';
 export { FileDisk } from './filedisk.js';
 export { Flags } from './flags.js';
--- a/packages/registry/src/apply.ts
+++ b/packages/registry/src/apply.ts
@@ -1,4 +1,4 @@
-import { Verdicts } from '@pumicebarrow/forms';
+import { Verdicts, type Verdict } from '@pumicebarrow/forms';
 import type { Command } from './command.js';
 import type { CoreState } from './corestate.js';
 import type { Plan } from './plan.js';
@@ -8,10 +8,18 @@
 const KEEP = 200;
 const OPEN = 32;
 
+/** The latest are kept; the plan in force and those still open are never among the ones that go. */
 const settle = (state: CoreState, plan: Plan): CoreState => {
   const plans = [...state.plans.filter((p) => p.id !== plan.id), plan];
-  return { ...state, plans: plans.slice(-KEEP) };
+  const stays = (p: Plan): boolean => p.fate === 'open' || p.id === state.charter?.plan;
+  const gone = plans.filter((p) => !stays(p)).slice(0, Math.max(0, plans.length - KEEP));
+  return { ...state, plans: plans.filter((p) => !gone.includes(p)) };
 };
+/** Of a plan that is not known: 'no' only while none was ever forgotten. */
+const stranger = (state: CoreState, id: string): Verdict =>
+  state.plans.length < KEEP
+    ? Verdicts.not('unknown', `There is no plan ${id}.`)
+    : Verdicts.maybe('forgotten', `Plan ${id} is not among the latest; what became of it is not known any more.`);
 
 /** What each command does to the core's state. Pure: the same state and command give the same outcome. */
 export const Apply = {
@@ -34,7 +42,7 @@
         return { state: next, ruling: { verdict: Verdicts.ran('planned', `Plan ${c.id} is stored.`), fate: 'open' } };
       }
       case 'confirm': {
-        if (!held) return no('unknown', `There is no plan ${c.id}.`);
+        if (!held) return { state, ruling: { verdict: stranger(state, c.id) } };
         if (held.fate === 'won')
           return {
             state,
@@ -67,7 +75,7 @@
         };
       }
       case 'drop': {
-        if (!held) return no('unknown', `There is no plan ${c.id}.`);
+        if (!held) return { state, ruling: { verdict: stranger(state, c.id) } };
         if (held.fate === 'dropped')
           return { state, ruling: { verdict: Verdicts.ran('dropped', `Plan ${c.id} is dropped.`), fate: 'dropped' } };
         if (held.fate !== 'open') return no(held.fate, `Plan ${c.id} was ${held.fate} before.`, held.fate);
--- a/packages/registry/src/index.ts
+++ b/packages/registry/src/index.ts
@@ -35,4 +35,5 @@
 export { Vote } from './vote.js';
 export { Voter } from './voter.js';
 export { type Voting } from './voting.js';
+export { Warnings } from './warnings.js';
 export { Watch } from './watch.js';
--- a/packages/registry/src/line.ts
+++ b/packages/registry/src/line.ts
@@ -70,7 +70,7 @@
           const again =
             ruling === null ||
             ruling.verdict.code === 'unready' ||
-            (ruling.verdict.ran === 'maybe' && command.do !== 'claim');
+            (ruling.verdict.ran === 'maybe' && ruling.verdict.code !== 'forgotten' && command.do !== 'claim');
           if (ruling?.verdict.ran === 'maybe') unsure = true;
           return { got: again ? null : { ruling, term: r.val.term }, view: r.val.view };
         });
--- /dev/null
+++ b/packages/registry/src/warnings.ts
@@ -0,0 +1,43 @@
+import type { Charter } from '@pumicebarrow/forms';
+
+type InUse = { server: string; part: string; stage: string };
+const HALF = 0.5;
+const slots = (c: Charter): number => c.servers.reduce((n, s) => n + s.slots, 0);
+const share = (was: number, will: number): string => `${Math.round((100 * (was - will)) / was)}%`;
+
+const capacity = (was: Charter, will: Charter): string[] => {
+  const out: string[] = [];
+  const [a, b] = [slots(was), slots(will)];
+  if (b < a * HALF) out.push(`it takes away ${share(a, b)} of the fleet's slots (${a} to ${b})`);
+  for (const r of was.rules) {
+    const next = will.rules.find((x) => x.name === r.name);
+    if (!next) out.push(`visits of the rule ${r.name} will be bounced: it goes`);
+    else if (next.limit < r.limit * HALF)
+      out.push(`the rule ${r.name} lets in ${share(r.limit, next.limit)} fewer visits at once`);
+  }
+  return out;
+};
+const servers = (was: Charter, will: Charter, rows: readonly InUse[]): string[] => {
+  const gone = was.servers.filter((s) => !will.servers.some((x) => x.id === s.id));
+  const fresh = will.servers.filter((s) => !was.servers.some((x) => x.id === s.id));
+  const used = gone.filter((s) => rows.some((r) => r.server === s.id && r.stage === 'serving'));
+  const out = used.map((s) => `server ${s.id} is in use, and no visit will go to it any more`);
+  for (const s of used) {
+    const twin = fresh.find((x) => x.site === s.site && x.part === s.part && x.slots === s.slots);
+    if (twin) out.push(`${s.id} seems to be renamed to ${twin.id}: the platform must list it under that name`);
+  }
+  return out;
+};
+const parts = (will: Charter, rows: readonly InUse[]): string[] =>
+  will.servers.flatMap((s) => {
+    const row = rows.find((r) => r.server === s.id && r.stage === 'serving');
+    return row && s.part !== 'either' && s.part !== row.part
+      ? [`server ${s.id} is to ${row.part} now, and will be emptied to ${s.part}`]
+      : [];
+  });
+
+/** What of a plan an operator should look at twice, in plain words. It is said, never held against the plan. */
+export const Warnings = {
+  of: (was: Charter | null, will: Charter, rows: readonly InUse[]): string[] =>
+    was === null ? [] : [...capacity(was, will), ...servers(was, will, rows), ...parts(will, rows)],
+};
--- a/packages/registry/src/watch.ts
+++ b/packages/registry/src/watch.ts
@@ -1,4 +1,4 @@
-import { Awake, type PostBox, type World } from '@pumicebarrow/forms';
+import { Awake, Fading, type PostBox, type World } from '@pumicebarrow/forms';
 import { CoreWords } from './corewords.js';
 import type { Member } from './member.js';
 import { Paces } from './paces.js';
@@ -6,6 +6,9 @@
 import { Views } from './views.js';
 import type { Voting } from './voting.js';
 
+/** Lives of core daemons that are remembered, and for how long after their last word. */
+const LIVES = 64;
+const KEEP = 60_000;
 type Heard = { at: number; sick: boolean; fresh: boolean; epoch: number; me: Member };
 
 /**
@@ -15,12 +18,12 @@
  */
 export const Watch = {
   make(world: World, post: PostBox, me: () => Member, voter: Voting) {
-    const heard = new Map<string, Heard>();
+    const heard = Fading.make<Heard>(world.clock.mono, LIVES);
     const grants = new Map<string, number>();
     const key = (m: Member): string => `${m.id}/${m.born}`;
     const now = (): number => world.clock.mono();
     const seen = (m: Member, h: Omit<Heard, 'at' | 'me'>): void => {
-      heard.set(key(m), { ...h, me: m, at: now() });
+      heard.set(key(m), { ...h, me: m, at: now() }, KEEP);
     };
     let since = now();
     let slept = 0;
