--- a/packages/sim/src/meets.ts
+++ b/packages/sim/src/meets.ts
@@ -44,9 +44,12 @@
 /** The tail killed at the instant it passed a charter on. */
 const atonce: Count = (list) =>
   of(list, 'killed').filter((k) => of(list, 'confirmed').some((c) => c.who === k.who && k.at - c.at < 2)).length;
+/** Duties that were claimed by one daemon after another, for servers that were ordered. */
 const hands: Count = (list) => {
   const by = new Map<string, Set<string>>();
-  for (const d of of(list, 'ordered')) by.set(d.who, (by.get(d.who) ?? new Set()).add(String(d['by'])));
+  const ordered = new Set(of(list, 'ordered').map((d) => `row:${d.who}`));
+  for (const d of of(list, 'claim').filter((x) => ordered.has(String(x['name']))))
+    by.set(String(d['name']), (by.get(String(d['name'])) ?? new Set()).add(d.who));
   return [...by.values()].filter((s) => s.size > 1).length;
 };
 const storm: Count = (list) => (of(list, 'verdict').filter(has('code', 'confirmed')).length >= 8 ? 1 : 0);
