--- a/packages/sim/src/act.ts
+++ b/packages/sim/src/act.ts
@@ -9,6 +9,8 @@
   does:
     | 'kill'
     | 'freeze'
+    | 'pause'
+    | 'curt'
     | 'cut'
     | 'oneway'
     | 'stall'
--- a/packages/sim/src/explore.ts
+++ b/packages/sim/src/explore.ts
@@ -6,7 +6,7 @@
 
 type Run = { deeds: readonly Deed[]; broken: readonly string[]; met: Readonly<Record<string, number>>; events: number };
 const WAYS = [
-  'kill kill freeze cut oneway stall fail wipe wipe tear lose snare snare move',
+  'kill kill freeze pause cut curt oneway stall fail wipe wipe tear lose snare snare move',
   'confirm confirm confirm race race read read claim claim handover handover',
 ].flatMap((l) => l.split(' ') as Act['does'][]);
 const SOFT = new Set<Act['does']>(['confirm', 'race', 'read', 'claim']);
@@ -46,6 +46,8 @@
       lift(1500 + a.size * 4000, b.net.cut([a.who], [...others(a.who), 'o1']));
       void watched(s);
     },
+    pause: (a) => b.boxes.get(a.who)!.pause(300 + a.size * 4000),
+    curt: (a) => lift(500 + a.size * 4000, b.net.cut([a.who], [others(a.who)[a.size < 0.5 ? 0 : 1]!], false, true)),
     oneway: (a) => lift(500 + a.size * 4000, b.net.cut([a.who], others(a.who), true)),
     stall: (a) => b.disks.get(a.who)!.stall(500 + a.size * 4000),
     fail: (a) => {
