--- a/packages/sim/src/drills.test.ts
+++ b/packages/sim/src/drills.test.ts
@@ -11,7 +11,7 @@
 import { Spread } from './spread.js';
 import { Work } from './work.js';
 
-const SEEDS = [101, 102];
+const SEEDS = [101, 102, 103, 104];
 /** Within so many seeds a missing guard is caught, on each deployment; schedules of the core are quick. */
 const core = (drill: string): boolean => Alone.some((d) => d.name === drill);
 const most = (drill: string): number => (drill === 'explore' || core(drill) ? 16 : 2);
--- a/packages/yard/src/commands/up.ts
+++ b/packages/yard/src/commands/up.ts
@@ -23,7 +23,7 @@
     await writeFile(file, `${JSON.stringify(d.charter, null, 2)}\n`);
     this.log(`A fleet of ${d.cores} cores, ${d.edges} edges and ${d.servers} servers is up; logs are in ${flags.dir}.`);
     this.log(`A charter to begin with: ${file}`);
-    for (const e of plant.edges) this.log(`  ${e.id} at ${e.site}: http://${e.http}`);
+    for (const x of [...plant.cores, ...plant.edges]) this.log(`  ${x.id} at ${x.site}: http://${x.http}`);
     this.log(`export PUMICEBARROW_AT=${plant.edges[0]!.http}`);
     await new Promise<void>((done) => {
       process.once('SIGINT', () => done());
--- a/packages/yard/src/plant.ts
+++ b/packages/yard/src/plant.ts
@@ -10,7 +10,7 @@
 type Held = ReturnType<typeof Child.start>;
 /** Callers come to `http`, a link to `inner`. */
 type Edge = { id: string; site: string; addr: string; hear: string; http: string; inner: string };
-type Core = { id: string; site: string; addr: string; hear: string; data: string };
+type Core = { id: string; site: string; addr: string; hear: string; http: string; data: string };
 type Back = { id: string; site: string; addr: string; slots: number };
 
 /** A whole fleet as real processes on this machine, in a folder of its own; `apart` puts links between daemons too. */
@@ -18,7 +18,7 @@
   async make(d: Deployment, dir: string, apart = false) {
     await rm(dir, { recursive: true, force: true });
     await mkdir(dir, { recursive: true });
-    const ports = await Ports.free(d.cores * 2 + d.edges * 4 + d.servers * 2 + 2);
+    const ports = await Ports.free(d.cores * 3 + d.edges * 4 + d.servers * 2 + 2);
     const addr = (): string => `127.0.0.1:${ports.pop()!}`;
     const place = (): { addr: string; hear: string } => {
       const at = addr();
@@ -29,6 +29,7 @@
       id: `c${i + 1}`,
       site: site(i),
       ...place(),
+      http: addr(),
       data: join(dir, `c${i + 1}`),
     }));
     const edges: Edge[] = Array.from({ length: d.edges }, (_, i) => ({
@@ -67,7 +68,10 @@
     ];
     const startCore = (c: Core): void => {
       tale.tell({ what: 'start', who: c.id });
-      up.set(c.id, Child.start('registryd', [...where(c), '--data', c.data, ...seeds(c.addr)], log(c.id)));
+      up.set(
+        c.id,
+        Child.start('registryd', [...where(c), '--http', c.http, '--data', c.data, ...seeds(c.addr)], log(c.id)),
+      );
     };
     const startEdge = (e: Edge): void => {
       tale.tell({ what: 'start', who: e.id });
