--- a/packages/counter/src/control.ts
+++ b/packages/counter/src/control.ts
@@ -49,7 +49,7 @@
     const everyone = (): Ident[] => {
       const all = new Map<string, Ident>();
       for (const m of d.line.view()?.chain ?? []) all.set(m.id, { ...m, site: 'core', role: 'registry' });
-      for (const r of [...d.roster(), ...d.purge.peers()]) if (!all.has(r.id)) all.set(r.id, r);
+      for (const r of [...d.roster(), ...d.purge.peers(), ...d.met()]) if (!all.has(r.id)) all.set(r.id, r);
       return [...all.values()].sort((a, b) => (a.id < b.id ? -1 : 1));
     };
     return {
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -15,8 +15,10 @@
 import { Ledger } from './ledger.js';
 import { LedgerDesk } from './ledgerdesk.js';
 import { Loads } from './loads.js';
+import { Met } from './met.js';
 import { Mixer } from './mixer.js';
 import { Newest } from './newest.js';
+import { Pump } from './pump.js';
 import { Run } from './run.js';
 import { Select } from './select.js';
 import { Sheet } from './sheet.js';
@@ -118,23 +120,7 @@
     };
     const door = { site: ident.site, charter: sheet.charter, open: shut, young: watch.young };
     const gate = Gate.make({ ...door, waitlist, select, loads });
-    const pump = (): void => {
-      const turns: (() => void)[] = [];
-      waitlist.pump((rule) => {
-        if (is() !== 'serving' || !gate.room(rule)) return false;
-        turns.push(loads.take('*turn', rule.weight));
-        return true;
-      });
-      hands.pump((rule) => {
-        if (!select.roomy('decode', rule, '*hand')) return false;
-        turns.push(loads.take('*hand', rule.weight));
-        return true;
-      });
-      if (turns.length > 0)
-        clock.after(0, () => {
-          for (const f of turns) f();
-        });
-    };
+    const pump = Pump.make({ clock, waitlist, hands, gate, select, loads, serving: () => is() === 'serving' });
     const duty = Duty.make(world, line, self, crew, () => awake.look());
     const sights = Sights.make({ world, shelf, sheet, shuns, purge, town: watch, self: ident.id });
     const shared = { world, sheet, town: watch, hails, duty, purge, back, self: (): string => ident.id };
@@ -184,12 +170,29 @@
         await Timer.nap(clock, 150);
       }
     };
+    const met = Met.make(clock, known);
     const meet = async (): Promise<void> => {
+      met.tick();
       if (is() !== 'draining' && is() !== 'stopped') await checkin.tick();
     };
     TraceDesk.make(post, self, purge, shelf, sure);
     VisitDesk.make(post, diary, ledger);
-    const parts = { ident, gate, post, line, purge, shelf, sheet, watch, ledger, duty, shuns, roster: crew, life: is };
+    const parts = {
+      ident,
+      gate,
+      post,
+      line,
+      purge,
+      shelf,
+      sheet,
+      watch,
+      ledger,
+      duty,
+      shuns,
+      roster: crew,
+      met: met.all,
+      life: is,
+    };
     return {
       ...parts,
       visit: (v: Visit, sink: CallerSink): Promise<Verdict> => visit(v, sink),
--- /dev/null
+++ b/packages/counter/src/pump.ts
@@ -0,0 +1,41 @@
+import type { Clock } from '@pumicebarrow/forms';
+import type { Gating } from './gating.js';
+import type { LoadBook } from './loadbook.js';
+import type { Selecting } from './selecting.js';
+import type { Waitlist } from './waitlist.js';
+
+type Tools = {
+  clock: Clock;
+  waitlist: ReturnType<typeof Waitlist.make>;
+  hands: ReturnType<typeof Waitlist.make>;
+  gate: Gating;
+  select: Selecting;
+  loads: LoadBook;
+  serving: () => boolean;
+};
+
+/**
+ * Gives turns to visits that wait: at the gate, and with a handle for a decode server. Invariant: room that a turn was
+ * given for counts as taken until that visit has had its chance to take it.
+ */
+export const Pump = {
+  make(t: Tools): () => void {
+    return () => {
+      const turns: (() => void)[] = [];
+      t.waitlist.pump((rule) => {
+        if (!t.serving() || !t.gate.room(rule)) return false;
+        turns.push(t.loads.take('*turn', rule.weight));
+        return true;
+      });
+      t.hands.pump((rule) => {
+        if (!t.select.roomy('decode', rule, '*hand')) return false;
+        turns.push(t.loads.take('*hand', rule.weight));
+        return true;
+      });
+      if (turns.length === 0) return;
+      t.clock.after(0, () => {
+        for (const f of turns) f();
+      });
+    };
+  },
+};
--- a/packages/counter/src/wellness.test.ts
+++ b/packages/counter/src/wellness.test.ts
@@ -32,6 +32,11 @@
     ['a short chain', { view: { ...well.view!, chain: [member('c1')] } }, ['core c2 is out of the chain']],
     ['a daemon gone', { daemons: [{ ...one, reached: false }] }, ['e1 can not be reached']],
     ['one that asks', { daemons: [{ ...one, sure: false }] }, ['e1 can not tell its charter yet, and lets nothing in']],
+    [
+      'a core alone',
+      { daemons: [{ ...one, id: 'c1', role: 'registry', sure: false }] },
+      ['c1 has no claim on the chain, and says nothing'],
+    ],
     ['one behind', { daemons: [{ ...one, version: 3 }] }, ['e1 holds charter 3, not 4']],
     ['no charter', { charter: null }, ['there is no charter: plan and confirm one']],
     ['no list', { listed: null }, ["the platform's list is away or old: visits are bounced"]],
--- a/packages/counter/src/wellness.ts
+++ b/packages/counter/src/wellness.ts
@@ -20,6 +20,7 @@
 };
 const daemon = (s: Seen, d: Daemon): string[] => {
   if (!d.reached) return [`${d.id} can not be reached`];
+  if (!d.sure && d.role === 'registry') return [`${d.id} has no claim on the chain, and says nothing`];
   if (!d.sure) return [`${d.id} can not tell its charter yet, and lets nothing in`];
   if (s.version !== null && (d.version ?? 0) < s.version)
     return [`${d.id} holds charter ${d.version ?? 'none'}, not ${s.version}`];
--- a/packages/forms/src/fading.ts
+++ b/packages/forms/src/fading.ts
@@ -25,6 +25,7 @@
         return e && e.until > mono() ? e.value : undefined;
       },
       delete: (key: string): boolean => rows.delete(key),
+      all: (): V[] => [...rows.values()].filter((e) => e.until > mono()).map((e) => e.value),
       size: (): number => rows.size,
     };
   },
