--- a/packages/sim/src/commands/measure.ts
+++ b/packages/sim/src/commands/measure.ts
@@ -1,6 +1,10 @@
 import { Args, Command, Flags } from '@oclif/core';
+import { Crew } from '../crew.js';
+import { Day } from '../day.js';
 import { Deployments } from '../deployments.js';
 import { Drills } from '../drills.js';
+import { Figures } from '../figures.js';
+import { History } from '../history.js';
 import { Measure } from '../measure.js';
 import { Seeds } from '../seeds.js';
 
@@ -9,8 +13,8 @@
 /** sim measure */
 export class MeasureCommand extends Command {
   static override description =
-    'Figures of a drill, of an idle fleet, or of casting that follows the mix against a fixed cast.';
-  static override args = { what: Args.string({ description: 'cast, idle, detect, or a drill', required: true }) };
+    'Figures of a drill, of an idle fleet, of casting against a fixed cast; or of `all`: every drill, both fleets, in one table.';
+  static override args = { what: Args.string({ description: 'all, cast, idle, detect, or a drill', required: true }) };
   static override flags = {
     fleet: Flags.option({ options: ['coop', 'registry'] as const, default: 'coop' as const })({
       description: 'which deployment',
@@ -21,10 +25,11 @@
   async run(): Promise<void> {
     const { args, flags } = await this.parse(MeasureCommand);
     const seeds = Seeds.read(flags.seeds);
-    if (!seeds || !(['cast', 'idle', 'detect'].includes(args.what) || Drills.has(args.what))) {
-      process.stderr.write(`valid: cast, idle, detect, ${[...Drills.keys()].join(', ')}; seeds 7, 1-20, 3,5,8\n`);
+    if (!seeds || !(['all', 'cast', 'idle', 'detect'].includes(args.what) || Drills.has(args.what))) {
+      process.stderr.write(`valid: all, cast, idle, detect, ${[...Drills.keys()].join(', ')}; seeds 7, 1-20, 3,5,8\n`);
       return this.exit(2);
     }
+    if (args.what === 'all') return this.table(seeds);
     const d = Deployments[flags.fleet];
     const rows = (label: string, list: Rows): void => {
       for (const r of list)
@@ -64,4 +69,18 @@
       }
     }
   }
+
+  /** Every drill at both deployments: the median over the seeds, and the worst in brackets; first pieces are p95, ms. */
+  async table(seeds: readonly number[]): Promise<void> {
+    const jobs = (['coop', 'registry'] as const).flatMap((fleet) =>
+      Day.names(fleet).flatMap((drill) => seeds.map((seed) => ({ fleet, drill, seed, faults: 1 }))),
+    );
+    const rows = new Map<string, ReturnType<typeof Figures.of>[]>();
+    for (const j of jobs) rows.set(`${j.fleet} ${j.drill}`, []);
+    await Crew.run(jobs, (b) => {
+      rows.get(`${b.job.fleet} ${b.job.drill}`)!.push(Figures.of(History.make(b.deeds)));
+    });
+    this.log(Figures.head);
+    for (const [name, list] of rows) this.log(Figures.line(name, list));
+  }
 }
--- a/packages/sim/src/index.ts
+++ b/packages/sim/src/index.ts
@@ -23,6 +23,7 @@
 export { Drills } from './drills.js';
 export { Engine } from './engine.js';
 export { Explore } from './explore.js';
+export { Figures } from './figures.js';
 export { Fleet } from './fleet.js';
 export { type Fleeting } from './fleeting.js';
 export { type Grid } from './grid.js';
