--- a/packages/counter/src/witness.ts
+++ b/packages/counter/src/witness.ts
@@ -30,20 +30,12 @@
     const { clock } = world;
     /** Owners that did not reply lately. */
     const doubt = Fading.make<true>(clock.mono, DOUBTS);
-    const rank = (key: string, list: readonly Ident[]): Ident[] => Lot.rank(`key:${key}`, list, (r) => r.id);
-    const counters = (): Ident[] => roster().filter((r) => r.role === 'counter');
     const rendezvous = (key: string): Ident[] =>
-      rank(
-        key,
-        counters().filter((r) => !doubt.get(`${r.id}/${r.born}`)),
+      Lot.rank(
+        `key:${key}`,
+        roster().filter((r) => r.role === 'counter' && !doubt.get(`${r.id}/${r.born}`)),
+        (r) => r.id,
       );
-    /** A later try asks those in doubt too: they may be the ones that know of the try before. */
-    const asks = (v: Visit, order: readonly Ident[]): Ident[] => {
-      if (v.attempt === 1) return order.slice(0, 2);
-      const most = order.slice(0, 3),
-        old = v.owners ? [] : rank(v.key, counters()).slice(0, 2);
-      return [...most, ...old.filter((o) => !most.some((m) => m.id === o.id))];
-    };
     /**
      * Who may record a visit, first those who are to: the two lives that it names, or by rendezvous over the live
      * daemons.
@@ -93,7 +85,7 @@
       async open(v: Visit): Promise<{ bad: Verdict | null; owners: Ident[]; digest: string }> {
         const digest = digestOf(v),
           order = ranked(v);
-        const asked = asks(v, order);
+        const asked = order.slice(0, v.attempt > 1 ? 3 : 2);
         const says = await Promise.all(asked.map((o) => ask(o, v, digest, false)));
         const lit = (): Ident[] => asked.filter((_, i) => says[i] === 'ok');
         const give = async (bad: Verdict) => {
@@ -107,7 +99,7 @@
             return give(Verdicts.maybe('unproven', 'Nothing here proves that the earlier try did not run.'));
           for (const [i, o] of asked.entries()) if (says[i] === 'unknown') says[i] = await ask(o, v, digest, true);
         }
-        for (const o of order.filter((x) => !asked.some((a) => a.id === x.id))) {
+        for (const o of order.slice(asked.length)) {
           if (lit().length >= 2 || judge(says)) break;
           asked.push(o);
           says.push(await ask(o, v, digest, v.attempt > 1));
