The chain's batch is a piece of its own: what rules, what is told, what is bounced; same histories

Cause: one closure ruled on a batch, wrote it, handed it down and told each caller. Batch now holds what is pure of it, with its invariant; the chain's work is a few lines.

--- a/packages/counter/src/pump.ts
+++ b/packages/counter/src/pump.ts
@@ -1,16 +1,8 @@
 import type { Clock } from '@pumicebarrow/forms';
-import type { Gating } from './gating.js';
-import type { LoadBook } from './loadbook.js';
-import type { Selecting } from './selecting.js';
-import type { Waitlist } from './waitlist.js';
+import type { RunTools } from './runtools.js';
 
-type Tools = {
+type Tools = Pick<RunTools, 'gate' | 'waitlist' | 'hands' | 'select' | 'loads'> & {
   clock: Clock;
-  waitlist: ReturnType<typeof Waitlist.make>;
-  hands: ReturnType<typeof Waitlist.make>;
-  gate: Gating;
-  select: Selecting;
-  loads: LoadBook;
   serving: () => boolean;
 };
 
--- /dev/null
+++ b/packages/registry/src/batch.ts
@@ -0,0 +1,40 @@
+import { Verdicts } from '@pumicebarrow/forms';
+import { Apply } from './apply.js';
+import type { Command } from './command.js';
+import type { CoreState } from './corestate.js';
+import type { Ruling } from './ruling.js';
+
+/** A command that waits for its turn at the head, and whom to tell what came of it. */
+type Wait = { command: Command; done: (r: Ruling) => void };
+type Ruled = { wait: Wait; ruling: Ruling; wrote: boolean };
+
+const unsure: Ruling = {
+  verdict: Verdicts.maybe('unsure', 'The chain broke under the write; ask for the plan to learn its fate.'),
+};
+/** What is told when the version did not reach the tail: 'no' only of what wrote nothing and said no. */
+const broken = (r: Ruled): Ruling =>
+  r.wrote || r.ruling.verdict.ran !== 'no' ? unsure : { verdict: Verdicts.not('unready', 'The chain broke.', 1) };
+
+/**
+ * Commands that go into one version together. Invariants: each is ruled on the state that the one before left; the
+ * version's number rises by one if any of them wrote, and none is told before the version has passed or has failed.
+ */
+export const Batch = {
+  rule(state: CoreState, batch: readonly Wait[]): { next: CoreState; out: readonly Ruled[] } {
+    let draft = state;
+    const out = batch.map((wait) => {
+      const before = draft,
+        done = Apply.one(draft, wait.command);
+      draft = done.state;
+      return { wait, ruling: done.ruling, wrote: before !== done.state };
+    });
+    return { next: draft === state ? state : { ...draft, seq: state.seq + 1 }, out };
+  },
+  tell(out: readonly Ruled[], passed: boolean): void {
+    for (const r of out) r.wait.done(passed ? r.ruling : broken(r));
+  },
+  /** Bounced before anything was begun. */
+  bounce(batch: readonly Wait[], why: string): void {
+    for (const w of batch) w.done({ verdict: Verdicts.not('unready', why, 1) });
+  },
+};
--- a/packages/registry/src/chain.ts
+++ b/packages/registry/src/chain.ts
@@ -1,5 +1,5 @@
 import { Timer, Verdicts, type PostBox, type World } from '@pumicebarrow/forms';
-import { Apply } from './apply.js';
+import { Batch } from './batch.js';
 import type { Command } from './command.js';
 import type { CoreState } from './corestate.js';
 import { CoreWords } from './corewords.js';
@@ -84,53 +84,36 @@
       if (v.chain.length < 2) return 'The chain has one copy only.';
       return null;
     };
+    const begun = (next: CoreState): void =>
+      world.tell({
+        what: 'write',
+        seq: next.seq,
+        version: next.charter?.version ?? 0,
+        plan: next.charter?.plan ?? '',
+      });
+    /** One batch becomes one version, and goes down the chain. */
+    const one = async (batch: readonly Wait[]): Promise<void> => {
+      const why = able(),
+        view = hooks.view();
+      if (why !== null || !view) {
+        Batch.bounce(batch, why ?? 'No view.');
+        return;
+      }
+      const { next, out } = Batch.rule(state, batch);
+      if (next !== state) begun(next);
+      const good = (await save(next)) && (await down(view, next)) && hooks.live();
+      Batch.tell(out, good);
+      if (good) return;
+      ready = 0;
+      void mend();
+    };
     const work = async (): Promise<void> => {
       if (busy) return;
       busy = true;
       while (held.length > 0) {
         const batch = held;
         held = [];
-        await alone(async () => {
-          const why = able(),
-            view = hooks.view();
-          if (why !== null || !view) {
-            for (const w of batch) w.done({ verdict: Verdicts.not('unready', why ?? 'No view.', 1) });
-            return;
-          }
-          let draft = state;
-          const out = batch.map((w) => {
-            const before = draft,
-              done = Apply.one(draft, w.command);
-            draft = done.state;
-            return { w, ruling: done.ruling, wrote: before !== done.state };
-          });
-          const next = draft === state ? state : { ...draft, seq: state.seq + 1 };
-          if (next !== state)
-            world.tell({
-              what: 'write',
-              seq: next.seq,
-              version: next.charter?.version ?? 0,
-              plan: next.charter?.plan ?? '',
-            });
-          const good = (await save(next)) && (await down(view, next)) && hooks.live();
-          for (const o of out) {
-            const maybe = Verdicts.maybe(
-              'unsure',
-              'The chain broke under the write; ask for the plan to learn its fate.',
-            );
-            o.w.done(
-              good
-                ? o.ruling
-                : o.wrote || o.ruling.verdict.ran !== 'no'
-                  ? { verdict: maybe }
-                  : { verdict: Verdicts.not('unready', 'The chain broke.', 1) },
-            );
-          }
-          if (!good) {
-            ready = 0;
-            void mend();
-          }
-        });
+        await alone(() => one(batch));
       }
       busy = false;
     };
--- a/packages/registry/src/index.ts
+++ b/packages/registry/src/index.ts
@@ -1,4 +1,5 @@
 export { Apply } from './apply.js';
+export { Batch } from './batch.js';
 export { Chain } from './chain.js';
 export { CharterBody } from './charterbody.js';
 export { Claims } from './claims.js';
--- a/packages/sim/src/drills/alone.ts
+++ b/packages/sim/src/drills/alone.ts
@@ -13,7 +13,7 @@
     .find((d) => !(d['chain'] as string[]).some((m) => m.startsWith(`${id}/`)));
 /** Reads all the while, by one that keeps the view it knew. */
 const watch = (s: Scripter, ms: number, every = 20): Promise<void> => s.spray(ms, every, () => void s.read());
-/** Waits for a version to be confirmed after an instant. */
+/** Whether a version was confirmed after an instant. */
 const confirmed = (s: Scripter, from: number): boolean =>
   s.deeds().some((d) => d.what === 'verdict' && d['code'] === 'confirmed' && d.at > from);
 
