--- a/packages/client/src/line.ts
+++ b/packages/client/src/line.ts
@@ -43,9 +43,8 @@
 };
 
 /**
- *  A caller's connections. Invariants: only an error that came of making a connection says that the attempt was not
- *  used;
- * no call outlasts the time it is given.
+ * A caller's connections. Invariants: only an error that came of making a connection says that the attempt was not
+ * used; no call outlasts the time it is given.
  */
 export const Line = {
   make(met: (s: Socket) => void = () => undefined) {
--- a/packages/counter/src/front.test.ts
+++ b/packages/counter/src/front.test.ts
@@ -5,7 +5,8 @@
 import type { Counting } from './counting.js';
 import { Front } from './front.js';
 
-const visit = JSON.stringify({ key: 'k', attempt: 1, rule: 'verdict', prefix: 'p', part: 'q' });
+const sound = { key: 'k', attempt: 1, rule: 'verdict', prefix: 'p', part: 'q' };
+const visit = JSON.stringify(sound);
 const post = (body: string, length = Buffer.byteLength(body)): string =>
   `POST /visit HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\ncontent-length: ${length}\r\n\r\n${body}`;
 const tick = (): Promise<void> =>
@@ -13,6 +14,16 @@
     setImmediate(done);
   });
 
+/** Says something, and gives the first that is heard back. */
+const hear = (sock: Socket, text: string): Promise<string> =>
+  new Promise((done) => {
+    sock.once('data', (b: Buffer) => {
+      sock.destroy();
+      done(b.toString());
+    });
+    sock.write(text);
+  });
+
 /** A daemon's HTTP side before a stand-in for the daemon, which deals with each visit as it is told to. */
 const stand = async (deal: (sink: CallerSink) => Promise<void>) => {
   const d = {
@@ -121,6 +132,39 @@
     sock.destroy();
     await front.close();
   });
+  const wrong: [string, string, number, string][] = [
+    ['an empty body', '', 400, '/key'],
+    ['no JSON', '{', 400, 'json'],
+    ['a list', '[]', 400, 'bad'],
+    ['an unknown key', JSON.stringify({ ...sound, more: 1 }), 400, '/more'],
+    ['an attempt of 0', JSON.stringify({ ...sound, attempt: 0 }), 400, '/attempt'],
+    ['an attempt that is no number', JSON.stringify({ ...sound, attempt: '1' }), 400, '/attempt'],
+    ['a key with blanks', JSON.stringify({ ...sound, key: 'a b' }), 400, '/key'],
+    ['a key too long', JSON.stringify({ ...sound, key: 'k'.repeat(121) }), 400, '/key'],
+    ['one owner', JSON.stringify({ ...sound, owners: ['e1/b'] }), 400, '/owners'],
+    ['two faults, both told', JSON.stringify({ ...sound, key: '', attempt: 0 }), 400, '/attempt'],
+    ['a prefix too long', JSON.stringify({ ...sound, prefix: 'p'.repeat(4194305) }), 400, '/prefix'],
+  ];
+  for (const [name, body, status, told] of wrong) {
+    it(`that sends ${name} is told what is wrong, and starts nothing`, async () => {
+      let begun = false;
+      const { front, dial } = await stand(() => {
+        begun = true;
+        return Promise.resolve();
+      });
+      const said = await hear(dial(), post(body));
+      expect(said).to.match(new RegExp(`^HTTP/1.1 ${status}`));
+      expect(said).to.contain('"ran":"no"').and.to.contain(told);
+      expect(begun).to.equal(false);
+      await front.close();
+    });
+  }
+  it('that uses another method is told 404 or 405, and starts nothing', async () => {
+    const { front, dial } = await stand(() => Promise.reject(new Error('begun')));
+    for (const method of ['GET', 'PUT', 'DELETE'])
+      expect(await hear(dial(), `${method} /visit HTTP/1.1\r\nhost: x\r\n\r\n`)).to.match(/^HTTP\/1.1 40[45]/);
+    await front.close();
+  });
   it('that sends a body without end is told that it is too large, and let go of', async () => {
     const { front, dial } = await stand(() => Promise.resolve());
     const sock = dial();
--- a/packages/counter/src/sights.ts
+++ b/packages/counter/src/sights.ts
@@ -17,9 +17,8 @@
 const SHUN = 1000;
 
 /**
- *  Servers that went dark, as this daemon saw or heard. Invariant: what one daemon saw is published once for each
- *  life of
- * a server; what another saw shuns it here for half as long, since it may be their link that is down.
+ * Servers that went dark, as this daemon saw or heard. Invariant: what one daemon saw is published once for each life
+ * of a server; what another saw shuns it here for half as long, since it may be their link that is down.
  */
 export const Sights = {
   make(t: Tools) {
--- a/packages/counterd/src/startup.ts
+++ b/packages/counterd/src/startup.ts
@@ -10,7 +10,7 @@
     hear: Type.Optional(Addr),
     http: Addr,
     site: Site,
-    seeds: Type.Array(Addr, { minItems: 3, maxItems: 16 }),
+    seeds: Type.Array(Addr, { minItems: 3, maxItems: 16, uniqueItems: true }),
     town: Addr,
     control: Type.Optional(Type.Boolean()),
     level: Type.Optional(Type.Union([Type.Literal('debug'), Type.Literal('info'), Type.Literal('warn')])),
--- a/packages/forms/src/awake.ts
+++ b/packages/forms/src/awake.ts
@@ -6,8 +6,8 @@
 /**
  * Tells a daemon that it slept. A frozen process sees a gap on the monotonic clock; a paused machine sees it on the
  * wall clock only, where a forward jump looks the same and is taken for sleep too, which costs a moment and no more.
- *  Invariant: whoever is about to act on something that ages looks first, so nothing slips in between waking and the
- *  next beat.
+ * Invariant: whoever is about to act on something that ages looks first, so nothing slips in between waking and the
+ * next beat.
  */
 export const Awake = {
   make(clock: Clock, woke: () => void) {
--- a/packages/forms/src/folder.ts
+++ b/packages/forms/src/folder.ts
@@ -1,6 +1,6 @@
 /**
- *  The few file operations that a disk is built of, so that the same disk code runs on a real folder and on a
- *  simulated one.
+ * The few file operations that a disk is built of, so that the same disk code runs on a real folder and on a simulated
+ * one.
  * Invariants: what was written lasts once `sync` of that file is done; a name given, changed or taken away lasts once
  * `settle` is done; before that a stop of the machine may undo it, alone or with others. Each throws on failure.
  */
--- a/packages/forms/src/startupfile.test.ts
+++ b/packages/forms/src/startupfile.test.ts
@@ -7,7 +7,7 @@
 import { StartupFile } from './startupfile.js';
 
 const form = Type.Object(
-  { id: Type.String(), addr: Addr, seeds: Type.Array(Addr, { minItems: 3 }) },
+  { id: Type.String(), addr: Addr, seeds: Type.Array(Addr, { minItems: 3, uniqueItems: true }) },
   { additionalProperties: false },
 );
 const seeds = ['127.0.0.1:1', '127.0.0.1:2', '[::1]:3'];
@@ -17,6 +17,12 @@
   ['a host name for an address', JSON.stringify({ id: 'e1', addr: 'host:7', seeds }), {}, ['/addr']],
   ['a port too high', JSON.stringify({ id: 'e1', addr: '127.0.0.1:70000', seeds }), {}, ['/addr']],
   ['too few seeds', JSON.stringify({ id: 'e1', addr: '127.0.0.1:7', seeds: seeds.slice(1) }), {}, ['/seeds']],
+  [
+    'a seed named twice',
+    JSON.stringify({ id: 'e1', addr: '127.0.0.1:7', seeds: [...seeds, seeds[0]] }),
+    {},
+    ['/seeds'],
+  ],
   ['an unknown key', JSON.stringify({ id: 'e1', addr: '127.0.0.1:7', seeds, extra: 1 }), {}, ['/extra']],
   ['two missing keys', JSON.stringify({ seeds }), {}, ['/id', '/addr']],
 ];
--- a/packages/registry/src/watch.ts
+++ b/packages/registry/src/watch.ts
@@ -13,8 +13,8 @@
 
 /**
  * Beats between core daemons: who is there, and the claim that lets a chain member speak for the view.
- *  Invariant: `live()` is true only while a majority of voters each granted a claim, counted from before it was
- *  asked for.
+ * Invariant: `live()` is true only while a majority of voters each granted a claim, counted from before it was
+ * asked for.
  */
 export const Watch = {
   make(world: World, post: PostBox, me: () => Member, voter: Voting) {
--- a/packages/sim/src/rules/hold.ts
+++ b/packages/sim/src/rules/hold.ts
@@ -7,10 +7,9 @@
 type Broken = { at: number; why: string; deeds: Deed[] };
 
 /**
- *  For each stretch in which a daemon is up, awake and linked: 2 s from its start, or from a confirm within it,
- *  until the
- * daemon holds the newest. A stretch that begins with a start of the daemon, or falls on a core that is not whole, is
- * judged by what the daemon uses alone, since there may be nobody yet to ask.
+ * For each stretch in which a daemon is up, awake and linked: 2 s from its start, or from a confirm within it, until
+ * the daemon holds the newest. A stretch that begins with a start of the daemon, or falls on a core that is not whole,
+ * is judged by what the daemon uses alone, since there may be nobody yet to ask.
  */
 const holdings = (h: Past): { checked: number; worst: number; broken: Broken[] } => {
   const held = h.of('held').filter((d) => d['name'] === 'charter');
--- a/packages/sim/src/tide.ts
+++ b/packages/sim/src/tide.ts
@@ -4,8 +4,8 @@
 
 /**
  * A server's own count of the ms that have gone by. Invariant: it is never behind: where the machine was paused and the
- *  monotonic clock stood still, the wall clock's gap is added. A wall clock set forward then turns work away in
- *  vain, once.
+ * monotonic clock stood still, the wall clock's gap is added. A wall clock set forward then turns work away in
+ * vain, once.
  */
 export const Tide = {
   make(clock: Clock) {
