--- a/packages/counter/src/visit.ts
+++ b/packages/counter/src/visit.ts
@@ -2,7 +2,8 @@
 
 /**
  * What a caller asks for. Invariants: one key names one body; a try again under the same key has the next attempt's
- * number. With `owners`, no two calls of one attempt can both run, whatever daemons they go to; without, see docs/design.md.
+ * number. With `owners`, no two calls of one attempt can both run, whatever daemons they go to; without, see
+ * docs/design.md.
  */
 export const Visit = Type.Object(
   {
