--- a/packages/sim/src/commands/measure.ts
+++ b/packages/sim/src/commands/measure.ts
@@ -13,7 +13,7 @@
 /** sim measure */
 export class MeasureCommand extends Command {
   static override description =
-    'Figures of a drill, of an idle fleet, of casting against a fixed cast; or of `all`: every drill, both fleets, in one table.';
+    'Figures of a drill, of an idle fleet, of casting against a fixed cast; or `all`: every drill in one table.';
   static override args = { what: Args.string({ description: 'all, cast, idle, detect, or a drill', required: true }) };
   static override flags = {
     fleet: Flags.option({ options: ['coop', 'registry'] as const, default: 'coop' as const })({
@@ -70,7 +70,7 @@
     }
   }
 
-  /** Every drill at both deployments: the median over the seeds, and the worst in brackets; first pieces are p95, ms. */
+  /** Every drill at both deployments: the median of the seeds, the worst in brackets; first pieces are p95, in ms. */
   async table(seeds: readonly number[]): Promise<void> {
     const jobs = (['coop', 'registry'] as const).flatMap((fleet) =>
       Day.names(fleet).flatMap((drill) => seeds.map((seed) => ({ fleet, drill, seed, faults: 1 }))),
