One newest view, one metrics route, one shape of a judged run

Read again, the change had written these twice: the newest view that core daemons hold (bench twice, fleet once), the /metrics route of both daemons' HTTP sides, and the outcome of a run that the core judges (three times). A comment had slipped onto the wrong constant.

--- a/packages/counter/src/front.ts
+++ b/packages/counter/src/front.ts
@@ -117,12 +117,7 @@
       res.writeHead(up ? 200 : 503, { 'content-type': 'application/json' });
       res.end(JSON.stringify({ life: d.life(), version: d.version(), list: d.watch.young() ? 'young' : 'old' }));
     });
-    app.get('/metrics', (_req, res) => {
-      void meters.text().then((text) => {
-        res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4; charset=utf-8' });
-        res.end(text);
-      });
-    });
+    WebHost.metrics(app, meters);
     if (control) {
       for (const what of ['plan', 'confirm', 'drop'] as const) {
         app.post(`/${what}`, (req, res) => {
--- a/packages/forms/src/webhost.ts
+++ b/packages/forms/src/webhost.ts
@@ -1,7 +1,20 @@
 import type { Polka } from 'polka';
+import type { Metering } from './metering.js';
 
-/** Listens with a polka app at IP:PORT, until it is closed with all its connections. */
+const FORM = { 'content-type': 'text/plain; version=0.0.4; charset=utf-8' };
+
+/** What every daemon's HTTP side has. */
 export const WebHost = {
+  /** Serves what the daemon counts. */
+  metrics(app: Polka, meters: Metering): void {
+    app.get('/metrics', (_req, res) => {
+      void meters.text().then((text) => {
+        res.writeHead(200, FORM);
+        res.end(text);
+      });
+    });
+  },
+  /** Listens with a polka app at IP:PORT, until it is closed with all its connections. */
   async listen(app: Polka, addr: string): Promise<{ close(): Promise<void> }> {
     const i = addr.lastIndexOf(':');
     await new Promise<void>((done, fail) => {
--- a/packages/registryd/src/corefront.ts
+++ b/packages/registryd/src/corefront.ts
@@ -1,5 +1,4 @@
 import { WebHost, type Metering } from '@pumicebarrow/forms';
-import type { ServerResponse } from 'node:http';
 import polka from 'polka';
 
 /** A core daemon's HTTP side, for those on call alone: it serves no callers and takes no charters. */
@@ -11,12 +10,7 @@
       res.writeHead(now.speaks ? 200 : 503, { 'content-type': 'application/json' });
       res.end(JSON.stringify(now));
     });
-    app.get('/metrics', (_req, res: ServerResponse) => {
-      void meters.text().then((t) => {
-        res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4; charset=utf-8' });
-        res.end(t);
-      });
-    });
+    WebHost.metrics(app, meters);
     return WebHost.listen(app, addr);
   },
 };
--- a/packages/sim/src/bench.ts
+++ b/packages/sim/src/bench.ts
@@ -5,6 +5,7 @@
 import type { Motor } from './motor.js';
 import { Net } from './net.js';
 import { SimDisk } from './simdisk.js';
+import { TopView } from './topview.js';
 
 type Core = Extract<Awaited<ReturnType<typeof Registrar.make>>, { ok: true }>['val'];
 const IDS = ['c1', 'c2', 'c3'];
@@ -81,16 +82,10 @@
         boxes.get(id)!.move(`10.0.1.${spare++}:7000`);
       },
       /** The ids on the chain, head first, as the newest view met has it. */
-      chain(): string[] {
-        const views = [...cores.values()].map((c) => c.core.view()).filter((v) => v !== null);
-        return views.sort((a, b) => b.epoch - a.epoch)[0]?.chain.map((m) => m.id) ?? [];
-      },
+      chain: (): string[] => TopView.of(cores.values())?.chain.map((m) => m.id) ?? [],
       /** All are up, in the chain and voting, with nothing of the last fault left. */
       whole(): boolean {
-        const view = [...cores.values()]
-          .map((c) => c.core.view())
-          .filter((v) => v !== null)
-          .sort((a, b) => b.epoch - a.epoch)[0];
+        const view = TopView.of(cores.values());
         if (!view || cores.size < IDS.length || view.chain.length < IDS.length) return false;
         const known = (list: readonly { id: string; born: string }[]): boolean =>
           list.every((m) => cores.get(m.id)?.ident.born === m.born);
--- a/packages/sim/src/drills.test.ts
+++ b/packages/sim/src/drills.test.ts
@@ -12,8 +12,8 @@
 import { Work } from './work.js';
 
 const SEEDS = [101, 102, 103, 104];
-/** Within so many seeds a missing guard is caught, on each deployment; schedules of the core are quick. */
 const core = (drill: string): boolean => Alone.some((d) => d.name === drill);
+/** Within so many seeds a missing guard is caught, on each deployment; runs of the core alone are quick. */
 const most = (drill: string): number => (drill === 'explore' || core(drill) ? 16 : 2);
 const jobs = (fleet: Job['fleet'], names: readonly string[], faults = 1, seeds: readonly number[] = SEEDS): Job[] =>
   names.flatMap((drill) => seeds.map((seed) => ({ fleet, drill, faults, seed })));
--- a/packages/sim/src/fleet.ts
+++ b/packages/sim/src/fleet.ts
@@ -10,6 +10,7 @@
 import { Park } from './park.js';
 import type { Platter } from './platter.js';
 import { SimDisk } from './simdisk.js';
+import { TopView } from './topview.js';
 
 type Core = Extract<Awaited<ReturnType<typeof Registrar.make>>, { ok: true }>['val'];
 
@@ -163,10 +164,7 @@
         boxes.get(id)!.tell({ what: 'wiped' });
       },
       /** The ids on the chain, head first, as the newest view met has it. */
-      chain(): string[] {
-        const views = [...cores.values()].map((c) => c.core.view()).filter((v) => v !== null);
-        return views.sort((a, b) => b.epoch - a.epoch)[0]?.chain.map((m) => m.id) ?? [];
-      },
+      chain: (): string[] => TopView.of(cores.values())?.chain.map((m) => m.id) ?? [],
       some: <T>(list: readonly T[], n: number): T[] => Dice.some(motor.chance, list, n),
     };
   },
--- a/packages/sim/src/index.ts
+++ b/packages/sim/src/index.ts
@@ -72,6 +72,7 @@
 export { type Stand } from './stand.js';
 export { Text } from './text.js';
 export { Tide } from './tide.js';
+export { TopView } from './topview.js';
 export { type Trick } from './trick.js';
 export { Work } from './work.js';
 export { type Yardful } from './yardful.js';
--- a/packages/sim/src/work.ts
+++ b/packages/sim/src/work.ts
@@ -12,6 +12,10 @@
 import type { Scene } from './scene.js';
 import { Stage } from './stage.js';
 
+/** What came of a run that the core's own judge has judged. */
+const judged = (broken: readonly string[], points: number, unmet: readonly string[] = []): Ran => ({
+  ...{ deeds: [], ended: true, broken, points, unmet },
+});
 const points = async (j: Job): Promise<Ran> => {
   const [, job, way, reach] = j.drill.split(' ');
   const r = await DiskPoints.sweep(
@@ -20,17 +24,12 @@
     way as Parameters<typeof DiskPoints.sweep>[2],
     reach === 'all',
   );
-  return { deeds: [], ended: true, broken: r.broken, points: r.points, unmet: [] };
+  return judged(r.broken, r.points);
 };
 const explore = async (j: Job): Promise<Ran> => {
   const r = await Explore.run(j.seed, Explore.acts(j.seed, j.faults));
-  return {
-    deeds: [],
-    ended: true,
-    broken: r.broken,
-    points: Object.values(r.met).reduce((a, b) => a + b, 0),
-    unmet: [],
-  };
+  const acts = Object.values(r.met).reduce((a, b) => a + b, 0);
+  return judged(r.broken, acts);
 };
 /** What the last fault of a run should have met and has not. */
 const unmet = (h: ReturnType<typeof History.make>): string[] => {
@@ -47,7 +46,7 @@
     await s.healed();
     met = await drill.run(s);
   });
-  return { deeds: [], ended: true, broken: r.broken, points: 1, unmet: met ? [] : [drill.about] };
+  return judged(r.broken, 1, met ? [] : [drill.about]);
 };
 
 /** Makes one run. */
