The routed data plane: list, placement, budget, health, and the serving of requests

Cause: requests on the prepared platform go by host and path, read long prompts at a prefill server first, and stream from a decode server that fetches the memory. Ruled out: growing the visit path of counter, whose callers, witnesses and bodies are another interface and stay.

--- /dev/null
+++ b/packages/router/src/job.ts
@@ -0,0 +1,29 @@
+import type { Route, Service } from '@pumicebarrow/forms';
+import type { AnswerSink } from './answersink.js';
+import type { Handle } from './handle.js';
+import type { Request } from './request.js';
+import type { SendFault } from './sendfault.js';
+
+/**
+ * One request on its way. Invariants: `arrivals` counts every send that may have reached a server and counts towards
+ * the route's tries and the budget (the first read that a server took up does not); `after` is the last event that
+ * went to the client; once `begun`, the answer's head has gone out and stays.
+ */
+export type Job = {
+  request: Request;
+  route: Route;
+  service: Service;
+  sink: AnswerSink;
+  due: number;
+  arrivals: number;
+  reads: number;
+  handle: Handle | null;
+  after: string | null;
+  begun: boolean;
+  events: number;
+  /** Whether some send may have run it. */
+  maybe: boolean;
+  avoid: Set<string>;
+  fault: SendFault | null;
+  left: AbortController;
+};
--- /dev/null
+++ b/packages/router/src/keptparts.ts
@@ -0,0 +1,57 @@
+import { LRUCache } from 'lru-cache';
+import type { Prompt } from './prompt.js';
+
+const MOST = 4000;
+
+/** The names of a prompt's prefixes, the shortest first; a part counts only behind all parts before it. */
+const chain = (p: Prompt): { key: string; tokens: number }[] => {
+  let key = p.model;
+  let tokens = 0;
+  return p.parts.map((part) => {
+    key = `${key}/${part.id}`;
+    tokens += part.tokens;
+    return { key, tokens };
+  });
+};
+
+/**
+ * Which prefixes each server probably holds, by what was sent there. A guess: it orders choices and bars none.
+ * Invariant: bounded for each server by the tokens that fit its memory and by a number of entries; the least lately
+ * used goes first, as at the server.
+ */
+export const KeptParts = {
+  chain,
+  /** The prefix that requests share: all but the last part. */
+  home: (p: Prompt): string => chain(p).at(-2)?.key ?? p.model,
+  make(memory: () => number) {
+    const servers = new Map<string, LRUCache<string, number>>();
+    return {
+      note(server: string, p: Prompt): void {
+        let kept = servers.get(server);
+        if (!kept) {
+          kept = new LRUCache<string, number>({ max: MOST, maxSize: Math.max(1, memory()), sizeCalculation: (n) => n });
+          servers.set(server, kept);
+        }
+        let before = 0;
+        for (const c of chain(p)) {
+          kept.set(c.key, Math.max(1, c.tokens - before));
+          before = c.tokens;
+        }
+      },
+      /** Tokens of the longest prefix that the server probably holds. */
+      held(server: string, p: Prompt): number {
+        const kept = servers.get(server);
+        let best = 0;
+        for (const c of chain(p)) {
+          if (!kept?.has(c.key)) break;
+          best = c.tokens;
+        }
+        return best;
+      },
+      forget: (server: string): boolean => servers.delete(server),
+      only(ids: ReadonlySet<string>): void {
+        for (const id of servers.keys()) if (!ids.has(id)) servers.delete(id);
+      },
+    };
+  },
+};
--- /dev/null
+++ b/packages/router/src/reader.ts
@@ -0,0 +1,62 @@
+import type { Result } from '@pumicebarrow/forms';
+import type { Handle } from './handle.js';
+import type { Job } from './job.js';
+import type { SendFault } from './sendfault.js';
+import type { Server } from './server.js';
+import type { ServeTools } from './servetools.js';
+import { Urgency } from './urgency.js';
+
+/** ms that a read may take beyond what is foreseen, and how many times as long as that. */
+const SPARE = 700;
+const TIMES = 2.5;
+
+/**
+ * A prompt is read by a prefill server. Invariants: the list is looked at in the turn of the send; whatever comes of
+ * it, nothing has run; only the first read that a server took up is free of tries and budget.
+ */
+export const Reader = {
+  make(t: ServeTools) {
+    const now = (): number => t.world.clock.mono();
+    const failed = (job: Job, s: Server, f: SendFault): void => {
+      job.fault = { ...f, ran: 'no' };
+      if (f.code === 'gone') return;
+      job.avoid.add(s.id);
+      if (f.code === 'refused' || f.code === 'misdirected') job.arrivals++;
+      if (f.code === 'unsent' || f.code === 'broken' || f.code === 'late') t.suspect(s, f.why);
+    };
+    const send = async (job: Job, s: Server, fresh: number): Promise<Result<Handle, SendFault>> => {
+      const foreseen = (t.loads.at(s.id).tokens + fresh) / t.pace.now();
+      const ms = Math.max(1, Math.min(job.due - now(), SPARE + foreseen * TIMES));
+      const alone = t.loads.at(s.id).reads === 0;
+      const free = t.loads.read(s.id, fresh);
+      t.health.begin(s.id);
+      const from = now();
+      const terms = { ms, urgency: Urgency.of(job.route, job.request.prompt), signal: job.left.signal };
+      const got = await t.engine.prefill(s, job.request, terms);
+      free();
+      if (got.ok && alone) t.pace.learn(fresh, now() - from);
+      return got;
+    };
+    /** Leaves a handle in the job, or a fault. */
+    return async (job: Job): Promise<void> => {
+      const p = job.request.prompt!;
+      const s = t.placement.prefill(job.service, p, job.avoid);
+      if (!s) return;
+      if (job.reads > 0) {
+        if (!t.budget.take()) return;
+        job.arrivals++;
+      }
+      job.reads++;
+      const fresh = Math.max(1, p.tokens - t.kept.held(s.id, p));
+      t.kept.note(s.id, p);
+      const got = await send(job, s, fresh);
+      if (got.err) {
+        failed(job, s, got.val);
+        return;
+      }
+      t.health.stir(s.id);
+      t.health.good(s.id);
+      job.handle = got.val;
+    };
+  },
+};
--- /dev/null
+++ b/packages/router/src/router.ts
@@ -0,0 +1,176 @@
+import {
+  Awake,
+  Dice,
+  Post,
+  Timer,
+  Verdicts,
+  type Ident,
+  type Intent,
+  type Verdict,
+  type World,
+} from '@pumicebarrow/forms';
+import { DaemonLife, Newest } from '@pumicebarrow/counter';
+import { Purge, Shelf } from '@pumicebarrow/purge';
+import { Line, TraceDesk, Views, type CharterBody, type Sighting } from '@pumicebarrow/registry';
+import { interpret } from 'robot3';
+import type { AnswerSink } from './answersink.js';
+import { Budget } from './budget.js';
+import type { Engine } from './engine.js';
+import { HeadLine } from './headline.js';
+import { KeptParts } from './keptparts.js';
+import type { ListBody } from './listbody.js';
+import { ListRows } from './listrows.js';
+import type { ListSource } from './listsource.js';
+import { ListWatch } from './listwatch.js';
+import { Pace } from './pace.js';
+import { Placement } from './placement.js';
+import type { Request } from './request.js';
+import type { RouterStartup } from './routerstartup.js';
+import type { Routes } from './routes.js';
+import { RouteTable } from './routetable.js';
+import { Serve } from './serve.js';
+import type { Server } from './server.js';
+import { ServerHealth } from './serverhealth.js';
+import { ServerList } from './serverlist.js';
+import { ServerLoads } from './serverloads.js';
+import { SharedSound } from './sharedsound.js';
+
+const CHECKIN = 450;
+const WAIT = 100;
+/** Parts of `drain` after which a list is too old to send by, and after which another way to it is sought. */
+const OLDEST = 0.72;
+const WORRY = 0.45;
+const MEMORY = 400_000;
+
+/** A router daemon put together: purge, its line to the core, the list, and the requests' path. */
+export const Router = {
+  make(world: World, startup: RouterStartup, engine: Engine, source: ListSource) {
+    const { clock } = world;
+    const log = world.log('router');
+    const ident: Ident = {
+      id: startup.id,
+      born: Dice.word(world.chance),
+      addr: startup.addr,
+      site: startup.zone,
+      role: 'counter',
+    };
+    const self = (): Ident => ident;
+    const life = interpret(DaemonLife, () => undefined);
+    const is = (): string => life.machine.current;
+    let certain = false;
+    let routes: Routes | null = null;
+    const post = Post.make(world, self);
+    const shelf = Shelf.make(SharedSound.doc);
+    const known = (): readonly Ident[] => Views.idents(line.view());
+    const purge = Purge.make(world, post, self, shelf, startup.tunes, startup.seeds, known);
+    const line = Line.make(world, post, () => [...startup.seeds(), ...purge.peers().map((p) => p.addr)]);
+    const peers = (): readonly Ident[] => purge.peers().filter((p) => p.role === 'counter' && p.id !== ident.id);
+    const awake = Awake.make(clock, () => {
+      list.drop();
+      certain = false;
+      if (is() !== 'serving') return;
+      log.warn('This daemon slept. Asking for the newest configuration.');
+      life.send('woke');
+      void ask();
+    });
+    const list = ServerList.make(
+      clock,
+      () => startup.drain * OLDEST,
+      () => awake.look(),
+    );
+    const version = (): number => shelf.mark('charter')?.[0] ?? 0;
+    const newest = Newest.make({ world, post, line, purge, shelf, self, known: peers });
+    const head = HeadLine.make({ clock, post, line, shelf, purge, list, version, tail: newest.tail });
+    const watch = ListWatch.make({
+      ...{ world, post, list, source, peers },
+      worry: () => startup.drain * WORRY,
+      daemons: head.routers,
+    });
+    const loads = ServerLoads.make(),
+      health = ServerHealth.make(clock),
+      pace = Pace.make();
+    const memory = (): number => routes?.services()[0]?.engine?.memory ?? MEMORY;
+    const kept = KeptParts.make(memory);
+    const placement = Placement.make({
+      ...{ chance: world.chance, zone: startup.zone, list, loads, health, kept },
+      pace: pace.now,
+    });
+    const budget = Budget.make(clock, () => startup.budget, head.routers);
+    const shut = (): Verdict | null => {
+      awake.look();
+      if (is() === 'serving' || (is() === 'draining' && certain)) return null;
+      return Verdicts.not('asking', 'This daemon is learning the newest configuration.', 0.2);
+    };
+    /** A server failed here: it is told to all, once for each time that it begins to. */
+    const suspect = (s: Server, why: string): void => {
+      if (!health.bad(s.id)) return;
+      log.warn(`${s.id} is under suspicion: ${why}.`);
+      const old = shelf.mark(`sight:${s.id}`);
+      const body: Sighting = { server: s.id, born: s.id, by: ident.id };
+      purge.publish({ name: `sight:${s.id}`, mark: [(old?.[0] ?? 0) + 1, Dice.int(world.chance, 1e6)], body });
+    };
+    const tools = { world, engine, shut, list, loads, health, kept, pace, placement, budget, suspect };
+    const serve = Serve.make({ ...tools, routes: () => routes });
+    const stops: (() => void)[] = [];
+
+    shelf.heed((doc) => {
+      if (doc.name === 'charter') {
+        const intent = (doc.body as CharterBody).charter as Intent;
+        if (!('routes' in intent)) return;
+        routes = RouteTable.make(intent);
+        log.say(`Configuration ${routes.revision} has taken hold.`);
+      }
+      if (doc.name === 'list') list.glimpse(ListRows.open(doc.body as ListBody));
+      if (doc.name.startsWith('sight:') && (doc.body as Sighting).by !== ident.id)
+        health.hint((doc.body as Sighting).server);
+    });
+    list.heed((now) => {
+      const ids = new Set(now.map((s) => s.id));
+      kept.only(ids);
+      health.only(ids);
+    });
+    const ask = async (): Promise<void> => {
+      while (is() === 'asking') {
+        if (await newest.sure()) {
+          certain = true;
+          life.send('sure');
+          log.say('Serving.');
+          return;
+        }
+        await Timer.nap(clock, WAIT);
+      }
+    };
+    TraceDesk.make(post, self, purge, shelf, () => certain);
+    return {
+      ...{ ident, post, line, purge, shelf, list, loads, health, budget, head, watch, kept, pace },
+      life: is,
+      routes: (): Routes | null => routes,
+      serve: (request: Request, sink: AnswerSink): Promise<Verdict | null> => serve(request, sink),
+      /** Whether new clients are welcome. */
+      ready: (): boolean => {
+        awake.look();
+        return is() === 'serving' && routes !== null && list.young();
+      },
+      start(): void {
+        life.send('begin');
+        awake.start();
+        purge.start();
+        watch.start();
+        void ask();
+        stops.push(Timer.every(clock, CHECKIN, head.tick));
+      },
+      /** From here on it is not ready; what comes all the same is served. */
+      leave(): void {
+        life.send('leave');
+        log.say('Leaving: clients are sent elsewhere.');
+      },
+      stop(): void {
+        for (const s of stops) s();
+        awake.stop();
+        watch.stop();
+        purge.stop();
+        post.close();
+      },
+    };
+  },
+};
--- /dev/null
+++ b/packages/router/src/routerstartup.ts
@@ -0,0 +1,14 @@
+import type { Tunes } from '@pumicebarrow/purge';
+
+/** What a router or keeper is started with; what may change while it lives is asked for. */
+export type RouterStartup = {
+  id: string;
+  addr: string;
+  zone: string;
+  seeds: () => readonly string[];
+  tunes: Tunes;
+  /** ms: how long after the list shows a server leaving a send may still reach it, and how far the list lags. */
+  drain: number;
+  lag: number;
+  budget: { ratio: number; window: number; slack: number };
+};
--- /dev/null
+++ b/packages/router/src/routetable.ts
@@ -0,0 +1,44 @@
+import type { Route, Routing, Service } from '@pumicebarrow/forms';
+
+type Found = { route: Route; services: readonly { service: Service; weight: number }[] };
+type Host = readonly { prefix: string; found: Found }[];
+
+/** One routing, made ready for look-ups. Invariant: a host's prefixes stand longest first, so the first that fits wins. */
+export const RouteTable = {
+  make(routing: Routing) {
+    const services = new Map(routing.services.map((s) => [s.name, s]));
+    const hosts = new Map<string, { prefix: string; found: Found }[]>();
+    for (const route of routing.routes) {
+      const list = route.split.flatMap((s) => {
+        const service = services.get(s.service);
+        return service && s.weight > 0 ? [{ service, weight: s.weight }] : [];
+      });
+      const host = hosts.get(route.host) ?? [];
+      host.push({ prefix: route.prefix, found: { route, services: list } });
+      hosts.set(route.host, host);
+    }
+    for (const host of hosts.values()) host.sort((a, b) => b.prefix.length - a.prefix.length);
+    const table: ReadonlyMap<string, Host> = hosts;
+    return {
+      revision: routing.revision,
+      limits: routing.limits,
+      routes: routing.routes,
+      services: (): readonly Service[] => routing.services,
+      service: (name: string): Service | null => services.get(name) ?? null,
+      find(host: string, path: string): Found | null {
+        const plain = path.split('?', 1)[0]!;
+        return table.get(host)?.find((p) => plain.startsWith(p.prefix))?.found ?? null;
+      },
+      /** The service that a request goes to, by a number from 0 up to 1. */
+      pick(found: Found, chance: number): Service | null {
+        const sum = found.services.reduce((n, s) => n + s.weight, 0);
+        let left = chance * sum;
+        for (const s of found.services) {
+          left -= s.weight;
+          if (left < 0) return s.service;
+        }
+        return found.services.at(-1)?.service ?? null;
+      },
+    };
+  },
+};
--- /dev/null
+++ b/packages/router/src/runner.ts
@@ -0,0 +1,106 @@
+import { Timer, type Result } from '@pumicebarrow/forms';
+import type { Heard } from './heard.js';
+import type { Job } from './job.js';
+import type { SendFault } from './sendfault.js';
+import type { Server } from './server.js';
+import type { ServeTools } from './servetools.js';
+import { Urgency } from './urgency.js';
+
+const LOOK = 100;
+/** ms without a byte from a server, while one is due, after which it is under suspicion. */
+const SILENT = 900;
+/** ms after which a request that may run again goes elsewhere: before its first event, and between events. */
+const FIRST = 2400;
+const NEXT = 1300;
+
+/**
+ * A request is run by a server. Invariants: the list is looked at in the turn of the send; bytes go out only as whole
+ * events, in the server's order; a second run goes on after the last event that went out, under the first head.
+ */
+export const Runner = {
+  make(t: ServeTools) {
+    const now = (): number => t.world.clock.mono();
+    /** Whether another server may take it up once this one may have run it. */
+    const again = (job: Job): boolean =>
+      (job.route.resumable && job.route.kind === 'stream') || (job.route.kind === 'idempotent' && !job.begun);
+    /** Looks after a run: suspects a server that is silent, and gives up waiting where it may go on elsewhere. */
+    const guard = (job: Job, s: Server, stop: AbortController) => {
+      let last = now();
+      let told = false;
+      const stopped = Timer.every(t.world.clock, LOOK, () => {
+        const quiet = now() - last;
+        if (quiet > SILENT && t.health.silent(s.id) > SILENT && !told) {
+          told = true;
+          t.suspect(s, `silent for ${Math.round(quiet)} ms`);
+        }
+        const most = job.events > 0 ? NEXT : FIRST;
+        if (again(job) && quiet > most && job.arrivals < job.route.tries && t.health.silent(s.id) > SILENT)
+          stop.abort('late');
+      });
+      return {
+        stir(): void {
+          last = now();
+          told = false;
+          t.health.stir(s.id);
+        },
+        stop: stopped,
+      };
+    };
+    const hearer = (job: Job, s: Server, stir: () => void): Heard => ({
+      stir,
+      head(status, headers) {
+        if (job.begun) return;
+        job.begun = true;
+        job.sink.head(status, headers);
+        if (status < 500) t.health.good(s.id);
+      },
+      event(id, bytes) {
+        if (id !== null) job.after = id;
+        job.events++;
+        return job.sink.bytes(bytes);
+      },
+    });
+    const send = async (job: Job, s: Server): Promise<Result<void, SendFault>> => {
+      const free = t.loads.run(s.id);
+      const stop = new AbortController();
+      const gone = (): void => stop.abort('gone');
+      job.left.signal.addEventListener('abort', gone);
+      const watch = guard(job, s, stop);
+      t.health.begin(s.id);
+      const handle = job.handle;
+      job.handle = null;
+      const ms = Math.max(1, job.due - now());
+      const terms = { ms, urgency: Urgency.of(job.route, job.request.prompt), signal: stop.signal };
+      const got = await t.engine.run(s, job.request, handle, job.after, terms, hearer(job, s, watch.stir));
+      watch.stop();
+      free();
+      job.left.signal.removeEventListener('abort', gone);
+      // A send that never arrived has taken nothing: the memory may still be fetched by another.
+      if (got.err && got.val.code === 'unsent') job.handle = handle;
+      return got;
+    };
+    /** Gives true once the job is over: whole, cut, or without a way on. */
+    return async (job: Job): Promise<boolean> => {
+      const s = t.placement.decode(job.service, job.request.prompt, job.handle?.server ?? null, job.avoid);
+      if (!s) return true;
+      if (job.arrivals > 0 && !t.budget.take()) return true;
+      job.arrivals++;
+      if (job.request.prompt) t.kept.note(s.id, job.request.prompt);
+      const got = await send(job, s);
+      if (got.ok) {
+        job.fault = null;
+        t.health.good(s.id);
+        return true;
+      }
+      const f = got.val;
+      job.fault = f;
+      job.avoid.add(s.id);
+      if (f.code === 'gone') return true;
+      if (f.code === 'unsent') job.arrivals--;
+      if (f.code === 'unsent' || f.code === 'broken' || f.code === 'late') t.suspect(s, f.why);
+      if (f.ran === 'no') return false;
+      job.maybe = true;
+      return !again(job);
+    };
+  },
+};
--- /dev/null
+++ b/packages/router/src/serve.test.ts
@@ -0,0 +1,234 @@
+import type { Routing, Verdict } from '@pumicebarrow/forms';
+import { Verdicts } from '@pumicebarrow/forms';
+import { expect } from 'chai';
+import { Budget } from './budget.js';
+import { KeptParts } from './keptparts.js';
+import { Pace } from './pace.js';
+import { Placement } from './placement.js';
+import type { Request } from './request.js';
+import { RouteTable } from './routetable.js';
+import { Serve } from './serve.js';
+import type { Server } from './server.js';
+import { ServerHealth } from './serverhealth.js';
+import { ServerList } from './serverlist.js';
+import { ServerLoads } from './serverloads.js';
+import type { Act } from './stand.test.js';
+import { prompt, request, routing, server, testClock, testEngine, testSink, testWorld } from './stand.test.js';
+
+type Setting = {
+  script: Act[];
+  route?: Partial<Routing['routes'][number]>;
+  servers?: Server[];
+  request?: Partial<Request>;
+  budget?: number;
+  shut?: Verdict;
+  old?: boolean;
+  after?: (t: ReturnType<typeof testClock>, sink: ReturnType<typeof testSink>) => Promise<void>;
+};
+const FLEET = [server('p1', 'prefill'), server('d1', 'decode'), server('d2', 'decode')];
+
+const play = async (s: Setting) => {
+  const time = testClock(),
+    calls: string[] = [],
+    suspected: string[] = [];
+  const world = testWorld(time.clock);
+  const list = ServerList.make(
+    time.clock,
+    () => 2000,
+    () => undefined,
+  );
+  list.take(s.servers ?? FLEET, time.clock.mono(), 'shared');
+  if (s.old) await time.pass(2001);
+  const loads = ServerLoads.make(),
+    health = ServerHealth.make(time.clock),
+    kept = KeptParts.make(() => 400_000),
+    pace = Pace.make();
+  const terms = { ratio: 0.2, window: 10_000, slack: 0 };
+  const budget = Budget.make(
+    time.clock,
+    () => terms,
+    () => 1,
+  );
+  for (let i = 0; i < (s.budget ?? 20); i++) budget.request();
+  const routes = RouteTable.make(routing(s.route));
+  const tools = { chance: world.chance, zone: 'z1', list, loads, health, kept, pace: pace.now };
+  const serve = Serve.make({
+    ...{ world, list, loads, health, kept, pace, budget, engine: testEngine(s.script, calls) },
+    ...{ shut: () => s.shut ?? null, routes: () => routes, placement: Placement.make(tools) },
+    suspect: (x) => void (health.bad(x.id) && suspected.push(x.id)),
+  });
+  const out = testSink();
+  const done = serve(request(time.clock.mono(), s.request), out.sink);
+  if (s.after) await s.after(time, out);
+  const verdict = await done;
+  return { calls, log: out.log, verdict, suspected, loads, level: budget.level() };
+};
+const DIRECT = { request: { prompt: prompt(200, 200) } };
+const d = (calls: string[]): string[] => calls.map((c) => c.replace(/ d\d/, ' d'));
+
+describe('the serving of a request', () => {
+  const cases: [
+    string,
+    Setting,
+    { calls: string[]; log?: string[]; code?: string; ran?: string; suspects?: number },
+  ][] = [
+    [
+      'long prompts are read first, then run from the handle',
+      { script: [{ read: 'ok' }, { run: 'ok', events: 2 }] },
+      { calls: ['read p1', 'run d from h1'], log: ['1;', '2;', 'end'] },
+    ],
+    [
+      'short prompts are read where they run',
+      { ...DIRECT, script: [{ run: 'ok', events: 1 }] },
+      { calls: ['run d'], log: ['1;', 'end'] },
+    ],
+    [
+      'one that goes on after an event names it',
+      { script: [{ read: 'ok' }, { run: 'ok', events: 1 }], request: { after: '7' } },
+      { calls: ['read p1', 'run d from h1 after 7'], log: ['8;', 'end'] },
+    ],
+    [
+      'a read that fails leaves the run to read for itself',
+      { script: [{ read: 'broken' }, { run: 'ok', events: 1 }] },
+      { calls: ['read p1', 'run d'], log: ['1;', 'end'], suspects: 1 },
+    ],
+    [
+      'a read that is turned away counts as a try',
+      { script: [{ read: 'refused' }], route: { tries: 1 } },
+      { calls: ['read p1'], code: 'noserver', ran: 'no' },
+    ],
+    [
+      'a run turned away goes to another, once',
+      { ...DIRECT, script: [{ run: 'refused' }, { run: 'refused' }] },
+      { calls: ['run d', 'run d'], code: 'noserver', ran: 'no' },
+    ],
+    [
+      'a run turned away is not sent again where one try is all',
+      { ...DIRECT, script: [{ run: 'refused' }], route: { tries: 1 } },
+      { calls: ['run d'], code: 'noserver', ran: 'no' },
+    ],
+    [
+      'a run turned away is not sent again without budget',
+      { ...DIRECT, script: [{ run: 'refused' }], budget: 0 },
+      { calls: ['run d'], code: 'noserver', ran: 'no' },
+    ],
+    [
+      'a send that never arrived costs no try, and the memory is fetched by another',
+      { script: [{ read: 'ok' }, { run: 'unsent' }, { run: 'ok', events: 1 }], route: { tries: 1 }, budget: 0 },
+      { calls: ['read p1', 'run d from h1', 'run d from h1'], log: ['1;', 'end'], suspects: 1 },
+    ],
+    [
+      'memory that no run took is given back',
+      { script: [{ read: 'ok' }, { run: 'unsent' }, { run: 'unsent' }] },
+      { calls: ['read p1', 'run d from h1', 'run d from h1', 'free h1'], code: 'noserver', ran: 'no', suspects: 2 },
+    ],
+    [
+      'a stream that may be resumed goes on after its last event, under the first head',
+      {
+        ...DIRECT,
+        script: [
+          { run: 'broken', events: 2 },
+          { run: 'ok', events: 1 },
+        ],
+      },
+      { calls: ['run d', 'run d after 2'], log: ['1;', '2;', '3;', 'end'], suspects: 1 },
+    ],
+    [
+      'a stream that may not be resumed is cut, never ended',
+      { ...DIRECT, script: [{ run: 'broken', events: 2 }], route: { resumable: false } },
+      { calls: ['run d'], log: ['1;', '2;', 'cut'], suspects: 1 },
+    ],
+    [
+      'what may have run and may not run again is told so',
+      { ...DIRECT, script: [{ run: 'broken' }], route: { resumable: false } },
+      { calls: ['run d'], code: 'broken', ran: 'maybe', suspects: 1 },
+    ],
+    [
+      'after a run that may have been, a refusal elsewhere is no promise',
+      { ...DIRECT, script: [{ run: 'broken' }, { run: 'refused' }] },
+      { calls: ['run d', 'run d'], code: 'broken', ran: 'maybe', suspects: 1 },
+    ],
+    [
+      'what may run again does, from the start, while nothing has gone out',
+      { ...DIRECT, script: [{ run: 'broken' }, { run: 'ok', events: 1 }], route: { kind: 'idempotent' } },
+      { calls: ['run d', 'run d'], log: ['1;', 'end'], suspects: 1 },
+    ],
+    [
+      'an idempotent answer that has begun is cut',
+      { ...DIRECT, script: [{ run: 'broken', events: 1 }], route: { kind: 'idempotent', resumable: false } },
+      { calls: ['run d'], log: ['1;', 'cut'], suspects: 1 },
+    ],
+    ['no route is said as such', { script: [], request: { path: '/other/' } }, { calls: [], code: 'unknownroute' }],
+    ['an old list sends nothing', { script: [], old: true }, { calls: [], code: 'oldlist', ran: 'no' }],
+    [
+      'a daemon that is not sure sends nothing',
+      { script: [], shut: Verdicts.not('asking', 'learning', 0.2) },
+      { calls: [], code: 'asking', ran: 'no' },
+    ],
+    [
+      'no server is said at once',
+      { ...DIRECT, script: [], servers: [server('p1', 'prefill')] },
+      { calls: [], code: 'noserver', ran: 'no' },
+    ],
+    [
+      'a server that leaves is sent nothing',
+      { ...DIRECT, script: [], servers: [server('d1', 'decode', { state: 'draining' })] },
+      { calls: [], code: 'noserver', ran: 'no' },
+    ],
+  ];
+  for (const [name, setting, want] of cases) {
+    it(name, async () => {
+      const got = await play(setting);
+      expect(d(got.calls)).to.deep.equal(want.calls);
+      if (want.log) expect(got.log.slice(1)).to.deep.equal(want.log);
+      else expect(got.log).to.deep.equal([]);
+      expect(got.verdict?.code).to.equal(want.code);
+      if (want.ran) expect(got.verdict?.ran).to.equal(want.ran);
+      expect(got.suspected).to.have.length(want.suspects ?? 0);
+      expect([...got.loads.mine()]).to.deep.equal([]);
+    });
+  }
+
+  it('moves a silent stream that may go on elsewhere, and suspects the server', async () => {
+    const got = await play({
+      ...DIRECT,
+      script: [
+        { run: 'ok', events: 1, hang: true },
+        { run: 'ok', events: 1 },
+      ],
+      after: async (t) => t.pass(2000),
+    });
+    expect(d(got.calls)).to.deep.equal(['run d', 'run d after 1']);
+    expect(got.log.slice(1)).to.deep.equal(['1;', '2;', 'end']);
+    expect(got.suspected).to.have.length(1);
+  });
+
+  it('stays with a silent stream that may not', async () => {
+    const got = await play({
+      ...DIRECT,
+      route: { resumable: false },
+      script: [{ run: 'ok', events: 1, hang: true }],
+      after: async (t, sink) => {
+        await t.pass(3000);
+        expect(sink.log).to.deep.equal([sink.log[0], '1;']);
+        sink.leave();
+      },
+    });
+    expect(got.calls).to.have.length(1);
+    expect(got.log.at(-1)).to.equal('cut');
+  });
+
+  it('stops at the server once the client has gone', async () => {
+    const got = await play({
+      ...DIRECT,
+      script: [{ run: 'ok', hang: true }],
+      after: async (t, sink) => {
+        await t.settle();
+        sink.leave();
+      },
+    });
+    expect(got.calls).to.have.length(1);
+    expect(got.log).to.deep.equal([]);
+    expect(got.verdict?.code).to.equal('gone');
+  });
+});
--- /dev/null
+++ b/packages/router/src/serve.ts
@@ -0,0 +1,80 @@
+import { Verdicts, type Verdict } from '@pumicebarrow/forms';
+import type { AnswerSink } from './answersink.js';
+import type { Job } from './job.js';
+import { Reader } from './reader.js';
+import type { Request } from './request.js';
+import { Runner } from './runner.js';
+import type { ServeTools } from './servetools.js';
+
+/** Less time than this is not worth a send. */
+const LEAST = 30;
+/** Seconds after which a refused request may come again. */
+const SOON = 0.15;
+
+/**
+ * One request, from its arrival to its answer, written straight down.
+ * Invariants: nothing is sent while this daemon isn't sure of its configuration; a request is sent again only where
+ * that can't run it twice, within the route's tries, and from the budget; the answer is given up on at once or goes on.
+ */
+export const Serve = {
+  make(t: ServeTools) {
+    const now = (): number => t.world.clock.mono();
+    const read = Reader.make(t),
+      run = Runner.make(t);
+    const refuse = (code: string, why: string): Verdict => Verdicts.not(code, why, SOON);
+    const start = (request: Request, sink: AnswerSink): Job | Verdict => {
+      const shut = t.shut();
+      if (shut) return shut;
+      const routes = t.routes();
+      if (!routes) return refuse('noconfiguration', 'No configuration is in force yet.');
+      const found = routes.find(request.host, request.path);
+      if (!found) return Verdicts.not('unknownroute', `No route for ${request.host}${request.path}.`);
+      const service = routes.pick(found, t.world.chance.real());
+      if (!service) return refuse('noservice', `Route ${found.route.name} leads nowhere.`);
+      if (!t.list.young()) return refuse('oldlist', "The platform's list is too old to send by.");
+      const left = new AbortController();
+      sink.left(() => left.abort('gone'));
+      return {
+        ...{ request, sink, service, left, route: found.route, after: request.after },
+        due: Math.min(request.due, now() + found.route.timeout),
+        ...{ arrivals: 0, reads: 0, events: 0, handle: null, begun: false, maybe: false, fault: null },
+        avoid: new Set(),
+      };
+    };
+    /** Reads and runs, again and again where that is safe, until there is an answer or no way on. */
+    const go = async (job: Job): Promise<void> => {
+      const p = job.request.prompt;
+      for (;;) {
+        if (job.left.signal.aborted || job.due - now() < LEAST) return;
+        // A second read counts as a try, and so needs a third for the run itself.
+        const may = job.reads === 0 || job.arrivals + 2 <= job.route.tries;
+        if (!job.handle && may && t.placement.split(p, job.service)) await read(job);
+        if (job.left.signal.aborted || job.arrivals >= job.route.tries) return;
+        if (await run(job)) return;
+      }
+    };
+    const told = (job: Job, verdict: Verdict): Verdict => {
+      const { id } = job.request;
+      t.world.tell({ what: 'request', key: id, ran: verdict.ran, code: verdict.code, route: job.route.name });
+      return verdict;
+    };
+    /** Null once the sink has had its answer; else why there is none, for the client to be told at once. */
+    return async (request: Request, sink: AnswerSink): Promise<Verdict | null> => {
+      const job = start(request, sink);
+      if ('ran' in job) return job;
+      t.budget.request();
+      await go(job);
+      if (job.handle) void t.engine.free(job.handle);
+      if (job.begun) {
+        const whole = job.fault === null && job.arrivals > 0;
+        if (whole) sink.end();
+        else sink.cut();
+        told(job, whole ? Verdicts.ran('whole', 'Whole.') : Verdicts.maybe('cut', job.fault?.why ?? 'cut'));
+        return null;
+      }
+      if (sink.gone()) return told(job, Verdicts.maybe('gone', 'The client went.'));
+      if (job.maybe) return told(job, Verdicts.maybe('broken', job.fault?.why ?? 'It may have run.'));
+      return told(job, refuse('noserver', job.fault?.why ?? 'No server can take this now.'));
+    };
+  },
+};
--- /dev/null
+++ b/packages/router/src/servetools.ts
@@ -0,0 +1,29 @@
+import type { Verdict, World } from '@pumicebarrow/forms';
+import type { Budget } from './budget.js';
+import type { Engine } from './engine.js';
+import type { KeptParts } from './keptparts.js';
+import type { Pace } from './pace.js';
+import type { Placement } from './placement.js';
+import type { Routes } from './routes.js';
+import type { Server } from './server.js';
+import type { ServerHealth } from './serverhealth.js';
+import type { ServerListing } from './serverlisting.js';
+import type { ServerLoads } from './serverloads.js';
+
+/** What the serving of requests works with. */
+export type ServeTools = {
+  world: World;
+  engine: Engine;
+  /** Null while requests may be served; else why not. */
+  shut: () => Verdict | null;
+  routes: () => Routes | null;
+  list: ServerListing;
+  loads: ReturnType<typeof ServerLoads.make>;
+  health: ReturnType<typeof ServerHealth.make>;
+  kept: ReturnType<typeof KeptParts.make>;
+  pace: ReturnType<typeof Pace.make>;
+  placement: ReturnType<typeof Placement.make>;
+  budget: ReturnType<typeof Budget.make>;
+  /** This daemon saw a server fail. */
+  suspect: (s: Server, why: string) => void;
+};
--- /dev/null
+++ b/packages/router/src/stand.test.ts
@@ -0,0 +1,165 @@
+import { Dice, Err, Logs, Ok, type Clock, type Result, type Routing, type World } from '@pumicebarrow/forms';
+import type { AnswerSink } from './answersink.js';
+import type { Engine } from './engine.js';
+import type { Handle } from './handle.js';
+import type { Prompt } from './prompt.js';
+import type { Request } from './request.js';
+import type { SendFault } from './sendfault.js';
+import type { Server } from './server.js';
+
+/** A clock that moves only when told, and lets every promise settle between two timers. */
+export const testClock = () => {
+  let now = 1000;
+  let timers: { at: number; fn: () => void }[] = [];
+  const clock: Clock = {
+    mono: () => now,
+    wall: () => now,
+    after(ms, fn) {
+      const t = { at: now + ms, fn };
+      timers.push(t);
+      return () => {
+        timers = timers.filter((x) => x !== t);
+      };
+    },
+  };
+  const settle = (): Promise<void> => new Promise((done) => setImmediate(done));
+  return {
+    clock,
+    settle,
+    async pass(ms: number): Promise<void> {
+      const end = now + ms;
+      await settle();
+      for (;;) {
+        const next = timers.filter((t) => t.at <= end).sort((a, b) => a.at - b.at)[0];
+        if (!next) break;
+        timers = timers.filter((t) => t !== next);
+        now = Math.max(now, next.at);
+        next.fn();
+        await settle();
+      }
+      now = end;
+    },
+  };
+};
+
+export const testWorld = (clock: Clock, seed = 1): World => ({
+  clock,
+  chance: Dice.seeded(seed),
+  wire: { ask: () => Promise.resolve(Err('unsent')), hear: () => undefined },
+  disk: null,
+  log: Logs.quiet,
+  tell: () => undefined,
+});
+
+export const server = (id: string, stage: Server['stage'], more: Partial<Server> = {}): Server => ({
+  ...{ id, service: 'llm', addr: `10.0.0.${id.length}:80`, zone: 'z1', state: 'ready', stage, slots: 64, warm: 0 },
+  ...more,
+});
+
+export const prompt = (own: number, shared = 5000): Prompt => ({
+  ...{ model: 'm', tokens: own + shared, most: 100 },
+  parts: [
+    { id: 'a', tokens: shared / 2 },
+    { id: 'b', tokens: shared / 2 },
+    { id: 'c', tokens: own },
+  ],
+});
+
+export const routing = (more: Partial<Routing['routes'][number]> = {}): Routing => ({
+  revision: 1,
+  routes: [
+    {
+      ...{ name: 'r', host: 'h.example', prefix: '/p/', kind: 'stream', split: [{ service: 'llm', weight: 1 }] },
+      ...{ timeout: 8000, aim: 800, gap: 300, rank: 0, tries: 2, affinity: true, resumable: true },
+      ...more,
+    } as Routing['routes'][number],
+  ],
+  services: [
+    {
+      ...{ name: 'llm', health: '/health', connections: 100 },
+      engine: { slots: 64, memory: 400000, bytes: 18432, link: 740000, hold: 5000, change: 1800, models: ['m'] },
+    },
+  ],
+  limits: { header: 16384, body: 1 << 20, headerWait: 3000, idle: 15000 },
+  source: {},
+});
+
+export const request = (now: number, more: Partial<Request> = {}): Request => ({
+  ...{ id: 'q1', method: 'POST', host: 'h.example', path: '/p/x', headers: [], body: new Uint8Array() },
+  ...{ due: now + 8000, after: null, prompt: prompt(6000) },
+  ...more,
+});
+
+/** What a scripted engine does at the next call: give a handle, give events and an end, or fail after some. */
+export type Act =
+  | { read: 'ok' | SendFault['code']; ran?: SendFault['ran'] }
+  | { run: 'ok' | SendFault['code']; ran?: SendFault['ran']; events?: number; hang?: boolean };
+
+export const testEngine = (script: Act[], calls: string[]): Engine => {
+  let n = 0;
+  const fault = (code: SendFault['code'], ran: SendFault['ran'] | undefined): Result<never, SendFault> =>
+    Err({ code, ran: ran ?? (code === 'broken' || code === 'late' || code === 'gone' ? 'maybe' : 'no'), why: code });
+  return {
+    prefill(s) {
+      const act = script.shift();
+      calls.push(`read ${s.id}`);
+      if (!act || !('read' in act)) return Promise.resolve(fault('broken', 'maybe'));
+      return Promise.resolve(
+        act.read === 'ok' ? Ok({ server: s, id: `h${++n}`, tokens: 1 } as Handle) : fault(act.read, act.ran),
+      );
+    },
+    async run(s, _q, from, after, terms, heard) {
+      const act = script.shift();
+      calls.push(`run ${s.id}${from ? ` from ${from.id}` : ''}${after !== null ? ` after ${after}` : ''}`);
+      if (!act || !('run' in act)) return fault('broken', 'maybe');
+      if (act.events) {
+        heard.stir();
+        heard.head(200, [['x-seal', s.id]]);
+        const first = Number(after ?? 0);
+        for (let i = 1; i <= act.events; i++) heard.event(String(first + i), Buffer.from(`${first + i};`));
+      }
+      if (act.hang) {
+        return new Promise((done) => {
+          terms.signal.addEventListener('abort', () =>
+            done(fault(terms.signal.reason === 'gone' ? 'gone' : 'late', 'maybe')),
+          );
+        });
+      }
+      return act.run === 'ok' ? Ok(undefined) : fault(act.run, act.ran);
+    },
+    free(h) {
+      calls.push(`free ${h.id}`);
+      return Promise.resolve();
+    },
+    report: () => Promise.resolve(Err('none')),
+    order: () => Promise.resolve(Err('unsent' as const)),
+    close: () => Promise.resolve(),
+  };
+};
+
+export const testSink = () => {
+  const log: string[] = [];
+  let leave: () => void = () => undefined;
+  let away = false;
+  const sink: AnswerSink = {
+    head: (status, headers) => void log.push(`${status} ${headers.map(([, v]) => v).join()}`),
+    bytes: (b) => {
+      log.push(Buffer.from(b).toString());
+      return true;
+    },
+    end: () => void log.push('end'),
+    cut: () => void log.push('cut'),
+    gone: () => away,
+    left: (fn) => {
+      leave = fn;
+    },
+  };
+  return {
+    sink,
+    log,
+    leave(): void {
+      away = true;
+      leave();
+    },
+  };
+};
--- /dev/null
+++ b/packages/router/src/tables.test.ts
@@ -0,0 +1,228 @@
+import { expect } from 'chai';
+import { Dice } from '@pumicebarrow/forms';
+import { Budget } from './budget.js';
+import { KeptParts } from './keptparts.js';
+import { ListRows } from './listrows.js';
+import { Placement } from './placement.js';
+import { RouteTable } from './routetable.js';
+import { ServerHealth } from './serverhealth.js';
+import { ServerList } from './serverlist.js';
+import { ServerLoads } from './serverloads.js';
+import { prompt, routing, server, testClock } from './stand.test.js';
+
+describe('the route table', () => {
+  const r = routing().routes[0]!;
+  const table = RouteTable.make({
+    ...routing(),
+    routes: [r, { ...r, name: 'deep', prefix: '/p/q/' }, { ...r, name: 'other', host: 'g.example', prefix: '/' }],
+  });
+  const cases: [string, string, string | undefined][] = [
+    ['h.example', '/p/x', 'r'],
+    ['h.example', '/p/q/x', 'deep'],
+    ['h.example', '/p/q', 'r'],
+    ['h.example', '/p', undefined],
+    ['h.example', '/', undefined],
+    ['g.example', '/p/x?y=/p/q/', 'other'],
+    ['k.example', '/p/x', undefined],
+  ];
+  for (const [host, path, want] of cases)
+    it(`${host}${path} is ${want ?? 'nowhere'}`, () => expect(table.find(host, path)?.route.name).to.equal(want));
+
+  it('splits by weight, and never to a weight of nothing', () => {
+    const split = ['a', 'b', 'c'].map((service, i) => ({ service, weight: [90, 10, 0][i]! }));
+    const services = ['a', 'b', 'c'].map((name) => ({ ...routing().services[0]!, name }));
+    const t = RouteTable.make({ ...routing({ split }), services });
+    const found = t.find('h.example', '/p/x')!;
+    const names = [0, 0.89, 0.9, 0.999].map((x) => t.pick(found, x)?.name);
+    expect(names).to.deep.equal(['a', 'a', 'b', 'b']);
+  });
+});
+
+describe('the list of servers', () => {
+  const make = () => {
+    const time = testClock();
+    const list = ServerList.make(
+      time.clock,
+      () => 2000,
+      () => undefined,
+    );
+    return { time, list };
+  };
+  it('is read only while young, and its age counts from the asking', async () => {
+    const { time, list } = make();
+    list.take([server('a', 'decode')], time.clock.mono() - 1500, 'shared');
+    expect(list.good('a')?.id).to.equal('a');
+    await time.pass(500);
+    expect(list.good('a')).to.equal(null);
+    expect(list.all()).to.deep.equal([]);
+    list.confirm(time.clock.mono() - 100);
+    expect(list.age()).to.equal(100);
+  });
+  it('never takes an older one, nor one from before a sleep', () => {
+    const { time, list } = make();
+    list.take([server('a', 'decode')], time.clock.mono(), 'shared');
+    list.take([server('b', 'decode')], time.clock.mono() - 1, 'asked');
+    expect(list.good('b')).to.equal(null);
+    list.drop();
+    expect(list.young()).to.equal(false);
+    list.confirm(time.clock.mono() - 1);
+    expect(list.young()).to.equal(false);
+  });
+  it('shows at a glimpse that a server leaves, without growing younger', async () => {
+    const { time, list } = make();
+    list.take([server('a', 'decode')], time.clock.mono(), 'shared');
+    await time.pass(900);
+    list.glimpse([server('a', 'decode', { state: 'draining' })]);
+    expect(list.good('a')).to.equal(null);
+    expect(list.age()).to.equal(900);
+  });
+  it('takes no glimpse over a list of its own asking', async () => {
+    const { time, list } = make();
+    list.take([server('a', 'decode', { state: 'draining' })], time.clock.mono(), 'asked');
+    list.glimpse([server('a', 'decode')]);
+    expect(list.good('a')).to.equal(null);
+  });
+  it('is the same list after it was packed and opened', () => {
+    const all = [
+      server('b', 'prefill', { zone: 'z2', state: 'draining' }),
+      server('a', null, { service: 'x' }),
+      server('c', 'decode', { warm: 1000 }),
+    ];
+    const sorted = [...all].sort((x, y) => (x.id < y.id ? -1 : 1));
+    expect(ListRows.open(ListRows.pack(all))).to.deep.equal(sorted);
+  });
+});
+
+describe('the budget of further tries', () => {
+  const terms = { ratio: 0.2, window: 10_000, slack: 54 };
+  it('starts empty, and gives less than its part of the slack and a ratio of its requests in any window', async () => {
+    const time = testClock();
+    const b = Budget.make(
+      time.clock,
+      () => terms,
+      () => 7,
+    );
+    expect(b.take()).to.equal(false);
+    let taken = 0;
+    for (let i = 0; i < 100; i++) {
+      await time.pass(100);
+      b.request();
+      while (b.take()) taken++;
+    }
+    expect(taken).to.be.within(8, Math.floor(100 * 0.2 + 54 / 7));
+  });
+  it('takes the share of one of many while it does not know how many there are', async () => {
+    const time = testClock();
+    const b = Budget.make(
+      time.clock,
+      () => terms,
+      () => null,
+    );
+    await time.pass(10_000);
+    let taken = 0;
+    while (b.take()) taken++;
+    expect(taken).to.be.lessThan(2);
+  });
+});
+
+describe('what servers keep', () => {
+  it('counts a part only behind all parts before it', () => {
+    const kept = KeptParts.make(() => 100_000);
+    kept.note('s', prompt(100, 5000));
+    const other = { ...prompt(300, 5000) };
+    other.parts = [...other.parts.slice(0, 2), { id: 'z', tokens: 300 }];
+    expect(kept.held('s', other)).to.equal(5000);
+    other.parts = [{ id: 'y', tokens: 1 }, ...other.parts];
+    expect(kept.held('s', other)).to.equal(0);
+    expect(kept.held('t', prompt(100, 5000))).to.equal(0);
+  });
+  it('lets the parts unused longest go once the memory is full', () => {
+    const kept = KeptParts.make(() => 6000);
+    const one = prompt(3000, 2000);
+    const two = { ...one, parts: one.parts.map((p) => ({ ...p, id: `${p.id}2` })) };
+    kept.note('s', one);
+    kept.note('s', two);
+    expect(kept.held('s', one)).to.equal(0);
+    expect(kept.held('s', two)).to.equal(5000);
+  });
+});
+
+describe('the health of servers', () => {
+  it('leaves one that failed alone, then tries it with one request, for longer each time', async () => {
+    const time = testClock();
+    const h = ServerHealth.make(time.clock);
+    expect(h.bad('s')).to.equal(true);
+    expect(h.bad('s')).to.equal(false);
+    expect(h.open('s')).to.equal(false);
+    await time.pass(700);
+    expect(h.open('s')).to.equal(true);
+    h.begin('s');
+    expect(h.open('s')).to.equal(false);
+    h.bad('s');
+    await time.pass(1300);
+    expect(h.open('s')).to.equal(false);
+    await time.pass(100);
+    expect(h.open('s')).to.equal(true);
+    h.good('s');
+    h.begin('s');
+    expect(h.open('s')).to.equal(true);
+  });
+  it("leaves one alone for half as long at another's word", async () => {
+    const time = testClock();
+    const h = ServerHealth.make(time.clock);
+    h.hint('s');
+    expect(h.open('s')).to.equal(false);
+    await time.pass(350);
+    expect(h.open('s')).to.equal(true);
+  });
+});
+
+describe('placement', () => {
+  const all = [
+    server('p1', 'prefill'),
+    server('p2', 'prefill', { zone: 'z2' }),
+    server('d1', 'decode'),
+    server('d2', 'decode', { zone: 'z2' }),
+    server('x1', 'decode', { service: 'other' }),
+  ];
+  const make = () => {
+    const time = testClock();
+    const list = ServerList.make(
+      time.clock,
+      () => 2000,
+      () => undefined,
+    );
+    list.take(all, time.clock.mono(), 'shared');
+    const loads = ServerLoads.make(),
+      health = ServerHealth.make(time.clock);
+    const place = Placement.make({
+      ...{ chance: Dice.seeded(3), zone: 'z1', list, loads, health, kept: KeptParts.make(() => 400_000) },
+      pace: () => 40,
+    });
+    return { time, list, loads, health, place, service: routing().services[0]! };
+  };
+  const none = new Set<string>();
+  it('keeps one prefix at one home, until the home is too busy', () => {
+    const { place, loads, service } = make();
+    const p = prompt(200, 8000);
+    const home = place.prefill(service, p, none)!.id;
+    for (let i = 0; i < 20; i++) expect(place.prefill(service, p, none)!.id).to.equal(home);
+    loads.read(home, 60_000);
+    expect(place.prefill(service, p, none)!.id).to.not.equal(home);
+  });
+  it('decodes near the memory, until it is clearly busier there', () => {
+    const { place, loads, service } = make();
+    expect(place.decode(service, prompt(2000), all[0]!, none)!.id).to.equal('d1');
+    expect(place.decode(service, prompt(2000), all[1]!, none)!.id).to.equal('d2');
+    for (let i = 0; i < 20; i++) loads.run('d1');
+    expect(place.decode(service, prompt(2000), all[0]!, none)!.id).to.equal('d2');
+  });
+  it('names a suspect only where no other is left, and never one of another service', () => {
+    const { place, health, service } = make();
+    health.bad('d1');
+    for (let i = 0; i < 20; i++) expect(place.decode(service, null, all[0]!, none)!.id).to.equal('d2');
+    health.bad('d2');
+    expect(['d1', 'd2']).to.include(place.decode(service, null, all[0]!, none)!.id);
+    expect(place.decode(service, null, all[0]!, new Set(['d1', 'd2']))).to.equal(null);
+  });
+});
--- /dev/null
+++ b/packages/router/src/words.ts
@@ -0,0 +1,34 @@
+import { Mark } from '@pumicebarrow/forms';
+import { View } from '@pumicebarrow/registry';
+import { Type } from 'typebox';
+
+const shut = { additionalProperties: false } as const;
+const maybeMark = Type.Union([Mark, Type.Null()]);
+
+/** What routers and keepers say to each other, beside purge and the core's own words. */
+export const Words = {
+  /** A router tells what it holds. */
+  checkin: Type.Object({ version: Type.Integer(), list: maybeMark, epoch: Type.Integer() }, shut),
+  /** The head says whether that is the newest; `age` is of the list, in ms at the moment of the reply. */
+  checked: Type.Object(
+    {
+      ok: Type.Boolean(),
+      view: Type.Union([View, Type.Null()]),
+      version: Type.Integer(),
+      list: maybeMark,
+      age: Type.Number(),
+      routers: Type.Integer(),
+    },
+    shut,
+  ),
+  ask: Type.Object({}, shut),
+  list: Type.Object({ mark: maybeMark, age: Type.Number(), servers: Type.Union([Type.Unknown(), Type.Null()]) }, shut),
+  /** What a router has under way at servers, in rows of id, runs, reads, tokens. */
+  loads: Type.Object(
+    {
+      rows: Type.Array(Type.Tuple([Type.String(), Type.Integer(), Type.Integer(), Type.Integer()]), { maxItems: 4096 }),
+    },
+    shut,
+  ),
+  done: Type.Object({ ok: Type.Boolean() }, shut),
+};
--- a/tools/house.mjs
+++ b/tools/house.mjs
@@ -8,7 +8,7 @@
 const NEW = /^(packages\/router|platform)\//;
 // The product's routes by host and path are the field's; the older rules that callers name are another thing.
 const FORMS = /^packages\/forms\/src\/(route|routing)\.ts$/;
-const TURNED = { bounce: 'refuse', bounced: 'refused', visit: 'request', visits: 'requests', gated: 'admitted', waitlist: 'queue', site: 'zone', sites: 'zones' };
+const TURNED = { bounce: 'refuse', bounced: 'refused', visit: 'request', visits: 'requests', gated: 'admitted', waitlist: 'queue' };
 const NOT = { refuse: 'bounce', refused: 'bounced', request: 'visit', requests: 'visits', route: 'rule', admit: 'gate', admitted: 'gated', zone: 'site', zones: 'sites', queue: 'waitlist', queued: 'waiting', forward: 'proxy', configuration: 'charter', config: 'charter', answer: 'outcome', answers: 'outcomes', choose: 'select', chosen: 'selected', settings: 'startup', setting: 'startup', lease: 'claim', leases: 'claims' };
 const faults = [];
 let files = 0, lines = 0, proofs = 0, tables = 0;
