House check: the platform's words stand in platform/ alone

Cause: the names of one platform's headers, paths and fields must not leak into the product. Ruled out: a list of words in the check, which would itself name them; they are read from platform/'s sources. Before: nothing said so. After: 0 faults; seen to fail on three lines put into packages/router and one into README.md.

--- a/tools/house.mjs
+++ b/tools/house.mjs
@@ -58,6 +58,22 @@
     else if (want.test(f)) fn(p);
   }
 };
+// The platform's own words stand in platform/ alone: its header prefix, its paths, and every field of a message that
+// platform/'s schemas name. They are read from there, so that this file names none of them.
+const foreign = new Set();
+tree('platform/src', (p) => {
+  if (p.endsWith('.test.ts')) return;
+  for (const [w] of readFileSync(p, 'utf8').matchAll(/\b[a-z]+(?:_[a-z0-9]+)+\b/g)) foreign.add(w);
+}, /\.ts$/);
+const theirs = new RegExp(`x-${JSON.parse(readFileSync('package.json', 'utf8')).name}-|\\x2fapi\\x2f|\\b(?:${[...foreign].join('|')})\\b`, 'i');
+const own = (path) => {
+  if (/^\.\/(platform|docs|deploy)\//.test(path) || path.endsWith('package-lock.json')) return;
+  readFileSync(path, 'utf8').split('\n').forEach((line, i) => {
+    const word = theirs.exec(line)?.[0];
+    if (word) faults.push(`${path}:${i + 1}: '${word}' is the platform's word, and stands in platform/ alone`);
+  });
+};
+tree('.', own, /\.(ts|md|json|mjs)$|^run$/);
 tree('packages', check, /\.ts$/);
 tree('platform', check, /\.ts$/);
 tree('.', plain, /\.(ts|md|json|mjs)$|^\.npmrc$/);
