A core of n: its first view, its copies, machines of other names, leaving, lines on cores

Cause: the users' platform wants cores of 2n+1 that lose n, known by three seeds, whose machines are replaced by others. Made: Founding (candidates tell each other whom they met, core.meet; exactly 2n+1, all agreed and all promising); writes need a majority of copies; a newcomer of any name joins at the tail while no other waits (Views.room) and takes the vote of a silent voter outside the chain; Registrar.leave (a view without it, its vote to one that has caught up); Registrar.line; several silent members go in one view; Minder out of Core. Found on the way: a voter that restarted within 800 ms had forgotten the claims it granted (Voter's until); a claim asked for in one view counted in the next if the view changed meanwhile (Watch's eras). Quicker: one silent member no longer slows the beat to the others; an agreement goes on once enough say yes; a member whose place is taken by one emptied goes at once; a line leaves a silent head once a newer view is known. Ruled out: a raised voice of mail for a key in core.look (its own kind of mail instead). Before: five cores made no view; newcomers of other names were turned away.

--- a/packages/registry/src/chain.ts
+++ b/packages/registry/src/chain.ts
@@ -81,7 +81,7 @@
       if (!isHead(v)) return 'This daemon is not the head.';
       if (!hooks.live()) return 'The core has no live claim on its view.';
       if (ready !== v.epoch) return 'The chain is being mended.';
-      if (v.chain.length < 2) return 'The chain has one copy only.';
+      if (v.chain.length < Views.most(v)) return 'The chain has too few copies.';
       return null;
     };
     const begun = (next: CoreState): void =>
--- a/packages/registry/src/helm.ts
+++ b/packages/registry/src/helm.ts
@@ -1,6 +1,7 @@
 import { Dice, Timer, type PostBox, type World } from '@pumicebarrow/forms';
 import { CoreWords } from './corewords.js';
 import type { Member } from './member.js';
+import { Most } from './most.js';
 import { Paces } from './paces.js';
 import type { View } from './view.js';
 import { Views } from './views.js';
@@ -14,34 +15,51 @@
   view: View | null;
 };
 
+/** Ballots come in blocks of so many. Invariant: each voter has one of its own in every block,
+ * and those that have no vote share the last. */
+const BLOCK = Most.voters + 1;
+/** Members by name, in their order. */
+const text = (list: readonly Member[]): string => JSON.stringify(list.map((m) => [m.id, m.born]));
+
 /**
  * Proposes the next view to the voters of the present one.
- * Invariant: at most one view is chosen for an epoch, whoever proposes and however often.
+ * Invariants: at most one view is chosen for an epoch, whoever proposes and however often; the first one, which has no
+ * voters before it, is put to those it names: all must promise it before any takes it.
  */
 export const Helm = {
   make(world: World, post: PostBox, me: () => Member, voter: Voting, adopt: (v: View) => Promise<boolean>) {
     let busy = false;
     let top = 0;
+    let told: Promise<unknown> = Promise.resolve();
     const log = world.log('view');
 
     const ballot = (voters: readonly Member[]): number => {
-      const mine = Math.max(
-        0,
-        voters.findIndex((m) => m.id === me().id),
-      );
-      const n = Math.floor(top / 8) * 8 + 8 + mine;
+      const place = voters.findIndex((m) => m.id === me().id);
+      const mine = place < 0 ? Most.voters : place;
+      const n = Math.floor(top / BLOCK) * BLOCK + BLOCK + mine;
       top = n;
       return n;
     };
-    const poll = async (voters: readonly Member[], one: (m: Member) => Promise<Voice | null>): Promise<Voice[]> => {
-      const got = await Promise.all(voters.map(one));
-      return got.filter((v): v is Voice => v !== null);
-    };
+    /** What voters say, as soon as enough of them say yes; else what all say that can be heard. */
+    const poll = (
+      voters: readonly Member[],
+      need: number,
+      one: (m: Member) => Promise<Voice | null>,
+    ): Promise<Voice[]> =>
+      new Promise((done) => {
+        const got: Voice[] = [];
+        let left = voters.length;
+        for (const m of voters)
+          void one(m).then((v) => {
+            if (v) got.push(v);
+            if (--left === 0 || got.filter((x) => x.ok).length >= need) done([...got]);
+          });
+      });
     const round = async (voters: readonly Member[], next: View): Promise<View | null> => {
       const n = ballot(voters),
         epoch = next.epoch,
         most = Math.floor(voters.length / 2) + 1;
-      const first = await poll(voters, async (m) => {
+      const first = await poll(voters, epoch === 1 ? voters.length : most, async (m) => {
         if (Views.same(m, me())) return { ...(await voter.prepare(epoch, n)), view: null };
         const r = await post.ask(m.addr, m.id, 'core.prepare', { epoch, ballot: n }, CoreWords.prepared, Paces.ask);
         return r.ok ? r.val : null;
@@ -53,17 +71,18 @@
         return null;
       }
       const yes = first.filter((v) => v.ok);
-      if (yes.length < most) {
-        const wait = Math.min(Paces.hold, Math.max(...first.map((v) => v.wait ?? 0), 0));
-        await Timer.nap(world.clock, wait + Dice.int(world.chance, 60));
-        return null;
-      }
       const took = yes
         .map((v) => v.took)
         .filter((t) => !!t)
         .sort((a, b) => b.ballot - a.ballot)[0];
+      if (yes.length < (epoch === 1 && !took ? voters.length : most)) {
+        const wait = Math.min(Paces.hold, Math.max(...first.map((v) => v.wait ?? 0), 0));
+        await Timer.nap(world.clock, wait + Dice.int(world.chance, 60));
+        return null;
+      }
+      if (epoch === 1 && took && text(took.view.voters) !== text(voters)) return null;
       const view = took ? took.view : next;
-      const second = await poll(voters, async (m) => {
+      const second = await poll(voters, most, async (m) => {
         if (Views.same(m, me())) return { ...(await voter.accept(epoch, n, view)), view: null };
         const r = await post.ask(
           m.addr,
@@ -81,6 +100,8 @@
 
     return {
       busy: (): boolean => busy,
+      /** Settles when all members of the view agreed last have been told of it, or could not be. */
+      told: (): Promise<unknown> => told,
       /** Tries for a while; true once some view of that epoch is in force here. */
       async propose(voters: readonly Member[], next: View, why: string): Promise<boolean> {
         if (busy) return false;
@@ -92,9 +113,11 @@
               log.say(`View ${view.epoch} is agreed: ${view.chain.map((m) => m.id).join(' > ')}. ${why}`);
               world.tell({ what: 'view', epoch: view.epoch, chain: view.chain.map((m) => `${m.id}/${m.born}`) });
               const done = await adopt(view);
-              for (const m of Views.all(view)) {
-                if (!Views.same(m, me())) void post.ask(m.addr, m.id, 'core.view', { view }, CoreWords.done, Paces.ask);
-              }
+              told = Promise.all(
+                Views.all(view)
+                  .filter((m) => !Views.same(m, me()))
+                  .map((m) => post.ask(m.addr, m.id, 'core.view', { view }, CoreWords.done, Paces.ask)),
+              );
               return done;
             }
           }
--- a/packages/registry/src/line.ts
+++ b/packages/registry/src/line.ts
@@ -1,4 +1,4 @@
-import { Dice, Timer, Verdicts, type PostBox, type World } from '@pumicebarrow/forms';
+import { Dice, Err, Timer, Verdicts, type PostBox, type Result, type WireFault, type World } from '@pumicebarrow/forms';
 import type { Static } from 'typebox';
 import type { Command } from './command.js';
 import { CoreWords } from './corewords.js';
@@ -15,7 +15,8 @@
  * 'no' is said of a command only if no try of it can have been written.
  */
 export const Line = {
-  make(world: World, post: PostBox, seeds: () => readonly string[]) {
+  /** `own` is the view that a core daemon itself holds; that one's desk is Core's. */
+  make(world: World, post: PostBox, seeds: () => readonly string[], own?: () => View | null) {
     let view: View | null = null;
     const learn = (v: View | null): void => {
       if (v && v.epoch > (view?.epoch ?? 0)) view = v;
@@ -38,6 +39,7 @@
     ): Promise<T | null> => {
       const end = world.clock.mono() + ms;
       for (;;) {
+        learn(own?.() ?? null);
         if (!view) await look();
         if (view) {
           const m = where === 'head' ? Views.head(view) : Views.tail(view);
@@ -51,7 +53,22 @@
         await Timer.nap(world.clock, 100 + Dice.int(world.chance, 60));
       }
     };
-    post.on('core.hint', CoreWords.look, () => ({ view }));
+    /** Waits for a reply, but not beyond a newer view than was known when it was asked for. */
+    const unlessMoved = <T>(job: Promise<Result<T, WireFault>>): Promise<Result<T, WireFault>> => {
+      const epoch = view?.epoch ?? 0;
+      return new Promise((done) => {
+        const stop = Timer.every(world.clock, Paces.peek, async () => {
+          await Timer.nap(world.clock, Paces.peek);
+          await look();
+          if ((view?.epoch ?? 0) > epoch) done(Err('lost'));
+        });
+        void job.then((r) => {
+          stop();
+          done(r);
+        });
+      });
+    };
+    if (!own) post.on('core.hint', CoreWords.look, () => ({ view }));
     return {
       view: (): View | null => view,
       learn,
@@ -61,7 +78,7 @@
         let sent = world.clock.mono();
         const got = await reach('head', ms, async (addr, id) => {
           sent = world.clock.mono();
-          const r = await post.ask(addr, id, 'core.write', { command }, CoreWords.written, 5000);
+          const r = await unlessMoved(post.ask(addr, id, 'core.write', { command }, CoreWords.written, 5000));
           if (r.err) {
             if (r.val === 'lost') unsure = true;
             return { got: null, view: null };
--- a/packages/registry/src/paces.ts
+++ b/packages/registry/src/paces.ts
@@ -12,4 +12,7 @@
   claim: 2000,
   quiet: 3000,
   gone: 2000,
+  met: 2000,
+  leave: 1000,
+  peek: 250,
 };
--- a/packages/registry/src/registrar.ts
+++ b/packages/registry/src/registrar.ts
@@ -1,13 +1,19 @@
 import { Err, Ok, Post, type Ident, type Result, type World } from '@pumicebarrow/forms';
 import { Purge, Shelf, type Tunes } from '@pumicebarrow/purge';
 import { Core } from './core.js';
+import { Line } from './line.js';
 import { Self } from './self.js';
 import { Sound } from './sound.js';
 import { Store } from './store.js';
 import { TraceDesk } from './tracedesk.js';
 import { Views } from './views.js';
 
-type Startup = { id: string; addr: string; site: string; seeds: readonly string[]; tunes: Tunes };
+type Startup = { id: string; addr: string; site: string; seeds: readonly string[]; tunes: Tunes } & {
+  /** How many machines may be lost at once: the first view has twice as many members and one more. */
+  losses?: number;
+  /** Whether this daemon, with an empty folder, may have a part in making the first view; else it only joins. */
+  first?: boolean;
+};
 
 /** A core daemon put together: disk, core and purge. */
 export const Registrar = {
@@ -42,7 +48,10 @@
           .map((p) => p.addr),
       ]),
     ];
-    const core = Core.make(world, post, () => ident, cores, store, kept.val, {
+    const core = Core.make(world, post, () => ident, store, kept.val, {
+      cores,
+      losses: startup.losses ?? 1,
+      first: startup.first ?? true,
       passed: (s) => {
         if (!s.charter || s.charter.version <= (shelf.mark('charter')?.[0] ?? 0)) return;
         world.tell({ what: 'confirmed', version: s.charter.version, plan: s.charter.plan });
@@ -66,10 +75,14 @@
       purge,
       shelf,
       post,
+      /** Reads and writes as any other daemon does; the head or the tail may be this one. */
+      line: Line.make(world, post, cores, core.view),
       start(): void {
         core.start();
         purge.start();
       },
+      /** Tells the others that this daemon goes, for a second at the most. It must still be stopped. */
+      leave: (): Promise<void> => core.leave(),
       stop(): void {
         core.stop();
         purge.stop();
--- a/packages/registry/src/view.ts
+++ b/packages/registry/src/view.ts
@@ -1,5 +1,6 @@
 import { Type, type Static } from 'typebox';
 import { Member } from './member.js';
+import { Most } from './most.js';
 
 /**
  * The agreed order of the core. The chain runs from its head (first) to its tail (last).
@@ -9,8 +10,8 @@
 export const View = Type.Object(
   {
     epoch: Type.Integer({ minimum: 1 }),
-    voters: Type.Array(Member, { minItems: 3, maxItems: 3 }),
-    chain: Type.Array(Member, { minItems: 1, maxItems: 3 }),
+    voters: Type.Array(Member, { minItems: 3, maxItems: Most.voters }),
+    chain: Type.Array(Member, { minItems: 1, maxItems: Most.chain }),
   },
   { additionalProperties: false },
 );
--- a/packages/registry/src/views.ts
+++ b/packages/registry/src/views.ts
@@ -11,6 +11,8 @@
   head: (v: View): Member => v.chain[0]!,
   tail: (v: View): Member => v.chain[v.chain.length - 1]!,
   place: (v: View, w: Who): number => v.chain.findIndex((m) => same(m, w)),
+  /** A majority of the voters, and so many copies as writes need: one more than may be lost at once. */
+  most: (v: View): number => Math.floor(v.voters.length / 2) + 1,
   votes: (v: View, w: Who): boolean => v.voters.some((m) => same(m, w)),
   all(v: View): Member[] {
     return [...v.chain, ...v.voters.filter((m) => Views.place(v, m) < 0)];
@@ -18,16 +20,21 @@
   /** The members as daemons to gossip with. */
   idents: (v: View | null): Ident[] =>
     v ? Views.all(v).map((m) => ({ ...m, site: 'core', role: 'registry' as const })) : [],
-  without(v: View, w: Who): View {
-    return { ...v, epoch: v.epoch + 1, chain: v.chain.filter((m) => !same(m, w)) };
+  without(v: View, list: readonly Who[]): View {
+    return { ...v, epoch: v.epoch + 1, chain: v.chain.filter((m) => !list.some((w) => same(m, w))) };
   },
   /** At the tail; whatever stood there under the same id goes. */
   withTail(v: View, m: Member): View {
     const voters = v.voters.map((x) => (same(x, m) ? m : x));
     return { epoch: v.epoch + 1, voters, chain: [...v.chain.filter((x) => x.id !== m.id), m] };
   },
-  /** A caught-up chain member takes the vote of its forebear of the same id. */
-  withVoter(v: View, m: Member): View {
-    return { ...v, epoch: v.epoch + 1, voters: v.voters.map((x) => (x.id === m.id ? m : x)) };
+  /** A caught-up chain member takes another's vote. */
+  withVoter(v: View, m: Member, old: Who): View {
+    return { ...v, epoch: v.epoch + 1, voters: v.voters.map((x) => (same(x, old) ? m : x)) };
+  },
+  /** Beside the voters there is a place for one newcomer at a time; who has a name in the view has a place. */
+  room(v: View, m: Member): boolean {
+    const names = new Set(Views.all(v).map((x) => x.id));
+    return names.has(m.id) || names.size <= v.voters.length;
   },
 };
--- a/packages/registry/src/voter.test.ts
+++ b/packages/registry/src/voter.test.ts
@@ -126,4 +126,13 @@
     const again = Voter.make(store, () => now, saved.at(-1) as never);
     expect((await again.prepare(2, 16)).took?.view).to.deep.equal(view(2, 2));
   });
+  it('holds the next view off, after a restart, for as long as what it granted before may last', async () => {
+    now = 0;
+    sick = false;
+    const again = Voter.make(store, () => now, null, 800);
+    expect((await again.prepare(2, 8)).wait).to.equal(800);
+    expect((await again.accept(2, 8, view(2))).ok).to.equal(false);
+    now = 801;
+    expect((await again.prepare(2, 8)).ok).to.equal(true);
+  });
 });
--- a/packages/registry/src/voter.ts
+++ b/packages/registry/src/voter.ts
@@ -9,11 +9,12 @@
  * One voter's part in choosing the next view: one single-decree agreement an epoch.
  * Invariants: a promise or an acceptance is synced before it is said; while a claim granted on the present
  * view may still be live, nothing is promised for the next; once something is, no claim on the present view is granted.
+ * `until` is when the last claim ends that its life before this one may have granted.
  */
 export const Voter = {
-  make(store: Storing, mono: () => number, kept: Vote | null) {
+  make(store: Storing, mono: () => number, kept: Vote | null, until = 0) {
     let vote: Vote | null = kept;
-    let held = 0;
+    let held = until;
     let moving = 0;
     let present = 0;
     let chain: Promise<unknown> = Promise.resolve();
--- a/packages/registry/src/watch.ts
+++ b/packages/registry/src/watch.ts
@@ -1,4 +1,4 @@
-import { Awake, Fading, type PostBox, type World } from '@pumicebarrow/forms';
+import { Awake, Fading, Timer, type PostBox, type World } from '@pumicebarrow/forms';
 import { CoreWords } from './corewords.js';
 import type { Member } from './member.js';
 import { Paces } from './paces.js';
@@ -27,6 +27,10 @@
     };
     let since = now();
     let slept = 0;
+    let eras = 0;
+    let best: View | null = null;
+    const asking = new Set<string>();
+    const empty = Fading.make<boolean>(world.clock.mono, LIVES);
     const awake = Awake.make(world.clock, () => {
       grants.clear();
       slept++;
@@ -37,8 +41,11 @@
       heard: (m: Member): Heard | undefined => heard.get(key(m)),
       /** Silence, counted from the view's start for one never heard in it. */
       silent: (m: Member): number => now() - Math.max(heard.get(key(m))?.at ?? 0, since),
+      /** Whether its place was found taken by one of the same id and another life: so it is no more. */
+      emptied: (m: Member): boolean => empty.get(key(m)) === true,
       reset(): void {
         grants.clear();
+        eras++;
         since = now();
       },
       live(view: View | null): boolean {
@@ -47,34 +54,30 @@
         const n = view.voters.filter((m) => (grants.get(key(m)) ?? 0) > now()).length;
         return n > view.voters.length / 2;
       },
-      /** One beat to every other member; gives back the newest view met. */
+      /** One beat to every other member that has replied to the last; gives back the newest view met so far. */
       async beat(view: View, self: { sick: boolean; fresh: boolean }): Promise<View | null> {
         awake.look();
         const at = now(),
           before = slept,
+          era = eras,
           inside = Views.place(view, me()) >= 0;
-        let best: View | null = null;
         if (inside && Views.votes(view, me()) && voter.grant(view.epoch, Paces.hold))
           grants.set(key(me()), at + Paces.hold);
-        await Promise.all(
-          Views.all(view)
-            .filter((m) => !Views.same(m, me()))
-            .map(async (m) => {
-              const r = await post.ask(
-                m.addr,
-                m.id,
-                'core.beat',
-                { me: me(), epoch: view.epoch, ...self },
-                CoreWords.beaten,
-                Paces.ask,
-              );
-              awake.look();
-              if (!r.ok || slept !== before || !Views.same(r.val.me, m)) return;
-              seen(m, { sick: r.val.sick, fresh: r.val.fresh, epoch: r.val.view?.epoch ?? 0 });
-              if (r.val.claim && Views.votes(view, m)) grants.set(key(m), at + Paces.hold);
-              if (r.val.view && r.val.view.epoch > (best?.epoch ?? view.epoch)) best = r.val.view;
-            }),
-        );
+        const ask = async (m: Member): Promise<void> => {
+          const body = { me: me(), epoch: view.epoch, ...self };
+          const r = await post.ask(m.addr, m.id, 'core.beat', body, CoreWords.beaten, Paces.ask);
+          asking.delete(key(m));
+          awake.look();
+          if (!r.ok || slept !== before) return;
+          if (r.val.me.id === m.id && r.val.me.born !== m.born) empty.set(key(m), true, KEEP);
+          if (!Views.same(r.val.me, m)) return;
+          seen(m, { sick: r.val.sick, fresh: r.val.fresh, epoch: r.val.view?.epoch ?? 0 });
+          if (r.val.claim && Views.votes(view, m) && era === eras) grants.set(key(m), at + Paces.hold);
+          if (r.val.view && r.val.view.epoch > (best?.epoch ?? 0)) best = r.val.view;
+        };
+        const due = Views.all(view).filter((m) => !Views.same(m, me()) && !asking.has(key(m)));
+        for (const m of due) asking.add(key(m));
+        await Promise.race([Promise.all(due.map(ask)), Timer.nap(world.clock, Paces.beat)]);
         return best;
       },
     };
--- a/packages/registryd/src/main.ts
+++ b/packages/registryd/src/main.ts
@@ -29,6 +29,8 @@
         addr: s.addr,
         site: s.site,
         seeds: s.seeds,
+        ...(s.losses === undefined ? {} : { losses: s.losses }),
+        ...(s.first === undefined ? {} : { first: s.first }),
         tunes: { ...Tuned, ...s.purge },
       });
       if (made.err) throw new Error(made.val);
@@ -39,6 +41,7 @@
         : null;
       d.start();
       Program.until(async () => {
+        await d.leave();
         d.stop();
         await front?.close();
         await world.wire.close();
--- a/packages/registryd/src/startup.ts
+++ b/packages/registryd/src/startup.ts
@@ -11,6 +11,8 @@
     http: Type.Optional(Addr),
     site: Site,
     seeds: Type.Array(Addr, { minItems: 3, maxItems: 16, uniqueItems: true }),
+    losses: Type.Optional(Type.Integer({ minimum: 1, maximum: 3, description: 'machines that may be lost at once' })),
+    first: Type.Optional(Type.Boolean({ description: 'false: with an empty folder it only ever joins' })),
     data: Type.String({ minLength: 1 }),
     level: Type.Optional(Type.Union([Type.Literal('debug'), Type.Literal('info'), Type.Literal('warn')])),
     purge: Type.Optional(Type.Partial(Tunes)),
--- a/packages/sim/src/bench.ts
+++ b/packages/sim/src/bench.ts
@@ -1,6 +1,7 @@
 import { Err, Post, type Charter, type Deed, type Ident, type Result } from '@pumicebarrow/forms';
 import { Tuned } from '@pumicebarrow/purge';
 import { Line, Registrar } from '@pumicebarrow/registry';
+import type { Size } from './size.js';
 import { Host } from './host.js';
 import type { Motor } from './motor.js';
 import { Net } from './net.js';
@@ -9,19 +10,27 @@
 
 type Core = Extract<Awaited<ReturnType<typeof Registrar.make>>, { ok: true }>['val'];
 const IDS = ['c1', 'c2', 'c3'];
+const SEEDS = 3;
+const THREE: Size = { losses: 1, spares: 0 };
 
-/** The core alone on three simulated machines, and two machines that ask things of it. */
+/**
+ * The core alone on simulated machines, and two machines that ask things of it. The first three are everyone's seeds;
+ * spares are machines that only ever join, and are started by the script.
+ */
 export const Bench = {
   ids: IDS,
-  make(motor: Motor, pace: number, tell: (d: Deed) => void) {
+  make(motor: Motor, pace: number, tell: (d: Deed) => void, size: Size = THREE) {
+    const ids = Array.from({ length: 2 * size.losses + 1 }, (_, i) => `c${i + 1}`);
+    const spares = Array.from({ length: size.spares }, (_, i) => `n${i + 1}`);
+    const every = [...ids, ...spares];
     const net = Net.make(motor);
-    const disks = new Map(IDS.map((id) => [id, SimDisk.make(motor, pace)]));
+    const disks = new Map(every.map((id) => [id, SimDisk.make(motor, pace)]));
     const boxes = new Map(
-      IDS.map((id, i) => [id, Host.make(motor, id, `10.0.0.${i + 1}:7000`, 's1', disks.get(id)!.disk, tell)]),
+      every.map((id, i) => [id, Host.make(motor, id, `10.0.0.${i + 1}:7000`, 's1', disks.get(id)!.disk, tell)]),
     );
     const desks = ['o1', 'o2'].map((id, i) => Host.make(motor, id, `10.3.0.${i + 1}:7000`, 's1', null, tell));
     const cores = new Map<string, Core>();
-    const seeds = IDS.map((_, i) => `10.0.0.${i + 1}:7000`);
+    const seeds = ids.slice(0, SEEDS).map((_, i) => `10.0.0.${i + 1}:7000`);
     let spare = 10;
     for (const b of [...boxes.values(), ...desks]) net.add(b);
     const start = async (id: string): Promise<void> => {
@@ -36,6 +45,8 @@
         site: 's1',
         seeds: seeds.filter((a) => a !== b.addr()),
         tunes: Tuned,
+        losses: size.losses,
+        first: size.first !== false && !spares.includes(id),
       }).catch((e: unknown): Result<Core, string> => Err(String(e)));
       if (b.life() !== life) return;
       if (made.err) {
@@ -77,7 +88,13 @@
       reader,
       start,
       kill,
-      ids: IDS,
+      ids,
+      spares,
+      /** Stops a core's daemon in good order, and then its machine. */
+      async leave(id: string): Promise<void> {
+        await cores.get(id)?.leave();
+        kill(id);
+      },
       move(id: string): void {
         boxes.get(id)!.move(`10.0.1.${spare++}:7000`);
       },
@@ -86,11 +103,14 @@
       /** All are up, in the chain and voting, with nothing of the last fault left. */
       whole(): boolean {
         const view = TopView.of(cores.values());
-        if (!view || cores.size < IDS.length || view.chain.length < IDS.length) return false;
+        if (!view || cores.size < ids.length || view.chain.length < ids.length) return false;
         const known = (list: readonly { id: string; born: string }[]): boolean =>
           list.every((m) => cores.get(m.id)?.ident.born === m.born);
         const placed = view.chain.every((m) => boxes.get(m.id)!.addr() === m.addr);
-        const fresh = [...cores.values()].every((c) => c.core.view()?.epoch === view.epoch && c.core.chain.fresh());
+        const fresh = view.chain.every((m) => {
+          const c = cores.get(m.id)!;
+          return c.core.view()?.epoch === view.epoch && c.core.chain.fresh();
+        });
         return known(view.chain) && known(view.voters) && placed && fresh;
       },
       charter(n: number): Charter {
--- a/packages/sim/src/corerun.ts
+++ b/packages/sim/src/corerun.ts
@@ -4,18 +4,24 @@
 import { Engine } from './engine.js';
 import { History } from './history.js';
 import type { Scripter } from './scripter.js';
+import type { Size } from './size.js';
 
 const HEAL = 30_000;
 const REST = 6000;
 
 /** One run of the core alone: a first charter, a script, a quiet end with one more charter, and the judgement. */
 export const CoreRun = {
-  async run(seed: number, script: (s: Scripter) => Promise<void>) {
+  async run(seed: number, script: (s: Scripter) => Promise<void>, size?: Size) {
     const motor = Engine.make(seed),
       deeds: Deed[] = [];
-    const b = Bench.make(motor, 1 + Dice.int(motor.chance, 8), (d) => {
-      deeds.push(d);
-    });
+    const b = Bench.make(
+      motor,
+      1 + Dice.int(motor.chance, 8),
+      (d) => {
+        deeds.push(d);
+      },
+      size,
+    );
     const note = (what: string, more: Record<string, unknown>): void => {
       deeds.push({ what, who: 'o1', at: motor.now(), ...more });
     };
@@ -90,7 +96,7 @@
       [...b.cores.values()].flatMap((c) => c.core.chain.passed() ?? []).sort((x, y) => y.seq - x.seq)[0];
     let ended = false;
     const all = async (): Promise<void> => {
-      for (const id of Bench.ids) void b.start(id);
+      for (const id of b.ids) void b.start(id);
       await nap(2500);
       await s.change(1);
       await script(s);
--- a/packages/sim/src/drills/alone.ts
+++ b/packages/sim/src/drills/alone.ts
@@ -1,6 +1,7 @@
 import type { Deed } from '@pumicebarrow/forms';
 import { Bench } from '../bench.js';
 import type { CoreDrill } from '../coredrill.js';
+import { Larger } from './larger.js';
 import type { Scripter } from '../scripter.js';
 
 const NAME = 'row:m1';
@@ -19,6 +20,7 @@
 
 /** The core alone, brought to the edge of one promise at a time. */
 export const Alone: readonly CoreDrill[] = [
+  ...Larger,
   {
     name: 'staletail',
     about: 'the tail is cut off from all but a reader that knows the old view, and charters are confirmed without it',
--- a/packages/sim/src/work.ts
+++ b/packages/sim/src/work.ts
@@ -42,10 +42,14 @@
   const drill = Alone.find((d) => d.name === j.drill);
   if (!drill) return null;
   let met = false;
-  const r = await CoreRun.run(j.seed, async (s) => {
-    await s.healed();
-    met = await drill.run(s);
-  });
+  const r = await CoreRun.run(
+    j.seed,
+    async (s) => {
+      await s.healed();
+      met = await drill.run(s);
+    },
+    drill.size,
+  );
   return judged(r.broken, 1, met ? [] : [drill.about]);
 };
 
