--- a/packages/registry/src/registrar.ts
+++ b/packages/registry/src/registrar.ts
@@ -1,4 +1,4 @@
-import { Err, Ok, Post, type Ident, type Result, type World } from '@pumicebarrow/forms';
+import { Err, Ok, Post, type Doc, type Ident, type Result, type World } from '@pumicebarrow/forms';
 import { Purge, Shelf, type Tunes } from '@pumicebarrow/purge';
 import { Core } from './core.js';
 import { Line } from './line.js';
@@ -8,11 +8,17 @@
 import { TraceDesk } from './tracedesk.js';
 import { Views } from './views.js';
 
-type Startup = { id: string; addr: string; site: string; seeds: readonly string[]; tunes: Tunes } & {
+/** Addresses to begin with; those that may change while the daemon lives are asked for. */
+type Seeds = readonly string[] | (() => readonly string[]);
+type Startup = { id: string; addr: string; site: string; seeds: Seeds; tunes: Tunes } & {
   /** How many machines may be lost at once: the first view has twice as many members and one more. */
   losses?: number;
   /** Whether this daemon, with an empty folder, may have a part in making the first view; else it only joins. */
   first?: boolean;
+  /** Which docs this daemon holds, where that is more than the registry's own. */
+  sound?: (doc: Doc) => boolean;
+  /** Daemons that are known by other means than the core's check-ins. */
+  known?: () => readonly Ident[];
 };
 
 /** A core daemon put together: disk, core and purge. */
@@ -28,8 +34,9 @@
     if (born.err) return Err(born.val) as Result<never, string>;
     const ident: Ident = { id: startup.id, born: born.val, addr: startup.addr, site: startup.site, role: 'registry' };
     const post = Post.make(world, () => ident);
-    const shelf = Shelf.make(Sound.doc);
-    const seeds = (): readonly string[] => startup.seeds;
+    const shelf = Shelf.make(startup.sound ?? Sound.doc);
+    const given = startup.seeds;
+    const seeds = (): readonly string[] => (typeof given === 'function' ? given() : given);
     const purge = Purge.make(
       world,
       post,
@@ -37,7 +44,7 @@
       shelf,
       startup.tunes,
       seeds,
-      (): readonly Ident[] => [...Views.idents(core.view()), ...core.desk.live()],
+      (): readonly Ident[] => [...Views.idents(core.view()), ...core.desk.live(), ...(startup.known?.() ?? [])],
     );
     const cores = (): string[] => [
       ...new Set([
--- a/packages/router/src/headline.ts
+++ b/packages/router/src/headline.ts
@@ -1,5 +1,4 @@
-import type { Clock, Mark, PostBox } from '@pumicebarrow/forms';
-import { Order } from '@pumicebarrow/forms';
+import { Hash, Order, type Clock, type Ident, type Mark, type PostBox } from '@pumicebarrow/forms';
 import type { Holding, Purging } from '@pumicebarrow/purge';
 import { Views, type CoreLine } from '@pumicebarrow/registry';
 import type { ListBody } from './listbody.js';
@@ -16,6 +15,7 @@
   purge: Purging;
   list: ServerListing;
   version: () => number;
+  load: () => { read: number; beside: number; run: number };
   /** Reads the configuration at the tail. */
   tail: (ms: number) => Promise<boolean>;
 };
@@ -31,6 +31,8 @@
 export const HeadLine = {
   make(t: Tools) {
     let routers: number | null = null;
+    let peers: readonly Ident[] = [];
+    let sum = Hash.of(peers);
     let told = -Infinity;
     let behind = { version: -1, list: -1 };
     const count = { fetchedVersions: 0, fetchedLists: 0 };
@@ -55,13 +57,20 @@
       if (!view) return false;
       const head = Views.head(view);
       const sent = t.clock.mono();
-      const body = { version: t.version(), list: t.shelf.mark('list'), epoch: view.epoch };
+      const body = {
+        ...{ version: t.version(), list: t.shelf.mark('list'), epoch: view.epoch },
+        ...{ peers: sum, load: t.load() },
+      };
       const r = await t.post.ask(head.addr, head.id, 'keeper.checkin', body, Words.checked, ASK);
       if (!r.ok) return false;
       t.line.learn(r.val.view);
       if (!r.val.ok) return false;
       told = sent;
       routers = r.val.routers;
+      if (r.val.peers) {
+        peers = r.val.peers;
+        sum = Hash.of(peers);
+      }
       const fits = compare(r.val.list, r.val.age, sent);
       behind = {
         version: since(behind.version, r.val.version > t.version()),
@@ -75,6 +84,7 @@
         if (!(await ask())) await t.line.look();
       },
       routers: (): number | null => routers,
+      peers: (): readonly Ident[] => peers,
       /** ms since the head last replied as such, counted from before it was asked. */
       silent: (): number => t.clock.mono() - told,
       count: () => ({ ...count }),
--- /dev/null
+++ b/packages/router/src/keeper.ts
@@ -0,0 +1,101 @@
+import {
+  Awake,
+  Err,
+  Hash,
+  Ok,
+  Verdicts,
+  type Result,
+  type Routing,
+  type Verdict,
+  type World,
+} from '@pumicebarrow/forms';
+import { Registrar, Views } from '@pumicebarrow/registry';
+import { KeeperDesk } from './keeperdesk.js';
+import type { Engine } from './engine.js';
+import { ListDuty } from './listduty.js';
+import type { ListSource } from './listsource.js';
+import type { RouterStartup } from './routerstartup.js';
+import { SharedSound } from './sharedsound.js';
+import { StageDuty } from './stageduty.js';
+
+const LIST = 'list';
+type Core = { losses: number; first: boolean; lease: number };
+
+/** A core daemon of a routed fleet put together: the registry, the duties, and the operators' desk. */
+export const Keeper = {
+  async make(world: World, startup: RouterStartup & Core, source: ListSource, engine: Engine) {
+    const made = await Registrar.make(world, {
+      ...{ id: startup.id, addr: startup.addr, site: startup.zone, seeds: startup.seeds, tunes: startup.tunes },
+      ...{ losses: startup.losses, first: startup.first, sound: SharedSound.doc, known: () => desk.routers() },
+    });
+    if (made.err) return made;
+    const d = made.val;
+    const { clock } = world;
+    const awake = Awake.make(clock, () => undefined);
+    const view = () => d.core.view();
+    const head = (): boolean => {
+      const v = view();
+      return v !== null && Views.same(Views.head(v), d.ident);
+    };
+    const speaks = (): boolean => {
+      awake.look();
+      return head() && d.core.live();
+    };
+    /** The agreed view's epoch, at the one daemon that may speak for it: no two have one, and it only rises. */
+    const fence = (): number | null => (speaks() ? (view()?.epoch ?? null) : null);
+    const duty = ListDuty.make({
+      ...{ clock, log: world.log(LIST), source, purge: d.purge },
+      fence,
+      every: Math.max(400, startup.drain / 3),
+    });
+    const version = (): number => d.core.chain.passed()?.charter?.version ?? 0;
+    const desk = KeeperDesk.make({ clock, post: d.post, view, speaks, version, list: duty.now });
+    const stages = StageDuty.make({
+      ...{ clock, log: world.log('stages'), engine, purge: d.purge, shelf: d.shelf, fence, self: d.ident.id },
+      ...{ servers: duty.servers, load: desk.load, lease: startup.lease },
+    });
+    return Ok({
+      ...{
+        core: d.core,
+        purge: d.purge,
+        shelf: d.shelf,
+        post: d.post,
+        line: d.line,
+        ident: d.ident,
+        desk,
+        duty,
+        stages,
+      },
+      /** One configuration takes the place of another in one step; the same one again is told the same again. */
+      async replace(base: number, intent: Routing): Promise<Verdict> {
+        const id = Hash.of([base, intent.source]);
+        const { ruling } = await d.line.write({ do: 'replace', id, base, intent }, 3500);
+        return ruling.verdict;
+      },
+      async read(): Promise<Result<Routing | null, string>> {
+        const now = await d.line.read(undefined, 2500);
+        if (!now) return Err('The core does not reply; nothing was read.');
+        const intent = now.charter?.body ?? null;
+        return Ok(intent && 'routes' in intent ? intent : null);
+      },
+      unread: (): Verdict => Verdicts.not('unready', 'The core does not reply.', 1),
+      start(): void {
+        d.start();
+        awake.start();
+        duty.start();
+        stages.start();
+      },
+      async leave(): Promise<void> {
+        duty.stop();
+        stages.stop();
+        await d.leave();
+      },
+      stop(): void {
+        awake.stop();
+        duty.stop();
+        stages.stop();
+        d.stop();
+      },
+    });
+  },
+};
--- /dev/null
+++ b/packages/router/src/loadnews.ts
@@ -0,0 +1,79 @@
+import { Fading, Timer, type Clock, type Ident, type PostBox } from '@pumicebarrow/forms';
+import type { ServerLoads } from './serverloads.js';
+import { Words } from './words.js';
+
+type Row = { runs: number; reads: number; tokens: number };
+type Tools = {
+  clock: Clock;
+  post: PostBox;
+  loads: ReturnType<typeof ServerLoads.make>;
+  /** Whom this daemon tells: all other routers of a small fleet, a few of a large one. */
+  peers: () => readonly Ident[];
+  routers: () => number | null;
+};
+const LOOK = 40;
+const AGAIN = 600;
+const KEEP = 1500;
+const MOST = 64;
+
+/**
+ * Routers tell each other what they have under way at servers, so that they don't all choose the one that each of them
+ * finds idle. Invariants: news goes to a bounded number of peers, however many there are, and only when something
+ * changed; what was heard counts for no longer than KEEP; of a large fleet the part that was heard stands for all.
+ */
+export const LoadNews = {
+  make(t: Tools) {
+    const heard = Fading.make<ReadonlyMap<string, Row>>(t.clock.mono, MOST);
+    let told = '';
+    let at = -Infinity;
+    let stop: () => void = () => undefined;
+    const count = { sent: 0, heard: 0 };
+    const sum = (): void => {
+      const all = heard.all();
+      const others = Math.max(0, (t.routers() ?? all.length + 1) - 1);
+      const scale = all.length > 0 ? Math.max(1, others / all.length) : 1;
+      const next = new Map<string, Row>();
+      for (const rows of all)
+        for (const [id, r] of rows) {
+          const old = next.get(id) ?? { runs: 0, reads: 0, tokens: 0 };
+          next.set(id, {
+            runs: old.runs + r.runs * scale,
+            reads: old.reads + r.reads * scale,
+            tokens: old.tokens + r.tokens * scale,
+          });
+        }
+      t.loads.heard(next);
+    };
+    t.post.on('router.loads', Words.loads, (body, from) => {
+      count.heard++;
+      heard.set(
+        from.id,
+        new Map(body.rows.map(([id, runs, reads, tokens]) => [id, { runs, reads, tokens: tokens * 100 }])),
+        KEEP,
+      );
+      sum();
+      return { ok: true };
+    });
+    const tick = (): void => {
+      sum();
+      const rows = [...t.loads.mine()].map(([id, r]) => [id, r.runs, r.reads, Math.round(r.tokens / 100)]);
+      const text = JSON.stringify(rows);
+      const now = t.clock.mono();
+      if (text === told && (rows.length === 0 || now - at < AGAIN)) return;
+      told = text;
+      at = now;
+      for (const p of t.peers()) {
+        count.sent++;
+        void t.post.ask(p.addr, p.id, 'router.loads', { rows }, Words.done, 400);
+      }
+    };
+    return {
+      start(): void {
+        stop = Timer.every(t.clock, LOOK, tick);
+      },
+      stop: (): void => stop(),
+      tick,
+      count: () => ({ ...count }),
+    };
+  },
+};
--- /dev/null
+++ b/packages/router/src/placement.test.ts
@@ -0,0 +1,82 @@
+import { Dice } from '@pumicebarrow/forms';
+import { expect } from 'chai';
+import { KeptParts } from './keptparts.js';
+import { Placement } from './placement.js';
+import { ServerHealth } from './serverhealth.js';
+import { ServerList } from './serverlist.js';
+import { ServerLoads } from './serverloads.js';
+import { prompt, routing, server, testClock } from './stand.test.js';
+
+describe('placement', () => {
+  const all = [
+    server('p1', 'prefill'),
+    server('p2', 'prefill', { zone: 'z2' }),
+    server('d1', 'decode'),
+    server('d2', 'decode', { zone: 'z2' }),
+    server('x1', 'decode', { service: 'other' }),
+  ];
+  const make = () => {
+    const time = testClock();
+    const list = ServerList.make(
+      time.clock,
+      () => 2000,
+      () => undefined,
+    );
+    list.take(all, time.clock.mono(), 'shared');
+    const loads = ServerLoads.make(),
+      health = ServerHealth.make(time.clock);
+    const changed = new Set<string>();
+    const place = Placement.make({
+      ...{ chance: Dice.seeded(3), zone: 'z1', list, loads, health, kept: KeptParts.make(() => 400_000) },
+      ...{ pace: () => 40, changing: (s: { id: string }) => changed.has(s.id) },
+    });
+    const { services, routes } = routing();
+    return { time, list, loads, health, place, changed, service: services[0]!, route: routes[0]! };
+  };
+  const none = new Set<string>();
+  it('keeps one prefix at one home, until the home is too busy', () => {
+    const { place, loads, service, route } = make();
+    const p = prompt(1200, 8000);
+    const home = place.prefill(service, route, p, none)!.id;
+    for (let i = 0; i < 20; i++) expect(place.prefill(service, route, p, none)!.id).to.equal(home);
+    loads.read(home, 60_000);
+    for (const id of ['d1', 'd2']) loads.read(id, 60_000);
+    expect(place.prefill(service, route, p, none)!.id).to.not.equal(home);
+  });
+  it('reads short prompts where they run, unless that is busy reading', () => {
+    const { place, loads, service, route } = make();
+    const p = prompt(200, 200);
+    expect(place.prefill(service, route, p, none)).to.equal(null);
+    loads.read('d1', 4000);
+    loads.read('d2', 4000);
+    expect(place.prefill(service, route, p, none)?.stage).to.equal('prefill');
+  });
+  it('reads long prompts where they run once the readers are far behind', () => {
+    const { place, loads, service, route } = make();
+    const p = prompt(3000, 200);
+    expect(place.prefill(service, route, p, none)?.stage).to.equal('prefill');
+    loads.read('p1', 40_000);
+    loads.read('p2', 40_000);
+    expect(place.prefill(service, route, p, none)).to.equal(null);
+  });
+  it('sends nothing to a server that was ordered to another stage', () => {
+    const { place, changed, service } = make();
+    changed.add('d1');
+    expect(place.decode(service, null, all[0]!, none)?.id).to.equal('d2');
+  });
+  it('decodes near the memory, until it is clearly busier there', () => {
+    const { place, loads, service } = make();
+    expect(place.decode(service, prompt(2000), all[0]!, none)!.id).to.equal('d1');
+    expect(place.decode(service, prompt(2000), all[1]!, none)!.id).to.equal('d2');
+    for (let i = 0; i < 20; i++) loads.run('d1');
+    expect(place.decode(service, prompt(2000), all[0]!, none)!.id).to.equal('d2');
+  });
+  it('names a suspect only where no other is left, and never one of another service', () => {
+    const { place, health, service } = make();
+    health.bad('d1');
+    for (let i = 0; i < 20; i++) expect(place.decode(service, null, all[0]!, none)!.id).to.equal('d2');
+    health.bad('d2');
+    expect(['d1', 'd2']).to.include(place.decode(service, null, all[0]!, none)!.id);
+    expect(place.decode(service, null, all[0]!, new Set(['d1', 'd2']))).to.equal(null);
+  });
+});
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -1,4 +1,4 @@
-import { Lot, type Chance, type Service } from '@pumicebarrow/forms';
+import { Lot, type Chance, type Route, type Service } from '@pumicebarrow/forms';
 import { KeptParts } from './keptparts.js';
 import type { Prompt } from './prompt.js';
 import type { Server } from './server.js';
@@ -13,66 +13,97 @@
   loads: ReturnType<typeof ServerLoads.make>;
   health: ReturnType<typeof ServerHealth.make>;
   kept: ReturnType<typeof KeptParts.make>;
+  /** Whether the sheet says that the server was ordered to another stage than the list shows. */
+  changing: (s: Server) => boolean;
   /** Prompt tokens that a server reads in a ms, as learnt. */
   pace: () => number;
 };
-/** Prompts with fewer tokens to read than this are read where they are decoded. */
+type Where = { s: Server; ms: number };
+/** A decode server reads at this part of the pace, between the tokens of others. */
+const BESIDE = 0.5;
+/** Prompts with fewer tokens to read than this are read where they are decoded, unless that is busy reading. */
 const SHORT = 1000;
-/** ms of waiting that a prefix's home is worth beyond what it saves. */
-const HOME = 4;
-/** ms that reading in another zone than ours, and moving memory to another zone, are held to cost. */
-const FAR = 6;
-const WARM = 60;
+/** What a hand-over takes, in ms; and what one ms of reading beside others is held to cost, in ms of waiting. */
+const HAND = 25;
+const DISTURB = 1.6;
+/** The part of the aim within which a prefix stays at its home although another server would be sooner. */
+const CALM = 0.75;
+/** ms that another zone than ours is held to cost. */
+const FAR = 4;
+const WARM = 80;
 
 /**
  * Which servers read and decode a request. Invariants: only servers that a list young at this instant shows ready are
- * named; one under suspicion is named only where no other is left.
+ * named; one under suspicion is named only where no other is left. A prefix has one home among the servers of a stage,
+ * by rendezvous, the same for every router; a request leaves it only where waiting there would put its aim at risk.
  */
 export const Placement = {
   make(t: Tools) {
     const able = (service: Service, stage: Server['stage'], not: ReadonlySet<string>): Server[] => {
       const all = t.list
         .all()
-        .filter((s) => s.service === service.name && s.state === 'ready' && s.stage === stage && !not.has(s.id));
+        .filter(
+          (s) =>
+            s.service === service.name && s.state === 'ready' && s.stage === stage && !not.has(s.id) && !t.changing(s),
+        );
       const well = all.filter((s) => t.health.open(s.id));
       return well.length > 0 ? well : all;
     };
-    const least = (list: readonly Server[], cost: (s: Server) => number): Server | null => {
-      let best: { s: Server; c: number } | null = null;
+    const least = (list: readonly Server[], cost: (s: Server) => number): Where | null => {
+      let best: Where | null = null;
       for (const s of list) {
-        const c = cost(s) + t.chance.real() * 0.01;
-        if (!best || c < best.c) best = { s, c };
+        const ms = cost(s) + t.chance.real() * 0.01;
+        if (!best || ms < best.ms) best = { s, ms };
       }
-      return best?.s ?? null;
+      return best;
+    };
+    /** Tokens that a server would have to read, if the home of a prefix holds it. */
+    const fresh = (s: Server, p: Prompt, home: Server | undefined): number => {
+      const shared = p.tokens - (p.parts.at(-1)?.tokens ?? p.tokens);
+      return Math.max(1, p.tokens - Math.max(t.kept.held(s.id, p), s === home ? shared : 0));
+    };
+    const cold = (s: Server): number => (s.warm > 0 ? WARM : 0) + (s.zone === t.zone ? 0 : FAR);
+    /** Where it would be read soonest, and when; the home, if that is soon enough. */
+    const reader = (service: Service, route: Route, p: Prompt, not: ReadonlySet<string>): Where | null => {
+      const list = able(service, 'prefill', not);
+      const home = Lot.rank(KeptParts.home(p), list, (s) => s.id)[0];
+      const ms = (s: Server): number => (t.loads.at(s.id).tokens + fresh(s, p, home)) / t.pace() + cold(s);
+      const best = least(list, ms);
+      if (!home || !best) return best;
+      const there = ms(home);
+      return there <= Math.max(best.ms, route.aim * CALM) ? { s: home, ms: there } : best;
+    };
+    const decoder = (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>) => {
+      const list = able(service, service.engine ? 'decode' : null, not);
+      const near = from?.zone ?? t.zone;
+      const most = Math.max(1, service.engine?.slots ?? 1);
+      const home = p && !from ? Lot.rank(KeptParts.home(p), list, (s) => s.id)[0] : undefined;
+      const best = least(list, (s) => {
+        const { runs, tokens } = t.loads.at(s.id);
+        const busy = runs / Math.max(1, s.slots || most) + tokens / (t.pace() * BESIDE * 1000);
+        const own = p && !from ? fresh(s, p, home) / (t.pace() * BESIDE * 1000) : 0;
+        return busy + own + (s.zone === near ? 0 : 0.12) + (s.warm > 0 ? 0.5 : 0);
+      });
+      if (!best || !p || from) return best;
+      const work = fresh(best.s, p, home);
+      return { s: best.s, ms: (t.loads.at(best.s.id).tokens + work * DISTURB) / (t.pace() * BESIDE) };
     };
     return {
-      /** Whether the prompt is long enough to be read by a prefill server. */
-      split: (p: Prompt | null, service: Service): boolean =>
-        p !== null && service.engine !== null && p.tokens >= SHORT,
-      /** Where it would be read soonest: what waits there, what must still be read, and the prefix's home. */
-      prefill(service: Service, p: Prompt, not: ReadonlySet<string>): Server | null {
-        const list = able(service, 'prefill', not);
-        const home = Lot.rank(KeptParts.home(p), list, (s) => s.id)[0];
-        const shared = p.tokens - (p.parts.at(-1)?.tokens ?? p.tokens);
-        return least(list, (s) => {
-          const held = Math.max(t.kept.held(s.id, p), s === home ? shared : 0);
-          const work = t.loads.at(s.id).tokens + Math.max(0, p.tokens - held);
-          return work / t.pace() + (s === home ? -HOME : 0) + (s.zone === t.zone ? 0 : FAR) + (s.warm > 0 ? WARM : 0);
-        });
-      },
-      /** Where it is decoded: few under way, near the memory, perhaps with the prefix at hand. */
-      decode(service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>): Server | null {
-        const list = able(service, service.engine ? 'decode' : null, not);
-        const near = from?.zone ?? t.zone;
-        const most = Math.max(1, service.engine?.slots ?? 1);
-        const home = p && !from ? Lot.rank(KeptParts.home(p), list, (s) => s.id)[0] : null;
-        return least(list, (s) => {
-          const slots = Math.max(1, s.slots || most);
-          const busy = t.loads.at(s.id).runs / slots;
-          const far = s.zone === near ? 0 : 0.12;
-          return busy + far + (s.warm > 0 ? 0.5 : 0) - (s === home ? 0.03 : 0);
-        });
+      /** The prefill server that is to read it first; null where the run had better read it itself. */
+      prefill(service: Service, route: Route, p: Prompt, not: ReadonlySet<string>): Server | null {
+        if (!service.engine) return null;
+        const apart = reader(service, route, p, not);
+        const beside = decoder(service, p, null, not);
+        if (!apart || !beside) return null;
+        const short = t.kept.held(beside.s.id, p) + SHORT > p.tokens;
+        const bar = short ? apart.ms + HAND + SHORT / t.pace() : apart.ms + HAND;
+        return beside.ms <= bar ? null : apart.s;
       },
+      /** Where it is decoded: few under way, near the memory. */
+      decode: (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>): Server | null =>
+        decoder(service, p, from, not)?.s ?? null,
+      /** Tokens that the server must read if it is given the prompt without its memory. */
+      fresh: (s: Server, p: Prompt): number => Math.max(1, p.tokens - t.kept.held(s.id, p)),
     };
   },
 };
--- a/packages/router/src/reader.ts
+++ b/packages/router/src/reader.ts
@@ -31,7 +31,7 @@
       const free = t.loads.read(s.id, fresh);
       t.health.begin(s.id);
       const from = now();
-      const terms = { ms, urgency: Urgency.of(job.route, job.request.prompt), signal: job.left.signal };
+      const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now()), signal: job.left.signal };
       const got = await t.engine.prefill(s, job.request, terms);
       free();
       if (got.ok && alone) t.pace.learn(fresh, now() - from);
@@ -40,14 +40,14 @@
     /** Leaves a handle in the job, or a fault. */
     return async (job: Job): Promise<void> => {
       const p = job.request.prompt!;
-      const s = t.placement.prefill(job.service, p, job.avoid);
+      const s = t.placement.prefill(job.service, job.route, p, job.avoid);
       if (!s) return;
       if (job.reads > 0) {
         if (!t.budget.take()) return;
         job.arrivals++;
       }
       job.reads++;
-      const fresh = Math.max(1, p.tokens - t.kept.held(s.id, p));
+      const fresh = t.placement.fresh(s, p);
       t.kept.note(s.id, p);
       const got = await send(job, s, fresh);
       if (got.err) {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -15,6 +15,7 @@
 import { interpret } from 'robot3';
 import type { AnswerSink } from './answersink.js';
 import { Budget } from './budget.js';
+import { Changing } from './changing.js';
 import type { Engine } from './engine.js';
 import { HeadLine } from './headline.js';
 import { KeptParts } from './keptparts.js';
@@ -22,6 +23,7 @@
 import { ListRows } from './listrows.js';
 import type { ListSource } from './listsource.js';
 import { ListWatch } from './listwatch.js';
+import { LoadNews } from './loadnews.js';
 import { Pace } from './pace.js';
 import { Placement } from './placement.js';
 import type { Request } from './request.js';
@@ -80,19 +82,22 @@
     );
     const version = (): number => shelf.mark('charter')?.[0] ?? 0;
     const newest = Newest.make({ world, post, line, purge, shelf, self, known: peers });
-    const head = HeadLine.make({ clock, post, line, shelf, purge, list, version, tail: newest.tail });
+    const loads = ServerLoads.make();
+    const load = () => loads.total((id) => list.stage(id) === 'prefill');
+    const head = HeadLine.make({ clock, post, line, shelf, purge, list, version, load, tail: newest.tail });
+    const news = LoadNews.make({ clock, post, loads, peers: head.peers, routers: head.routers });
     const watch = ListWatch.make({
       ...{ world, post, list, source, peers },
       worry: () => startup.drain * WORRY,
       daemons: head.routers,
     });
-    const loads = ServerLoads.make(),
-      health = ServerHealth.make(clock),
+    const health = ServerHealth.make(clock),
       pace = Pace.make();
     const memory = (): number => routes?.services()[0]?.engine?.memory ?? MEMORY;
     const kept = KeptParts.make(memory);
     const placement = Placement.make({
       ...{ chance: world.chance, zone: startup.zone, list, loads, health, kept },
+      changing: (s) => Changing.of(shelf, s),
       pace: pace.now,
     });
     const budget = Budget.make(clock, () => startup.budget, head.routers);
@@ -112,12 +117,14 @@
     const tools = { world, engine, shut, list, loads, health, kept, pace, placement, budget, suspect };
     const serve = Serve.make({ ...tools, routes: () => routes });
     const stops: (() => void)[] = [];
+    const ears: ((now: Routes) => void)[] = [];
 
     shelf.heed((doc) => {
       if (doc.name === 'charter') {
-        const intent = (doc.body as CharterBody).charter as Intent;
+        const intent = (doc.body as CharterBody).charter;
         if (!('routes' in intent)) return;
         routes = RouteTable.make(intent);
+        for (const fn of ears) fn(routes);
         log.say(`Configuration ${routes.revision} has taken hold.`);
       }
       if (doc.name === 'list') list.glimpse(ListRows.open(doc.body as ListBody));
@@ -142,9 +149,12 @@
     };
     TraceDesk.make(post, self, purge, shelf, () => certain);
     return {
-      ...{ ident, post, line, purge, shelf, list, loads, health, budget, head, watch, kept, pace },
+      ...{ ident, post, line, purge, shelf, list, loads, health, budget, head, watch, news, kept, pace },
       life: is,
       routes: (): Routes | null => routes,
+      heed(fn: (now: Routes) => void): void {
+        ears.push(fn);
+      },
       serve: (request: Request, sink: AnswerSink): Promise<Verdict | null> => serve(request, sink),
       /** Whether new clients are welcome. */
       ready: (): boolean => {
@@ -156,6 +166,7 @@
         awake.start();
         purge.start();
         watch.start();
+        news.start();
         void ask();
         stops.push(Timer.every(clock, CHECKIN, head.tick));
       },
@@ -168,6 +179,7 @@
         for (const s of stops) s();
         awake.stop();
         watch.stop();
+        news.stop();
         purge.stop();
         post.close();
       },
--- a/packages/router/src/routetable.ts
+++ b/packages/router/src/routetable.ts
@@ -3,7 +3,7 @@
 type Found = { route: Route; services: readonly { service: Service; weight: number }[] };
 type Host = readonly { prefix: string; found: Found }[];
 
-/** One routing, made ready for look-ups. Invariant: a host's prefixes stand longest first, so the first that fits wins. */
+/** One routing, made ready for look-ups. Invariant: the prefixes of a host stand longest first, so the first wins. */
 export const RouteTable = {
   make(routing: Routing) {
     const services = new Map(routing.services.map((s) => [s.name, s]));
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -46,7 +46,7 @@
         stop: stopped,
       };
     };
-    const hearer = (job: Job, s: Server, stir: () => void): Heard => ({
+    const hearer = (job: Job, s: Server, stir: () => void, read: () => void): Heard => ({
       stir,
       head(status, headers) {
         if (job.begun) return;
@@ -55,13 +55,17 @@
         if (status < 500) t.health.good(s.id);
       },
       event(id, bytes) {
+        read();
         if (id !== null) job.after = id;
         job.events++;
         return job.sink.bytes(bytes);
       },
     });
     const send = async (job: Job, s: Server): Promise<Result<void, SendFault>> => {
-      const free = t.loads.run(s.id);
+      const p = job.request.prompt;
+      const fresh = p && !job.handle ? t.placement.fresh(s, p) : 0;
+      const free = t.loads.run(s.id),
+        read = t.loads.read(s.id, fresh);
       const stop = new AbortController();
       const gone = (): void => stop.abort('gone');
       job.left.signal.addEventListener('abort', gone);
@@ -70,10 +74,11 @@
       const handle = job.handle;
       job.handle = null;
       const ms = Math.max(1, job.due - now());
-      const terms = { ms, urgency: Urgency.of(job.route, job.request.prompt), signal: stop.signal };
-      const got = await t.engine.run(s, job.request, handle, job.after, terms, hearer(job, s, watch.stir));
+      const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now()), signal: stop.signal };
+      const got = await t.engine.run(s, job.request, handle, job.after, terms, hearer(job, s, watch.stir, read));
       watch.stop();
       free();
+      read();
       job.left.signal.removeEventListener('abort', gone);
       // A send that never arrived has taken nothing: the memory may still be fetched by another.
       if (got.err && got.val.code === 'unsent') job.handle = handle;
@@ -85,8 +90,8 @@
       if (!s) return true;
       if (job.arrivals > 0 && !t.budget.take()) return true;
       job.arrivals++;
-      if (job.request.prompt) t.kept.note(s.id, job.request.prompt);
       const got = await send(job, s);
+      if (got.ok && job.request.prompt) t.kept.note(s.id, job.request.prompt);
       if (got.ok) {
         job.fault = null;
         t.health.good(s.id);
--- a/packages/router/src/serve.test.ts
+++ b/packages/router/src/serve.test.ts
@@ -51,7 +51,7 @@
   );
   for (let i = 0; i < (s.budget ?? 20); i++) budget.request();
   const routes = RouteTable.make(routing(s.route));
-  const tools = { chance: world.chance, zone: 'z1', list, loads, health, kept, pace: pace.now };
+  const tools = { chance: world.chance, zone: 'z1', list, loads, health, kept, pace: pace.now, changing: () => false };
   const serve = Serve.make({
     ...{ world, list, loads, health, kept, pace, budget, engine: testEngine(s.script, calls) },
     ...{ shut: () => s.shut ?? null, routes: () => routes, placement: Placement.make(tools) },
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -45,10 +45,10 @@
     const go = async (job: Job): Promise<void> => {
       const p = job.request.prompt;
       for (;;) {
-        if (job.left.signal.aborted || job.due - now() < LEAST) return;
+        if (job.left.signal.aborted || job.due - now() < LEAST || job.arrivals >= job.route.tries) return;
         // A second read counts as a try, and so needs a third for the run itself.
         const may = job.reads === 0 || job.arrivals + 2 <= job.route.tries;
-        if (!job.handle && may && t.placement.split(p, job.service)) await read(job);
+        if (!job.handle && may && p) await read(job);
         if (job.left.signal.aborted || job.arrivals >= job.route.tries) return;
         if (await run(job)) return;
       }
--- a/packages/router/src/serverlist.ts
+++ b/packages/router/src/serverlist.ts
@@ -62,6 +62,7 @@
         const s = held.byId.get(id);
         return s && s.state === 'ready' ? s : null;
       },
+      stage: (id: string): Server['stage'] => held.byId.get(id)?.stage ?? null,
       digest: (): string => Hash.of(held.all),
     };
   },
--- a/packages/router/src/serverloads.ts
+++ b/packages/router/src/serverloads.ts
@@ -23,7 +23,18 @@
     return {
       /** Each gives back what ends it; ending twice counts once. */
       run: (id: string): (() => void) => add(id, { runs: 1, reads: 0, tokens: 0 }),
+      /** A prompt that is read by itself, or at the start of a run. */
       read: (id: string, tokens: number): (() => void) => add(id, { runs: 0, reads: 1, tokens }),
+      /** All that this daemon has under way: tokens to be read at prefill servers, those at others, and runs. */
+      total(prefill: (id: string) => boolean): { read: number; beside: number; run: number } {
+        const sum = { read: 0, beside: 0, run: 0 };
+        for (const [id, r] of own) {
+          if (prefill(id)) sum.read += r.tokens;
+          else sum.beside += r.tokens;
+          sum.run += r.runs;
+        }
+        return sum;
+      },
       mine: (): ReadonlyMap<string, Row> => own,
       at(id: string): Row {
         const a = own.get(id) ?? NONE,
--- /dev/null
+++ b/packages/router/src/stagemix.ts
@@ -0,0 +1,53 @@
+/** How busy a service is: ms of reading that waits at each prefill server, and runs at each decode server. */
+type Load = { read: number; run: number };
+type Count = { prefill: number; decode: number };
+
+/** What is held to be busy: of reading, and of runs. */
+const READ = 220;
+const RUN = 18;
+/** Below this no change is worth its cost; and a change must bring the busier stage below this part of what it is. */
+const BUSY = 0.75;
+const GAIN = 0.82;
+const TIMES = 3;
+
+/**
+ * Whether one more server of a service should read, or one fewer. Invariants: never below one server of a stage; by
+ * one at a time; only where the busier stage would be clearly less busy for it, seen several times running, unless a
+ * stage has no server left, which is mended at once.
+ */
+export const StageMix = {
+  /** How busy the busier stage is; work goes round, so what one server gives up the others take. */
+  pressure: (load: Load, now: Count, next: Count): number =>
+    next.prefill < 1 || next.decode < 1
+      ? Infinity
+      : Math.max((load.read * now.prefill) / next.prefill / READ, (load.run * now.decode) / next.decode / RUN),
+  /** One more reader (1), one fewer (-1), or none. */
+  lean(load: Load, now: Count): -1 | 0 | 1 {
+    if (now.prefill + now.decode < 2) return 0;
+    if (now.prefill < 1) return 1;
+    if (now.decode < 1) return -1;
+    const here = StageMix.pressure(load, now, now);
+    if (here < BUSY) return 0;
+    const more = StageMix.pressure(load, now, { prefill: now.prefill + 1, decode: now.decode - 1 });
+    const less = StageMix.pressure(load, now, { prefill: now.prefill - 1, decode: now.decode + 1 });
+    if (Math.min(more, less) > here * GAIN) return 0;
+    return more < less ? 1 : -1;
+  },
+  make() {
+    let same = 0;
+    let last = 0;
+    return {
+      look(load: Load, now: Count): -1 | 0 | 1 {
+        const lean = StageMix.lean(load, now);
+        same = lean !== 0 && lean === last ? same + 1 : 1;
+        last = lean;
+        const bare = now.prefill < 1 || now.decode < 1;
+        return lean !== 0 && (bare || same >= TIMES) ? lean : 0;
+      },
+      reset(): void {
+        same = 0;
+        last = 0;
+      },
+    };
+  },
+};
--- a/packages/router/src/stand.test.ts
+++ b/packages/router/src/stand.test.ts
@@ -1,7 +1,7 @@
 import { Dice, Err, Logs, Ok, type Clock, type Result, type Routing, type World } from '@pumicebarrow/forms';
 import type { AnswerSink } from './answersink.js';
 import type { Engine } from './engine.js';
-import type { Handle } from './handle.js';
+
 import type { Prompt } from './prompt.js';
 import type { Request } from './request.js';
 import type { SendFault } from './sendfault.js';
@@ -72,7 +72,7 @@
       ...{ name: 'r', host: 'h.example', prefix: '/p/', kind: 'stream', split: [{ service: 'llm', weight: 1 }] },
       ...{ timeout: 8000, aim: 800, gap: 300, rank: 0, tries: 2, affinity: true, resumable: true },
       ...more,
-    } as Routing['routes'][number],
+    },
   ],
   services: [
     {
@@ -105,7 +105,7 @@
       calls.push(`read ${s.id}`);
       if (!act || !('read' in act)) return Promise.resolve(fault('broken', 'maybe'));
       return Promise.resolve(
-        act.read === 'ok' ? Ok({ server: s, id: `h${++n}`, tokens: 1 } as Handle) : fault(act.read, act.ran),
+        act.read === 'ok' ? Ok({ server: s, id: `h${++n}`, tokens: 1 }) : fault(act.read, act.ran),
       );
     },
     async run(s, _q, from, after, terms, heard) {
--- a/packages/router/src/tables.test.ts
+++ b/packages/router/src/tables.test.ts
@@ -1,13 +1,10 @@
 import { expect } from 'chai';
-import { Dice } from '@pumicebarrow/forms';
 import { Budget } from './budget.js';
 import { KeptParts } from './keptparts.js';
 import { ListRows } from './listrows.js';
-import { Placement } from './placement.js';
 import { RouteTable } from './routetable.js';
 import { ServerHealth } from './serverhealth.js';
 import { ServerList } from './serverlist.js';
-import { ServerLoads } from './serverloads.js';
 import { prompt, routing, server, testClock } from './stand.test.js';
 
 describe('the route table', () => {
@@ -76,7 +73,7 @@
     expect(list.good('a')).to.equal(null);
     expect(list.age()).to.equal(900);
   });
-  it('takes no glimpse over a list of its own asking', async () => {
+  it('takes no glimpse over a list of its own asking', () => {
     const { time, list } = make();
     list.take([server('a', 'decode', { state: 'draining' })], time.clock.mono(), 'asked');
     list.glimpse([server('a', 'decode')]);
@@ -176,53 +173,3 @@
     expect(h.open('s')).to.equal(true);
   });
 });
-
-describe('placement', () => {
-  const all = [
-    server('p1', 'prefill'),
-    server('p2', 'prefill', { zone: 'z2' }),
-    server('d1', 'decode'),
-    server('d2', 'decode', { zone: 'z2' }),
-    server('x1', 'decode', { service: 'other' }),
-  ];
-  const make = () => {
-    const time = testClock();
-    const list = ServerList.make(
-      time.clock,
-      () => 2000,
-      () => undefined,
-    );
-    list.take(all, time.clock.mono(), 'shared');
-    const loads = ServerLoads.make(),
-      health = ServerHealth.make(time.clock);
-    const place = Placement.make({
-      ...{ chance: Dice.seeded(3), zone: 'z1', list, loads, health, kept: KeptParts.make(() => 400_000) },
-      pace: () => 40,
-    });
-    return { time, list, loads, health, place, service: routing().services[0]! };
-  };
-  const none = new Set<string>();
-  it('keeps one prefix at one home, until the home is too busy', () => {
-    const { place, loads, service } = make();
-    const p = prompt(200, 8000);
-    const home = place.prefill(service, p, none)!.id;
-    for (let i = 0; i < 20; i++) expect(place.prefill(service, p, none)!.id).to.equal(home);
-    loads.read(home, 60_000);
-    expect(place.prefill(service, p, none)!.id).to.not.equal(home);
-  });
-  it('decodes near the memory, until it is clearly busier there', () => {
-    const { place, loads, service } = make();
-    expect(place.decode(service, prompt(2000), all[0]!, none)!.id).to.equal('d1');
-    expect(place.decode(service, prompt(2000), all[1]!, none)!.id).to.equal('d2');
-    for (let i = 0; i < 20; i++) loads.run('d1');
-    expect(place.decode(service, prompt(2000), all[0]!, none)!.id).to.equal('d2');
-  });
-  it('names a suspect only where no other is left, and never one of another service', () => {
-    const { place, health, service } = make();
-    health.bad('d1');
-    for (let i = 0; i < 20; i++) expect(place.decode(service, null, all[0]!, none)!.id).to.equal('d2');
-    health.bad('d2');
-    expect(['d1', 'd2']).to.include(place.decode(service, null, all[0]!, none)!.id);
-    expect(place.decode(service, null, all[0]!, new Set(['d1', 'd2']))).to.equal(null);
-  });
-});
--- a/packages/router/src/words.ts
+++ b/packages/router/src/words.ts
@@ -1,4 +1,4 @@
-import { Mark } from '@pumicebarrow/forms';
+import { Ident, Mark } from '@pumicebarrow/forms';
 import { View } from '@pumicebarrow/registry';
 import { Type } from 'typebox';
 
@@ -8,7 +8,16 @@
 /** What routers and keepers say to each other, beside purge and the core's own words. */
 export const Words = {
   /** A router tells what it holds. */
-  checkin: Type.Object({ version: Type.Integer(), list: maybeMark, epoch: Type.Integer() }, shut),
+  checkin: Type.Object(
+    {
+      version: Type.Integer(),
+      list: maybeMark,
+      epoch: Type.Integer(),
+      peers: Type.String({ description: 'digest of the peers held, so that they come again only when they changed' }),
+      load: Type.Object({ read: Type.Number(), beside: Type.Number(), run: Type.Number() }, shut),
+    },
+    shut,
+  ),
   /** The head says whether that is the newest; `age` is of the list, in ms at the moment of the reply. */
   checked: Type.Object(
     {
@@ -18,6 +27,7 @@
       list: maybeMark,
       age: Type.Number(),
       routers: Type.Integer(),
+      peers: Type.Union([Type.Array(Ident, { maxItems: 64 }), Type.Null()]),
     },
     shut,
   ),
