Runs a server are bounded, busy servers are no suspects, stages change on lasting need

Reads that were only queued put their servers under suspicion, which made fewer. Ruled out: a slow prefill stage alone (foreseen and taken agreed within a third before the collapse).

--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -18,6 +18,7 @@
   /** Prompt tokens that a server reads in a ms, as learnt. */
   pace: () => number;
 };
+const NONE: ReadonlySet<string> = new Set();
 type Where = { s: Server; ms: number };
 /** A decode server reads at this part of the pace, between the tokens of others. */
 const BESIDE = 0.5;
@@ -26,6 +27,12 @@
 /** What a hand-over takes, in ms; and what one ms of reading beside others is held to cost, in ms of waiting. */
 const HAND = 25;
 const DISTURB = 1.6;
+/** Each so many runs at a server make reading beside them as costly again. */
+const CROWD = 16;
+/** The part of a server's slots that runs may take: beyond it all of them come too slowly. */
+const FULL = 0.7;
+/** Outcomes of fewer tokens than this hardly take a place. */
+const BRIEF = 200;
 /** The part of the aim within which a prefix stays at its home although another server would be sooner. */
 const CALM = 0.75;
 /** ms that another zone than ours is held to cost. */
@@ -85,10 +92,18 @@
         return busy + own + (s.zone === near ? 0 : 0.12) + (s.warm > 0 ? 0.5 : 0);
       });
       if (!best || !p || from) return best;
-      const work = fresh(best.s, p, home);
-      return { s: best.s, ms: (t.loads.at(best.s.id).tokens + work * DISTURB) / (t.pace() * BESIDE) };
+      const { runs, tokens } = t.loads.at(best.s.id);
+      const work = fresh(best.s, p, home) * DISTURB * (1 + runs / CROWD);
+      return { s: best.s, ms: (tokens + work) / (t.pace() * BESIDE) };
     };
     return {
+      /** Whether some server has a place for one more run that is not brief. */
+      room(service: Service, p: Prompt | null): boolean {
+        if (!service.engine || !p || p.most < BRIEF) return true;
+        const list = able(service, 'decode', NONE);
+        const most = service.engine.slots;
+        return list.length === 0 || list.some((s) => t.loads.at(s.id).runs < (s.slots || most) * FULL);
+      },
       /** The prefill server that is to read it first; null where the run had better read it itself. */
       prefill(service: Service, route: Route, p: Prompt, not: ReadonlySet<string>): Server | null {
         if (!service.engine) return null;
--- a/packages/router/src/reader.ts
+++ b/packages/router/src/reader.ts
@@ -7,8 +7,10 @@
 import { Urgency } from './urgency.js';
 
 /** ms that a read may take beyond what is foreseen, and how many times as long as that. */
-const SPARE = 700;
-const TIMES = 2.5;
+const SPARE = 1500;
+const TIMES = 3;
+/** A server that was heard of more lately than this is busy, not gone. */
+const SILENT = 1200;
 
 /**
  * A prompt is read by a prefill server. Invariants: the list is looked at in the turn of the send; whatever comes of
@@ -22,7 +24,8 @@
       if (f.code === 'gone') return;
       job.avoid.add(s.id);
       if (f.code === 'refused' || f.code === 'misdirected') job.arrivals++;
-      if (f.code === 'unsent' || f.code === 'broken' || f.code === 'late') t.suspect(s, f.why);
+      const late = f.code === 'late' && t.health.silent(s.id) > SILENT;
+      if (f.code === 'unsent' || f.code === 'broken' || late) t.suspect(s, f.why);
     };
     const send = async (job: Job, s: Server, fresh: number): Promise<Result<Handle, SendFault>> => {
       const foreseen = (t.loads.at(s.id).tokens + fresh) / t.pace.now();
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,14 +1,4 @@
-import {
-  Awake,
-  Dice,
-  Post,
-  Timer,
-  Verdicts,
-  type Ident,
-  type Intent,
-  type Verdict,
-  type World,
-} from '@pumicebarrow/forms';
+import { Awake, Dice, Post, Timer, Verdicts, type Ident, type Verdict, type World } from '@pumicebarrow/forms';
 import { DaemonLife, Newest } from '@pumicebarrow/counter';
 import { Purge, Shelf } from '@pumicebarrow/purge';
 import { Line, TraceDesk, Views, type CharterBody, type Sighting } from '@pumicebarrow/registry';
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -102,7 +102,8 @@
       job.avoid.add(s.id);
       if (f.code === 'gone') return true;
       if (f.code === 'unsent') job.arrivals--;
-      if (f.code === 'unsent' || f.code === 'broken' || f.code === 'late') t.suspect(s, f.why);
+      const late = f.code === 'late' && t.health.silent(s.id) > SILENT;
+      if (f.code === 'unsent' || f.code === 'broken' || late) t.suspect(s, f.why);
       if (f.ran === 'no') return false;
       job.maybe = true;
       return !again(job);
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -1,4 +1,4 @@
-import { Verdicts, type Verdict } from '@pumicebarrow/forms';
+import { Timer, Verdicts, type Verdict } from '@pumicebarrow/forms';
 import type { AnswerSink } from './answersink.js';
 import type { Job } from './job.js';
 import { Reader } from './reader.js';
@@ -10,6 +10,10 @@
 const LEAST = 30;
 /** Seconds after which a refused request may come again. */
 const SOON = 0.15;
+/** The part of the aim for which a request waits for a place, and how often that is looked at. */
+const WAIT = 0.2;
+const LOOK = 20;
+const LATER = 0.4;
 
 /**
  * One request, from its arrival to its answer, written straight down.
@@ -41,6 +45,15 @@
         avoid: new Set(),
       };
     };
+    /** Waits a little where every server is full; false if that did not help. */
+    const admit = async (job: Job): Promise<boolean> => {
+      const until = now() + job.route.aim * WAIT;
+      while (!t.placement.room(job.service, job.request.prompt)) {
+        if (now() >= until || job.left.signal.aborted) return false;
+        await Timer.nap(t.world.clock, LOOK);
+      }
+      return true;
+    };
     /** Reads and runs, again and again where that is safe, until there is an answer or no way on. */
     const go = async (job: Job): Promise<void> => {
       const p = job.request.prompt;
@@ -63,6 +76,7 @@
       const job = start(request, sink);
       if ('ran' in job) return job;
       t.budget.request();
+      if (!(await admit(job))) return told(job, Verdicts.not('full', 'Every server is full.', LATER));
       await go(job);
       if (job.handle) void t.engine.free(job.handle);
       if (job.begun) {
--- a/packages/router/src/stagemix.ts
+++ b/packages/router/src/stagemix.ts
@@ -3,12 +3,12 @@
 type Count = { prefill: number; decode: number };
 
 /** What is held to be busy: of reading, and of runs. */
-const READ = 220;
-const RUN = 18;
+const READ = 600;
+const RUN = 16;
 /** Below this no change is worth its cost; and a change must bring the busier stage below this part of what it is. */
-const BUSY = 0.75;
-const GAIN = 0.82;
-const TIMES = 3;
+const BUSY = 0.8;
+const GAIN = 0.8;
+const TIMES = 5;
 
 /**
  * Whether one more server of a service should read, or one fewer. Invariants: never below one server of a stage; by
