Shared parts read again are held to cost, and homes are kept to within the aim

Ruled out: strict homes (a clump at one home puts the aim at risk; the home holds to three quarters of it).

--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -19,6 +19,7 @@
   pace: () => number;
 };
 const NONE: ReadonlySet<string> = new Set();
+type Read = { server: Server; fresh: number };
 type Where = { s: Server; ms: number };
 /** A decode server reads at this part of the pace, between the tokens of others. */
 const BESIDE = 0.5;
@@ -35,6 +36,8 @@
 const BRIEF = 200;
 /** The part of the aim within which a prefix stays at its home although another server would be sooner. */
 const CALM = 0.75;
+/** ms that one shared token, read again where its home has it, is held to cost: it is work taken from others. */
+const AGAIN = 0.05;
 /** ms that another zone than ours is held to cost. */
 const FAR = 4;
 const WARM = 80;
@@ -64,21 +67,23 @@
       }
       return best;
     };
+    const sharedOf = (p: Prompt): number => p.tokens - (p.parts.at(-1)?.tokens ?? p.tokens);
     /** Tokens that a server would have to read, if the home of a prefix holds it. */
-    const fresh = (s: Server, p: Prompt, home: Server | undefined): number => {
-      const shared = p.tokens - (p.parts.at(-1)?.tokens ?? p.tokens);
-      return Math.max(1, p.tokens - Math.max(t.kept.held(s.id, p), s === home ? shared : 0));
-    };
+    const fresh = (s: Server, p: Prompt, home: Server | undefined): number =>
+      Math.max(1, p.tokens - Math.max(t.kept.held(s.id, p), s === home ? sharedOf(p) : 0));
+    /** Shared tokens that would be read again there. */
+    const again = (s: Server, p: Prompt, home: Server | undefined): number =>
+      s === home ? 0 : Math.max(0, sharedOf(p) - t.kept.held(s.id, p));
     const cold = (s: Server): number => (s.warm > 0 ? WARM : 0) + (s.zone === t.zone ? 0 : FAR);
     /** Where it would be read soonest, and when; the home, if that is soon enough. */
     const reader = (service: Service, route: Route, p: Prompt, not: ReadonlySet<string>): Where | null => {
       const list = able(service, 'prefill', not);
       const home = Lot.rank(KeptParts.home(p), list, (s) => s.id)[0];
       const ms = (s: Server): number => (t.loads.at(s.id).tokens + fresh(s, p, home)) / t.pace() + cold(s);
-      const best = least(list, ms);
+      const best = least(list, (s) => ms(s) + again(s, p, home) * AGAIN);
       if (!home || !best) return best;
       const there = ms(home);
-      return there <= Math.max(best.ms, route.aim * CALM) ? { s: home, ms: there } : best;
+      return there <= route.aim * CALM ? { s: home, ms: there } : best;
     };
     const decoder = (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>) => {
       const list = able(service, service.engine ? 'decode' : null, not);
@@ -94,7 +99,9 @@
       if (!best || !p || from) return best;
       const { runs, tokens } = t.loads.at(best.s.id);
       const work = fresh(best.s, p, home) * DISTURB * (1 + runs / CROWD);
-      return { s: best.s, ms: (tokens + work) / (t.pace() * BESIDE) };
+      // A part that is short has no home worth keeping to among decode servers.
+      const more = again(best.s, p, home) * AGAIN;
+      return { s: best.s, ms: (tokens + work) / (t.pace() * BESIDE) + more };
     };
     return {
       /** Whether some server has a place for one more run that is not brief. */
@@ -104,15 +111,20 @@
         const most = service.engine.slots;
         return list.length === 0 || list.some((s) => t.loads.at(s.id).runs < (s.slots || most) * FULL);
       },
-      /** The prefill server that is to read it first; null where the run had better read it itself. */
-      prefill(service: Service, route: Route, p: Prompt, not: ReadonlySet<string>): Server | null {
+      /**
+       * The prefill server that is to read it first, and how many tokens that is; null where the run had better read
+       * it itself.
+       */
+      prefill(service: Service, route: Route, p: Prompt, not: ReadonlySet<string>): Read | null {
         if (!service.engine) return null;
         const apart = reader(service, route, p, not);
         const beside = decoder(service, p, null, not);
         if (!apart || !beside) return null;
         const short = t.kept.held(beside.s.id, p) + SHORT > p.tokens;
         const bar = short ? apart.ms + HAND + SHORT / t.pace() : apart.ms + HAND;
-        return beside.ms <= bar ? null : apart.s;
+        if (beside.ms <= bar) return null;
+        const home = Lot.rank(KeptParts.home(p), able(service, 'prefill', not), (s) => s.id)[0];
+        return { server: apart.s, fresh: fresh(apart.s, p, home) };
       },
       /** Where it is decoded: few under way, near the memory. */
       decode: (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>): Server | null =>
--- a/packages/router/src/reader.ts
+++ b/packages/router/src/reader.ts
@@ -43,14 +43,14 @@
     /** Leaves a handle in the job, or a fault. */
     return async (job: Job): Promise<void> => {
       const p = job.request.prompt!;
-      const s = t.placement.prefill(job.service, job.route, p, job.avoid);
-      if (!s) return;
+      const found = t.placement.prefill(job.service, job.route, p, job.avoid);
+      if (!found) return;
+      const { server: s, fresh } = found;
       if (job.reads > 0) {
         if (!t.budget.take()) return;
         job.arrivals++;
       }
       job.reads++;
-      const fresh = t.placement.fresh(s, p);
       t.kept.note(s.id, p);
       const got = await send(job, s, fresh);
       if (got.err) {
