--- a/packages/router/src/urgency.ts
+++ b/packages/router/src/urgency.ts
@@ -1,16 +1,22 @@
 import type { Route } from '@pumicebarrow/forms';
 
+/** ms that an answer takes beside the reading of its prompt. */
+const BESIDE = 60;
+/** The least laxity of each step, in ms. */
+const STEPS = [150, 350, 600];
 const FIRST = 2;
-const MOST = 8;
-const STEPS = 4;
+const HOPELESS = 7;
 
 /**
- * How urgent a request is at a server: 0 goes first. What takes a small part of its aim goes ahead of what takes a
- * large one, so that the many short ones don't wait behind the few long; the lowest ranks stand one step back.
+ * How urgent a request is at a server: 0 goes first. The least laxity goes first: what is left of the aim once the
+ * request's own work is done. A long prompt can't wait, a short one can; one that would miss its aim even alone goes
+ * behind those that need not. The lowest ranks stand one step back.
  */
 export const Urgency = {
   of(route: Route, ms: number): number {
-    const part = route.aim > 0 ? ms / route.aim : 0;
-    return Math.min(MOST, FIRST + Math.min(STEPS, Math.floor(part * STEPS)) + (route.rank > 1 ? 1 : 0));
+    const laxity = route.aim - ms - BESIDE;
+    if (laxity < 0) return HOPELESS;
+    const step = STEPS.findIndex((s) => laxity < s);
+    return FIRST + (step < 0 ? STEPS.length : step) + (route.rank > 1 ? 1 : 0);
   },
 };
