--- a/packages/router/src/urgency.test.ts
+++ b/packages/router/src/urgency.test.ts
@@ -12,6 +12,5 @@
     ['of the lowest ranks, one step behind', 20, 2, 6],
     ['what misses its aim even alone goes last', 900, 0, 7],
   ];
-  for (const [name, ms, rank, want] of cases)
-    it(name, () => expect(Urgency.of({ ...route, rank }, ms)).to.equal(want));
+  for (const [name, ms, rank, want] of cases) it(name, () => expect(Urgency.of({ ...route, rank }, ms)).to.equal(want));
 });
