--- /dev/null
+++ b/packages/router/src/duties.test.ts
@@ -0,0 +1,223 @@
+import { Err, Hash, Logs, Ok, type Doc, type Mark } from '@pumicebarrow/forms';
+import { Shelf, type Purging } from '@pumicebarrow/purge';
+import type { CoreLine, View } from '@pumicebarrow/registry';
+import { expect } from 'chai';
+import { HeadLine } from './headline.js';
+import { KeeperDesk } from './keeperdesk.js';
+import { ListDuty } from './listduty.js';
+import { ListRows } from './listrows.js';
+import { LoadNews } from './loadnews.js';
+import { daemon, testTown } from './post.test.js';
+import type { Server } from './server.js';
+import { ServerList } from './serverlist.js';
+import { ServerLoads } from './serverloads.js';
+import { SharedSound } from './sharedsound.js';
+import { server, testClock } from './stand.test.js';
+
+describe('the duty of the list', () => {
+  const make = () => {
+    const time = testClock();
+    const shelf = Shelf.make(SharedSound.doc);
+    const state = { fence: 3 as number | null, list: [server('a', 'decode')] as Server[] | null, polls: 0 };
+    const source = {
+      poll: async () => {
+        state.polls++;
+        await Promise.resolve();
+        return state.list ? Ok(state.list) : Err('rate');
+      },
+    };
+    const purge = { publish: (d: Doc) => shelf.offer(d) } as unknown as Purging;
+    const duty = ListDuty.make({
+      ...{ clock: time.clock, log: Logs.quiet(), source, purge, every: 1000, fence: () => state.fence },
+    });
+    return { time, shelf, state, duty };
+  };
+  it('publishes a list once, and the same one never again', async () => {
+    const { time, shelf, duty } = make();
+    await duty.tick();
+    expect(shelf.mark('list')).to.deep.equal([3, 0]);
+    await time.pass(1000);
+    await duty.tick();
+    expect(shelf.mark('list')).to.deep.equal([3, 0]);
+    expect(duty.now()).to.deep.equal({ mark: [3, 0], age: 0 });
+  });
+  it('publishes a change under a step that rises, and under a new fence anew', async () => {
+    const { time, shelf, state, duty } = make();
+    await duty.tick();
+    state.list = [server('a', 'decode', { state: 'draining' })];
+    await time.pass(1000);
+    await duty.tick();
+    expect(shelf.mark('list')).to.deep.equal([3, 1]);
+    state.fence = 5;
+    await time.pass(1000);
+    await duty.tick();
+    expect(shelf.mark('list')).to.deep.equal([5, 0]);
+  });
+  it('neither asks nor tells without the fence', async () => {
+    const { time, state, duty } = make();
+    await duty.tick();
+    state.fence = null;
+    await time.pass(1000);
+    await duty.tick();
+    expect([state.polls, duty.now()]).to.deep.equal([1, null]);
+  });
+  it('publishes nothing that came back after the fence was lost', async () => {
+    const { shelf, state, duty } = make();
+    const asked = duty.tick();
+    state.fence = null;
+    await asked;
+    expect(shelf.mark('list')).to.equal(null);
+  });
+  it('lets the age grow while the platform turns it away', async () => {
+    const { time, state, duty } = make();
+    await duty.tick();
+    state.list = null;
+    await time.pass(1000);
+    await duty.tick();
+    expect(duty.now()?.age).to.equal(1000);
+  });
+});
+
+describe("a router's line to the head", () => {
+  const view: View = { epoch: 7, voters: [], chain: [{ id: 'k1', born: 'b-k1', addr: '10.0.1.1:2' }] } as never;
+  const make = () => {
+    const time = testClock(),
+      town = testTown();
+    const state = {
+      speaks: true,
+      list: { mark: [7, 0] as Mark, age: 200 } as { mark: Mark; age: number } | null,
+      version: 1,
+      tails: 0,
+    };
+    const head = town.post(daemon('k1', 'registry'));
+    const desk = KeeperDesk.make({
+      ...{ clock: time.clock, post: head, view: () => view, speaks: () => state.speaks },
+      ...{ version: () => state.version, list: () => state.list },
+    });
+    const router = (id: string) => {
+      const post = town.post(daemon(id));
+      const shelf = Shelf.make(SharedSound.doc);
+      const list = ServerList.make(
+        time.clock,
+        () => 2000,
+        () => undefined,
+      );
+      const purge = { learn: (d: Doc) => shelf.offer(d) } as unknown as Purging;
+      const line = { view: () => view, learn: () => undefined, look: () => Promise.resolve() } as unknown as CoreLine;
+      const made = HeadLine.make({
+        ...{ clock: time.clock, post, line, shelf, purge, list, version: () => 1 },
+        load: () => ({ read: 10, beside: 0, run: 2 }),
+        tail: () => {
+          state.tails++;
+          return Promise.resolve(true);
+        },
+      });
+      return { shelf, list, line: made };
+    };
+    const doc: Doc = { name: 'list', mark: [7, 0], body: ListRows.pack([server('a', 'decode')]) };
+    return { time, town, state, desk, router, doc };
+  };
+  it('keeps the list as young as the head says, from before it was asked', async () => {
+    const { router, doc } = make();
+    const r = router('r2');
+    r.shelf.offer(doc);
+    await r.line.tick();
+    expect(r.list.age()).to.equal(200);
+    expect(r.list.good('a')?.id).to.equal('a');
+  });
+  it('takes no youth from a head that may not speak', async () => {
+    const { router, doc, state } = make();
+    const r = router('r2');
+    r.shelf.offer(doc);
+    state.speaks = false;
+    await r.line.tick();
+    expect(r.list.young()).to.equal(false);
+    expect(r.line.silent()).to.equal(Infinity);
+  });
+  it('gives gossip its time, then fetches a newer list from the head', async () => {
+    const { time, town, router, doc } = make();
+    const r = router('r2');
+    town.post(daemon('k9', 'registry'));
+    await r.line.tick();
+    expect(r.list.young()).to.equal(false);
+    expect(town.asked.some((a) => a.includes('purge.pull'))).to.equal(false);
+    await time.pass(600);
+    await r.line.tick();
+    expect(town.asked.some((a) => a.includes('purge.pull'))).to.equal(true);
+    r.shelf.offer(doc);
+    await r.line.tick();
+    expect(r.list.young()).to.equal(true);
+  });
+  it('reads a configuration at the tail that gossip has not brought in time', async () => {
+    const { time, router, state, doc } = make();
+    const r = router('r2');
+    r.shelf.offer(doc);
+    state.version = 2;
+    await r.line.tick();
+    expect(state.tails).to.equal(0);
+    await time.pass(600);
+    await r.line.tick();
+    expect(state.tails).to.equal(1);
+  });
+  it('counts the routers and names their peers once, until they change', async () => {
+    const { time, town, router, desk, doc } = make();
+    const all = ['r2', 'r3', 'r4'].map(router);
+    for (const r of all) r.shelf.offer(doc);
+    for (let i = 0; i < 2; i++) for (const r of all) await r.line.tick();
+    expect(all.map((r) => r.line.routers())).to.deep.equal([3, 3, 3]);
+    expect(all[0]!.line.peers().map((p) => p.id)).to.deep.equal(['r3', 'r4']);
+    expect(desk.load()).to.deep.equal({ read: 30, beside: 0, run: 6 });
+    town.down.add('10.0.1.1:2');
+    await time.pass(2100);
+    expect(desk.load()).to.deep.equal({ read: 0, beside: 0, run: 0 });
+    expect(Hash.of(all[0]!.line.peers())).to.be.a('string');
+  });
+});
+
+describe('news of loads', () => {
+  const make = (routers: number) => {
+    const time = testClock(),
+      town = testTown();
+    const ids = ['r1', 'r2', 'r3'].map((id) => daemon(id));
+    const all = ids.map((who) => {
+      const loads = ServerLoads.make();
+      const news = LoadNews.make({
+        ...{ clock: time.clock, post: town.post(who), loads, routers: () => routers },
+        peers: () => ids.filter((p) => p.id !== who.id),
+      });
+      return { loads, news };
+    });
+    return { time, town, all };
+  };
+  it('is told when something changed, and counts for others', async () => {
+    const { time, town, all } = make(3);
+    const end = all[0]!.loads.read('p1', 5000);
+    for (const a of all) a.news.tick();
+    await time.pass(1);
+    expect(all[1]!.loads.at('p1').tokens).to.equal(5000);
+    const sent = town.asked.length;
+    all[0]!.news.tick();
+    expect(town.asked.length).to.equal(sent);
+    end();
+    all[0]!.news.tick();
+    await time.pass(1);
+    expect(all[1]!.loads.at('p1').tokens).to.equal(0);
+  });
+  it('of a large fleet, what was heard stands for all', async () => {
+    const { time, all } = make(21);
+    all[0]!.loads.read('p1', 1000);
+    all[1]!.loads.read('p1', 3000);
+    for (const a of all) a.news.tick();
+    await time.pass(1);
+    // Two of the twenty others were heard, with 4,000 between them; the third has nothing to tell.
+    expect(all[2]!.loads.at('p1').tokens).to.equal(40_000);
+  });
+  it('counts no longer than it is kept', async () => {
+    const { time, all } = make(3);
+    all[0]!.loads.run('d1');
+    all[0]!.news.tick();
+    await time.pass(1600);
+    all[1]!.news.tick();
+    expect(all[1]!.loads.at('d1').runs).to.equal(0);
+  });
+});
--- /dev/null
+++ b/packages/router/src/stages.test.ts
@@ -0,0 +1,120 @@
+import { Err, Logs, Ok, type Doc } from '@pumicebarrow/forms';
+import { Shelf, type Purging } from '@pumicebarrow/purge';
+import { expect } from 'chai';
+import { Changing } from './changing.js';
+import type { Engine } from './engine.js';
+import type { Server } from './server.js';
+import { SharedSound } from './sharedsound.js';
+import { StageDuty } from './stageduty.js';
+import { StageMix } from './stagemix.js';
+import { server, testClock, testEngine } from './stand.test.js';
+
+describe('the mix of stages', () => {
+  const cases: [string, { read: number; run: number }, { prefill: number; decode: number }, -1 | 0 | 1][] = [
+    ['an idle service stays', { read: 0, run: 0 }, { prefill: 2, decode: 4 }, 0],
+    ['reading far behind takes a decoder', { read: 1500, run: 4 }, { prefill: 2, decode: 4 }, 1],
+    ['many runs take a reader', { read: 50, run: 30 }, { prefill: 3, decode: 3 }, -1],
+    ['both busy stay', { read: 1200, run: 30 }, { prefill: 3, decode: 3 }, 0],
+    ['a passing clump of reads takes nothing', { read: 300, run: 6 }, { prefill: 3, decode: 3 }, 0],
+    ['the last reader stays', { read: 0, run: 60 }, { prefill: 1, decode: 3 }, 0],
+    ['the last decoder stays', { read: 5000, run: 0 }, { prefill: 3, decode: 1 }, 0],
+    ['a stage without any is filled', { read: 0, run: 0 }, { prefill: 0, decode: 3 }, 1],
+    ['and the other', { read: 0, run: 0 }, { prefill: 3, decode: 0 }, -1],
+    ['one server alone stays', { read: 9000, run: 90 }, { prefill: 0, decode: 1 }, 0],
+  ];
+  for (const [name, load, count, want] of cases) it(name, () => expect(StageMix.lean(load, count)).to.equal(want));
+
+  it('leans several times before it moves, and at once where a stage is bare', () => {
+    const m = StageMix.make();
+    const looks = [1, 2, 3, 4, 5].map(() => m.look({ read: 1500, run: 4 }, { prefill: 2, decode: 4 }));
+    expect(looks).to.deep.equal([0, 0, 0, 0, 1]);
+    expect(StageMix.make().look({ read: 0, run: 0 }, { prefill: 0, decode: 4 })).to.equal(1);
+  });
+});
+
+describe('the duty of stages', () => {
+  const make = (servers: Server[]) => {
+    const time = testClock();
+    const orders: string[] = [];
+    const shelf = Shelf.make(SharedSound.doc);
+    const state = {
+      fence: 4 as number | null,
+      servers,
+      load: { read: 0, beside: 0, run: 0 },
+      reply: 'taken' as 'taken' | 'lost',
+    };
+    const engine: Engine = {
+      ...testEngine([], []),
+      order(s, o) {
+        const row = shelf.get(`row:${s.id}`)?.body as { part: string; stage: string } | undefined;
+        orders.push(`${s.id} ${o.stage} ${o.fence} ${row?.part ?? 'no row'} ${row?.stage ?? ''}`);
+        return Promise.resolve(state.reply === 'taken' ? Ok('taken' as const) : Err('lost' as const));
+      },
+    };
+    const purge = { publish: (d: Doc) => shelf.offer(d) } as unknown as Purging;
+    const duty = StageDuty.make({
+      ...{ clock: time.clock, log: Logs.quiet(), engine, purge, shelf, self: 'k1', lease: 3000 },
+      ...{ fence: () => state.fence, servers: () => state.servers, load: () => state.load },
+    });
+    const pass = async (ms: number): Promise<void> => {
+      for (let t = 0; t < ms; t += 400) {
+        duty.tick();
+        await time.pass(400);
+      }
+    };
+    return { state, orders, shelf, pass };
+  };
+  const bare = [server('d1', 'decode'), server('d2', 'decode'), server('d3', 'decode', { zone: 'z2' })];
+
+  it('orders nothing before the lease of the holder before has passed', async () => {
+    const d = make(bare);
+    await d.pass(3000);
+    expect(d.orders).to.deep.equal([]);
+    await d.pass(1200);
+    expect(d.orders).to.have.length(1);
+  });
+  it('waits out the lease anew under each new fence', async () => {
+    const d = make(bare);
+    await d.pass(3000);
+    d.state.fence = 5;
+    await d.pass(3000);
+    expect(d.orders).to.deep.equal([]);
+    await d.pass(1200);
+    expect(d.orders).to.deep.equal(['d1 prefill 5 prefill draining']);
+  });
+  it('orders nothing without a fence', async () => {
+    const d = make(bare);
+    d.state.fence = null;
+    await d.pass(20_000);
+    expect(d.orders).to.deep.equal([]);
+  });
+  it('writes the row before the order leaves, so that routers send nothing by the old stage', async () => {
+    const d = make(bare);
+    await d.pass(4400);
+    expect(d.orders).to.deep.equal(['d1 prefill 4 prefill draining']);
+    expect(Changing.of(d.shelf, bare[0]!)).to.equal(true);
+    expect(Changing.of(d.shelf, bare[1]!)).to.equal(false);
+  });
+  it('asks again where no word is seen, and ends once the list shows it', async () => {
+    const d = make(bare);
+    d.state.reply = 'lost';
+    await d.pass(6800);
+    expect(d.orders).to.have.length(2);
+    const [first, ...rest] = bare;
+    d.state.servers = [{ ...first!, stage: 'prefill' }, ...rest];
+    await d.pass(6800);
+    expect(d.orders).to.have.length(2);
+    expect(Changing.of(d.shelf, d.state.servers[0]!)).to.equal(false);
+  });
+  it('gives up on a server that never changes, and lets it be used as the list shows it', async () => {
+    const d = make(bare);
+    await d.pass(4400);
+    d.state.fence = null;
+    await d.pass(400);
+    expect(Changing.of(d.shelf, bare[0]!)).to.equal(true);
+    d.state.fence = 6;
+    d.state.servers = bare.map((s) => ({ ...s }));
+    await d.pass(30_000);
+    expect(d.orders.length).to.be.lessThan(16);
+  });
+});
