--- /dev/null
+++ b/packages/sim/src/capacity/design.ts
@@ -0,0 +1,10 @@
+/** The size the fleet is designed for, and what a daemon may spend on control at that size. */
+export const Design = {
+  daemons: 2900,
+  servers: 10_000,
+  sites: 40,
+  /** Changes of the charter a second, of 40,000 a day. */
+  changes: 40_000 / 86_400,
+  visits: 35_000,
+  budget: { core: 3.6, memory: 256, bytes: 17_000, machines: 24 },
+};
--- a/packages/sim/src/commands/index.ts
+++ b/packages/sim/src/commands/index.ts
@@ -1,3 +1,4 @@
+import { CapacityCommand } from './capacity.js';
 import { GuardsCommand } from './guards.js';
 import { ListCommand } from './list.js';
 import { MeasureCommand } from './measure.js';
@@ -11,4 +12,5 @@
   guards: GuardsCommand,
   spread: SpreadCommand,
   measure: MeasureCommand,
+  capacity: CapacityCommand,
 };
--- a/packages/sim/src/fleet.ts
+++ b/packages/sim/src/fleet.ts
@@ -23,6 +23,7 @@
       d.charter.servers.map((s, i) => ({ id: s.id, addr: `10.2.0.${i + 1}:80`, site: s.site, slots: s.slots })),
       tell,
       net.mute,
+      net.seen,
     );
     const boxes = new Map<string, Box>();
     const disks = new Map<string, Platter>();
@@ -43,8 +44,9 @@
       disks.set(id, disk);
       boxes.set(id, Host.make(motor, id, `10.0.0.${i + 1}:7000`, d.sites[i % d.sites.length]!, disk.disk, tell));
     });
+    const edgeAddr = (i: number): string => `10.1.${Math.floor(i / 250)}.${(i % 250) + 1}:7000`;
     edgeIds.forEach((id, i) =>
-      boxes.set(id, Host.make(motor, id, `10.1.0.${i + 1}:7000`, d.sites[i % d.sites.length]!, null, noted)),
+      boxes.set(id, Host.make(motor, id, edgeAddr(i), d.sites[i % d.sites.length]!, null, noted)),
     );
     for (const b of boxes.values()) net.add(b);
     const coreAddrs = coreIds.map((_, i) => `10.0.0.${i + 1}:7000`);
@@ -69,7 +71,7 @@
         return;
       }
       const i = edgeIds.indexOf(id),
-        near = (n: number): string => `10.1.0.${((i + n) % d.edges) + 1}:7000`;
+        near = (n: number): string => edgeAddr((i + n) % d.edges);
       const c = Counter.make(
         w,
         {
--- a/packages/sim/src/net.ts
+++ b/packages/sim/src/net.ts
@@ -14,6 +14,9 @@
 
 /** Changes a reply on its way, for runs that are broken on purpose; undefined loses it. */
 type Bend = (kind: string, from: string, to: string, re: unknown, body: unknown) => unknown;
+/** Told of each exchange that was ended: who asked whom, and how many bytes went each way. */
+type Tap = (kind: string, from: string, to: string, sent: number, back: number) => void;
+const size = (v: unknown): number => (typeof v === 'string' ? v : JSON.stringify(v)).length;
 
 /**
  * The simulated network between daemons. Mail is copied through JSON. A refused connection is 'unsent'; over a cut no
@@ -31,6 +34,7 @@
     let slow = 0;
     let loss = 0;
     let bend: Bend = (_kind, _from, _to, re) => re;
+    let tap: Tap | null = null;
     let mails = 0;
     let held = 0;
     let lost = 0;
@@ -69,6 +73,13 @@
         };
       },
       mute,
+      tap(fn: Tap): void {
+        tap = fn;
+      },
+      /** An exchange for the tap; what is not text yet is only written out if there is one. */
+      seen(kind: string, from: string, to: string, sent: unknown, back: unknown): void {
+        if (tap) tap(kind, from, to, size(sent), size(back));
+      },
       /** How long each mail takes on its way, for explored schedules. */
       vary(fn: () => number): void {
         vary = fn;
@@ -163,6 +174,7 @@
                   const bent = bend(mail.kind, me.id, there.id, re ?? null, mail.body);
                   if (bent === undefined || gone()) return;
                   const back = JSON.stringify(novel(there.id, bent));
+                  net.seen(mail.kind, me.id, there.id, text, back);
                   say(Ok(JSON.parse(back) as unknown), motor.now() + delay());
                 });
               });
--- a/packages/sim/src/park.ts
+++ b/packages/sim/src/park.ts
@@ -8,6 +8,7 @@
 import type { Trick } from './trick.js';
 
 type Startup = { id: string; addr: string; site: string; slots: number };
+type Seen = (kind: string, from: string, to: string, sent: unknown, back: unknown) => void;
 const PACE = 12;
 const HOLD = 6000;
 const FETCH = 800;
@@ -17,7 +18,13 @@
 
 /** The model servers and the platform's list of them, in the simulator. */
 export const Park = {
-  make(motor: Motor, list: readonly Startup[], tell: (d: Deed) => void, mute: (from: string, to: string) => boolean) {
+  make(
+    motor: Motor,
+    list: readonly Startup[],
+    tell: (d: Deed) => void,
+    mute: (from: string, to: string) => boolean,
+    seen: Seen = () => undefined,
+  ) {
     const servers = new Map<string, Server>();
     let down = false;
     const say = (what: string, who: string, more: Record<string, unknown>): void =>
@@ -116,6 +123,7 @@
             cut = apart(me.id, TOWN);
           motor.at(motor.now() + (cut ? POLL : lag()), () => {
             const r = down || cut ? Err('down') : Ok(shown());
+            if (r.ok) seen('town.poll', me.id, TOWN, '', r.val);
             motor.at(motor.now() + lag(), function fire() {
               if (me.life() !== life) return;
               if (me.frozen()) {
@@ -131,7 +139,7 @@
       town,
       fall,
       mark,
-      back: (me: Box): Back => ParkLine.make({ motor, servers, lag, mute }, me),
+      back: (me: Box): Back => ParkLine.make({ motor, servers, lag, mute, seen }, me),
       ids: (): string[] => [...servers.keys()],
       get: (id: string): Server => servers.get(id)!,
       rise: (id: string): void => rise(list.find((s) => s.id === id)!),
--- a/packages/sim/src/parkline.ts
+++ b/packages/sim/src/parkline.ts
@@ -9,6 +9,7 @@
   servers: ReadonlyMap<string, Server>;
   lag: () => number;
   mute: (from: string, to: string) => boolean;
+  seen: (kind: string, from: string, to: string, sent: unknown, back: unknown) => void;
 };
 type Told<T> = Result<T, BackFault>;
 const CONNECT = 300;
@@ -30,6 +31,8 @@
 export const ParkLine = {
   make(t: Tools, me: Box): Back {
     const { motor, mute } = t;
+    const noted = (kind: string, addr: string, sent: unknown, back: unknown): void =>
+      t.seen(kind, me.id, find(addr)?.id ?? '', sent, back);
     const find = (addr: string): Server | undefined => [...t.servers.values()].find((s) => s.addr === addr);
     /** Runs fn at the server, once what was sent has come there and the server reads it. */
     const bring = (s: Server, fn: () => void): void => {
@@ -146,9 +149,16 @@
     };
     return {
       prefill: async (addr, job, ms) => turned<Handle>(await go(addr, ms, (s) => s.stand.prefill(job))),
-      order: async (addr, slip, ms) =>
-        turned<BackState>(await go(addr, ms, (s) => Promise.resolve(s.stand.order(slip)))),
-      state: (addr, ms) => go(addr, ms, (s) => Promise.resolve(s.stand.state())),
+      async order(addr, slip, ms) {
+        const got = await go(addr, ms, (s) => Promise.resolve(s.stand.order(slip)));
+        if (got.ok) noted('back.order', addr, slip, got.val);
+        return turned<BackState>(got);
+      },
+      async state(addr, ms) {
+        const got = await go(addr, ms, (s) => Promise.resolve(s.stand.state()));
+        if (got.ok) noted('back.state', addr, '', got.val);
+        return got;
+      },
       decode,
     };
   },
--- a/packages/sim/src/spread.ts
+++ b/packages/sim/src/spread.ts
@@ -1,10 +1,19 @@
 import { Dice, Post, type Ident, type World } from '@pumicebarrow/forms';
 import { Purge, Shelf, type Tunes } from '@pumicebarrow/purge';
 import { Engine } from './engine.js';
+import type { Grid } from './grid.js';
 import { Host } from './host.js';
 import { Net } from './net.js';
 
-type Asked = { seed: number; nodes: number; docs: number; gap: number; burst?: number; tunes: Tunes };
+type Asked = {
+  seed: number;
+  nodes: number;
+  docs: number;
+  gap: number;
+  burst?: number;
+  tunes: Tunes;
+  tap?: (net: Grid) => void;
+};
 const quiet = { say: () => undefined, warn: () => undefined };
 const WARM = 20;
 
@@ -16,6 +25,7 @@
   async run(a: Asked): Promise<{ rounds: number[]; via: Record<string, number>; mails: number }> {
     const motor = Engine.make(a.seed),
       net = Net.make(motor);
+    a.tap?.(net);
     const held = new Map<string, number>();
     const via: Record<string, number> = {};
     const rounds: number[] = [];
