--- /dev/null
+++ b/packages/sim/src/capacity/props.ts
@@ -0,0 +1,94 @@
+import { Hails, Loads, Select, Sheet, Shuns, TownWatch, type Back, type Listed } from '@pumicebarrow/counter';
+import { Err, Ok, type Charter, type Clock, type Doc, type Ident, type PostBox, type World } from '@pumicebarrow/forms';
+import { Shelf } from '@pumicebarrow/purge';
+import { Design } from './design.js';
+import { Hollow } from './hollow.js';
+
+const word = (n: number): string => n.toString(16).padStart(12, '0');
+
+/** What the timed work is done on: as many servers, rows and daemons as are asked for, told by the real parts. */
+export const Props = {
+  site: (i: number): string => `s${i % Design.sites}`,
+  ident: (i: number): Ident => ({
+    id: `e${i + 1}`,
+    born: word(i),
+    addr: `10.1.${Math.floor(i / 250)}.${(i % 250) + 1}:7000`,
+    site: Props.site(i),
+    role: 'counter',
+  }),
+  idents: (n: number): Ident[] => Array.from({ length: n }, (_, i) => Props.ident(i)),
+  listed: (n: number): Listed[] =>
+    Array.from({ length: n }, (_, i) => ({
+      id: `m${i + 1}`,
+      addr: `10.2.${Math.floor(i / 250)}.${(i % 250) + 1}:80`,
+      site: Props.site(i),
+      born: `m${i + 1}-${word(i)}`,
+      mark: 'serving',
+    })),
+  charter(n: number): Charter {
+    const { charter } = Hollow.deployment(1, n);
+    return { ...charter, servers: charter.servers.map((s, i) => ({ ...s, site: Props.site(i), slots: 256 })) };
+  },
+  /** The row of server i; 34 of 100 read. */
+  row: (i: number, step = 0): Doc => ({
+    name: `row:m${i + 1}`,
+    mark: [1, step],
+    body: {
+      server: `m${i + 1}`,
+      born: `m${i + 1}-${word(i)}`,
+      part: i % 50 < 17 ? 'prefill' : 'decode',
+      stage: 'serving',
+      by: 'e1',
+    },
+  }),
+  clock: (): Clock => ({ mono: () => 5000, wall: () => 5000, after: () => () => undefined }),
+  world: (clock: Clock): World => ({
+    clock,
+    chance: { real: () => 0.5 },
+    wire: { ask: () => Promise.resolve(Err('unsent')), hear: () => undefined },
+    disk: null,
+    log: () => ({ say: () => undefined, warn: () => undefined }),
+    tell: () => undefined,
+  }),
+  shelf(rows: number) {
+    const shelf = Shelf.make(() => true);
+    for (let i = 0; i < rows; i++) shelf.offer(Props.row(i));
+    return shelf;
+  },
+  /** The real choice of servers over a whole list, as one daemon of `roster` has it. Each server was hailed. */
+  async select(servers: number, roster: readonly Ident[]) {
+    const clock = Props.clock(),
+      list = Props.listed(servers);
+    const docs = new Map<string, Doc>(list.map((_, i) => [`row:m${i + 1}`, Props.row(i)]));
+    docs.set('charter', { name: 'charter', mark: [1, 0], body: { charter: Props.charter(servers) } });
+    const sheet = Sheet.make({
+      ...Shelf.make(() => true),
+      table: () => docs,
+      get: (name) => docs.get(name) ?? null,
+      mark: (name) => docs.get(name)?.mark ?? null,
+    });
+    const by = new Map(list.map((s) => [s.addr, s]));
+    const back = {
+      state: (addr: string) => Promise.resolve(Ok({ born: by.get(addr)!.born, clock: 1 })),
+    } as unknown as Back;
+    const post = { on: () => undefined, ask: () => Promise.resolve(Err('unsent')) } as unknown as PostBox;
+    const town = TownWatch.make(
+      Props.world(clock),
+      post,
+      { poll: () => Promise.resolve(Ok({ servers: list })) },
+      () => [],
+    );
+    town.start();
+    const hails = Hails.make(
+      clock,
+      back,
+      () => list,
+      () => undefined,
+    );
+    await Promise.resolve();
+    await Promise.all(list.map((s) => hails.ask(s, 100)));
+    const loads = Loads.make();
+    const select = Select.make({ hails, sheet, town, loads, shuns: Shuns.make(clock), roster: () => roster });
+    return { select, loads, list, town, sheet };
+  },
+};
