--- a/packages/sim/src/capacity/anchor.ts
+++ b/packages/sim/src/capacity/anchor.ts
@@ -3,7 +3,7 @@
 import { Tuned } from '@pumicebarrow/purge';
 import { Registrar } from '@pumicebarrow/registry';
 import { spawn } from 'node:child_process';
-import { readFile, rm } from 'node:fs/promises';
+import { readFile, readdir, rm } from 'node:fs/promises';
 import { createServer } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -47,7 +47,10 @@
     const platform = createServer((_, res) =>
       res.setHeader('content-type', 'application/json').end(JSON.stringify(list)),
     );
-    await new Promise<void>((done) => platform.listen(Number(http.split(':')[1]), '127.0.0.1', done));
+    await new Promise<void>((done, fail) => {
+      platform.once('error', fail);
+      platform.listen(Number(http.split(':')[1]), '127.0.0.1', done);
+    });
     const ends: (() => Promise<void> | void)[] = [];
     const world = async (at: string, disk: Disk | null): Promise<World> => {
       const wire = await TcpWire.make(at, quiet);
@@ -127,6 +130,7 @@
       return [
         Hollow.figure(a, watched, 'process', 'core%', ((now.ms - was.ms) / span) * 100),
         Hollow.figure(a, watched, 'process', 'rss', now.mb),
+        Hollow.figure(a, watched, 'files and sockets open', 'count', (await readdir(`/proc/${proc.pid}/fd`)).length),
         Hollow.figure(a, watched, 'version it took part in', 'count', one.sheet.version()),
         Hollow.figure(a, 'the others together', 'process', 'core%', (user + system) / 10 / span),
       ];
--- a/packages/sim/src/capacity/plots.ts
+++ b/packages/sim/src/capacity/plots.ts
@@ -41,7 +41,7 @@
       file: ['servers'],
       role: 'edge',
       unit: 'B/s',
-      what: ['back.state', 'town.poll', 'purge.pull', 'core.write'],
+      what: ['back.state', 'town.poll', 'purge.pull'],
       x: 'servers',
       y: 'bytes a second, in and out',
       to: servers,
--- a/packages/sim/src/capacity/swaps.ts
+++ b/packages/sim/src/capacity/swaps.ts
@@ -4,7 +4,7 @@
 import type { Figure } from './figure.js';
 import { Hollow } from './hollow.js';
 
-/** How long servers take to swap, from the row that says so until the server was given its new part, under the drill `swing`. */
+/** How long servers take to swap under drill `swing`: from the row that says so until the server has its new part. */
 export const Swaps = {
   async run(at: number, seed: number): Promise<Figure[]> {
     const d = Deployments.coop;
--- a/packages/sim/src/capacity/works.ts
+++ b/packages/sim/src/capacity/works.ts
@@ -63,7 +63,7 @@
       one(
         'reading the roster',
         'us',
-        Timed.us(() => JSON.parse(roster)),
+        Timed.us(() => JSON.parse(roster) as unknown),
       ),
       one('the roster', 'B', roster.length),
     ];
@@ -132,7 +132,7 @@
       one('the list', 'B', text.length),
       one('the charter', 'B', held),
       one('the claims', 'B', JSON.stringify(claims).length),
-      one('the list in memory', 'heap', Timed.heap(() => JSON.parse(text)) / n),
+      one('the list in memory', 'heap', Timed.heap(() => JSON.parse(text) as unknown) / n),
     ];
   },
   /** Records of visits, `n` kept. */
