--- a/packages/sim/src/capacity/fits.ts
+++ b/packages/sim/src/capacity/fits.ts
@@ -31,6 +31,7 @@
     ...['core.write'].map(of('servers', 'head', 'frames/s', 'line', servers)),
     ...['rounds, median', 'rounds, worst'].map(of('spread', 'edge', 'rounds', 'log', daemons)),
     ...['purge.news', 'purge.pull'].map(of('spread', 'edge', 'B/s', 'log', daemons)),
+    ...['a change of the whole list'].map(of('wholelist', 'edge', 'B', 'line', servers)),
     ...['rounds, median', 'rounds, worst'].map(of('spreadfar', 'edge', 'rounds', 'log', daemons)),
     ...['rounds, median', 'rounds, worst'].map(of('burst', 'edge', 'rounds', 'log', daemons)),
     ...['ms', 'frames', 'B'].map((u) => of('newcomer', 'edge', u, 'line', servers)('until it holds all')),
--- a/packages/sim/src/capacity/runs.ts
+++ b/packages/sim/src/capacity/runs.ts
@@ -5,6 +5,7 @@
 import { Losses } from './losses.js';
 import { Newcomer } from './newcomer.js';
 import { Swaps } from './swaps.js';
+import { WholeList } from './wholelist.js';
 import { Works } from './works.js';
 
 type Job = (n: number, seed: number) => Figure[] | Promise<Figure[]>;
@@ -26,6 +27,7 @@
   burst: { about: '100 notices at once', sizes: sizes.slice(0, 5), job: burst },
   newcomer: { about: 'an empty daemon beside eight', sizes, job: (n, seed) => Newcomer.run(n, seed) },
   far: { about: 'the same, 35 ms away', sizes: sizes.slice(0, 4), job: (n, seed) => Newcomer.run(n, seed, 35) },
+  wholelist: { about: 'the list as one doc, 50 daemons', sizes: [25, 100, 400, 1600, 10_000], job: WholeList.run },
   handover: { about: 'where many daemons send', sizes: [200, 400, 800, 1600], job: Handover.run },
   losses: { about: 'a site and a region lost', sizes: sizes.slice(0, 4), job: Losses.run },
   swap: { about: 'time to swap, at three seeds', sizes: [1, 2, 3], job: Swaps.run },
--- a/packages/sim/src/index.ts
+++ b/packages/sim/src/index.ts
@@ -20,6 +20,7 @@
 export { Swaps } from './capacity/swaps.js';
 export { Tally } from './capacity/tally.js';
 export { Timed } from './capacity/timed.js';
+export { WholeList } from './capacity/wholelist.js';
 export { Works } from './capacity/works.js';
 export { type CoreDrill } from './coredrill.js';
 export { CoreJudge } from './corejudge.js';
--- a/packages/sim/src/spread.ts
+++ b/packages/sim/src/spread.ts
@@ -13,6 +13,7 @@
   burst?: number;
   tunes: Tunes;
   tap?: (net: Grid) => void;
+  body?: unknown;
 };
 const quiet = { say: () => undefined, warn: () => undefined };
 const WARM = 20;
@@ -71,7 +72,7 @@
       );
     for (const n of nodes) motor.at(motor.chance.real() * a.tunes.round, () => n.purge.start());
     const origin = nodes[a.nodes]!;
-    const put = (name: string): boolean => origin.purge.publish({ name, mark: [1, 0], body: null });
+    const put = (name: string): boolean => origin.purge.publish({ name, mark: [1, 0], body: a.body ?? null });
     for (let i = 0; i < a.tunes.notes; i++) motor.at((i + 2) * a.gap * a.tunes.round, () => put(`warm:${i}`));
     for (let i = 0; i < a.docs; i++) {
       const at = (WARM + Math.floor(i / (a.burst ?? 1)) * a.gap) * a.tunes.round;
