--- a/packages/sim/src/spread.ts
+++ b/packages/sim/src/spread.ts
@@ -1,10 +1,20 @@
 import { Dice, Post, type Ident, type World } from '@pumicebarrow/forms';
 import { Purge, Shelf, type Tunes } from '@pumicebarrow/purge';
 import { Engine } from './engine.js';
+import type { Grid } from './grid.js';
 import { Host } from './host.js';
 import { Net } from './net.js';
 
-type Asked = { seed: number; nodes: number; docs: number; gap: number; burst?: number; tunes: Tunes };
+type Asked = {
+  seed: number;
+  nodes: number;
+  docs: number;
+  gap: number;
+  burst?: number;
+  tunes: Tunes;
+  tap?: (net: Grid) => void;
+  body?: unknown;
+};
 const quiet = { say: () => undefined, warn: () => undefined };
 const WARM = 20;
 
@@ -16,6 +26,7 @@
   async run(a: Asked): Promise<{ rounds: number[]; via: Record<string, number>; mails: number }> {
     const motor = Engine.make(a.seed),
       net = Net.make(motor);
+    a.tap?.(net);
     const held = new Map<string, number>();
     const via: Record<string, number> = {};
     const rounds: number[] = [];
@@ -61,7 +72,7 @@
       );
     for (const n of nodes) motor.at(motor.chance.real() * a.tunes.round, () => n.purge.start());
     const origin = nodes[a.nodes]!;
-    const put = (name: string): boolean => origin.purge.publish({ name, mark: [1, 0], body: null });
+    const put = (name: string): boolean => origin.purge.publish({ name, mark: [1, 0], body: a.body ?? null });
     for (let i = 0; i < a.tunes.notes; i++) motor.at((i + 2) * a.gap * a.tunes.round, () => put(`warm:${i}`));
     for (let i = 0; i < a.docs; i++) {
       const at = (WARM + Math.floor(i / (a.burst ?? 1)) * a.gap) * a.tunes.round;
