--- a/packages/router/src/duties.test.ts
+++ b/packages/router/src/duties.test.ts
@@ -79,7 +79,7 @@
 });
 
 describe("a router's line to the head", () => {
-  const view: View = { epoch: 7, voters: [], chain: [{ id: 'k1', born: 'b-k1', addr: '10.0.1.1:2' }] } as never;
+  const view: View = { epoch: 7, voters: [], chain: [{ id: 'k1', born: 'b-k1', addr: '10.0.1.1:2' }] };
   const make = () => {
     const time = testClock(),
       town = testTown();
--- a/packages/router/src/post.test.ts
+++ b/packages/router/src/post.test.ts
@@ -15,7 +15,7 @@
       const mine = new Map<string, Desk>();
       desks.set(who.addr, mine);
       return {
-        on: (kind, form, fn) => void mine.set(kind, { form, fn: fn as Desk['fn'] }),
+        on: (kind, form, fn) => void mine.set(kind, { form, fn: fn }),
         async ask(addr, _to, kind, body, form): Promise<Result<never, never>> {
           asked.push(`${who.id} ${kind} ${addr}`);
           const desk = down.has(addr) ? undefined : desks.get(addr)?.get(kind);
