Servers judged by what requests met: failures told, part failures, and how much longer they take

Cause: the grown deployments' servers fail a part of their requests, hang or turn slow while their health answer is good; a 500 counted as a good outcome, one good trial cleared a server, and a slow one was chosen like any other. Ruled out: health answers (false either way, and priced). A failure that may run again goes elsewhere before it is told.

--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -34,6 +34,7 @@
 export { ServerList } from './serverlist.js';
 export { type ServerListing } from './serverlisting.js';
 export { ServerLoads } from './serverloads.js';
+export { ServerSpeed } from './serverspeed.js';
 export { type ServeTools } from './servetools.js';
 export { SharedSound } from './sharedsound.js';
 export { StageDuty } from './stageduty.js';
--- a/packages/router/src/job.ts
+++ b/packages/router/src/job.ts
@@ -21,6 +21,8 @@
   after: string | null;
   begun: boolean;
   events: number;
+  /** The status of the answer that has begun. */
+  status: number;
   /** Whether some send may have run it. */
   maybe: boolean;
   avoid: Set<string>;
--- a/packages/router/src/placement.test.ts
+++ b/packages/router/src/placement.test.ts
@@ -26,12 +26,17 @@
     const loads = ServerLoads.make(),
       health = ServerHealth.make(time.clock);
     const changed = new Set<string>();
+    const slow = new Map<string, number>();
     const place = Placement.make({
       ...{ chance: Dice.seeded(3), zone: 'z1', list, loads, health, kept: KeptParts.make(() => 400_000) },
-      ...{ pace: () => 40, changing: (s: { id: string }) => changed.has(s.id) },
+      ...{
+        pace: () => 40,
+        speed: (id: string) => slow.get(id) ?? 1,
+        changing: (s: { id: string }) => changed.has(s.id),
+      },
     });
     const { services, routes } = routing();
-    return { time, list, loads, health, place, changed, service: services[0]!, route: routes[0]! };
+    return { time, list, loads, health, place, changed, slow, service: services[0]!, route: routes[0]! };
   };
   const none = new Set<string>();
   it('keeps one prefix at one home, until the home is too busy', () => {
@@ -60,10 +65,17 @@
     expect(place.prefill(service, route, p, none)).to.equal(null);
   });
   it('sends nothing to a server that was ordered to another stage', () => {
-    const { place, changed, service } = make();
+    const { place, changed, slow, service } = make();
     changed.add('d1');
     expect(place.decode(service, null, all[0]!, none)?.id).to.equal('d2');
   });
+  it('leaves a slow server to what the others can not take', () => {
+    const { place, slow, loads, service } = make();
+    slow.set('d1', 4);
+    expect(place.decode(service, prompt(2000), all[0]!, none)!.id).to.equal('d2');
+    for (let i = 0; i < 40; i++) loads.run('d2');
+    expect(place.decode(service, prompt(2000), all[0]!, none)!.id).to.equal('d1');
+  });
   it('decodes near the memory, until it is clearly busier there', () => {
     const { place, loads, service } = make();
     expect(place.decode(service, prompt(2000), all[0]!, none)!.id).to.equal('d1');
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -17,6 +17,8 @@
   changing: (s: Server) => boolean;
   /** Prompt tokens that a server reads in a ms, as learnt. */
   pace: () => number;
+  /** How much longer than foreseen a server takes. */
+  speed: (id: string) => number;
 };
 const NONE: ReadonlySet<string> = new Set();
 type Read = { server: Server; fresh: number };
@@ -41,6 +43,8 @@
 /** ms that another zone than ours is held to cost. */
 const FAR = 4;
 const WARM = 80;
+/** What an idle decode server is held to be busy, so that a slow one is not taken for a quick one while idle. */
+const IDLE = 0.08;
 
 /**
  * Which servers read and decode a request. Invariants: only servers that a list young at this instant shows ready are
@@ -79,7 +83,8 @@
     const reader = (service: Service, route: Route, p: Prompt, not: ReadonlySet<string>): Where | null => {
       const list = able(service, 'prefill', not);
       const home = Lot.rank(KeptParts.home(p), list, (s) => s.id)[0];
-      const ms = (s: Server): number => (t.loads.at(s.id).tokens + fresh(s, p, home)) / t.pace() + cold(s);
+      const ms = (s: Server): number =>
+        ((t.loads.at(s.id).tokens + fresh(s, p, home)) / t.pace()) * t.speed(s.id) + cold(s);
       const best = least(list, (s) => ms(s) + again(s, p, home) * AGAIN);
       if (!home || !best) return best;
       const there = ms(home);
@@ -94,7 +99,7 @@
         const { runs, tokens } = t.loads.at(s.id);
         const busy = runs / Math.max(1, s.slots || most) + tokens / (t.pace() * BESIDE * 1000);
         const own = p && !from ? fresh(s, p, home) / (t.pace() * BESIDE * 1000) : 0;
-        return busy + own + (s.zone === near ? 0 : 0.12) + (s.warm > 0 ? 0.5 : 0);
+        return (busy + own + IDLE) * t.speed(s.id) + (s.zone === near ? 0 : 0.12) + (s.warm > 0 ? 0.5 : 0);
       });
       if (!best || !p || from) return best;
       const { runs, tokens } = t.loads.at(best.s.id);
--- a/packages/router/src/reader.ts
+++ b/packages/router/src/reader.ts
@@ -11,6 +11,8 @@
 const TIMES = 3;
 /** A server that was heard of more lately than this is busy, not gone. */
 const SILENT = 1200;
+/** ms that a read takes beside the reading. */
+const HAND = 20;
 
 /**
  * A prompt is read by a prefill server. Invariants: the list is looked at in the turn of the send; whatever comes of
@@ -38,6 +40,7 @@
       const got = await t.engine.prefill(s, job.request, terms);
       free();
       if (got.ok && alone) t.pace.learn(fresh, now() - from);
+      if (got.ok) t.speed.note(s.id, now() - from, foreseen + HAND);
       return got;
     };
     /** Leaves a handle in the job, or a fault. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -25,6 +25,7 @@
 import { ServerHealth } from './serverhealth.js';
 import { ServerList } from './serverlist.js';
 import { ServerLoads } from './serverloads.js';
+import { ServerSpeed } from './serverspeed.js';
 import { SharedSound } from './sharedsound.js';
 
 const CHECKIN = 450;
@@ -82,13 +83,15 @@
       daemons: head.routers,
     });
     const health = ServerHealth.make(clock),
-      pace = Pace.make();
+      pace = Pace.make(),
+      speed = ServerSpeed.make(clock);
     const memory = (): number => routes?.services()[0]?.engine?.memory ?? MEMORY;
     const kept = KeptParts.make(memory);
     const placement = Placement.make({
       ...{ chance: world.chance, zone: startup.zone, list, loads, health, kept },
       changing: (s) => Changing.of(shelf, s),
       pace: pace.now,
+      speed: speed.of,
     });
     const budget = Budget.make(clock, () => startup.budget, head.routers);
     const shut = (): Verdict | null => {
@@ -104,7 +107,7 @@
       const body: Sighting = { server: s.id, born: s.id, by: ident.id };
       purge.publish({ name: `sight:${s.id}`, mark: [(old?.[0] ?? 0) + 1, Dice.int(world.chance, 1e6)], body });
     };
-    const tools = { world, engine, shut, list, loads, health, kept, pace, placement, budget, suspect };
+    const tools = { world, engine, shut, list, loads, health, kept, pace, speed, placement, budget, suspect };
     const serve = Serve.make({ ...tools, routes: () => routes });
     const stops: (() => void)[] = [];
     const ears: ((now: Routes) => void)[] = [];
@@ -125,6 +128,7 @@
       const ids = new Set(now.map((s) => s.id));
       kept.only(ids);
       health.only(ids);
+      speed.only(ids);
     });
     const ask = async (): Promise<void> => {
       while (is() === 'asking') {
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -7,11 +7,16 @@
 import { Urgency } from './urgency.js';
 
 const LOOK = 100;
+const FAILED = 500;
 /** ms without a byte from a server, while one is due, after which it is under suspicion. */
 const SILENT = 900;
 /** ms after which a request that may run again goes elsewhere: before its first event, and between events. */
-const FIRST = 2400;
+const FIRST = 1900;
 const NEXT = 1300;
+/** ms between events of an idle server, and what each run beside adds. */
+const GAP = 35;
+const EACH = 1.6;
+const ENOUGH = 3;
 
 /**
  * A request is run by a server. Invariants: the list is looked at in the turn of the send; bytes go out only as whole
@@ -34,8 +39,7 @@
           t.suspect(s, `silent for ${Math.round(quiet)} ms`);
         }
         const most = job.events > 0 ? NEXT : FIRST;
-        if (again(job) && quiet > most && job.arrivals < job.route.tries && t.health.silent(s.id) > SILENT)
-          stop.abort('late');
+        if (again(job) && quiet > most && job.arrivals < job.route.tries) stop.abort('late');
       });
       return {
         stir(): void {
@@ -49,10 +53,13 @@
     const hearer = (job: Job, s: Server, stir: () => void, read: () => void): Heard => ({
       stir,
       head(status, headers) {
-        if (job.begun) return;
+        // A failure that the server tells of is an answer, but one that may run again goes elsewhere before it is told.
+        if (status >= FAILED && again(job) && job.arrivals < job.route.tries) return false;
+        if (job.begun) return status < FAILED;
         job.begun = true;
+        job.status = status;
         job.sink.head(status, headers);
-        if (status < 500) t.health.good(s.id);
+        return true;
       },
       event(id, bytes) {
         read();
@@ -70,6 +77,9 @@
       const gone = (): void => stop.abort('gone');
       job.left.signal.addEventListener('abort', gone);
       const watch = guard(job, s, stop);
+      const beside = t.loads.at(s.id).runs;
+      const before = job.events;
+      const from = now();
       t.health.begin(s.id);
       const handle = job.handle;
       job.handle = null;
@@ -77,6 +87,8 @@
       const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now()), signal: stop.signal };
       const got = await t.engine.run(s, job.request, handle, job.after, terms, hearer(job, s, watch.stir, read));
       watch.stop();
+      const more = job.events - before;
+      if (more > ENOUGH) t.speed.note(s.id, (now() - from) / more, GAP + beside * EACH);
       free();
       read();
       job.left.signal.removeEventListener('abort', gone);
@@ -94,16 +106,17 @@
       if (got.ok && job.request.prompt) t.kept.note(s.id, job.request.prompt);
       if (got.ok) {
         job.fault = null;
-        t.health.good(s.id);
+        if (job.status >= FAILED) t.suspect(s, `answered ${job.status}`);
+        else t.health.good(s.id);
         return true;
       }
       const f = got.val;
       job.fault = f;
       job.avoid.add(s.id);
-      if (f.code === 'gone') return true;
+      if (f.code === 'gone' && job.left.signal.aborted) return true;
       if (f.code === 'unsent') job.arrivals--;
       const late = f.code === 'late' && t.health.silent(s.id) > SILENT;
-      if (f.code === 'unsent' || f.code === 'broken' || late) t.suspect(s, f.why);
+      if (f.code === 'unsent' || f.code === 'broken' || f.code === 'gone' || late) t.suspect(s, f.why);
       if (f.ran === 'no') return false;
       job.maybe = true;
       return !again(job);
--- a/packages/router/src/serve.test.ts
+++ b/packages/router/src/serve.test.ts
@@ -12,6 +12,7 @@
 import { ServerHealth } from './serverhealth.js';
 import { ServerList } from './serverlist.js';
 import { ServerLoads } from './serverloads.js';
+import { ServerSpeed } from './serverspeed.js';
 import type { Act } from './stand.test.js';
 import { prompt, request, routing, server, testClock, testEngine, testSink, testWorld } from './stand.test.js';
 
@@ -42,7 +43,8 @@
   const loads = ServerLoads.make(),
     health = ServerHealth.make(time.clock),
     kept = KeptParts.make(() => 400_000),
-    pace = Pace.make();
+    pace = Pace.make(),
+    speed = ServerSpeed.make(time.clock);
   const terms = { ratio: 0.2, window: 10_000, slack: 0 };
   const budget = Budget.make(
     time.clock,
@@ -51,9 +53,19 @@
   );
   for (let i = 0; i < (s.budget ?? 20); i++) budget.request();
   const routes = RouteTable.make(routing(s.route));
-  const tools = { chance: world.chance, zone: 'z1', list, loads, health, kept, pace: pace.now, changing: () => false };
+  const tools = {
+    chance: world.chance,
+    zone: 'z1',
+    list,
+    loads,
+    health,
+    kept,
+    pace: pace.now,
+    speed: speed.of,
+    changing: () => false,
+  };
   const serve = Serve.make({
-    ...{ world, list, loads, health, kept, pace, budget, engine: testEngine(s.script, calls) },
+    ...{ world, list, loads, health, kept, pace, speed, budget, engine: testEngine(s.script, calls) },
     ...{ shut: () => s.shut ?? null, routes: () => routes, placement: Placement.make(tools) },
     suspect: (x) => void (health.bad(x.id) && suspected.push(x.id)),
   });
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -41,7 +41,7 @@
       return {
         ...{ request, sink, service, left, route: found.route, after: request.after },
         due: Math.min(request.due, now() + found.route.timeout),
-        ...{ arrivals: 0, reads: 0, events: 0, handle: null, begun: false, maybe: false, fault: null },
+        ...{ arrivals: 0, reads: 0, events: 0, handle: null, begun: false, status: 0, maybe: false, fault: null },
         avoid: new Set(),
       };
     };
--- a/packages/router/src/serverhealth.ts
+++ b/packages/router/src/serverhealth.ts
@@ -1,13 +1,17 @@
 import type { Clock } from '@pumicebarrow/forms';
 
-type Row = { stir: number; bad: number; until: number; trial: boolean };
+type Row = { stir: number; level: number; until: number; shut: boolean; trial: boolean };
 const FIRST = 700;
-const MOST = 4000;
+const MOST = 5600;
+const TOP = 5;
+/** What one good outcome takes off the level that one failure adds to by 1. */
+const EASE = 0.12;
 
 /**
- * How servers fare, judged by what requests met and by nothing else. Invariants: a server that failed is left alone
- * for a time that doubles with each failure in a row; after it, one request at a time tries it, and a good outcome
- * clears it; suspicion bars no server while no other is left.
+ * How servers fare, judged by what requests met and by nothing else: a health answer may be false either way.
+ * Invariants: a server that failed is left alone for a time that doubles with its level; after it, one request at a
+ * time tries it, and a good outcome opens it again; its level falls slowly, so that one which fails a part of its
+ * requests is left alone for longer each time; suspicion bars no server while no other is left.
  */
 export const ServerHealth = {
   make(clock: Clock) {
@@ -15,7 +19,7 @@
     const row = (id: string): Row => {
       const old = rows.get(id);
       if (old) return old;
-      const next = { stir: -Infinity, bad: 0, until: -Infinity, trial: false };
+      const next = { stir: -Infinity, level: 0, until: -Infinity, shut: false, trial: false };
       rows.set(id, next);
       return next;
     };
@@ -27,33 +31,35 @@
       silent: (id: string): number => clock.mono() - row(id).stir,
       good(id: string): void {
         const r = row(id);
-        r.bad = 0;
+        r.level = Math.max(0, r.level - EASE);
         r.until = -Infinity;
+        r.shut = false;
         r.trial = false;
       },
-      /** True if this is news: the server was not under suspicion before. */
+      /** True if this is news: the server was open to all before. */
       bad(id: string): boolean {
         const r = row(id),
           now = clock.mono();
-        const fresh = r.until <= now;
-        if (fresh || r.trial) r.bad++;
+        const fresh = !r.shut;
+        if (fresh || r.trial) r.level = Math.min(TOP, r.level + 1);
         r.trial = false;
-        r.until = Math.max(r.until, now + Math.min(MOST, FIRST * 2 ** (r.bad - 1)));
-        return fresh && r.bad === 1;
+        r.shut = true;
+        r.until = Math.max(r.until, now + Math.min(MOST, FIRST * 2 ** (r.level - 1)));
+        return fresh;
       },
       /** Another daemon suspects it: it is left alone for a moment, for it may be their link. */
       hint(id: string): void {
         const r = row(id);
-        if (r.bad === 0) r.until = Math.max(r.until, clock.mono() + FIRST / 2);
+        if (!r.shut) r.until = Math.max(r.until, clock.mono() + FIRST / 2);
       },
       /** Whether requests may go there now; the one that is let in after a suspicion has the trial. */
       open(id: string): boolean {
         const r = rows.get(id);
-        return !r || r.bad === 0 ? (r?.until ?? -Infinity) <= clock.mono() : r.until <= clock.mono() && !r.trial;
+        return !r || (r.until <= clock.mono() && !(r.shut && r.trial));
       },
       begin(id: string): void {
         const r = rows.get(id);
-        if (r && r.bad > 0) r.trial = true;
+        if (r?.shut) r.trial = true;
       },
       suspects: (): string[] => [...rows].filter(([, r]) => r.until > clock.mono()).map(([id]) => id),
       only(ids: ReadonlySet<string>): void {
--- a/packages/router/src/servetools.ts
+++ b/packages/router/src/servetools.ts
@@ -9,6 +9,7 @@
 import type { ServerHealth } from './serverhealth.js';
 import type { ServerListing } from './serverlisting.js';
 import type { ServerLoads } from './serverloads.js';
+import type { ServerSpeed } from './serverspeed.js';
 
 /** What the serving of requests works with. */
 export type ServeTools = {
@@ -22,6 +23,7 @@
   health: ReturnType<typeof ServerHealth.make>;
   kept: ReturnType<typeof KeptParts.make>;
   pace: ReturnType<typeof Pace.make>;
+  speed: ReturnType<typeof ServerSpeed.make>;
   placement: ReturnType<typeof Placement.make>;
   budget: ReturnType<typeof Budget.make>;
   /** This daemon saw a server fail. */
--- a/packages/router/src/stand.test.ts
+++ b/packages/router/src/stand.test.ts
@@ -93,7 +93,7 @@
 /** What a scripted engine does at the next call: give a handle, give events and an end, or fail after some. */
 export type Act =
   | { read: 'ok' | SendFault['code']; ran?: SendFault['ran'] }
-  | { run: 'ok' | SendFault['code']; ran?: SendFault['ran']; events?: number; hang?: boolean };
+  | { run: 'ok' | SendFault['code']; ran?: SendFault['ran']; events?: number; hang?: boolean; status?: number };
 
 export const testEngine = (script: Act[], calls: string[]): Engine => {
   let n = 0;
@@ -114,7 +114,7 @@
       if (!act || !('run' in act)) return fault('broken', 'maybe');
       if (act.events) {
         heard.stir();
-        heard.head(200, [['x-seal', s.id]]);
+        if (!heard.head(act.status ?? 200, [['x-seal', s.id]])) return fault('gone', 'maybe');
         const first = Number(after ?? 0);
         for (let i = 1; i <= act.events; i++) heard.event(String(first + i), Buffer.from(`${first + i};`));
       }
--- a/packages/router/src/tables.test.ts
+++ b/packages/router/src/tables.test.ts
@@ -164,6 +164,20 @@
     h.begin('s');
     expect(h.open('s')).to.equal(true);
   });
+  it('leaves one that fails now and then alone for longer each time', async () => {
+    const time = testClock();
+    const h = ServerHealth.make(time.clock);
+    const shutFor: number[] = [];
+    for (let i = 0; i < 4; i++) {
+      h.bad('s');
+      let ms = 0;
+      for (; !h.open('s'); ms += 100) await time.pass(100);
+      shutFor.push(ms);
+      h.begin('s');
+      h.good('s');
+    }
+    expect(shutFor[3]).to.be.greaterThan(3 * shutFor[0]!);
+  });
   it("leaves one alone for half as long at another's word", async () => {
     const time = testClock();
     const h = ServerHealth.make(time.clock);
