Claims on a view are laid down once the next one is under way, not waited out

Cause: each view change waited for the claims that the voters had just granted to living members, up to 0.8 s each, and a cold restart with a lost disk makes several changes. Made: a voter that is to promise asks the holders (core.rest) and forgets a claim on its holder's reply to that very question, while it grants nothing; a holder drops what it holds and what is on its way. A silent one is waited out. Ruled out: members telling voters unasked (a late word could end a younger claim).

--- a/packages/registry/src/core.ts
+++ b/packages/registry/src/core.ts
@@ -10,6 +10,7 @@
 import type { Member } from './member.js';
 import { Minder } from './minder.js';
 import { Paces } from './paces.js';
+import { Rest } from './rest.js';
 import type { Storing } from './storing.js';
 import type { View } from './view.js';
 import { Views } from './views.js';
@@ -40,6 +41,7 @@
     const voter = Voter.make(store, world.clock.mono, kept.vote, kept.view ? world.clock.mono() + Paces.hold : 0);
     const watch = Watch.make(world, post, me, voter);
     let view: View | null = null;
+    const resting = Rest.make(world, post, me, () => view, watch, voter);
     let leaving = false;
     let stop: () => void = () => undefined;
     const sick = (): boolean => life.machine.current === 'sick' || store.stalled() > Paces.stall;
@@ -71,7 +73,7 @@
       if (done.err) ill(done.val);
       return true;
     };
-    const helm = Helm.make(world, post, me, voter, adopt);
+    const helm = Helm.make(world, post, me, resting, adopt);
 
     const stands = (): boolean => !view && (h.first || kept.vote !== null);
     const founding = Founding.make(world, post, voter, helm, { ...h, me, view: () => view, stands, adopt });
@@ -112,14 +114,14 @@
         body.epoch === view.epoch &&
         Views.place(view, body.me) >= 0 &&
         Views.votes(view, me()) &&
-        voter.grant(view.epoch, Paces.hold);
+        voter.grant(view.epoch, Paces.hold, body.me);
       return { me: me(), view, claim, sick: sick(), fresh: chain.fresh() };
     });
     const fits = (epoch: number): boolean =>
       epoch === (view?.epoch ?? 0) + 1 && (view ? Views.votes(view, me()) : stands());
     post.on('core.prepare', CoreWords.prepare, async (body) => {
       if (!fits(body.epoch)) return { ok: false, wait: 0, promised: 0, took: null, view };
-      return { ...(await voter.prepare(body.epoch, body.ballot)), view };
+      return { ...(await resting.prepare(body.epoch, body.ballot)), view };
     });
     post.on('core.accept', CoreWords.accept, async (body) => {
       if (!fits(body.epoch)) return { ok: false, promised: 0, view };
--- a/packages/registry/src/corewords.ts
+++ b/packages/registry/src/corewords.ts
@@ -27,6 +27,7 @@
   accepted: Type.Object({ ok: Type.Boolean(), promised: Type.Integer(), view: maybeView }, shut),
   view: Type.Object({ view: View }, shut),
   look: Type.Object({}, shut),
+  rest: Type.Object({ epoch: Type.Integer() }, shut),
   meet: Type.Object({ me: Member }, shut),
   met: Type.Object({ view: maybeView, took: maybeView, me: Member, met: Type.Array(Member) }, shut),
   hint: Type.Object({ view: maybeView }, shut),
--- a/packages/registry/src/index.ts
+++ b/packages/registry/src/index.ts
@@ -24,6 +24,7 @@
 export { Paces } from './paces.js';
 export { Plan } from './plan.js';
 export { Registrar } from './registrar.js';
+export { Rest } from './rest.js';
 export { Roll } from './roll.js';
 export { type Rudder } from './rudder.js';
 export { Ruling } from './ruling.js';
--- a/packages/registry/src/paces.ts
+++ b/packages/registry/src/paces.ts
@@ -15,4 +15,5 @@
   met: 2000,
   leave: 1000,
   peek: 250,
+  rest: 200,
 };
--- /dev/null
+++ b/packages/registry/src/rest.ts
@@ -0,0 +1,43 @@
+import { Timer, type PostBox, type World } from '@pumicebarrow/forms';
+import { CoreWords } from './corewords.js';
+import type { Lookout } from './lookout.js';
+import type { Member } from './member.js';
+import { Paces } from './paces.js';
+import type { View } from './view.js';
+import { Views } from './views.js';
+import type { Voting } from './voting.js';
+
+/**
+ * How claims end before their term once a next view is under way: a voter asks those that hold its claims to lay them
+ * down, and need not wait for the term of one that did. Invariants: a holder speaks no more, and takes up no claim that
+ * it asked for before, once it has said so; a voter asks only while it grants nothing, and forgets a claim only on its
+ * holder's reply to that very question.
+ */
+export const Rest = {
+  make(world: World, post: PostBox, me: () => Member, view: () => View | null, watch: Lookout, voter: Voting) {
+    post.on('core.rest', CoreWords.rest, (body) => {
+      const ok = view()?.epoch === body.epoch;
+      if (ok) watch.rest();
+      return { ok };
+    });
+    const ask = async (v: View, m: Member): Promise<void> => {
+      if (Views.same(m, me())) watch.rest();
+      else {
+        const r = await post.ask(m.addr, m.id, 'core.rest', { epoch: v.epoch }, CoreWords.done, Paces.ask);
+        if (!r.ok || !r.val.ok) return;
+      }
+      voter.rested(v.epoch, m);
+    };
+    return {
+      ...voter,
+      async prepare(epoch: number, ballot: number): ReturnType<Voting['prepare']> {
+        const first = await voter.prepare(epoch, ballot),
+          v = view();
+        if (first.ok || first.wait === 0 || !v || v.epoch + 1 !== epoch) return first;
+        const all = Promise.all(v.chain.map((m) => ask(v, m)));
+        await Promise.race([all, Timer.nap(world.clock, Paces.rest)]);
+        return voter.prepare(epoch, ballot);
+      },
+    };
+  },
+};
--- a/packages/registry/src/voter.ts
+++ b/packages/registry/src/voter.ts
@@ -3,8 +3,11 @@
 import type { View } from './view.js';
 import type { Vote } from './vote.js';
 
+type Who = { id: string; born: string };
 type Prepared = { ok: boolean; wait: number; promised: number; took: Vote['took'] };
 
+const key = (w: Who | undefined): string => (w ? `${w.id}/${w.born}` : '');
+
 /**
  * One voter's part in choosing the next view: one single-decree agreement an epoch.
  * Invariants: a promise or an acceptance is synced before it is said; while a claim granted on the present
@@ -14,10 +17,11 @@
 export const Voter = {
   make(store: Storing, mono: () => number, kept: Vote | null, until = 0) {
     let vote: Vote | null = kept;
-    let held = until;
+    const held = new Map([['', until]]);
     let moving = 0;
     let present = 0;
     let chain: Promise<unknown> = Promise.resolve();
+    const last = (): number => Math.max(...held.values(), 0);
     const alone = <T>(fn: () => Promise<T>): Promise<T> => {
       const next = chain.then(fn, fn);
       chain = next;
@@ -39,16 +43,16 @@
     return {
       took: (): View | null => vote?.took?.view ?? null,
       /** Grants a claim on the view of `epoch`, unless the next view is under way. */
-      grant(epoch: number, ms: number): boolean {
+      grant(epoch: number, ms: number, who?: Who): boolean {
         if (mono() < moving || at(epoch + 1).promised > 0) return false;
-        held = Math.max(held, mono() + ms);
+        held.set(key(who), mono() + ms);
         return true;
       },
       prepare: (epoch: number, ballot: number): Promise<Prepared> =>
         alone(async () => {
           if (epoch <= present) return no(epoch, 0);
           moving = mono() + 1500;
-          if (mono() < held) return no(epoch, held - mono());
+          if (mono() < last()) return no(epoch, last() - mono());
           const mine = at(epoch);
           if (past(epoch) || ballot <= mine.promised) return no(epoch, 0);
           const next = { ...mine, promised: ballot };
@@ -58,14 +62,19 @@
       accept: (epoch: number, ballot: number, view: View): Promise<{ ok: boolean; promised: number }> =>
         alone(async () => {
           const mine = at(epoch);
-          if (past(epoch) || ballot < mine.promised || mono() < held) return { ok: false, promised: mine.promised };
+          if (past(epoch) || ballot < mine.promised || mono() < last()) return { ok: false, promised: mine.promised };
           const done = await save({ epoch, promised: ballot, took: { ballot, view } });
           return { ok: done.ok, promised: ballot };
         }),
+      /** One that held a claim on the view of `epoch` has laid it down. */
+      rested(epoch: number, who: Who): void {
+        if (epoch === present && mono() < moving) held.delete(key(who));
+      },
       /** A new view is in force; what was bound to the old one is over. */
       moved(epoch: number): void {
         present = epoch;
         moving = 0;
+        for (const [k, at] of held) if (at <= mono()) held.delete(k);
       },
     };
   },
--- a/packages/registry/src/watch.ts
+++ b/packages/registry/src/watch.ts
@@ -43,6 +43,11 @@
       silent: (m: Member): number => now() - Math.max(heard.get(key(m))?.at ?? 0, since),
       /** Whether its place was found taken by one of the same id and another life: so it is no more. */
       emptied: (m: Member): boolean => empty.get(key(m)) === true,
+      /** Lays down all claims, those still on their way too. */
+      rest(): void {
+        grants.clear();
+        eras++;
+      },
       reset(): void {
         grants.clear();
         eras++;
@@ -61,7 +66,7 @@
           before = slept,
           era = eras,
           inside = Views.place(view, me()) >= 0;
-        if (inside && Views.votes(view, me()) && voter.grant(view.epoch, Paces.hold))
+        if (inside && Views.votes(view, me()) && voter.grant(view.epoch, Paces.hold, me()))
           grants.set(key(me()), at + Paces.hold);
         const ask = async (m: Member): Promise<void> => {
           const body = { me: me(), epoch: view.epoch, ...self };
