Voters are met where they last said they are, when the view's addresses are stale

Made later, built but not run: drills exchangedtwo, exchangedall; doors must meet a confirm after it (rehoused).

--- a/packages/registry/src/core.ts
+++ b/packages/registry/src/core.ts
@@ -17,6 +17,7 @@
 import { Voter } from './voter.js';
 import type { Vote } from './vote.js';
 import { Watch } from './watch.js';
+import { Whereabouts } from './whereabouts.js';
 
 type Kept = { view: View | null; vote: Vote | null; state: CoreState };
 type Hooks = {
@@ -39,13 +40,16 @@
     const me = (): Member => ({ id: ident().id, born: ident().born, addr: ident().addr });
     const life = interpret(CoreLife, () => undefined);
     const voter = Voter.make(store, world.clock.mono, kept.vote, kept.view ? world.clock.mono() + Paces.hold : 0);
-    const watch = Watch.make(world, post, me, voter);
+    const spots = Whereabouts.make(world, post, me, h.cores);
+    const watch = Watch.make(world, post, me, spots, voter);
     let view: View | null = null;
-    const resting = Rest.make(world, post, me, () => view, watch, voter);
+    const resting = Rest.make(world, post, me, spots, () => view, watch, voter);
     let leaving = false;
     let stop: () => void = () => undefined;
     const sick = (): boolean => life.machine.current === 'sick' || store.stalled() > Paces.stall;
     const inside = (): boolean => !!view && view.chain.some((m) => Views.same(m, me()) && m.addr === me().addr);
+    /** In the chain, though the view may still have it at another address. */
+    const placed = (v: View): boolean => Views.place(v, me()) >= 0;
     const live = (): boolean => !sick() && watch.live(view);
     const ill = (why: string): void => {
       if (life.machine.current !== 'sick') {
@@ -73,17 +77,17 @@
       if (done.err) ill(done.val);
       return true;
     };
-    const helm = Helm.make(world, post, me, resting, adopt);
+    const helm = Helm.make(world, post, me, spots, resting, adopt);
 
     const stands = (): boolean => !view && (h.first || kept.vote !== null);
-    const founding = Founding.make(world, post, voter, helm, { ...h, me, view: () => view, stands, adopt });
+    const founding = Founding.make(world, post, voter, helm, { ...h, me, spots, view: () => view, stands, adopt });
 
     const join = async (v: View): Promise<void> => {
       const ask = Dice.one(
         world.chance,
         Views.all(v).filter((m) => m.id !== me().id),
       );
-      if (ask) await post.ask(ask.addr, ask.id, 'core.join', { me: me() }, CoreWords.done, Paces.ask);
+      if (ask) await post.ask(spots.of(ask), ask.id, 'core.join', { me: me() }, CoreWords.done, Paces.ask);
     };
     const minder = Minder.make(me, watch, helm, chain);
     const heal = async (): Promise<void> => {
@@ -108,6 +112,7 @@
     };
 
     post.on('core.beat', CoreWords.beat, (body) => {
+      spots.note(body.me);
       watch.seen(body.me, { sick: body.sick, fresh: body.fresh, epoch: body.epoch });
       const claim =
         !!view &&
@@ -132,7 +137,8 @@
     post.on('core.join', CoreWords.join, (body) => {
       const v = view,
         m = body.me;
-      if (!v || !inside() || sick() || helm.busy() || !Views.votes(v, me())) return { ok: false };
+      spots.note(m);
+      if (!v || !placed(v) || sick() || helm.busy() || !Views.votes(v, me())) return { ok: false };
       const twin = v.chain.find((x) => x.id === m.id);
       if (!Views.room(v, m) || (twin?.addr === m.addr && Views.same(twin, m))) return { ok: false };
       if (twin && !Views.same(twin, m) && watch.silent(twin) < Paces.suspect) return { ok: false };
--- a/packages/registry/src/founding.ts
+++ b/packages/registry/src/founding.ts
@@ -4,12 +4,14 @@
 import type { Member } from './member.js';
 import { Paces } from './paces.js';
 import type { Rudder } from './rudder.js';
+import type { Spots } from './spots.js';
 import type { View } from './view.js';
 import { Views } from './views.js';
 import type { Voting } from './voting.js';
 
 type Hooks = {
   me: () => Member;
+  spots: Spots;
   /** How many machines may be lost at once. */
   losses: number;
   cores: () => readonly string[];
@@ -59,7 +61,8 @@
         const took = voter.took(),
           me = h.me();
         if (took && Views.votes(took, me)) {
-          await helm.propose(took.voters, took, 'Taking up a first view left half made.');
+          if (await helm.propose(took.voters, took, 'Taking up a first view left half made.')) return;
+          await h.spots.search(took);
           return;
         }
         const held = newest(await ask('core.look', {}, CoreWords.seen));
--- a/packages/registry/src/helm.ts
+++ b/packages/registry/src/helm.ts
@@ -3,6 +3,7 @@
 import type { Member } from './member.js';
 import { Most } from './most.js';
 import { Paces } from './paces.js';
+import type { Spots } from './spots.js';
 import type { View } from './view.js';
 import { Views } from './views.js';
 import type { Voting } from './voting.js';
@@ -27,7 +28,14 @@
  * voters before it, is put to those it names: all must promise it before any takes it.
  */
 export const Helm = {
-  make(world: World, post: PostBox, me: () => Member, voter: Voting, adopt: (v: View) => Promise<boolean>) {
+  make(
+    world: World,
+    post: PostBox,
+    me: () => Member,
+    spots: Spots,
+    voter: Voting,
+    adopt: (v: View) => Promise<boolean>,
+  ) {
     let busy = false;
     let top = 0;
     let told: Promise<unknown> = Promise.resolve();
@@ -61,7 +69,14 @@
         most = Math.floor(voters.length / 2) + 1;
       const first = await poll(voters, epoch === 1 ? voters.length : most, async (m) => {
         if (Views.same(m, me())) return { ...(await voter.prepare(epoch, n)), view: null };
-        const r = await post.ask(m.addr, m.id, 'core.prepare', { epoch, ballot: n }, CoreWords.prepared, Paces.ask);
+        const r = await post.ask(
+          spots.of(m),
+          m.id,
+          'core.prepare',
+          { epoch, ballot: n },
+          CoreWords.prepared,
+          Paces.ask,
+        );
         return r.ok ? r.val : null;
       });
       for (const v of first) top = Math.max(top, v.promised);
@@ -85,7 +100,7 @@
       const second = await poll(voters, most, async (m) => {
         if (Views.same(m, me())) return { ...(await voter.accept(epoch, n, view)), view: null };
         const r = await post.ask(
-          m.addr,
+          spots.of(m),
           m.id,
           'core.accept',
           { epoch, ballot: n, view },
@@ -116,7 +131,7 @@
               told = Promise.all(
                 Views.all(view)
                   .filter((m) => !Views.same(m, me()))
-                  .map((m) => post.ask(m.addr, m.id, 'core.view', { view }, CoreWords.done, Paces.ask)),
+                  .map((m) => post.ask(spots.of(m), m.id, 'core.view', { view }, CoreWords.done, Paces.ask)),
               );
               return done;
             }
--- a/packages/registry/src/paces.ts
+++ b/packages/registry/src/paces.ts
@@ -16,4 +16,5 @@
   leave: 1000,
   peek: 250,
   rest: 200,
+  search: 1000,
 };
--- a/packages/registry/src/rest.ts
+++ b/packages/registry/src/rest.ts
@@ -3,6 +3,7 @@
 import type { Lookout } from './lookout.js';
 import type { Member } from './member.js';
 import { Paces } from './paces.js';
+import type { Spots } from './spots.js';
 import type { View } from './view.js';
 import { Views } from './views.js';
 import type { Voting } from './voting.js';
@@ -14,7 +15,15 @@
  * holder's reply to that very question.
  */
 export const Rest = {
-  make(world: World, post: PostBox, me: () => Member, view: () => View | null, watch: Lookout, voter: Voting) {
+  make(
+    world: World,
+    post: PostBox,
+    me: () => Member,
+    spots: Spots,
+    view: () => View | null,
+    watch: Lookout,
+    voter: Voting,
+  ) {
     post.on('core.rest', CoreWords.rest, (body) => {
       const ok = view()?.epoch === body.epoch;
       if (ok) watch.rest();
@@ -23,7 +32,7 @@
     const ask = async (v: View, m: Member): Promise<void> => {
       if (Views.same(m, me())) watch.rest();
       else {
-        const r = await post.ask(m.addr, m.id, 'core.rest', { epoch: v.epoch }, CoreWords.done, Paces.ask);
+        const r = await post.ask(spots.of(m), m.id, 'core.rest', { epoch: v.epoch }, CoreWords.done, Paces.ask);
         if (!r.ok || !r.val.ok) return;
       }
       voter.rested(v.epoch, m);
--- a/packages/registry/src/watch.ts
+++ b/packages/registry/src/watch.ts
@@ -2,6 +2,7 @@
 import { CoreWords } from './corewords.js';
 import type { Member } from './member.js';
 import { Paces } from './paces.js';
+import type { Spots } from './spots.js';
 import type { View } from './view.js';
 import { Views } from './views.js';
 import type { Voting } from './voting.js';
@@ -17,7 +18,7 @@
  * asked for.
  */
 export const Watch = {
-  make(world: World, post: PostBox, me: () => Member, voter: Voting) {
+  make(world: World, post: PostBox, me: () => Member, spots: Spots, voter: Voting) {
     const heard = Fading.make<Heard>(world.clock.mono, LIVES);
     const grants = new Map<string, number>();
     const key = (m: Member): string => `${m.id}/${m.born}`;
@@ -70,9 +71,10 @@
           grants.set(key(me()), at + Paces.hold);
         const ask = async (m: Member): Promise<void> => {
           const body = { me: me(), epoch: view.epoch, ...self };
-          const r = await post.ask(m.addr, m.id, 'core.beat', body, CoreWords.beaten, Paces.ask);
+          const r = await post.ask(spots.of(m), m.id, 'core.beat', body, CoreWords.beaten, Paces.ask);
           asking.delete(key(m));
           awake.look();
+          if (!r.ok) void spots.search(view);
           if (!r.ok || slept !== before) return;
           if (r.val.me.id === m.id && r.val.me.born !== m.born) empty.set(key(m), true, KEEP);
           if (!Views.same(r.val.me, m)) return;
--- a/packages/sim/src/bench.ts
+++ b/packages/sim/src/bench.ts
@@ -98,6 +98,11 @@
       move(id: string): void {
         boxes.get(id)!.move(`10.0.1.${spare++}:7000`);
       },
+      /** Machines that are down come back at each other's addresses: each at that of the next, the last at the first's. */
+      exchange(list: readonly string[]): void {
+        const addrs = list.map((id) => boxes.get(id)!.addr());
+        list.forEach((id, i) => boxes.get(id)!.move(addrs[(i + 1) % addrs.length]!));
+      },
       /** The ids on the chain, head first, as the newest view met has it. */
       chain: (): string[] => TopView.of(cores.values())?.chain.map((m) => m.id) ?? [],
       /** All are up, in the chain and voting, with nothing of the last fault left. */
--- a/packages/sim/src/drills/larger.ts
+++ b/packages/sim/src/drills/larger.ts
@@ -63,6 +63,23 @@
   },
 });
 
+/** Cores come back with their disks, but where the view has another of them. */
+const exchanged = (name: string, about: string, n: number): CoreDrill => ({
+  name,
+  about,
+  async run(s) {
+    const from = Math.floor(s.b.motor.chance.real() * 3);
+    const list = Array.from({ length: n }, (_, i) => s.b.ids[(from + i) % 3]!);
+    await s.change(3);
+    stop(s, list);
+    s.b.exchange(list);
+    await s.nap(300);
+    back(s, list, 500);
+    await s.nap(500);
+    return serves(s, `${n} exchanged addresses`);
+  },
+});
+
 /** Cores of other sizes and other names, brought to the edge of what they promise. */
 export const Larger: readonly CoreDrill[] = [
   {
@@ -150,6 +167,8 @@
       return good && s.b.chain().every((id) => !some.includes(id));
     },
   },
+  exchanged('exchangedtwo', "two cores of three come back at each other's addresses", 2),
+  exchanged('exchangedall', "all three cores come back at one another's addresses", 3),
   cold('all three cores are killed at one instant, one of them while it writes, and come back', {
     losses: 1,
     spares: 0,
--- a/packages/sim/src/drills/places.ts
+++ b/packages/sim/src/drills/places.ts
@@ -9,7 +9,7 @@
     about:
       'the daemons that operators start from, then two cores, exchange addresses while plans are ' +
       'open and confirms under way',
-    meets: ['moved', 'confirmed'],
+    meets: ['moved', 'rehoused'],
     async run(s) {
       for (const group of [s.f.edgeIds, s.f.coreIds]) {
         const [a, b] = s.f.some(group, 2) as [string, string];
@@ -23,7 +23,7 @@
         for (const id of [a, b]) s.f.start(id);
         void s.ops.confirm(door, open.name);
         await s.nap(5000);
-        await s.ops.change(20);
+        if ((await s.ops.change(20)) && group === s.f.coreIds) s.note('rehoused', { ids: [a, b] });
       }
     },
   },
--- a/packages/sim/src/meets.ts
+++ b/packages/sim/src/meets.ts
@@ -75,6 +75,8 @@
   corefrozen: some('frozen', core),
   wiped: some('wiped'),
   moved: some('moved'),
+  /** A charter confirmed after two cores exchanged addresses. */
+  rehoused: some('rehoused'),
   leaves: some('leaves'),
   cutmet: some('lifted', (d) => Number(d['met']) > 0),
   lost: some('lifted', (d) => Number(d['lost']) > 0),
