--- a/packages/counter/src/newest.ts
+++ b/packages/counter/src/newest.ts
@@ -12,11 +12,14 @@
   shelf: Holding;
   self: () => Ident;
   known: () => readonly Ident[];
+  /** How often this daemon has slept, as looked for now. */
+  slept: () => number;
 };
 
 /**
  * Seeks the newest charter outside a gossip: at the tail, or, with the core cut off, from a majority of known daemons.
- * Invariant: `sure` is said only when no charter in force when the search began is newer than the one now held.
+ * Invariant: `sure` is said only when no charter in force when the search began is newer than the one now held, and
+ * nothing was slept through since then: a reply may have waited for us to wake.
  */
 export const Newest = {
   make(t: Tools) {
@@ -46,7 +49,8 @@
     };
     return {
       async sure(): Promise<boolean> {
-        return (await tail(600)) || (await most());
+        const before = t.slept();
+        return ((await tail(600)) || (await most())) && t.slept() === before;
       },
       tail,
     };
--- a/packages/sim/src/parkline.ts
+++ b/packages/sim/src/parkline.ts
@@ -25,7 +25,8 @@
 
 /**
  * One daemon's line to the simulated servers. A cut either stops a connection from being made, or leaves what was
- * written in buffers, heard when the cut is over; so do the buffers of a server that has gone dark.
+ * written in buffers, heard when the cut is over; so do the buffers of a server that has gone dark. Nothing is heard,
+ * not even silence, by a daemon whose machine is frozen.
  */
 export const ParkLine = {
   make(t: Tools, me: Box): Back {
@@ -53,6 +54,10 @@
       let line: (() => void)[] = [];
       const flush = (): void => {
         if (line.length === 0) return;
+        if (me.frozen()) {
+          motor.at(me.thaw(), flush);
+          return;
+        }
         if (s.dark || mute(s.id, me.id)) {
           motor.at(motor.now() + LOOK, flush);
           return;
@@ -117,7 +122,8 @@
       const held = (s: Server): boolean => (on || mute(me.id, s.id) ? me.life() === life : false);
       const silent = new Promise<Told<null>>((done) => {
         const watch = (): void => {
-          if (motor.now() - last > ms) done(Err({ ran: 'maybe', code: 'broken', dark: true, why: 'silent' }));
+          if (me.frozen()) motor.at(me.thaw(), watch);
+          else if (motor.now() - last > ms) done(Err({ ran: 'maybe', code: 'broken', dark: true, why: 'silent' }));
           else if (on && me.life() === life) motor.at(motor.now() + 100, watch);
         };
         watch();
