--- a/packages/registry/src/core.ts
+++ b/packages/registry/src/core.ts
@@ -10,12 +10,14 @@
 import type { Member } from './member.js';
 import { Minder } from './minder.js';
 import { Paces } from './paces.js';
+import { Rest } from './rest.js';
 import type { Storing } from './storing.js';
 import type { View } from './view.js';
 import { Views } from './views.js';
 import { Voter } from './voter.js';
 import type { Vote } from './vote.js';
 import { Watch } from './watch.js';
+import { Whereabouts } from './whereabouts.js';
 
 type Kept = { view: View | null; vote: Vote | null; state: CoreState };
 type Hooks = {
@@ -38,12 +40,16 @@
     const me = (): Member => ({ id: ident().id, born: ident().born, addr: ident().addr });
     const life = interpret(CoreLife, () => undefined);
     const voter = Voter.make(store, world.clock.mono, kept.vote, kept.view ? world.clock.mono() + Paces.hold : 0);
-    const watch = Watch.make(world, post, me, voter);
+    const spots = Whereabouts.make(world, post, me, h.cores);
+    const watch = Watch.make(world, post, me, spots, voter);
     let view: View | null = null;
+    const resting = Rest.make(world, post, me, spots, () => view, watch, voter);
     let leaving = false;
     let stop: () => void = () => undefined;
     const sick = (): boolean => life.machine.current === 'sick' || store.stalled() > Paces.stall;
     const inside = (): boolean => !!view && view.chain.some((m) => Views.same(m, me()) && m.addr === me().addr);
+    /** In the chain, though the view may still have it at another address. */
+    const placed = (v: View): boolean => Views.place(v, me()) >= 0;
     const live = (): boolean => !sick() && watch.live(view);
     const ill = (why: string): void => {
       if (life.machine.current !== 'sick') {
@@ -71,17 +77,17 @@
       if (done.err) ill(done.val);
       return true;
     };
-    const helm = Helm.make(world, post, me, voter, adopt);
+    const helm = Helm.make(world, post, me, spots, resting, adopt);
 
     const stands = (): boolean => !view && (h.first || kept.vote !== null);
-    const founding = Founding.make(world, post, voter, helm, { ...h, me, view: () => view, stands, adopt });
+    const founding = Founding.make(world, post, voter, helm, { ...h, me, spots, view: () => view, stands, adopt });
 
     const join = async (v: View): Promise<void> => {
       const ask = Dice.one(
         world.chance,
         Views.all(v).filter((m) => m.id !== me().id),
       );
-      if (ask) await post.ask(ask.addr, ask.id, 'core.join', { me: me() }, CoreWords.done, Paces.ask);
+      if (ask) await post.ask(spots.of(ask), ask.id, 'core.join', { me: me() }, CoreWords.done, Paces.ask);
     };
     const minder = Minder.make(me, watch, helm, chain);
     const heal = async (): Promise<void> => {
@@ -106,20 +112,21 @@
     };
 
     post.on('core.beat', CoreWords.beat, (body) => {
+      spots.note(body.me);
       watch.seen(body.me, { sick: body.sick, fresh: body.fresh, epoch: body.epoch });
       const claim =
         !!view &&
         body.epoch === view.epoch &&
         Views.place(view, body.me) >= 0 &&
         Views.votes(view, me()) &&
-        voter.grant(view.epoch, Paces.hold);
+        voter.grant(view.epoch, Paces.hold, body.me);
       return { me: me(), view, claim, sick: sick(), fresh: chain.fresh() };
     });
     const fits = (epoch: number): boolean =>
       epoch === (view?.epoch ?? 0) + 1 && (view ? Views.votes(view, me()) : stands());
     post.on('core.prepare', CoreWords.prepare, async (body) => {
       if (!fits(body.epoch)) return { ok: false, wait: 0, promised: 0, took: null, view };
-      return { ...(await voter.prepare(body.epoch, body.ballot)), view };
+      return { ...(await resting.prepare(body.epoch, body.ballot)), view };
     });
     post.on('core.accept', CoreWords.accept, async (body) => {
       if (!fits(body.epoch)) return { ok: false, promised: 0, view };
@@ -130,7 +137,8 @@
     post.on('core.join', CoreWords.join, (body) => {
       const v = view,
         m = body.me;
-      if (!v || !inside() || sick() || helm.busy() || !Views.votes(v, me())) return { ok: false };
+      spots.note(m);
+      if (!v || !placed(v) || sick() || helm.busy() || !Views.votes(v, me())) return { ok: false };
       const twin = v.chain.find((x) => x.id === m.id);
       if (!Views.room(v, m) || (twin?.addr === m.addr && Views.same(twin, m))) return { ok: false };
       if (twin && !Views.same(twin, m) && watch.silent(twin) < Paces.suspect) return { ok: false };
--- a/packages/registry/src/paces.ts
+++ b/packages/registry/src/paces.ts
@@ -15,4 +15,6 @@
   met: 2000,
   leave: 1000,
   peek: 250,
+  rest: 200,
+  search: 1000,
 };
