--- a/packages/router/src/keeperdesk.ts
+++ b/packages/router/src/keeperdesk.ts
@@ -14,8 +14,9 @@
 };
 const MOST = 20_000;
 const GONE = 2000;
-/** How many others a router tells of its loads. */
+/** How many others a router tells of its loads: all of a small fleet, few of a larger one. */
 const PEERS = 16;
+const FEW = 6;
 type Load = { read: number; beside: number; run: number };
 type Seen = { who: Ident; load: Load };
 
@@ -26,7 +27,7 @@
     /** The same few for one router for as long as they live, and each router a peer of about as many others. */
     const peers = (who: Ident): Ident[] => {
       const others = seen.all().flatMap((s) => (s.who.id === who.id ? [] : [s.who]));
-      const some = others.length <= PEERS ? others : Lot.rank(who.id, others, (o) => o.id).slice(0, PEERS);
+      const some = others.length <= PEERS ? others : Lot.rank(who.id, others, (o) => o.id).slice(0, FEW);
       return some.sort((a, b) => (a.id < b.id ? -1 : 1));
     };
     const fresh = (who: Ident, held: string): Ident[] | null => {
--- a/packages/router/src/loadnews.ts
+++ b/packages/router/src/loadnews.ts
@@ -13,6 +13,9 @@
 };
 const LOOK = 40;
 const AGAIN = 600;
+/** News is told as often as that in a fleet of so many; in a larger one less often, but never later than LATEST. */
+const SMALL = 10;
+const LATEST = 400;
 const KEEP = 1500;
 const MOST = 64;
 
@@ -31,7 +34,8 @@
     const sum = (): void => {
       const all = heard.all();
       const others = Math.max(0, (t.routers() ?? all.length + 1) - 1);
-      const scale = all.length > 0 ? Math.max(1, others / all.length) : 1;
+      // What few tell says little of the many: the root keeps one busy peer from looking like a busy fleet.
+      const scale = all.length > 0 ? Math.sqrt(Math.max(1, others / all.length)) : 1;
       const next = new Map<string, Row>();
       for (const rows of all)
         for (const [id, r] of rows) {
@@ -59,6 +63,8 @@
       const rows = [...t.loads.mine()].map(([id, r]) => [id, r.runs, r.reads, Math.round(r.tokens / 100)]);
       const text = JSON.stringify(rows);
       const now = t.clock.mono();
+      const every = Math.min(LATEST, LOOK * Math.max(1, (t.routers() ?? 1) / SMALL));
+      if (now - at < every) return;
       if (text === told && (rows.length === 0 || now - at < AGAIN)) return;
       told = text;
       at = now;
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -11,7 +11,9 @@
 /** ms without a byte from a server, while one is due, after which it is under suspicion. */
 const SILENT = 900;
 /** ms after which a request that may run again goes elsewhere: before its first event, and between events. */
-const FIRST = 1900;
+const FIRST = 2200;
+/** Runs at a server from which on it has much to do. */
+const BUSY = 8;
 const NEXT = 1300;
 /** ms between events of an idle server, and what each run beside adds. */
 const GAP = 35;
@@ -39,7 +41,9 @@
           t.suspect(s, `silent for ${Math.round(quiet)} ms`);
         }
         const most = job.events > 0 ? NEXT : FIRST;
-        if (again(job) && quiet > most && job.arrivals < job.route.tries) stop.abort('late');
+        // A server with much to do may be late with one; one with little to do, or wholly silent, has lost it.
+        const lost = t.health.silent(s.id) > SILENT || t.loads.at(s.id).runs < BUSY;
+        if (again(job) && quiet > most && lost && job.arrivals < job.route.tries) stop.abort('late');
       });
       return {
         stir(): void {
--- a/packages/router/src/serverspeed.ts
+++ b/packages/router/src/serverspeed.ts
@@ -6,6 +6,7 @@
 const MOST = 8;
 /** ms over which what was learnt of a server fades, so that one which was slow is tried again. */
 const FADE = 5000;
+const PLAIN = 2;
 
 /**
  * How much longer than foreseen each server takes, learnt from what was asked of it. Invariant: without news a server
@@ -19,7 +20,8 @@
       return r ? 1 + (r.factor - 1) * Math.exp(-(clock.mono() - r.at) / FADE) : 1;
     };
     return {
-      of,
+      /** Queues make any server late now and then: only what is clearly slower counts, and by what it is beyond that. */
+      of: (id: string): number => Math.max(1, of(id) - (PLAIN - 1)),
       note(id: string, took: number, foreseen: number): void {
         const seen = Math.min(MOST, Math.max(LEAST, took / Math.max(1, foreseen)));
         rows.set(id, { factor: of(id) * (1 - NEW) + seen * NEW, at: clock.mono() });
