--- a/packages/router/src/serverspeed.ts
+++ b/packages/router/src/serverspeed.ts
@@ -20,7 +20,7 @@
       return r ? 1 + (r.factor - 1) * Math.exp(-(clock.mono() - r.at) / FADE) : 1;
     };
     return {
-      /** Queues make any server late now and then: only what is clearly slower counts, and by what it is beyond that. */
+      /** Queues make any server late now and then: only what is clearly slower counts, and by what is beyond that. */
       of: (id: string): number => Math.max(1, of(id) - (PLAIN - 1)),
       note(id: string, took: number, foreseen: number): void {
         const seen = Math.min(MOST, Math.max(LEAST, took / Math.max(1, foreseen)));
