--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -96,15 +96,9 @@
       read: demand.read + (select.roomy('prefill', { weight: 1 }, '*turn') ? 0 : waitlist.weight()),
       write: demand.write,
     });
-    let sleeps = 0;
-    const slept = (): number => {
-      awake.look();
-      return sleeps;
-    };
-    const newest = Newest.make({ world, post, line, purge, shelf, self, known, slept });
+    const newest = Newest.make({ world, post, line, purge, shelf, self, known, slept: () => awake.slept() });
     const checkin = Checkin.make({ clock, line, sheet, shelf, newest, demand: demandNow });
     const awake = Awake.make(clock, () => {
-      sleeps++;
       duty.drop();
       watch.drop();
       hails.drop();
--- a/packages/forms/src/awake.ts
+++ b/packages/forms/src/awake.ts
@@ -14,11 +14,14 @@
     let mono = clock.mono();
     let wall = clock.wall();
     let off = false;
+    let naps = 0;
     const look = (): void => {
       const gap = Math.max(clock.mono() - mono, clock.wall() - wall);
       mono = clock.mono();
       wall = clock.wall();
-      if (gap > SLEPT) woke();
+      if (gap <= SLEPT) return;
+      naps++;
+      woke();
     };
     const beat = (): void => {
       if (off) return;
@@ -31,6 +34,11 @@
         off = true;
       },
       look,
+      /** How often the daemon has slept, as looked for now. */
+      slept: (): number => {
+        look();
+        return naps;
+      },
     };
   },
 };
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -58,13 +58,7 @@
     const purge = Purge.make(world, post, self, shelf, startup.tunes, startup.seeds, known);
     const line = Line.make(world, post, () => [...startup.seeds(), ...purge.peers().map((p) => p.addr)]);
     const peers = (): readonly Ident[] => purge.peers().filter((p) => p.role === 'counter' && p.id !== ident.id);
-    let naps = 0;
-    const slept = (): number => {
-      awake.look();
-      return naps;
-    };
     const awake = Awake.make(clock, () => {
-      naps++;
       list.drop();
       certain = false;
       if (is() !== 'serving') return;
@@ -78,7 +72,7 @@
       () => awake.look(),
     );
     const version = (): number => shelf.mark('charter')?.[0] ?? 0;
-    const newest = Newest.make({ world, post, line, purge, shelf, self, known: peers, slept });
+    const newest = Newest.make({ world, post, line, purge, shelf, self, known: peers, slept: () => awake.slept() });
     const loads = ServerLoads.make();
     const load = () => loads.total((id) => list.stage(id) === 'prefill');
     const head = HeadLine.make({ clock, post, line, shelf, purge, list, version, load, tail: newest.tail });
--- a/packages/router/src/stagemix.ts
+++ b/packages/router/src/stagemix.ts
@@ -3,10 +3,13 @@
 type Count = { prefill: number; decode: number };
 
 /** What is held to be busy: of reading, and of runs. */
-const READ = 600;
-const RUN = 16;
+const READ = 350;
+const RUN = 24;
+/** At these a stage is half used: ms of reading that waits, and runs at which each token takes twice as long. */
+const HALF = { read: 130, run: 22 };
+const FULL = 0.97;
 /** Below this no change is worth its cost; and a change must bring the busier stage below this part of what it is. */
-const BUSY = 0.8;
+const BUSY = 0.9;
 const GAIN = 0.8;
 const TIMES = 5;
 
@@ -17,10 +20,18 @@
  */
 export const StageMix = {
   /** How busy the busier stage is; work goes round, so what one server gives up the others take. */
-  pressure: (load: Load, now: Count, next: Count): number =>
-    next.prefill < 1 || next.decode < 1
-      ? Infinity
-      : Math.max((load.read * now.prefill) / next.prefill / READ, (load.run * now.decode) / next.decode / RUN),
+  pressure(load: Load, now: Count, next: Count): number {
+    if (next.prefill < 1 || next.decode < 1) return Infinity;
+    const read = StageMix.grown(load.read, HALF.read, now.prefill / next.prefill);
+    const run = StageMix.grown(load.run, HALF.run, now.decode / next.decode);
+    return Math.max(read / READ, run / RUN);
+  },
+  /** What waits or runs once each server takes `ratio` times as much: a queue grows faster than its load. */
+  grown(at: number, half: number, ratio: number): number {
+    if (ratio === 1) return at;
+    const used = (at / (at + half)) * ratio;
+    return used >= FULL ? Infinity : (half * used) / (1 - used);
+  },
   /** One more reader (1), one fewer (-1), or none. */
   lean(load: Load, now: Count): -1 | 0 | 1 {
     if (now.prefill + now.decode < 2) return 0;
@@ -30,7 +41,7 @@
     if (here < BUSY) return 0;
     const more = StageMix.pressure(load, now, { prefill: now.prefill + 1, decode: now.decode - 1 });
     const less = StageMix.pressure(load, now, { prefill: now.prefill - 1, decode: now.decode + 1 });
-    if (Math.min(more, less) > here * GAIN) return 0;
+    if (!(Math.min(more, less) <= here * GAIN)) return 0;
     return more < less ? 1 : -1;
   },
   make() {
--- a/packages/router/src/stages.test.ts
+++ b/packages/router/src/stages.test.ts
@@ -16,6 +16,8 @@
     ['many runs take a reader', { read: 50, run: 30 }, { prefill: 3, decode: 3 }, -1],
     ['both busy stay', { read: 1200, run: 30 }, { prefill: 3, decode: 3 }, 0],
     ['a passing clump of reads takes nothing', { read: 300, run: 6 }, { prefill: 3, decode: 3 }, 0],
+    ['what waits at two readers would drown one', { read: 173, run: 20 }, { prefill: 2, decode: 3 }, 0],
+    ['a clump of runs takes no reader that is half used', { read: 151, run: 14 }, { prefill: 3, decode: 3 }, 0],
     ['the last reader stays', { read: 0, run: 60 }, { prefill: 1, decode: 3 }, 0],
     ['the last decoder stays', { read: 5000, run: 0 }, { prefill: 3, decode: 1 }, 0],
     ['a stage without any is filled', { read: 0, run: 0 }, { prefill: 0, decode: 3 }, 1],
