--- a/packages/routesim/src/index.ts
+++ b/packages/routesim/src/index.ts
@@ -19,6 +19,7 @@
 export { ModelOperators } from './modeloperators.js';
 export { ModelPlatform } from './modelplatform.js';
 export { ModelServer } from './modelserver.js';
+export { Mutants } from './mutants.js';
 export { OneTry } from './onetry.js';
 export { type Piece } from './piece.js';
 export { Play } from './play.js';
--- a/packages/routesim/src/modelengine.ts
+++ b/packages/routesim/src/modelengine.ts
@@ -90,7 +90,8 @@
             return;
           }
           const gone = over;
-          drop = begin(target, inward.push, (r) => {
+          const heard = (fn: () => void): void => inward.push(() => (over || box.life() !== mine ? undefined : fn()));
+          drop = begin(target, heard, (r) => {
             const bad = r.err && r.val.code === 'broken';
             inward.push(() => (bad ? fault('broken', r.val.why) : finish(r)));
           });
--- /dev/null
+++ b/packages/routesim/src/mutants.ts
@@ -0,0 +1,26 @@
+import type { Bent } from './bent.js';
+
+type Mutant = { bent: Bent; drill: string; rule: string; says: string };
+
+/** Runs that are broken on purpose, each with the rule that must say so, and a word of what it says. */
+export const Mutants: readonly Mutant[] = [
+  { bent: 'denies', drill: 'srv_crash', rule: 'TWICE', says: 'ran at' },
+  { bent: 'denies', drill: 'garble', rule: 'REFUSED', says: 'ran at' },
+  { bent: 'nolife', drill: 'addr_taken', rule: 'ROUTE', says: 'ran at' },
+  { bent: 'hidesdrain', drill: 'release', rule: 'DRAIN', says: 'reached' },
+  { bent: 'rashterm', drill: 'roll_term', rule: 'LOST', says: 'was cut' },
+  { bent: 'hollowack', drill: 'config_change', rule: 'CONFIG in force', says: 'less than' },
+  { bent: 'falselost', drill: 'config_change', rule: 'CONFIG in force', says: 'what lost' },
+  { bent: 'mixedfronts', drill: 'node_island', rule: 'CONFIG back', says: 'after' },
+  { bent: 'ackbad', drill: 'bad_config', rule: 'CONFIG acks', says: 'invalid' },
+  { bent: 'acklost', drill: 'config_race', rule: 'CONFIG acks', says: 'won over' },
+  { bent: 'oldread', drill: 'config_change', rule: 'CONFIG acks', says: 'read back' },
+  { bent: 'hollowack', drill: 'config_change', rule: 'CONFIG acks', says: 'LOST' },
+  { bent: 'twoarrivals', drill: 'steady', rule: 'BUDGET', says: 'further arrivals' },
+  { bent: 'dropsevent', drill: 'steady', rule: 'ORDER', says: 'event' },
+  { bent: 'joins', drill: 'answer_lost', rule: 'ORDER', says: 'event' },
+  { bent: 'strangebytes', drill: 'steady', rule: 'MIXED', says: 'bytes' },
+  { bent: 'swapshandles', drill: 'steady', rule: 'MIXED', says: 'memory' },
+  { bent: 'twoholders', drill: 'bare_stage', rule: 'ONE', says: 'and' },
+  { bent: 'staysdown', drill: 'power_off_all', rule: 'RECOVER', says: 'served' },
+];
