The core: a view change promised and then given up is made anew

Cause: a voter that has promised the next view grants no claim on this one. Where the proposer's reason passed before it was agreed (a one-way cut that ended, or lost replies), all were heard again, nobody proposed, and no claim was granted ever after. Ruled out: the cut itself (lifted at 27.6 s; still no claim at 117 s), the disk, suspicion.

--- a/packages/registry/src/core.ts
+++ b/packages/registry/src/core.ts
@@ -83,7 +83,7 @@
       );
       if (ask) await post.ask(ask.addr, ask.id, 'core.join', { me: me() }, CoreWords.done, Paces.ask);
     };
-    const minder = Minder.make(me, watch, helm, chain);
+    const minder = Minder.make(me, world.clock.mono, watch, helm, chain);
     const heal = async (): Promise<void> => {
       const done = await store.name(me().born, false);
       if (done.ok) {
--- /dev/null
+++ b/packages/registry/src/minder.test.ts
@@ -0,0 +1,37 @@
+import { expect } from 'chai';
+import type { Links } from './links.js';
+import type { Lookout } from './lookout.js';
+import { Minder } from './minder.js';
+import type { Rudder } from './rudder.js';
+import type { View } from './view.js';
+
+const member = (id: string) => ({ id, born: 'b', addr: `${id}:1` });
+const VIEW: View = { epoch: 3, chain: ['k1', 'k2', 'k3'].map(member), voters: ['k1', 'k2', 'k3'].map(member) };
+
+describe('the minder', () => {
+  const cases: [string, { live: (at: number) => boolean; me: string; ms: number }, number | null][] = [
+    ['proposes nothing while claims are granted', { live: () => true, me: 'k1', ms: 20_000 }, null],
+    ['waits a while for claims', { live: (at) => at > 1500, me: 'k1', ms: 20_000 }, null],
+    ['makes the view anew where all are heard and none grants a claim', { live: () => false, me: 'k1', ms: 2500 }, 4],
+    ['leaves that to the voters before it first', { live: () => false, me: 'k3', ms: 2500 }, null],
+    ['makes it anew if those do not', { live: () => false, me: 'k3', ms: 3500 }, 4],
+  ];
+  for (const [name, { live, me, ms }, want] of cases) {
+    it(name, () => {
+      let at = 0;
+      const proposed: View[] = [];
+      const watch = { live: () => live(at), silent: () => 0, heard: () => undefined, emptied: () => false };
+      const helm = { busy: () => false, propose: (_: unknown, next: View) => Promise.resolve(proposed.push(next) > 0) };
+      const m = Minder.make(
+        () => member(me),
+        () => at,
+        watch as unknown as Lookout,
+        helm as unknown as Rudder,
+        {} as Links,
+      );
+      for (; at < ms; at += 150) m.mind(VIEW);
+      expect(proposed[0]?.epoch ?? null).to.equal(want);
+      if (want) expect(proposed[0]!.chain).to.deep.equal(VIEW.chain);
+    });
+  }
+});
--- a/packages/registry/src/minder.ts
+++ b/packages/registry/src/minder.ts
@@ -6,13 +6,17 @@
 import type { View } from './view.js';
 import { Views } from './views.js';
 
+/** ms without a claim, though all are heard, after which the view is made anew. */
+const LAME = 2 * Paces.suspect;
+
 /**
  * What a member of the chain that votes does about the others: those that are silent or sick go out of the chain, and a
  * vote goes to a member that has caught up. Invariants: the vote of a daemon goes to its heir of the same id, if that
- * stands in the chain, and else only once its owner is out of the chain and silent, or leaves.
+ * stands in the chain, and else only once its owner is out of the chain and silent, or leaves. A change that was
+ * promised and then given up bars every claim for good; so whoever goes long without makes the view anew.
  */
 export const Minder = {
-  make(me: () => Member, watch: Lookout, helm: Rudder, chain: Links) {
+  make(me: () => Member, mono: () => number, watch: Lookout, helm: Rudder, chain: Links) {
     const mine = (m: Member): boolean => Views.same(m, me());
     const known = (m: Member): boolean => watch.heard(m)?.sick === true || watch.emptied(m);
     const gone = (m: Member): boolean => known(m) || watch.silent(m) > Paces.suspect;
@@ -42,6 +46,15 @@
       const old = v.voters.find((x) => !mine(x) && !named(x) && watch.silent(x) > Paces.suspect);
       return list[0] && old ? { heir: list[0], old } : null;
     };
+    let since: number | null = null;
+    const renew = (v: View): void => {
+      const turn = v.voters.findIndex(mine) * 300;
+      if (watch.live(v)) since = null;
+      else since ??= mono();
+      if (since === null || mono() - since <= LAME + turn) return;
+      since = null;
+      void helm.propose(v.voters, Views.without(v, []), 'No claim was granted, though all are heard.');
+    };
     return {
       mind(v: View): void {
         if (helm.busy() || !Views.votes(v, me())) return;
@@ -51,6 +64,8 @@
           shorten(v, list);
           return;
         }
+        renew(v);
+        if (helm.busy()) return;
         const hand = handing(v);
         if (hand) {
           const why = `${hand.heir.id} has caught up and votes.`;
