--- a/packages/sim/src/bench.ts
+++ b/packages/sim/src/bench.ts
@@ -98,7 +98,7 @@
       move(id: string): void {
         boxes.get(id)!.move(`10.0.1.${spare++}:7000`);
       },
-      /** Machines that are down come back at each other's addresses: each at that of the next, the last at the first's. */
+      /** Machines that are down come back, each at the address of the next, and the last at the first one's. */
       exchange(list: readonly string[]): void {
         const addrs = list.map((id) => boxes.get(id)!.addr());
         list.forEach((id, i) => boxes.get(id)!.move(addrs[(i + 1) % addrs.length]!));
