--- a/tools/knownred.mjs
+++ b/tools/knownred.mjs
@@ -9,9 +9,10 @@
 const listed = new Set(
   readFileSync(file, 'utf8').split('\n').map((l) => l.trim()).filter((l) => l !== '' && !l.startsWith('#')),
 );
+// The patterns of .mocharc.json come back as positional arguments.
 const opts = options.loadOptions(specs.length > 0 ? ['--no-config'] : []);
 const mocha = new Mocha(opts);
-const files = specs.length > 0 ? specs : collect({ extension: opts.extension, file: [], ignore: [], recursive: false, sort: false, spec: opts.spec }).files;
+const files = specs.length > 0 ? specs : collect({ extension: opts.extension, file: [], ignore: [], recursive: false, sort: false, spec: opts._ }).files;
 for (const f of files) mocha.addFile(f);
 await mocha.loadFilesAsync();
 const failed = new Set(), passed = new Set();
