--- a/packages/forms/src/knownred.test.ts
+++ b/packages/forms/src/knownred.test.ts
@@ -2,7 +2,7 @@
 import { execFile } from 'node:child_process';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
-import { join } from 'node:path';
+import { join, resolve } from 'node:path';
 
 const SPEC = "describe('a', () => { it('good', () => {}); it('bad', () => { throw new Error('x'); }); });";
 const cases: [string, string, string, number, string][] = [
@@ -39,4 +39,19 @@
       await rm(dir, { recursive: true });
     });
   }
+
+  it('finds the tests by the patterns of .mocharc.json, where none are named', async () => {
+    const dir = await mkdtemp(join(tmpdir(), 'knownred-'));
+    await writeFile(join(dir, '.mocharc.json'), '{ "spec": ["*.spec.cjs"] }');
+    await writeFile(join(dir, 'list.txt'), 'a bad\n');
+    await writeFile(join(dir, 'one.spec.cjs'), SPEC);
+    const got = await new Promise<{ code: number; text: string }>((done) => {
+      execFile(process.execPath, [resolve('tools/knownred.mjs'), 'list.txt'], { cwd: dir }, (e, out, err) =>
+        done({ code: e ? Number(e.code) : 0, text: out + err }),
+      );
+    });
+    expect(got.text).to.include('known red: a bad');
+    expect(got.code).to.equal(0);
+    await rm(dir, { recursive: true });
+  });
 });
