A resumed stream takes up only an answer of the first one's status

Cause, found by reading: a second server's 4xx to a resumed run was taken as the stream's continuation, its body among the events. Before: the new case fails (26 of 27). After: 27 pass; the answer is cut instead.

--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -59,7 +59,7 @@
       head(status, headers) {
         // A failure that the server tells of is an answer, but one that may run again goes elsewhere before it is told.
         if (status >= FAILED && again(job) && job.arrivals < job.route.tries) return false;
-        if (job.begun) return status < FAILED;
+        if (job.begun) return status === job.status;
         job.begun = true;
         job.status = status;
         job.sink.head(status, headers);
--- a/packages/router/src/serve.test.ts
+++ b/packages/router/src/serve.test.ts
@@ -170,6 +170,33 @@
       { ...DIRECT, script: [{ run: 'broken', events: 1 }], route: { kind: 'idempotent', resumable: false } },
       { calls: ['run d'], log: ['1;', 'cut'], suspects: 1 },
     ],
+    [
+      'what a second server answers other than a stream is no part of the first',
+      {
+        ...DIRECT,
+        script: [
+          { run: 'broken', events: 1 },
+          { run: 'ok', events: 1, status: 404 },
+        ],
+      },
+      { calls: ['run d', 'run d after 1'], log: ['1;', 'cut'], suspects: 2 },
+    ],
+    [
+      "a server's own failure is told as it came",
+      { ...DIRECT, script: [{ run: 'ok', events: 1, status: 500 }], route: { resumable: false } },
+      { calls: ['run d'], log: ['1;', 'end'], suspects: 1 },
+    ],
+    [
+      "a server's own failure is not told where another may run it",
+      {
+        ...DIRECT,
+        script: [
+          { run: 'ok', events: 1, status: 500 },
+          { run: 'ok', events: 1 },
+        ],
+      },
+      { calls: ['run d', 'run d'], log: ['1;', 'end'], suspects: 1 },
+    ],
     ['no route is said as such', { script: [], request: { path: '/other/' } }, { calls: [], code: 'unknownroute' }],
     ['an old list sends nothing', { script: [], old: true }, { calls: [], code: 'oldlist', ran: 'no' }],
     [
