--- a/packages/router/src/keeper.ts
+++ b/packages/router/src/keeper.ts
@@ -1,14 +1,4 @@
-import {
-  Awake,
-  Err,
-  Hash,
-  Ok,
-  Verdicts,
-  type Result,
-  type Routing,
-  type Verdict,
-  type World,
-} from '@pumicebarrow/forms';
+import { Awake, Err, Hash, Ok, type Result, type Routing, type Verdict, type World } from '@pumicebarrow/forms';
 import { Registrar, Views } from '@pumicebarrow/registry';
 import { KeeperDesk } from './keeperdesk.js';
 import type { Engine } from './engine.js';
@@ -78,7 +68,6 @@
         const intent = now.charter?.body ?? null;
         return Ok(intent && 'routes' in intent ? intent : null);
       },
-      unread: (): Verdict => Verdicts.not('unready', 'The core does not reply.', 1),
       start(): void {
         d.start();
         awake.start();
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -80,15 +80,16 @@
       s === home ? 0 : Math.max(0, sharedOf(p) - t.kept.held(s.id, p));
     const cold = (s: Server): number => (s.warm > 0 ? WARM : 0) + (s.zone === t.zone ? 0 : FAR);
     /** Where it would be read soonest, and when; the home, if that is soon enough. */
-    const reader = (service: Service, route: Route, p: Prompt, not: ReadonlySet<string>): Where | null => {
+    const reader = (service: Service, route: Route, p: Prompt, not: ReadonlySet<string>) => {
       const list = able(service, 'prefill', not);
       const home = Lot.rank(KeptParts.home(p), list, (s) => s.id)[0];
       const ms = (s: Server): number =>
         ((t.loads.at(s.id).tokens + fresh(s, p, home)) / t.pace()) * t.speed(s.id) + cold(s);
       const best = least(list, (s) => ms(s) + again(s, p, home) * AGAIN);
-      if (!home || !best) return best;
+      if (!home || !best) return null;
       const there = ms(home);
-      return there <= route.aim * CALM ? { s: home, ms: there } : best;
+      const chosen = there <= route.aim * CALM ? { s: home, ms: there } : best;
+      return { ...chosen, fresh: fresh(chosen.s, p, home) };
     };
     const decoder = (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>) => {
       const list = able(service, service.engine ? 'decode' : null, not);
@@ -127,9 +128,7 @@
         if (!apart || !beside) return null;
         const short = t.kept.held(beside.s.id, p) + SHORT > p.tokens;
         const bar = short ? apart.ms + HAND + SHORT / t.pace() : apart.ms + HAND;
-        if (beside.ms <= bar) return null;
-        const home = Lot.rank(KeptParts.home(p), able(service, 'prefill', not), (s) => s.id)[0];
-        return { server: apart.s, fresh: fresh(apart.s, p, home) };
+        return beside.ms <= bar ? null : { server: apart.s, fresh: apart.fresh };
       },
       /** Where it is decoded: few under way, near the memory. */
       decode: (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>): Server | null =>
--- a/packages/router/src/serverhealth.ts
+++ b/packages/router/src/serverhealth.ts
@@ -61,7 +61,6 @@
         const r = rows.get(id);
         if (r?.shut) r.trial = true;
       },
-      suspects: (): string[] => [...rows].filter(([, r]) => r.until > clock.mono()).map(([id]) => id),
       only(ids: ReadonlySet<string>): void {
         for (const id of rows.keys()) if (!ids.has(id)) rows.delete(id);
       },
--- a/packages/router/src/serverlist.ts
+++ b/packages/router/src/serverlist.ts
@@ -1,4 +1,4 @@
-import { Hash, type Clock } from '@pumicebarrow/forms';
+import { type Clock } from '@pumicebarrow/forms';
 import type { Server } from './server.js';
 
 type Ear = (now: readonly Server[], was: readonly Server[]) => void;
@@ -63,7 +63,6 @@
         return s && s.state === 'ready' ? s : null;
       },
       stage: (id: string): Server['stage'] => held.byId.get(id)?.stage ?? null,
-      digest: (): string => Hash.of(held.all),
     };
   },
 };
