--- a/packages/router/src/duties.test.ts
+++ b/packages/router/src/duties.test.ts
@@ -1,4 +1,4 @@
-import { Err, Hash, Logs, Ok, type Doc, type Mark } from '@pumicebarrow/forms';
+import { Err, Hash, Ok, type Doc, type Mark } from '@pumicebarrow/forms';
 import { Shelf, type Purging } from '@pumicebarrow/purge';
 import type { CoreLine, View } from '@pumicebarrow/registry';
 import { expect } from 'chai';
@@ -28,7 +28,7 @@
     };
     const purge = { publish: (d: Doc) => shelf.offer(d) } as unknown as Purging;
     const duty = ListDuty.make({
-      ...{ clock: time.clock, log: Logs.quiet(), source, purge, every: 1000, fence: () => state.fence },
+      ...{ clock: time.clock, source, purge, every: 1000, fence: () => state.fence },
     });
     return { time, shelf, state, duty };
   };
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,4 +1,5 @@
 export { type AnswerSink } from './answersink.js';
+export { Blame } from './blame.js';
 export { Budget } from './budget.js';
 export { Changing } from './changing.js';
 export { type Engine } from './engine.js';
--- a/packages/router/src/keeper.ts
+++ b/packages/router/src/keeper.ts
@@ -8,7 +8,6 @@
 import { SharedSound } from './sharedsound.js';
 import { StageDuty } from './stageduty.js';
 
-const LIST = 'list';
 type Core = { losses: number; first: boolean; lease: number };
 
 /** A core daemon of a routed fleet put together: the registry, the duties, and the operators' desk. */
@@ -34,7 +33,7 @@
     /** The agreed view's epoch, at the one daemon that may speak for it: no two have one, and it only rises. */
     const fence = (): number | null => (speaks() ? (view()?.epoch ?? null) : null);
     const duty = ListDuty.make({
-      ...{ clock, log: world.log(LIST), source, purge: d.purge },
+      ...{ clock, source, purge: d.purge },
       fence,
       every: Math.max(400, startup.drain / 3),
     });
--- a/packages/router/src/listduty.ts
+++ b/packages/router/src/listduty.ts
@@ -1,4 +1,4 @@
-import { Hash, Timer, type Clock, type Log, type Mark } from '@pumicebarrow/forms';
+import { Hash, Timer, type Clock, type Mark } from '@pumicebarrow/forms';
 import type { Purging } from '@pumicebarrow/purge';
 import { ListRows } from './listrows.js';
 import type { ListSource } from './listsource.js';
@@ -6,7 +6,6 @@
 
 type Tools = {
   clock: Clock;
-  log: Log;
   source: ListSource;
   purge: Purging;
   /** The fence under which this daemon has the duty at this instant; null when it hasn't. */
--- /dev/null
+++ b/packages/router/src/play.test.ts
@@ -0,0 +1,77 @@
+import type { Routing, Verdict } from '@pumicebarrow/forms';
+import { Budget } from './budget.js';
+import { KeptParts } from './keptparts.js';
+import { Pace } from './pace.js';
+import { Placement } from './placement.js';
+import type { Request } from './request.js';
+import { RouteTable } from './routetable.js';
+import { Serve } from './serve.js';
+import type { Server } from './server.js';
+import { ServerHealth } from './serverhealth.js';
+import { ServerList } from './serverlist.js';
+import { ServerLoads } from './serverloads.js';
+import { ServerSpeed } from './serverspeed.js';
+import type { Act } from './stand.test.js';
+import { prompt, request, routing, server, testClock, testEngine, testSink, testWorld } from './stand.test.js';
+
+export type Setting = {
+  script: Act[];
+  route?: Partial<Routing['routes'][number]>;
+  servers?: Server[];
+  request?: Partial<Request>;
+  budget?: number;
+  shut?: Verdict;
+  old?: boolean;
+  after?: (t: ReturnType<typeof testClock>, sink: ReturnType<typeof testSink>) => Promise<void>;
+};
+const FLEET = [server('p1', 'prefill'), server('d1', 'decode'), server('d2', 'decode')];
+
+export const play = async (s: Setting) => {
+  const time = testClock(),
+    calls: string[] = [],
+    suspected: string[] = [];
+  const world = testWorld(time.clock);
+  const list = ServerList.make(
+    time.clock,
+    () => 2000,
+    () => undefined,
+  );
+  list.take(s.servers ?? FLEET, time.clock.mono(), 'shared');
+  if (s.old) await time.pass(2001);
+  const loads = ServerLoads.make(),
+    health = ServerHealth.make(time.clock),
+    kept = KeptParts.make(() => 400_000),
+    pace = Pace.make(),
+    speed = ServerSpeed.make(time.clock);
+  const terms = { ratio: 0.2, window: 10_000, slack: 0 };
+  const budget = Budget.make(
+    time.clock,
+    () => terms,
+    () => 1,
+  );
+  for (let i = 0; i < (s.budget ?? 20); i++) budget.request();
+  const routes = RouteTable.make(routing(s.route));
+  const tools = {
+    chance: world.chance,
+    zone: 'z1',
+    list,
+    loads,
+    health,
+    kept,
+    pace: pace.now,
+    speed: speed.of,
+    changing: () => false,
+  };
+  const serve = Serve.make({
+    ...{ world, list, loads, health, kept, pace, speed, budget, engine: testEngine(s.script, calls) },
+    ...{ shut: () => s.shut ?? null, routes: () => routes, placement: Placement.make(tools) },
+    suspect: (x) => void (health.bad(x.id) && suspected.push(x.id)),
+  });
+  const out = testSink();
+  const done = serve(request(time.clock.mono(), s.request), out.sink);
+  if (s.after) await s.after(time, out);
+  const verdict = await done;
+  return { calls, log: out.log, verdict, suspected, loads, level: budget.level() };
+};
+export const DIRECT = { request: { prompt: prompt(200, 200) } };
+export const d = (calls: string[]): string[] => calls.map((c) => c.replace(/ d\d/, ' d'));
--- a/packages/router/src/reader.ts
+++ b/packages/router/src/reader.ts
@@ -1,4 +1,5 @@
 import type { Result } from '@pumicebarrow/forms';
+import { Blame } from './blame.js';
 import type { Handle } from './handle.js';
 import type { Job } from './job.js';
 import type { SendFault } from './sendfault.js';
@@ -26,8 +27,7 @@
       if (f.code === 'gone') return;
       job.avoid.add(s.id);
       if (f.code === 'refused' || f.code === 'misdirected') job.arrivals++;
-      const late = f.code === 'late' && t.health.silent(s.id) > SILENT;
-      if (f.code === 'unsent' || f.code === 'broken' || late) t.suspect(s, f.why);
+      if (Blame.falls(f, t.health.silent(s.id), SILENT)) t.suspect(s, f.why);
     };
     const send = async (job: Job, s: Server, fresh: number): Promise<Result<Handle, SendFault>> => {
       const foreseen = (t.loads.at(s.id).tokens + fresh) / t.pace.now();
--- a/packages/router/src/routerstartup.ts
+++ b/packages/router/src/routerstartup.ts
@@ -7,8 +7,7 @@
   zone: string;
   seeds: () => readonly string[];
   tunes: Tunes;
-  /** ms: how long after the list shows a server leaving a send may still reach it, and how far the list lags. */
+  /** ms: how long after the list shows a server leaving a send may still reach it. */
   drain: number;
-  lag: number;
   budget: { ratio: number; window: number; slack: number };
 };
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -1,4 +1,5 @@
 import { Timer, type Result } from '@pumicebarrow/forms';
+import { Blame } from './blame.js';
 import type { Heard } from './heard.js';
 import type { Job } from './job.js';
 import type { SendFault } from './sendfault.js';
@@ -119,8 +120,7 @@
       job.avoid.add(s.id);
       if (f.code === 'gone' && job.left.signal.aborted) return true;
       if (f.code === 'unsent') job.arrivals--;
-      const late = f.code === 'late' && t.health.silent(s.id) > SILENT;
-      if (f.code === 'unsent' || f.code === 'broken' || f.code === 'gone' || late) t.suspect(s, f.why);
+      if (f.code === 'gone' || Blame.falls(f, t.health.silent(s.id), SILENT)) t.suspect(s, f.why);
       if (f.ran === 'no') return false;
       job.maybe = true;
       return !again(job);
--- a/packages/routesim/src/virtualfleet.ts
+++ b/packages/routesim/src/virtualfleet.ts
@@ -74,7 +74,7 @@
       const startup = {
         ...{ id, addr: b.addr(), zone: b.site, tunes: { ...Tuned, round: 200 } },
         ...{ seeds: () => (founded ? seeds : own).filter((a) => a !== b.addr()), budget: Bounds.budget },
-        ...{ drain: Bounds.drain, lag: Bounds.lag },
+        ...{ drain: Bounds.drain },
       };
       if (routerIds.includes(id)) {
         const r = Router.make(w, startup, engine, platform.source(b));
--- a/packages/sim/src/capacity/newcomer.ts
+++ b/packages/sim/src/capacity/newcomer.ts
@@ -1,4 +1,4 @@
-import { Post, type Ident, type World } from '@pumicebarrow/forms';
+import { Post, type Ident } from '@pumicebarrow/forms';
 import { Purge, Shelf, Tuned } from '@pumicebarrow/purge';
 import { Engine } from '../engine.js';
 import { Host } from '../host.js';
@@ -10,7 +10,6 @@
 
 const OLD = 8;
 const LONGEST = 600_000;
-const quiet = { say: () => undefined, warn: () => undefined };
 
 /** A daemon that starts with an empty shelf beside some that hold `rows` rows: how long until it holds them all. */
 export const Newcomer = {
@@ -23,14 +22,7 @@
     const nodes = Props.idents(OLD + 1).map((me: Ident) => {
       const box = Host.make(motor, me.id, me.addr, me.site, null, () => undefined);
       net.add(box);
-      const world: World = {
-        clock: box.begin(),
-        chance: box.chance,
-        wire: net.wire(box),
-        disk: null,
-        log: () => quiet,
-        tell: () => undefined,
-      };
+      const world = net.world(box);
       const shelf = Shelf.make(() => true);
       const post = Post.make(world, () => me);
       const purge = Purge.make(
--- a/packages/sim/src/spread.ts
+++ b/packages/sim/src/spread.ts
@@ -1,4 +1,4 @@
-import { Dice, Post, type Ident, type World } from '@pumicebarrow/forms';
+import { Dice, Post, type Ident } from '@pumicebarrow/forms';
 import { Purge, Shelf, type Tunes } from '@pumicebarrow/purge';
 import { Engine } from './engine.js';
 import type { Grid } from './grid.js';
@@ -15,7 +15,6 @@
   tap?: (net: Grid) => void;
   body?: unknown;
 };
-const quiet = { say: () => undefined, warn: () => undefined };
 const WARM = 20;
 
 /**
@@ -43,14 +42,7 @@
       });
       net.add(box);
       const me: Ident = { id: `n${i}`, born: 'b', addr: addr(i), site: 's1', role: 'counter' };
-      const world: World = {
-        clock: box.begin(),
-        chance: box.chance,
-        wire: net.wire(box),
-        disk: null,
-        log: () => quiet,
-        tell: (d) => box.tell(d),
-      };
+      const world = net.world(box);
       const post = Post.make(world, () => me);
       const purge = Purge.make(
         world,
