--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -32,6 +32,8 @@
 const DISTURB = 1.6;
 /** Each so many runs at a server make reading beside them as costly again. */
 const CROWD = 16;
+/** From so many runs on a decode server reads nothing beside them: each piece read holds all of them up. */
+const CROWDED = 20;
 /** The part of a server's slots that runs may take: beyond it all of them come too slowly. */
 const FULL = 0.7;
 /** Outcomes of fewer tokens than this hardly take a place. */
@@ -126,6 +128,7 @@
         const apart = reader(service, route, p, not);
         const beside = decoder(service, p, null, not);
         if (!apart || !beside) return null;
+        if (t.loads.at(beside.s.id).runs >= CROWDED) return { server: apart.s, fresh: apart.fresh };
         const short = t.kept.held(beside.s.id, p) + SHORT > p.tokens;
         const bar = short ? apart.ms + HAND + SHORT / t.pace() : apart.ms + HAND;
         return beside.ms <= bar ? null : { server: apart.s, fresh: apart.fresh };
--- a/packages/sim/src/drills/alone.ts
+++ b/packages/sim/src/drills/alone.ts
@@ -114,6 +114,34 @@
       return moved && confirmed(s, from);
     },
   },
+  {
+    name: 'promisedtail',
+    about:
+      'the head no longer hears the tail; the middle accepts a view without it and is told late, beside the old tail',
+    async run(s) {
+      const [head, middle, tail] = s.b.chain() as [string, string, string];
+      await s.read();
+      const plan = await s.plan();
+      const n = views(s).length;
+      const from = s.now();
+      const votes = (): number =>
+        s.deeds().filter((d) => d.who === middle && d.what === 'stored' && d['kind'] === 'vote' && d.at > from).length;
+      const deaf = s.b.net.cut([tail], [head], true);
+      const accepted = await s.until(() => votes() >= 2, 6000);
+      const late = s.b.net.cut([head], [middle, tail], true);
+      await s.nap(600);
+      const apart = s.b.net.cut([head], [tail]);
+      late();
+      const told = s.now();
+      void watch(s, 900, 5);
+      await s.spray(900, 20, () => {
+        if (plan && !confirmed(s, told)) void s.confirm(plan);
+      });
+      apart();
+      deaf();
+      return accepted && without(s, n, tail) !== undefined && confirmed(s, told);
+    },
+  },
   {
     name: 'halfview',
     about: 'a proposer dies once a view is agreed and before anyone is told; the others choose for the same epoch',
