First tries that would be late are told when to come back; tiny reads go first

Change: a first try whose first event is foreseen after its aim, and that would make it alone, gets 503 and Retry-After at once; the further try of it goes first at the servers, as does what takes under 25 ms to read.

--- a/packages/router/src/job.ts
+++ b/packages/router/src/job.ts
@@ -15,6 +15,8 @@
   service: Service;
   sink: AnswerSink;
   due: number;
+  /** Whether it is the client's first try, as far as that shows. */
+  first: boolean;
   arrivals: number;
   reads: number;
   handle: Handle | null;
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -30,6 +30,8 @@
 /** What a hand-over takes, in ms; and what one ms of reading beside others is held to cost, in ms of waiting. */
 const HAND = 25;
 const DISTURB = 1.6;
+/** ms from a run's start to its first event. */
+const START = 45;
 /** Each so many runs at a server make reading beside them as costly again. */
 const CROWD = 16;
 /** From so many runs on a decode server reads nothing beside them: each piece read holds all of them up. */
@@ -133,6 +135,15 @@
         const bar = short ? apart.ms + HAND + SHORT / t.pace() : apart.ms + HAND;
         return beside.ms <= bar ? null : { server: apart.s, fresh: apart.fresh };
       },
+      /** ms until the first event if it is sent now, and if nothing else were waiting. */
+      foreseen(service: Service, route: Route, p: Prompt): { ms: number; alone: number } {
+        const apart = service.engine ? reader(service, route, p, NONE) : null;
+        const beside = service.engine ? decoder(service, p, null, NONE) : null;
+        if (!apart || !beside) return { ms: 0, alone: 0 };
+        const crowded = t.loads.at(beside.s.id).runs >= CROWDED;
+        const ms = crowded ? apart.ms : Math.min(apart.ms, beside.ms);
+        return { ms: ms + HAND + START, alone: apart.fresh / t.pace() + HAND + START };
+      },
       /** Where it is decoded: few under way, near the memory. */
       decode: (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>): Server | null =>
         decoder(service, p, from, not)?.s ?? null,
--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -22,6 +22,10 @@
   budget?: number;
   shut?: Verdict;
   old?: boolean;
+  /** Prompt tokens that others read at servers. */
+  busy?: Readonly<Record<string, number>>;
+  /** ms that the client waits, after an earlier try of 8 s. */
+  wait?: number;
   after?: (t: ReturnType<typeof testClock>, sink: ReturnType<typeof testSink>) => Promise<void>;
 };
 const FLEET = [server('p1', 'prefill'), server('d1', 'decode'), server('d2', 'decode')];
@@ -67,8 +71,11 @@
     ...{ shut: () => s.shut ?? null, routes: () => routes, placement: Placement.make(tools) },
     suspect: (x) => void (health.bad(x.id) && suspected.push(x.id)),
   });
+  loads.heard(new Map(Object.entries(s.busy ?? {}).map(([id, tokens]) => [id, { runs: 0, reads: 1, tokens }])));
+  if (s.wait !== undefined) await serve(request(time.clock.mono(), s.request), testSink().sink);
   const out = testSink();
-  const done = serve(request(time.clock.mono(), s.request), out.sink);
+  const more = s.wait === undefined ? {} : { wait: s.wait };
+  const done = serve(request(time.clock.mono(), { ...s.request, ...more }), out.sink);
   if (s.after) await s.after(time, out);
   const verdict = await done;
   return { calls, log: out.log, verdict, suspected, loads, level: budget.level() };
--- a/packages/router/src/reader.ts
+++ b/packages/router/src/reader.ts
@@ -36,7 +36,7 @@
       const free = t.loads.read(s.id, fresh);
       t.health.begin(s.id);
       const from = now();
-      const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now()), signal: job.left.signal };
+      const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now(), job.first), signal: job.left.signal };
       const got = await t.engine.prefill(s, job.request, terms);
       free();
       if (got.ok && alone) t.pace.learn(fresh, now() - from);
--- a/packages/router/src/request.ts
+++ b/packages/router/src/request.ts
@@ -13,6 +13,8 @@
   body: Uint8Array;
   /** Monotonic ms at which the client goes. */
   due: number;
+  /** ms that the client said it would wait, when it sent this try. */
+  wait: number;
   /** The id of the last event that the client has, of an earlier try that was cut. */
   after: string | null;
   prompt: Prompt | null;
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -89,7 +89,7 @@
       const handle = job.handle;
       job.handle = null;
       const ms = Math.max(1, job.due - now());
-      const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now()), signal: stop.signal };
+      const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now(), job.first), signal: stop.signal };
       const got = await t.engine.run(s, job.request, handle, job.after, terms, hearer(job, s, watch.stir, read));
       watch.stop();
       const more = job.events - before;
--- a/packages/router/src/serve.test.ts
+++ b/packages/router/src/serve.test.ts
@@ -153,6 +153,18 @@
     });
   }
 
+  it('sends a first try away at once while the readers are far behind, and takes it when it is back', async () => {
+    const busy = { p1: 60_000, d1: 60_000, d2: 60_000 };
+    const first = await play({ script: [{ read: 'ok' }], busy });
+    expect(first.calls).to.deep.equal([]);
+    expect(first.log).to.deep.equal([]);
+    expect(first.verdict).to.include({ code: 'deferred', ran: 'no' });
+    expect(first.verdict?.after).to.be.within(0.3, 2.6);
+    const back = await play({ script: [{ read: 'ok' }, { run: 'ok', events: 1 }], busy, wait: 6000 });
+    expect(d(back.calls)).to.deep.equal(['read p1', 'run d from h1']);
+    expect(back.log.at(-1)).to.equal('end');
+  });
+
   it('moves a silent stream that may go on elsewhere, and suspects the server', async () => {
     const got = await play({
       ...DIRECT,
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -1,5 +1,7 @@
 import { Timer, Verdicts, type Verdict } from '@pumicebarrow/forms';
 import type { AnswerSink } from './answersink.js';
+import { Deferral } from './deferral.js';
+import { FirstTries } from './firsttries.js';
 import type { Job } from './job.js';
 import { Reader } from './reader.js';
 import type { Request } from './request.js';
@@ -25,6 +27,7 @@
     const now = (): number => t.world.clock.mono();
     const read = Reader.make(t),
       run = Runner.make(t);
+    const firsts = FirstTries.make();
     const refuse = (code: string, why: string): Verdict => Verdicts.not(code, why, SOON);
     const start = (request: Request, sink: AnswerSink): Job | Verdict => {
       const shut = t.shut();
@@ -40,11 +43,21 @@
       sink.left(() => left.abort('gone'));
       return {
         ...{ request, sink, service, left, route: found.route, after: request.after },
+        first: firsts.is(found.route.name, request.wait),
         due: Math.min(request.due, now() + found.route.timeout),
         ...{ arrivals: 0, reads: 0, events: 0, handle: null, begun: false, status: 0, maybe: false, fault: null },
         avoid: new Set(),
       };
     };
+    /** Seconds after which a request had better come back, because it would miss its aim now; null if it stays. */
+    const deferred = (job: Job): number | null => {
+      const p = job.request.prompt;
+      if (!p) return null;
+      const { ms, alone } = t.placement.foreseen(job.service, job.route, p);
+      const c = { foreseen: ms, alone, aim: job.route.aim, left: job.due - now(), first: job.first };
+      const wait = Deferral.of(c, t.world.chance.real());
+      return wait === null ? null : wait / 1000;
+    };
     /** Waits a little where every server is full; false if that did not help. */
     const admit = async (job: Job): Promise<boolean> => {
       const until = now() + job.route.aim * WAIT;
@@ -76,6 +89,8 @@
       const job = start(request, sink);
       if ('ran' in job) return job;
       t.budget.request();
+      const later = deferred(job);
+      if (later !== null) return told(job, Verdicts.not('deferred', 'It would be late now.', later));
       if (!(await admit(job))) return told(job, Verdicts.not('full', 'Every server is full.', LATER));
       await go(job);
       if (job.handle) void t.engine.free(job.handle);
--- a/packages/router/src/stand.test.ts
+++ b/packages/router/src/stand.test.ts
@@ -86,7 +86,7 @@
 
 export const request = (now: number, more: Partial<Request> = {}): Request => ({
   ...{ id: 'q1', method: 'POST', host: 'h.example', path: '/p/x', headers: [], body: new Uint8Array() },
-  ...{ due: now + 8000, after: null, prompt: prompt(6000) },
+  ...{ due: now + 8000, wait: 8000, after: null, prompt: prompt(6000) },
   ...more,
 });
 
--- a/packages/routesim/src/onetry.ts
+++ b/packages/routesim/src/onetry.ts
@@ -108,6 +108,7 @@
             ...{ id, method: 'POST', host: 'fleet.example', path: w.path, headers: [] },
             ...{ body: new TextEncoder().encode(w.key), prompt: w.prompt, after: after > 0 ? String(after) : null },
             due: motor.now() + (due - motor.now()),
+            wait: due - motor.now(),
           };
           f.open.set(box.id, (f.open.get(box.id) ?? 0) + 1);
           void r.serve(request, sink).then((v) => {
