--- a/packages/sim/src/drills/alone.ts
+++ b/packages/sim/src/drills/alone.ts
@@ -18,6 +18,40 @@
 const confirmed = (s: Scripter, from: number): boolean =>
   s.deeds().some((d) => d.what === 'verdict' && d['code'] === 'confirmed' && d.at > from);
 
+/**
+ * A view without the tail is accepted by the middle, which learns only later that it is agreed; then the tail is cut
+ * off from all but its readers, and a charter is confirmed. False when the view was not agreed at the first try: the
+ * tail suspects the head soon after.
+ */
+const accepted = async (s: Scripter): Promise<boolean> => {
+  const [head, middle, tail] = s.b.chain() as [string, string, string];
+  await s.read();
+  const plan = await s.plan();
+  const n = views(s).length;
+  // The tail hears the head for longer than the head hears it, so that it is the head that proposes.
+  const deaf = s.b.net.cut([tail], [head], true);
+  await s.nap(900);
+  const curt = s.b.net.cut([head], [tail], false, true);
+  await s.until(() => without(s, n, tail) !== undefined, 400);
+  const agreed = without(s, n, tail);
+  if (!agreed) {
+    for (const lift of [deaf, curt]) lift();
+    return false;
+  }
+  const late = s.b.net.cut([head], [middle], false, true);
+  await s.until(() => s.b.cores.get(tail)!.core.live(), 300);
+  late();
+  const moved = await s.until(() => s.b.cores.get(middle)!.core.view()?.epoch === agreed['epoch'], 1000);
+  const told = s.now();
+  const rest = s.b.net.cut([tail], others(tail));
+  void watch(s, 900, 5);
+  await s.spray(900, 20, () => {
+    if (plan && !confirmed(s, told)) void s.confirm(plan);
+  });
+  for (const lift of [deaf, curt, rest]) lift();
+  return moved && confirmed(s, told);
+};
+
 /** The core alone, brought to the edge of one promise at a time. */
 export const Alone: readonly CoreDrill[] = [
   ...Larger,
@@ -114,6 +148,20 @@
       return moved && confirmed(s, from);
     },
   },
+  {
+    name: 'promisedtail',
+    about:
+      'the middle accepts a view without the tail and hears late that it is agreed; the tail, which asks it for ' +
+      'claims all the while, is read',
+    async run(s) {
+      for (let i = 0; i < 5; i++) {
+        if (await accepted(s)) return true;
+        await s.nap(2000);
+        await s.healed();
+      }
+      return false;
+    },
+  },
   {
     name: 'halfview',
     about: 'a proposer dies once a view is agreed and before anyone is told; the others choose for the same epoch',
