--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -21,11 +21,18 @@
 const doors = {
   'ts-results': `import * as all from './node_modules/ts-results/esm/index.js'; export default all;`,
   undici: `
-    export { default as Agent } from './node_modules/undici/lib/dispatcher/agent.js';
-    export { default as Client } from './node_modules/undici/lib/dispatcher/client.js';
-    export { default as Pool } from './node_modules/undici/lib/dispatcher/pool.js';
-    export { default as buildConnector } from './node_modules/undici/lib/core/connect.js';
-    export { default as request } from './node_modules/undici/lib/api/api-request.js';`,
+    import Dispatcher from './node_modules/undici/lib/dispatcher/dispatcher.js';
+    import ask from './node_modules/undici/lib/api/api-request.js';
+    import PlainAgent from './node_modules/undici/lib/dispatcher/agent.js';
+    import PlainClient from './node_modules/undici/lib/dispatcher/client.js';
+    import PlainPool from './node_modules/undici/lib/dispatcher/pool.js';
+    import connector from './node_modules/undici/lib/core/connect.js';
+    Dispatcher.prototype.request = ask;
+    export const Client = PlainClient, Pool = PlainPool, Agent = PlainAgent, buildConnector = connector;
+    export const request = (url, options) => {
+      const { origin, pathname, search } = new URL(url);
+      return options.dispatcher.request({ method: 'GET', ...options, origin, path: pathname + search });
+    };`,
   winston: `
     import combine from './node_modules/logform/combine.js';
     import printf from './node_modules/logform/printf.js';
