Further tries are told from first ones after a restart too; a request waits a little for what a daemon doesn't know yet

Ruled out: the start itself (serving 0.28 s after the processes start). What a daemon misses (configuration, list) is waited for: 150 ms, 500 ms at its beginning.

--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -22,6 +22,8 @@
   budget?: number;
   shut?: Verdict;
   old?: boolean;
+  /** ms after which the list is young again. */
+  renewed?: number;
   /** Prompt tokens that others read at servers. */
   busy?: Readonly<Record<string, number>>;
   /** ms that the client waits, after an earlier try of 8 s. */
@@ -76,6 +78,11 @@
   const out = testSink();
   const more = s.wait === undefined ? {} : { wait: s.wait };
   const done = serve(request(time.clock.mono(), { ...s.request, ...more }), out.sink);
+  if (s.renewed !== undefined) {
+    await time.pass(s.renewed);
+    list.take(s.servers ?? FLEET, time.clock.mono(), 'shared');
+  }
+  if (s.old || s.shut) await time.pass(600);
   if (s.after) await s.after(time, out);
   const verdict = await done;
   return { calls, log: out.log, verdict, suspected, loads, level: budget.level() };
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -136,6 +136,7 @@
           certain = true;
           life.send('sure');
           log.say('Serving.');
+          void head.tick();
           return;
         }
         await Timer.nap(clock, WAIT);
--- a/packages/router/src/serve.test.ts
+++ b/packages/router/src/serve.test.ts
@@ -123,6 +123,11 @@
       { calls: ['run d', 'run d'], log: ['1;', 'end'], suspects: 1 },
     ],
     ['no route is said as such', { script: [], request: { path: '/other/' } }, { calls: [], code: 'unknownroute' }],
+    [
+      'a request waits a little for a young list',
+      { ...DIRECT, script: [{ run: 'ok', events: 1 }], old: true, renewed: 400 },
+      { calls: ['run d'], log: ['1;', 'end'] },
+    ],
     ['an old list sends nothing', { script: [], old: true }, { calls: [], code: 'oldlist', ran: 'no' }],
     [
       'a daemon that is not sure sends nothing',
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -16,6 +16,9 @@
 const WAIT = 0.2;
 const LOOK = 20;
 const LATER = 0.4;
+/** ms that a request waits for what this daemon doesn't know yet: once it has served, and before that. */
+const UNSURE = 150;
+const BEGINNING = 500;
 
 /**
  * One request, from its arrival to its answer, written straight down.
@@ -43,12 +46,20 @@
       sink.left(() => left.abort('gone'));
       return {
         ...{ request, sink, service, left, route: found.route, after: request.after },
-        first: firsts.is(found.route.name, request.wait),
+        first: firsts.is(found.route, request.wait),
         due: Math.min(request.due, now() + found.route.timeout),
         ...{ arrivals: 0, reads: 0, events: 0, handle: null, begun: false, status: 0, maybe: false, fault: null },
         avoid: new Set(),
       };
     };
+    let begun = false;
+    const sure = (): boolean => t.shut() === null && t.routes() !== null && t.list.young();
+    /** Waits a little for the newest configuration and a young list; what is still missing then is told by `start`. */
+    const settle = async (sink: AnswerSink): Promise<void> => {
+      const until = now() + (begun ? UNSURE : BEGINNING);
+      while (!sure() && now() < until && !sink.gone()) await Timer.nap(t.world.clock, LOOK);
+      begun ||= sure();
+    };
     /** Seconds after which a request had better come back, because it would miss its aim now; null if it stays. */
     const deferred = (job: Job): number | null => {
       const p = job.request.prompt;
@@ -86,6 +97,7 @@
     };
     /** Null once the sink has had its answer; else why there is none, for the client to be told at once. */
     return async (request: Request, sink: AnswerSink): Promise<Verdict | null> => {
+      await settle(sink);
       const job = start(request, sink);
       if ('ran' in job) return job;
       t.budget.request();
