--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -73,7 +73,7 @@
     ...{ shut: () => s.shut ?? null, routes: () => routes, placement: Placement.make(tools) },
     suspect: (x) => void (health.bad(x.id) && suspected.push(x.id)),
   });
-  loads.heard(new Map(Object.entries(s.busy ?? {}).map(([id, tokens]) => [id, { runs: 0, reads: 1, tokens }])));
+  loads.heard(() => new Map(Object.entries(s.busy ?? {}).map(([id, tokens]) => [id, { runs: 0, reads: 1, tokens }])));
   if (s.wait !== undefined) await serve(request(time.clock.mono(), s.request), testSink().sink);
   const out = testSink();
   const more = s.wait === undefined ? {} : { wait: s.wait };
