A server that turns requests away is left alone for a moment, and others are told if it should have room

What was turned away once, another would be: 250 ms alone, doubled while it goes on. Tests: tables.test (health).

--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -71,6 +71,7 @@
   const serve = Serve.make({
     ...{ world, list, loads, health, kept, pace, speed, budget, engine: testEngine(s.script, calls) },
     ...{ shut: () => s.shut ?? null, routes: () => routes, placement: Placement.make(tools) },
+    turned: (x) => void health.turned(x.id),
     suspect: (x) => void (health.bad(x.id) && suspected.push(x.id)),
   });
   loads.heard(() => new Map(Object.entries(s.busy ?? {}).map(([id, tokens]) => [id, { runs: 0, reads: 1, tokens }])));
--- a/packages/router/src/reader.ts
+++ b/packages/router/src/reader.ts
@@ -26,7 +26,10 @@
       job.fault = { ...f, ran: 'no' };
       if (f.code === 'gone') return;
       job.avoid.add(s.id);
-      if (f.code === 'refused' || f.code === 'misdirected') job.arrivals++;
+      if (f.code === 'refused' || f.code === 'misdirected') {
+        job.arrivals++;
+        t.turned(s);
+      }
       if (Blame.falls(f, t.health.silent(s.id), SILENT)) t.suspect(s, f.why);
     };
     const send = async (job: Job, s: Server, fresh: number): Promise<Result<Handle, SendFault>> => {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -103,11 +103,18 @@
     const suspect = (s: Server, why: string): void => {
       if (!health.bad(s.id)) return;
       log.warn(`${s.id} is under suspicion: ${why}.`);
+      tellAll(s);
+    };
+    /** One that should have room and turns requests away does so to all: it may be changing its stage. */
+    const turned = (s: Server): void => {
+      if (health.turned(s.id) && loads.at(s.id).runs < s.slots / 2) tellAll(s);
+    };
+    const tellAll = (s: Server): void => {
       const old = shelf.mark(`sight:${s.id}`);
       const body: Sighting = { server: s.id, born: s.id, by: ident.id };
       purge.publish({ name: `sight:${s.id}`, mark: [(old?.[0] ?? 0) + 1, Dice.int(world.chance, 1e6)], body });
     };
-    const tools = { world, engine, shut, list, loads, health, kept, pace, speed, placement, budget, suspect };
+    const tools = { world, engine, shut, list, loads, health, kept, pace, speed, placement, budget, suspect, turned };
     const serve = Serve.make({ ...tools, routes: () => routes });
     const stops: (() => void)[] = [];
     const ears: ((now: Routes) => void)[] = [];
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -120,6 +120,7 @@
       job.avoid.add(s.id);
       if (f.code === 'gone' && job.left.signal.aborted) return true;
       if (f.code === 'unsent') job.arrivals--;
+      if (f.code === 'refused' || f.code === 'misdirected') t.turned(s);
       if (f.code === 'gone' || Blame.falls(f, t.health.silent(s.id), SILENT)) t.suspect(s, f.why);
       if (f.ran === 'no') return false;
       job.maybe = true;
--- a/packages/router/src/servetools.ts
+++ b/packages/router/src/servetools.ts
@@ -28,4 +28,6 @@
   budget: ReturnType<typeof Budget.make>;
   /** This daemon saw a server fail. */
   suspect: (s: Server, why: string) => void;
+  /** A server turned a request of this daemon away. */
+  turned: (s: Server) => void;
 };
--- a/packages/router/src/tables.test.ts
+++ b/packages/router/src/tables.test.ts
@@ -178,6 +178,24 @@
     }
     expect(shutFor[3]).to.be.greaterThan(3 * shutFor[0]!);
   });
+  it('leaves one that turns requests away alone for a moment, for longer while it goes on', async () => {
+    const time = testClock();
+    const h = ServerHealth.make(time.clock);
+    const turnedFor = async (): Promise<number> => {
+      expect(h.turned('s')).to.equal(true);
+      expect(h.turned('s')).to.equal(false);
+      let ms = 0;
+      for (; !h.open('s'); ms += 50) await time.pass(50);
+      return ms;
+    };
+    expect([await turnedFor(), await turnedFor(), await turnedFor(), await turnedFor()]).to.deep.equal([
+      250, 500, 1000, 1000,
+    ]);
+    h.good('s');
+    expect(await turnedFor()).to.equal(250);
+    h.bad('s');
+    expect(h.bad('s')).to.equal(false);
+  });
   it("leaves one alone for half as long at another's word", async () => {
     const time = testClock();
     const h = ServerHealth.make(time.clock);
