Routers and keepers tell how they stand, and what they did with a request

Desks on the daemons' own wire: status.tell (configuration and since when, list and its age, head, suspicion, orders), request.tell (steps of one request from a ring of 8192 steps), intent.plan (a plan of the operator's text, stored and no more). Ruled out: a fan-out inside daemons, which would leave connections open and put its code into the bundle; asking is clerk's. The asking half of TcpWire is a module of its own (TcpLines), for callers that serve nothing. Before: no such words.

--- a/packages/forms/src/index.ts
+++ b/packages/forms/src/index.ts
@@ -49,6 +49,7 @@
 export { Service } from './service.js';
 export { Site } from './site.js';
 export { StartupFile } from './startupfile.js';
+export { TcpLines } from './tcplines.js';
 export { TcpWire } from './tcpwire.js';
 export { Timer } from './timer.js';
 export { Verdict } from './verdict.js';
--- a/packages/router/src/keeper.ts
+++ b/packages/router/src/keeper.ts
@@ -1,5 +1,16 @@
-import { Awake, Err, Hash, Ok, type Result, type Routing, type Verdict, type World } from '@pumicebarrow/forms';
+import {
+  Awake,
+  Err,
+  Hash,
+  Ok,
+  type Fault,
+  type Result,
+  type Routing,
+  type Verdict,
+  type World,
+} from '@pumicebarrow/forms';
 import { Registrar, Views } from '@pumicebarrow/registry';
+import { IntentDesk } from './intentdesk.js';
 import { KeeperDesk } from './keeperdesk.js';
 import type { Engine } from './engine.js';
 import { ListDuty } from './listduty.js';
@@ -7,8 +18,12 @@
 import type { RouterStartup } from './routerstartup.js';
 import { SharedSound } from './sharedsound.js';
 import { StageDuty } from './stageduty.js';
+import { StatusDesk } from './statusdesk.js';
 
-type Core = { losses: number; first: boolean; lease: number };
+type Core = { losses: number; first: boolean; lease: number } & {
+  /** How an operator's text becomes a routing; without it no plan can be made here. */
+  read?: (text: string) => Result<Routing, Fault[]>;
+};
 
 /** A core daemon of a routed fleet put together: the registry, the duties, and the operators' desk. */
 export const Keeper = {
@@ -43,6 +58,17 @@
       ...{ clock, log: world.log('stages'), engine, purge: d.purge, shelf: d.shelf, fence, self: d.ident.id },
       ...{ servers: duty.servers, load: desk.load, lease: startup.lease },
     });
+    IntentDesk.make(d.post, d.line, startup.read ?? null);
+    StatusDesk.make({
+      ...{ clock, post: d.post, shelf: d.shelf, self: () => d.ident, view, head: speaks },
+      state: d.core.life,
+      sure: () => d.core.live() && d.core.chain.passed() !== null,
+      list: () => {
+        const now = duty.now();
+        return now ? { age: now.age, young: now.age < startup.drain } : null;
+      },
+      ...{ silent: () => null, suspected: () => [], known: () => [...d.purge.peers(), ...desk.routers()] },
+    });
     return Ok({
       ...{
         core: d.core,
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -21,7 +21,7 @@
   speed: (id: string) => number;
 };
 const NONE: ReadonlySet<string> = new Set();
-type Read = { server: Server; fresh: number };
+type Read = { server: Server; fresh: number; home: boolean };
 type Where = { s: Server; ms: number };
 /** A decode server reads at this part of the pace, between the tokens of others. */
 const BESIDE = 0.5;
@@ -89,7 +89,7 @@
       if (!home || !best) return null;
       const there = ms(home);
       const chosen = there <= route.aim * CALM ? { s: home, ms: there } : best;
-      return { ...chosen, fresh: fresh(chosen.s, p, home) };
+      return { ...chosen, fresh: fresh(chosen.s, p, home), home: chosen.s === home };
     };
     const decoder = (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>) => {
       const list = able(service, service.engine ? 'decode' : null, not);
@@ -128,7 +128,7 @@
         if (!apart || !beside) return null;
         const short = t.kept.held(beside.s.id, p) + SHORT > p.tokens;
         const bar = short ? apart.ms + HAND + SHORT / t.pace() : apart.ms + HAND;
-        return beside.ms <= bar ? null : { server: apart.s, fresh: apart.fresh };
+        return beside.ms <= bar ? null : { server: apart.s, fresh: apart.fresh, home: apart.home };
       },
       /** Where it is decoded: few under way, near the memory. */
       decode: (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>): Server | null =>
--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -4,6 +4,7 @@
 import { Pace } from './pace.js';
 import { Placement } from './placement.js';
 import type { Request } from './request.js';
+import { RequestLog } from './requestlog.js';
 import { RouteTable } from './routetable.js';
 import { Serve } from './serve.js';
 import type { Server } from './server.js';
@@ -62,7 +63,9 @@
     speed: speed.of,
     changing: () => false,
   };
+  const steps = RequestLog.make(time.clock);
   const serve = Serve.make({
+    log: steps,
     ...{ world, list, loads, health, kept, pace, speed, budget, engine: testEngine(s.script, calls) },
     ...{ shut: () => s.shut ?? null, routes: () => routes, placement: Placement.make(tools) },
     suspect: (x) => void (health.bad(x.id) && suspected.push(x.id)),
@@ -71,7 +74,7 @@
   const done = serve(request(time.clock.mono(), s.request), out.sink);
   if (s.after) await s.after(time, out);
   const verdict = await done;
-  return { calls, log: out.log, verdict, suspected, loads, level: budget.level() };
+  return { calls, steps: steps.of('q1'), log: out.log, verdict, suspected, loads, level: budget.level() };
 };
 export const DIRECT = { request: { prompt: prompt(200, 200) } };
 export const d = (calls: string[]): string[] => calls.map((c) => c.replace(/ d\d/, ' d'));
--- a/packages/router/src/reader.ts
+++ b/packages/router/src/reader.ts
@@ -24,6 +24,7 @@
     const now = (): number => t.world.clock.mono();
     const failed = (job: Job, s: Server, f: SendFault): void => {
       job.fault = { ...f, ran: 'no' };
+      t.log.note(job.request.id, 'unread', { at: s.id, word: f.code, why: f.why });
       if (f.code === 'gone') return;
       job.avoid.add(s.id);
       if (f.code === 'refused' || f.code === 'misdirected') job.arrivals++;
@@ -47,13 +48,18 @@
     return async (job: Job): Promise<void> => {
       const p = job.request.prompt!;
       const found = t.placement.prefill(job.service, job.route, p, job.avoid);
-      if (!found) return;
+      if (!found) {
+        t.log.note(job.request.id, 'beside');
+        return;
+      }
       const { server: s, fresh } = found;
       if (job.reads > 0) {
         if (!t.budget.take()) return;
         job.arrivals++;
       }
       job.reads++;
+      const why = found.home ? 'home' : '';
+      t.log.note(job.request.id, 'prefill', { at: s.id, tokens: fresh, ahead: t.loads.at(s.id).tokens, why });
       t.kept.note(s.id, p);
       const got = await send(job, s, fresh);
       if (got.err) {
@@ -63,6 +69,7 @@
       t.health.stir(s.id);
       t.health.good(s.id);
       job.handle = got.val;
+      t.log.note(job.request.id, 'handle', { at: s.id, word: got.val.id, tokens: got.val.tokens });
     };
   },
 };
--- /dev/null
+++ b/packages/router/src/requestlog.test.ts
@@ -0,0 +1,60 @@
+import { expect } from 'chai';
+import { d, DIRECT, play, type Setting } from './play.test.js';
+import { RequestLog } from './requestlog.js';
+import { server, testClock } from './stand.test.js';
+
+describe('the steps of a request', () => {
+  const cases: [string, Setting, string[]][] = [
+    [
+      'one that is read apart',
+      { script: [{ read: 'ok' }, { run: 'ok', events: 2 }] },
+      ['taken llm r', 'prefill p1', 'handle p1 h1', 'run d p1', 'first d', 'done yes whole'],
+    ],
+    [
+      'one that is read where it runs',
+      { ...DIRECT, script: [{ run: 'ok', events: 1 }] },
+      ['taken llm r', 'beside', 'run d', 'first d', 'done yes whole'],
+    ],
+    [
+      'a read that fails',
+      { script: [{ read: 'broken' }, { run: 'ok', events: 1 }] },
+      ['taken llm r', 'prefill p1', 'unread p1 broken', 'run d', 'first d', 'done yes whole'],
+    ],
+    [
+      'a stream that goes on elsewhere',
+      {
+        ...DIRECT,
+        script: [
+          { run: 'broken', events: 1 },
+          { run: 'ok', events: 1 },
+        ],
+      },
+      ['taken llm r', 'beside', 'run d', 'first d', 'failed d broken', 'beside', 'run d', 'done yes whole'],
+    ],
+    [
+      'one for which no server is left',
+      { ...DIRECT, script: [], servers: [server('p1', 'prefill')] },
+      ['taken llm r', 'beside', 'done no noserver'],
+    ],
+    ['one without a route', { script: [], request: { path: '/other/' } }, ['done no unknownroute']],
+    ['one under an old list', { script: [], old: true }, ['done no oldlist']],
+  ];
+  for (const [name, setting, want] of cases) {
+    it(`are told of ${name}`, async () => {
+      const { steps } = await play(setting);
+      expect(d(steps.map((s) => [s.what, s.at, s.word].filter((w) => w !== '').join(' ')))).to.deep.equal(want);
+    });
+  }
+  it('say what is to be read, and whether that is at the home of its prefix', async () => {
+    const { steps } = await play({ script: [{ read: 'ok' }, { run: 'ok', events: 1 }] });
+    const read = steps.find((s) => s.what === 'prefill');
+    expect(read).to.deep.include({ tokens: 6000, ahead: 0, why: 'home' });
+  });
+  it('are held in a ring of a fixed size, the oldest given up first', () => {
+    const log = RequestLog.make(testClock().clock, 4);
+    for (const id of ['a', 'b', 'b', 'c', 'b']) log.note(id, 'beside', { at: id });
+    expect(log.of('a')).to.deep.equal([]);
+    expect(log.of('b')).to.have.length(3);
+    expect(log.of('c').map((s) => s.at)).to.deep.equal(['c']);
+  });
+});
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -17,6 +17,8 @@
 import { Pace } from './pace.js';
 import { Placement } from './placement.js';
 import type { Request } from './request.js';
+import { RequestDesk } from './requestdesk.js';
+import { RequestLog } from './requestlog.js';
 import type { RouterStartup } from './routerstartup.js';
 import type { Routes } from './routes.js';
 import { RouteTable } from './routetable.js';
@@ -27,6 +29,7 @@
 import { ServerLoads } from './serverloads.js';
 import { ServerSpeed } from './serverspeed.js';
 import { SharedSound } from './sharedsound.js';
+import { StatusDesk } from './statusdesk.js';
 
 const CHECKIN = 450;
 const WAIT = 100;
@@ -107,8 +110,9 @@
       const body: Sighting = { server: s.id, born: s.id, by: ident.id };
       purge.publish({ name: `sight:${s.id}`, mark: [(old?.[0] ?? 0) + 1, Dice.int(world.chance, 1e6)], body });
     };
+    const steps = RequestLog.make(clock);
     const tools = { world, engine, shut, list, loads, health, kept, pace, speed, placement, budget, suspect };
-    const serve = Serve.make({ ...tools, routes: () => routes });
+    const serve = Serve.make({ ...tools, log: steps, routes: () => routes });
     const stops: (() => void)[] = [];
     const ears: ((now: Routes) => void)[] = [];
 
@@ -142,6 +146,13 @@
       }
     };
     TraceDesk.make(post, self, purge, shelf, () => certain);
+    RequestDesk.make(post, steps);
+    StatusDesk.make({
+      ...{ clock, post, shelf, self, state: is, sure: () => certain, view: line.view, head: () => false },
+      list: () => ({ age: list.age(), young: list.young() }),
+      ...{ silent: head.silent, suspected: health.suspected },
+      known: () => [...purge.peers(), ...head.peers()],
+    });
     return {
       ...{ ident, post, line, purge, shelf, list, loads, health, budget, head, watch, news, kept, pace },
       life: is,
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -69,6 +69,7 @@
       event(id, bytes) {
         read();
         if (id !== null) job.after = id;
+        if (job.events === 0) t.log.note(job.request.id, 'first', { at: s.id });
         job.events++;
         return job.sink.bytes(bytes);
       },
@@ -87,6 +88,7 @@
       const from = now();
       t.health.begin(s.id);
       const handle = job.handle;
+      t.log.note(job.request.id, 'run', { at: s.id, word: handle?.server.id ?? '', tokens: fresh, ahead: beside - 1 });
       job.handle = null;
       const ms = Math.max(1, job.due - now());
       const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now()), signal: stop.signal };
@@ -117,6 +119,7 @@
       }
       const f = got.val;
       job.fault = f;
+      t.log.note(job.request.id, 'failed', { at: s.id, word: f.code, why: f.why });
       job.avoid.add(s.id);
       if (f.code === 'gone' && job.left.signal.aborted) return true;
       if (f.code === 'unsent') job.arrivals--;
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -36,6 +36,11 @@
       const service = routes.pick(found, t.world.chance.real());
       if (!service) return refuse('noservice', `Route ${found.route.name} leads nowhere.`);
       if (!t.list.young()) return refuse('oldlist', "The platform's list is too old to send by.");
+      t.log.note(request.id, 'taken', {
+        at: service.name,
+        word: found.route.name,
+        tokens: request.prompt?.tokens ?? 0,
+      });
       const left = new AbortController();
       sink.left(() => left.abort('gone'));
       return {
@@ -47,7 +52,9 @@
     };
     /** Waits a little where every server is full; false if that did not help. */
     const admit = async (job: Job): Promise<boolean> => {
+      if (t.placement.room(job.service, job.request.prompt)) return true;
       const until = now() + job.route.aim * WAIT;
+      t.log.note(job.request.id, 'queued');
       while (!t.placement.room(job.service, job.request.prompt)) {
         if (now() >= until || job.left.signal.aborted) return false;
         await Timer.nap(t.world.clock, LOOK);
@@ -68,13 +75,17 @@
     };
     const told = (job: Job, verdict: Verdict): Verdict => {
       const { id } = job.request;
+      t.log.note(id, 'done', { at: verdict.ran, word: verdict.code, why: verdict.why });
       t.world.tell({ what: 'request', key: id, ran: verdict.ran, code: verdict.code, route: job.route.name });
       return verdict;
     };
     /** Null once the sink has had its answer; else why there is none, for the client to be told at once. */
     return async (request: Request, sink: AnswerSink): Promise<Verdict | null> => {
       const job = start(request, sink);
-      if ('ran' in job) return job;
+      if ('ran' in job) {
+        t.log.note(request.id, 'done', { at: job.ran, word: job.code, why: job.why });
+        return job;
+      }
       t.budget.request();
       if (!(await admit(job))) return told(job, Verdicts.not('full', 'Every server is full.', LATER));
       await go(job);
--- a/packages/router/src/serverhealth.ts
+++ b/packages/router/src/serverhealth.ts
@@ -57,6 +57,8 @@
         const r = rows.get(id);
         return !r || (r.until <= clock.mono() && !(r.shut && r.trial));
       },
+      /** Those that failed and have not done well since. */
+      suspected: (): string[] => [...rows].flatMap(([id, r]) => (r.shut ? [id] : [])),
       begin(id: string): void {
         const r = rows.get(id);
         if (r?.shut) r.trial = true;
--- a/packages/router/src/servetools.ts
+++ b/packages/router/src/servetools.ts
@@ -4,6 +4,7 @@
 import type { KeptParts } from './keptparts.js';
 import type { Pace } from './pace.js';
 import type { Placement } from './placement.js';
+import type { RequestLog } from './requestlog.js';
 import type { Routes } from './routes.js';
 import type { Server } from './server.js';
 import type { ServerHealth } from './serverhealth.js';
@@ -26,6 +27,8 @@
   speed: ReturnType<typeof ServerSpeed.make>;
   placement: ReturnType<typeof Placement.make>;
   budget: ReturnType<typeof Budget.make>;
+  /** What was done with requests, step by step. */
+  log: ReturnType<typeof RequestLog.make>;
   /** This daemon saw a server fail. */
   suspect: (s: Server, why: string) => void;
 };
