clerk asks routers and keepers: status, trace, one request, plan to read; yard routers

Older commands and --at are as they were. yard routers starts the bundle's programs with stand-in servers and list (platform/src/yard), each daemon on its own 127.0.0.N. Before: clerk could not be pointed at a router.

--- a/packages/clerk/src/commands/confirm.ts
+++ b/packages/clerk/src/commands/confirm.ts
@@ -2,6 +2,7 @@
 import { Common } from '../common.js';
 import { Desk } from '../desk.js';
 import { Printer } from '../printer.js';
+import { Where } from '../where.js';
 
 /** clerk confirm */
 export class ConfirmCommand extends Command {
@@ -11,7 +12,11 @@
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(ConfirmCommand);
-    const r = await Desk.ask(flags.at, 'POST', '/confirm', { plan: args.plan });
-    this.exit(Printer.show(r.body, flags.json, (b) => [(b['verdict'] as { why: string }).why]));
+    const body = await Where.ask(
+      flags,
+      (at) => Desk.ask(at, 'POST', '/confirm', { plan: args.plan }),
+      (f) => f.settle('confirm', args.plan),
+    );
+    this.exit(Printer.show(body, flags.json, (b) => [(b['verdict'] as { why: string }).why]));
   }
 }
--- a/packages/clerk/src/commands/index.ts
+++ b/packages/clerk/src/commands/index.ts
@@ -2,6 +2,7 @@
 import { DropCommand } from './drop.js';
 import { PlanCommand } from './plan.js';
 import { ReadCommand } from './read.js';
+import { FleetCommands } from '../fleet/commands/index.js';
 import { StatusCommand } from './status.js';
 import { TraceCommand } from './trace.js';
 import { VisitCommand } from './visit.js';
@@ -15,4 +16,5 @@
   status: StatusCommand,
   trace: TraceCommand,
   visit: VisitCommand,
+  ...FleetCommands,
 };
--- a/packages/clerk/src/commands/plan.ts
+++ b/packages/clerk/src/commands/plan.ts
@@ -3,31 +3,40 @@
 import { Common } from '../common.js';
 import { Desk } from '../desk.js';
 import { Printer } from '../printer.js';
+import { Where } from '../where.js';
 
 /** clerk plan */
 export class PlanCommand extends Command {
-  static override description = 'Store a charter as a plan and show what it would change. Nothing takes hold yet.';
+  static override description =
+    'Store a charter, or a configuration, as a plan and show what it would change. Nothing takes hold yet.';
   static override examples = ['<%= config.bin %> plan charter.json'];
-  static override args = { file: Args.string({ description: 'a JSON file with the whole charter', required: true }) };
+  static override args = {
+    file: Args.string({ description: 'a JSON file with the whole charter or configuration', required: true }),
+  };
   static override flags = Common;
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(PlanCommand);
-    let charter: unknown;
+    let text: string, charter: unknown;
     try {
-      charter = JSON.parse(await readFile(args.file, 'utf8'));
+      text = await readFile(args.file, 'utf8');
+      charter = JSON.parse(text);
     } catch (e) {
       process.stderr.write(`${args.file} can't be read: ${(e as Error).message}\n`);
       this.exit(2);
     }
-    const r = await Desk.ask(flags.at, 'POST', '/plan', { charter });
+    const body = await Where.ask(
+      flags,
+      (at) => Desk.ask(at, 'POST', '/plan', { charter }),
+      (f) => f.plan(text),
+    );
     this.exit(
-      Printer.show(r.body, flags.json, (b) => [
+      Printer.show(body, flags.json, (b) => [
         `Plan ${String(b['plan'])} is stored against version ${String(b['base'])}.`,
         ...((b['changes'] as { words: string }[]).length === 0
           ? ['  It changes nothing.']
           : (b['changes'] as { words: string }[]).map((c) => `  ${c.words}`)),
-        ...(b['warnings'] as string[]).map((w) => `  LOOK TWICE: ${w}.`),
+        ...((b['warnings'] ?? []) as string[]).map((w) => `  LOOK TWICE: ${w}.`),
         `Confirm it with: clerk confirm ${String(b['plan'])}`,
       ]),
     );
--- a/packages/clerk/src/commands/read.ts
+++ b/packages/clerk/src/commands/read.ts
@@ -2,6 +2,11 @@
 import { Common } from '../common.js';
 import { Desk } from '../desk.js';
 import { Printer } from '../printer.js';
+import { Where } from '../where.js';
+
+/** What is in force: a charter, or a configuration without the text that it was read from. */
+const held = (b: Record<string, unknown>): unknown =>
+  'charter' in b ? b['charter'] : b['configuration'] && { ...b['configuration'], source: undefined };
 
 /** clerk read */
 export class ReadCommand extends Command {
@@ -12,11 +17,16 @@
   async run(): Promise<void> {
     const { args, flags } = await this.parse(ReadCommand);
     const path = args.plan === undefined ? '/charter' : `/plan/${encodeURIComponent(args.plan)}`;
-    const r = await Desk.ask(flags.at, 'GET', path);
+    const plan = args.plan;
+    const body = await Where.ask(
+      flags,
+      (at) => Desk.ask(at, 'GET', path),
+      (f) => (plan === undefined ? f.read() : f.fate(plan)),
+    );
     this.exit(
-      Printer.show(r.body, flags.json, (b) =>
+      Printer.show(body, flags.json, (b) =>
         args.plan === undefined
-          ? [JSON.stringify(b['charter'], null, 2), `Version ${String(b['version'])}, from plan ${String(b['plan'])}.`]
+          ? [JSON.stringify(held(b), null, 2), `Version ${String(b['version'])}, from plan ${String(b['plan'])}.`]
           : [(b['verdict'] as { why: string }).why],
       ),
     );
--- a/packages/clerk/src/commands/status.ts
+++ b/packages/clerk/src/commands/status.ts
@@ -2,6 +2,8 @@
 import { Common } from '../common.js';
 import { Desk } from '../desk.js';
 import { Printer } from '../printer.js';
+import { StatusLines } from '../fleet/statuslines.js';
+import { Where } from '../where.js';
 
 /** What one daemon says of its charter; one that just started or woke says that it can't tell yet. */
 const held = (d: Row): string =>
@@ -18,9 +20,14 @@
 
   async run(): Promise<void> {
     const { flags } = await this.parse(StatusCommand);
-    const r = await Desk.ask(flags.at, 'GET', '/status');
+    const body = await Where.ask(
+      flags,
+      (at) => Desk.ask(at, 'GET', '/status'),
+      (f) => f.status(),
+    );
     this.exit(
-      Printer.show(r.body, flags.json, (b) => {
+      Printer.show(body, flags.json, (b) => {
+        if ('servers' in b) return StatusLines.of(b as Parameters<typeof StatusLines.of>[0], Date.now());
         const view = b['view'] as { epoch: number; chain: { id: string }[] } | null;
         const wrong = b['wrong'] as string[],
           version = b['version'] as number | null;
--- a/packages/clerk/src/commands/visit.ts
+++ b/packages/clerk/src/commands/visit.ts
@@ -2,6 +2,7 @@
 import { Common } from '../common.js';
 import { Desk } from '../desk.js';
 import { Printer } from '../printer.js';
+import { Where } from '../where.js';
 import { VisitStory } from '../visitstory.js';
 
 /** clerk visit */
@@ -12,7 +13,8 @@
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(VisitCommand);
-    const r = await Desk.ask(flags.at, 'GET', `/visit/${encodeURIComponent(args.key)}`);
-    this.exit(Printer.show(r.body, flags.json, (b) => VisitStory.lines(b as Parameters<typeof VisitStory.lines>[0])));
+    const path = `/visit/${encodeURIComponent(args.key)}`;
+    const body = await Where.ask(flags, (at) => Desk.ask(at, 'GET', path), null);
+    this.exit(Printer.show(body, flags.json, (b) => VisitStory.lines(b as Parameters<typeof VisitStory.lines>[0])));
   }
 }
--- a/packages/clerk/src/common.ts
+++ b/packages/clerk/src/common.ts
@@ -6,7 +6,12 @@
     description: 'IP:PORT of a daemon that serves control; more may be given; else PUMICEBARROW_AT',
     multiple: true,
     multipleNonGreedy: true,
-    default: () => Promise.resolve((process.env['PUMICEBARROW_AT'] ?? '127.0.0.1:8101').split(/[ ,]+/)),
+  }),
+  daemon: Flags.string({
+    description: "IP:PORT of a router's or keeper's own wire; more may be given; else PUMICEBARROW_DAEMONS",
+    multiple: true,
+    multipleNonGreedy: true,
+    exclusive: ['at'],
   }),
   json: Flags.boolean({ description: 'print JSON' }),
 };
--- a/packages/clerk/src/index.ts
+++ b/packages/clerk/src/index.ts
@@ -1,6 +1,15 @@
 export { Common } from './common.js';
 export { Desk } from './desk.js';
 export { ExitCode } from './exitcode.js';
+export { Caller } from './fleet/caller.js';
+export { Census } from './fleet/census.js';
+export { type Daemon } from './fleet/daemon.js';
+export { Fleet } from './fleet/fleet.js';
+export { type FleetState } from './fleet/fleetstate.js';
+export { FleetWellness } from './fleet/fleetwellness.js';
+export { RequestStory } from './fleet/requeststory.js';
+export { StatusLines } from './fleet/statuslines.js';
 export { Printer } from './printer.js';
 export { Story } from './story.js';
 export { VisitStory } from './visitstory.js';
+export { Where } from './where.js';
--- a/packages/clerk/src/story.ts
+++ b/packages/clerk/src/story.ts
@@ -9,7 +9,8 @@
   wall: number;
 };
 type Row = { id: string; reached: boolean; holds: [number, number] | null; steps: Step[] };
-type Told = { name: string; version: number; daemons: Row[] };
+/** Without a step, all marks of the version are meant. */
+type Told = { name: string; version: number; step?: number; title?: string; daemons: Row[] };
 
 const VIA: Record<string, string> = {
   origin: 'made it',
@@ -22,9 +23,13 @@
 /** A trace told so that a newcomer can follow it. */
 export const Story = {
   lines(t: Told): string[] {
+    const is = (m: [number, number]): boolean => m[0] === t.version && (t.step === undefined || m[1] === t.step);
+    const atLeast = (m: [number, number] | null): boolean =>
+      m !== null && (m[0] > t.version || (m[0] === t.version && m[1] >= (t.step ?? 0)));
+    const text = (m: [number, number]): string => (t.step === undefined ? `${m[0]}` : m.join('.'));
     const met = t.daemons
       .flatMap((d) => {
-        const s = d.steps.filter((x) => x.mark[0] === t.version).at(-1);
+        const s = d.steps.filter((x) => is(x.mark)).at(-1);
         return s ? [{ d, s }] : [];
       })
       .sort((a, b) => a.s.wall - b.s.wall);
@@ -34,20 +39,19 @@
       const who = s.via === 'origin' ? '' : ` from ${s.from}, hop ${s.hops}`;
       return `  ${after}  ${d.id.padEnd(6)} ${VIA[s.via] ?? s.via}${who}, in its round ${s.round}.`;
     });
-    const newer = t.daemons.filter(
-      (d) => d.reached && !met.some((m) => m.d.id === d.id) && (d.holds?.[0] ?? 0) >= t.version,
-    );
-    const missing = t.daemons.filter((d) => d.reached && (d.holds?.[0] ?? 0) < t.version);
-    const holders = t.daemons.filter((d) => d.reached && (d.holds?.[0] ?? 0) >= t.version);
+    const newer = t.daemons.filter((d) => d.reached && !met.some((m) => m.d.id === d.id) && atLeast(d.holds));
+    const missing = t.daemons.filter((d) => d.reached && !atLeast(d.holds));
+    const holders = t.daemons.filter((d) => d.reached && atLeast(d.holds));
     const away = t.daemons.filter((d) => !d.reached);
+    const title = t.title ?? `${t.name} ${t.version}`;
     return [
-      `${t.name} ${t.version}: ${holders.length} of ${t.daemons.length} daemons hold it or a newer one.`,
+      `${title}: ${holders.length} of ${t.daemons.length} daemons hold it or a newer one.`,
       ...rows,
       ...(newer.length > 0
         ? [`  Hold it or a newer one, but no longer remember how: ${newer.map((d) => d.id).join(', ')}.`]
         : []),
       ...(missing.length > 0
-        ? [`  Missing: ${missing.map((d) => `${d.id} (holds ${d.holds?.[0] ?? 'none'})`).join(', ')}.`]
+        ? [`  Missing: ${missing.map((d) => `${d.id} (holds ${d.holds ? text(d.holds) : 'none'})`).join(', ')}.`]
         : []),
       ...(away.length > 0 ? [`  Unreachable, and not counted: ${away.map((d) => d.id).join(', ')}.`] : []),
     ];
--- a/packages/router/src/intentdesk.ts
+++ b/packages/router/src/intentdesk.ts
@@ -16,6 +16,7 @@
 const shut = { additionalProperties: false } as const;
 const Change = Type.Object({ path: Type.String(), words: Type.String() }, shut);
 const READ = 2500;
+const FIRST = 'There is no configuration yet; all of this is new.';
 
 /**
  * Where operators have a configuration planned, in the same form in which it is sent in one step. Invariants: only what
@@ -44,7 +45,8 @@
         };
       const base = now.charter?.version ?? 0;
       const { ruling } = await line.write({ do: 'plan', id, base, charter: will.val });
-      const changes = Diff.of(now.charter?.body ?? null, will.val).map(({ path, words }) => ({ path, words }));
+      const was = now.charter?.body ?? null;
+      const changes = Diff.of(was, will.val).map(({ path, words }) => ({ path, words: was ? words : FIRST }));
       return { verdict: ruling.verdict, base, changes };
     });
   },
--- a/packages/yard/src/child.ts
+++ b/packages/yard/src/child.ts
@@ -5,15 +5,16 @@
 const bin = (pack: string): string =>
   fileURLToPath(import.meta.resolve(`@pumicebarrow/${pack}`).replace(/dist\/index\.js$/, 'bin/run.js'));
 
+type Held = { proc: ChildProcess; line: Promise<string>; gone: Promise<number | null> };
+
 /** Processes that the yard has started, and nothing else. */
 export const Child = {
-  start(
-    pack: string,
-    args: readonly string[],
-    logfile: string,
-  ): { proc: ChildProcess; line: Promise<string>; gone: Promise<number | null> } {
+  start: (pack: string, args: readonly string[], logfile: string): Held => Child.node([bin(pack), ...args], logfile),
+  /** A program of Node's, with what is to be in its environment beside ours. */
+  node(args: readonly string[], logfile: string, env: Readonly<Record<string, string>> = {}): Held {
     const out: WriteStream = createWriteStream(logfile, { flags: 'a' });
-    const proc = spawn(process.execPath, [bin(pack), ...args], { stdio: ['ignore', 'pipe', 'pipe'] });
+    const more = { ...process.env, ...env };
+    const proc = spawn(process.execPath, [...args], { stdio: ['ignore', 'pipe', 'pipe'], env: more });
     proc.stderr.pipe(out, { end: false });
     const line = new Promise<string>((done) => {
       proc.stdout.once('data', (b: Buffer) => done(b.toString('utf8').trim()));
--- a/packages/yard/src/index.ts
+++ b/packages/yard/src/index.ts
@@ -8,5 +8,6 @@
 export { Ports } from './ports.js';
 export { RealDay } from './realday.js';
 export { Relay } from './relay.js';
+export { RoutedPlant } from './routed/routedplant.js';
 export { Tale } from './tale.js';
 export { TownHost } from './townhost.js';
--- /dev/null
+++ b/packages/yard/src/routed/routedplant.ts
@@ -0,0 +1,117 @@
+import { RealClock } from '@pumicebarrow/forms';
+import { ListStandIn, ModelStandIn, SampleCall, SettingsText } from '@pumicebarrow/platform';
+import { execFile } from 'node:child_process';
+import { mkdir, rm, writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { Child } from '../child.js';
+import { Ports } from '../ports.js';
+
+type Held = ReturnType<typeof Child.node>;
+type Size = { keepers: number; routers: number; prefill: number; decode: number };
+type Daemon = { id: string; role: 'router' | 'keeper'; addr: string; file: string; front: string };
+const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
+const PROGRAM = join(ROOT, 'target', 'pumicebarrow.js');
+const SERVICE = 'llm';
+const SLOTS = 64;
+const ZONES = ['north', 'south'] as const;
+const LATE = 15_000;
+
+/**
+ * A fleet of routers and keepers as real processes on this machine, of the same bundle as everywhere, with stand-in
+ * servers and a stand-in list in this process. Invariant: every daemon has an IP number of its own, as daemons of one
+ * fleet have one internal port in common.
+ */
+export const RoutedPlant = {
+  service: SERVICE,
+  slots: SLOTS,
+  /** Bundles the programs from the sources, as a deployment does. */
+  build: (): Promise<void> =>
+    new Promise((done, fail) => {
+      execFile(process.execPath, [join(ROOT, 'tools', 'bundle.mjs')], { cwd: ROOT }, (e, _out, err) => {
+        if (e) fail(new Error(err || e.message));
+        else done();
+      });
+    }),
+  async make(size: Size, dir: string) {
+    await rm(dir, { recursive: true, force: true });
+    await mkdir(dir, { recursive: true });
+    const clock = RealClock.make();
+    const models = size.prefill + size.decode;
+    const ports = await Ports.free(models + 4);
+    const [internal, front, ready, list] = ports.splice(0, 4) as [number, number, number, number];
+    const zone = (i: number): string => ZONES[i % ZONES.length]!;
+    const daemons: Daemon[] = Array.from({ length: size.keepers + size.routers }, (_, i) => {
+      const keeper = i < size.keepers;
+      const id = keeper ? `k${i + 1}` : `r${i - size.keepers + 1}`;
+      const ip = `127.0.0.${10 + i}`;
+      const at = { addr: `${ip}:${internal}`, front: `${ip}:${front}` };
+      return { id, role: keeper ? 'keeper' : 'router', file: join(dir, `${id}.toml`), ...at };
+    });
+    const keepers = daemons.filter((d) => d.role === 'keeper');
+    const routers = daemons.filter((d) => d.role === 'router');
+    const settings = (d: Daemon, i: number): string =>
+      SettingsText.of({
+        ...{ id: d.id, role: d.role, addr: d.addr, zone: zone(i), list: `127.0.0.1:${list}`, first: true },
+        seeds: keepers.map((k) => k.addr),
+        ...(d.role === 'keeper'
+          ? { control: d.front, data: join(dir, d.id) }
+          : { front: d.front, ready: d.addr.replace(/\d+$/, String(ready)) }),
+      });
+    const standIns = new Map<string, Awaited<ReturnType<typeof ModelStandIn.make>>>();
+    const up = new Map<string, Held>();
+    let listHost: { close(): Promise<void> } | null = null;
+    const rise = (id: string): void => {
+      const d = daemons.find((x) => x.id === id)!;
+      const env = { PUMICEBARROW_CONFIG: d.file };
+      up.set(id, Child.node(['--max-old-space-size=200', PROGRAM, d.role], join(dir, `${id}.log`), env));
+    };
+    return {
+      dir,
+      keepers,
+      routers,
+      /** A first configuration, and how a request is sent. */
+      configuration: join(dir, 'configuration.json'),
+      call: (id: string): string => SampleCall.line(routers[0]!.front, id),
+      async start(): Promise<void> {
+        await Promise.all(daemons.map((d, i) => writeFile(d.file, settings(d, i))));
+        await writeFile(join(dir, 'configuration.json'), SampleCall.configuration(1, SERVICE, SLOTS));
+        for (let i = 0; i < models; i++) {
+          const id = `m${i + 1}`,
+            stage = i < size.prefill ? 'prefill' : 'decode';
+          const addr = `127.0.0.1:${ports[i]!}`;
+          const start = { id, addr, service: SERVICE, zone: zone(i), stage, slots: SLOTS, clock } as const;
+          standIns.set(id, await ModelStandIn.make(start));
+        }
+        listHost = await ListStandIn.make(`127.0.0.1:${list}`, () => [...standIns.values()].map((s) => s.listed()));
+        for (const d of daemons) rise(d.id);
+      },
+      rise,
+      /** Ends one of our own processes, by its id; gives its exit code. */
+      async fall(id: string, how: 'SIGKILL' | 'SIGTERM'): Promise<number | null> {
+        const held = up.get(id);
+        if (!held) return null;
+        up.delete(id);
+        held.proc.kill(how);
+        return held.gone;
+      },
+      async stop(): Promise<Record<string, number | null>> {
+        const codes: Record<string, number | null> = {};
+        await Promise.all(
+          [...up].map(async ([id, held]) => {
+            held.proc.kill('SIGTERM');
+            const late = setTimeout(() => held.proc.kill('SIGKILL'), LATE);
+            codes[id] = await held.gone;
+            clearTimeout(late);
+          }),
+        );
+        up.clear();
+        await Promise.all([...standIns.values()].map((s) => s.close()));
+        standIns.clear();
+        await listHost?.close();
+        listHost = null;
+        return codes;
+      },
+    };
+  },
+};
--- a/packages/yard/src/shortday.test.ts
+++ b/packages/yard/src/shortday.test.ts
@@ -1,29 +1,13 @@
 import { Deployments } from '@pumicebarrow/sim';
 import { expect } from 'chai';
-import { spawn } from 'node:child_process';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { fileURLToPath } from 'node:url';
+import { ClerkRun } from './clerkrun.test.js';
 import { Drive } from './drive.js';
 import { Plant } from './plant.js';
 
-const clerk = (at: string, ...args: string[]): Promise<{ code: number | null; text: string }> =>
-  new Promise((done) => {
-    const p = spawn(
-      process.execPath,
-      [fileURLToPath(import.meta.resolve('@pumicebarrow/clerk').replace(/dist\/index\.js$/, 'bin/run.js')), ...args],
-      { env: { ...process.env, PUMICEBARROW_AT: at } },
-    );
-    let text = '';
-    p.stdout.on('data', (b: Buffer) => {
-      text += b.toString('utf8');
-    });
-    p.stderr.on('data', (b: Buffer) => {
-      text += b.toString('utf8');
-    });
-    p.once('close', (code) => done({ code, text }));
-  });
+const clerk = (at: string, ...args: string[]) => ClerkRun.run({ PUMICEBARROW_AT: at }, ...args);
 
 describe('A fleet of real processes', () => {
   it('takes a charter, serves, and serves on after a daemon, a server and the head are killed', async () => {
