--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -42,6 +42,11 @@
       const service = routes.pick(found, t.world.chance.real());
       if (!service) return refuse('noservice', `Route ${found.route.name} leads nowhere.`);
       if (!t.list.young()) return refuse('oldlist', "The platform's list is too old to send by.");
+      t.log.note(request.id, 'taken', {
+        at: service.name,
+        word: found.route.name,
+        tokens: request.prompt?.tokens ?? 0,
+      });
       const left = new AbortController();
       sink.left(() => left.abort('gone'));
       return {
@@ -71,7 +76,9 @@
     };
     /** Waits a little where every server is full; false if that did not help. */
     const admit = async (job: Job): Promise<boolean> => {
+      if (t.placement.room(job.service, job.request.prompt)) return true;
       const until = now() + job.route.aim * WAIT;
+      t.log.note(job.request.id, 'queued');
       while (!t.placement.room(job.service, job.request.prompt)) {
         if (now() >= until || job.left.signal.aborted) return false;
         await Timer.nap(t.world.clock, LOOK);
@@ -92,6 +99,7 @@
     };
     const told = (job: Job, verdict: Verdict): Verdict => {
       const { id } = job.request;
+      t.log.note(id, 'done', { at: verdict.ran, word: verdict.code, why: verdict.why });
       t.world.tell({ what: 'request', key: id, ran: verdict.ran, code: verdict.code, route: job.route.name });
       return verdict;
     };
@@ -99,7 +107,10 @@
     return async (request: Request, sink: AnswerSink): Promise<Verdict | null> => {
       await settle(sink);
       const job = start(request, sink);
-      if ('ran' in job) return job;
+      if ('ran' in job) {
+        t.log.note(request.id, 'done', { at: job.ran, word: job.code, why: job.why });
+        return job;
+      }
       t.budget.request();
       const later = deferred(job);
       if (later !== null) return told(job, Verdicts.not('deferred', 'It would be late now.', later));
