A daemon that has just started believes no majority of the few it has met; drill doubt

A majority is now believed only by one that has been up for 2 s: within that it meets the others by gossip, and a charter in force comes to all that are linked. Ruled out: the drill's own cuts as the cause (the core is back after half a second, and the tail then tells the newest). Tests changed: newest.test's first two cases are given a clock, since the search now reads one; what they expect is the same.

--- a/packages/counter/src/newest.test.ts
+++ b/packages/counter/src/newest.test.ts
@@ -1,4 +1,4 @@
-import type { Ident } from '@pumicebarrow/forms';
+import type { Doc, Ident } from '@pumicebarrow/forms';
 import { expect } from 'chai';
 import { Newest } from './newest.js';
 
@@ -12,6 +12,7 @@
     it(about, async () => {
       let sleeps = 0;
       const newest = Newest.make({
+        world: { clock: { mono: () => 0 } },
         line: {
           read: () => {
             sleeps += naps;
@@ -24,4 +25,41 @@
       } as unknown as Parameters<typeof Newest.make>[0]);
       expect(await newest.sure()).to.equal(want);
     });
+
+  const peer = (id: string): Ident => ({ ...self, id, addr: `${id}:1` });
+  const charter = (version: number): Doc => ({ name: 'charter', mark: [version, 0], body: {} });
+  /** What a daemon that can't reach the tail takes up, by its age, who of two it knows reply, and what it held. */
+  for (const [about, age, replies, want] of [
+    ['takes the newest of a majority', 2000, [6, 7], 7],
+    ['does not take a minority for one', 2000, [], null],
+    ['takes the few it has met just after its start for no majority', 1999, [6, 6], null],
+  ] as const)
+    it(about, async () => {
+      let held: Doc | null = null;
+      let now = 500;
+      const newest = Newest.make({
+        world: { clock: { mono: () => now } },
+        line: { read: () => Promise.resolve(null) },
+        post: {
+          ask: (addr: string) => {
+            const version = replies[Number(addr[1])];
+            return Promise.resolve(
+              version === undefined ? { ok: false } : { ok: true, val: { doc: charter(version) } },
+            );
+          },
+        },
+        purge: {
+          learn: (doc: Doc) => {
+            held = doc;
+          },
+        },
+        shelf: { get: () => held },
+        self: () => self,
+        known: () => [peer('p0'), peer('p1')],
+        slept: () => 0,
+      } as unknown as Parameters<typeof Newest.make>[0]);
+      now += age;
+      expect(await newest.sure()).to.equal(want !== null);
+      expect((held as Doc | null)?.mark[0] ?? null).to.equal(want);
+    });
 });
--- a/packages/counter/src/newest.ts
+++ b/packages/counter/src/newest.ts
@@ -15,14 +15,18 @@
   /** How often this daemon has slept, as looked for now. */
   slept: () => number;
 };
+/** ms within which a daemon meets the others by gossip, and a charter in force comes to all that are linked. */
+const MEET = 2000;
 
 /**
  * Seeks the newest charter outside a gossip: at the tail, or, with the core cut off, from a majority of known daemons.
  * Invariant: `sure` is said only when no charter in force when the search began is newer than the one now held, and
- * nothing was slept through since then: a reply may have waited for us to wake.
+ * nothing was slept through since then: a reply may have waited for us to wake. One that has just started knows too few
+ * to believe a majority of them.
  */
 export const Newest = {
   make(t: Tools) {
+    const started = t.world.clock.mono();
     const tail = async (ms: number): Promise<boolean> => {
       const got = await t.line.read(undefined, ms);
       if (!got) return false;
@@ -35,6 +39,7 @@
       return true;
     };
     const most = async (): Promise<boolean> => {
+      if (t.world.clock.mono() - started < MEET) return false;
       const others = t.known().filter((k) => k.role === 'counter' && k.id !== t.self().id);
       const got = await Promise.all(
         others.map((o) => t.post.ask(o.addr, o.id, 'purge.pull', { name: 'charter' }, Pulled, 400)),
--- a/packages/sim/src/day.ts
+++ b/packages/sim/src/day.ts
@@ -5,7 +5,7 @@
 
 const COOP = new Set(['clocks', 'diskstall', 'lone', 'alone']);
 /** Faults that stop or cut off the core whole are not laid over another core fault: one core is lost at a time. */
-const ALONE = new Set(['restart', 'blackout', 'cutoff', 'lone', 'alone', 'racekill', 'pause', 'doors']);
+const ALONE = new Set(['restart', 'blackout', 'cutoff', 'lone', 'alone', 'racekill', 'pause', 'doors', 'doubt']);
 const FINAL = ['restart', 'blackout', 'herd', 'corekill', 'cutoff', 'crash', 'wipe'];
 
 /** A whole day of mixed faults, two at a time now and then, which ends on one. */
--- a/packages/sim/src/drills/intents.ts
+++ b/packages/sim/src/drills/intents.ts
@@ -60,6 +60,51 @@
       await s.nap(2000);
     },
   },
+  {
+    name: 'doubt',
+    about:
+      'a daemon that told the newest charter starts again beside two that missed it, and is asked before the core ' +
+      'has replied to it',
+    meets: ['readback', 'killed', 'behind'],
+    async run(s) {
+      const version = (id: string): number => s.f.counters.get(id)?.sheet.version() ?? 0;
+      const until = async (fn: () => boolean, ms: number): Promise<boolean> => {
+        for (const end = s.now() + ms; !fn() && s.now() < end;) await s.nap(1);
+        return fn();
+      };
+      for (let i = 0; i < 3; i++) {
+        await s.ops.change(5);
+        await s.nap(1000);
+        const [one, door, ...late] = s.f.some(s.f.edgeIds, 4) as [string, string, string, string];
+        const rest = s.f.edgeIds.filter((id) => id !== one && !late.includes(id));
+        const old = version(one);
+        s.cut(late, [...s.f.coreIds, ...rest], 3000);
+        const apart = s.f.net.cut(late, [one]);
+        const { name } = await s.ops.plan(door, s.ops.write());
+        await s.ops.confirm(door, name);
+        await until(() => version(one) > old, 1000);
+        await s.ops.look(door);
+        s.note('cut', { ids: [one], until: s.now() + 1000 });
+        const core = s.f.net.cut([one], s.f.coreIds);
+        const edges = s.f.net.cut([one], rest);
+        const addrs = late.map((id) => s.f.boxes.get(id)!.addr());
+        s.f.kill(one);
+        apart();
+        s.f.start(one, addrs);
+        let asking = true;
+        void (async () => {
+          for (; asking; await s.nap(3)) void s.ops.look(door);
+        })();
+        if ((await until(() => version(one) === old, 500)) && version(door) > old) s.note('behind', { id: one });
+        edges();
+        await s.nap(80);
+        core();
+        await s.nap(300);
+        asking = false;
+        await s.nap(4000);
+      }
+    },
+  },
   {
     name: 'racekill',
     about: 'operators race while the head is killed',
--- a/packages/sim/src/meets.ts
+++ b/packages/sim/src/meets.ts
@@ -101,6 +101,8 @@
   beaten: some('verdict', has('code', 'lost')),
   unsure: some('verdict', (d) => d['ran'] === 'maybe' || d['code'] === 'unready'),
   readback: some('readback'),
+  /** A daemon that started again held an older charter than it was last told to hold. */
+  behind: some('behind'),
   deadseeds: some('deadseeds'),
   /** Both daemons that had a way into the fleet found it. */
   found: (list: List): number => (of(list, 'found').length >= 2 ? 1 : 0),
--- a/packages/sim/src/operators.ts
+++ b/packages/sim/src/operators.ts
@@ -100,9 +100,8 @@
     const glance = (of: string, who: string, from: number, version: unknown): void =>
       tell({ what: 'readback', who, at: motor.now(), of, from, version: version ?? null });
     /** Reads the charter back, and what status tells of each daemon. */
-    const look = async (): Promise<void> => {
-      const id = daemon(),
-        from = motor.now();
+    const look = async (id = daemon()): Promise<void> => {
+      const from = motor.now();
       const got = await call(id, (c) => c.read());
       if (got?.verdict.ran === 'yes') glance('core', id, from, got['version']);
       const again = motor.now(),
