--- a/packages/router/src/reader.ts
+++ b/packages/router/src/reader.ts
@@ -27,7 +27,10 @@
       t.log.note(job.request.id, 'unread', { at: s.id, word: f.code, why: f.why });
       if (f.code === 'gone') return;
       job.avoid.add(s.id);
-      if (f.code === 'refused' || f.code === 'misdirected') job.arrivals++;
+      if (f.code === 'refused' || f.code === 'misdirected') {
+        job.arrivals++;
+        t.turned(s);
+      }
       if (Blame.falls(f, t.health.silent(s.id), SILENT)) t.suspect(s, f.why);
     };
     const send = async (job: Job, s: Server, fresh: number): Promise<Result<Handle, SendFault>> => {
@@ -37,7 +40,7 @@
       const free = t.loads.read(s.id, fresh);
       t.health.begin(s.id);
       const from = now();
-      const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now()), signal: job.left.signal };
+      const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now(), job.first), signal: job.left.signal };
       const got = await t.engine.prefill(s, job.request, terms);
       free();
       if (got.ok && alone) t.pace.learn(fresh, now() - from);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -35,7 +35,7 @@
 const WAIT = 100;
 /** Parts of `drain` after which a list is too old to send by, and after which another way to it is sought. */
 const OLDEST = 0.72;
-const WORRY = 0.45;
+const WORRY = 0.5;
 const MEMORY = 400_000;
 
 /** A router daemon put together: purge, its line to the core, the list, and the requests' path. */
@@ -106,12 +106,19 @@
     const suspect = (s: Server, why: string): void => {
       if (!health.bad(s.id)) return;
       log.warn(`${s.id} is under suspicion: ${why}.`);
+      tellAll(s);
+    };
+    /** One that should have room and turns requests away does so to all: it may be changing its stage. */
+    const turned = (s: Server): void => {
+      if (health.turned(s.id) && loads.at(s.id).runs < s.slots / 2) tellAll(s);
+    };
+    const tellAll = (s: Server): void => {
       const old = shelf.mark(`sight:${s.id}`);
       const body: Sighting = { server: s.id, born: s.id, by: ident.id };
       purge.publish({ name: `sight:${s.id}`, mark: [(old?.[0] ?? 0) + 1, Dice.int(world.chance, 1e6)], body });
     };
     const steps = RequestLog.make(clock);
-    const tools = { world, engine, shut, list, loads, health, kept, pace, speed, placement, budget, suspect };
+    const tools = { world, engine, shut, list, loads, health, kept, pace, speed, placement, budget, suspect, turned };
     const serve = Serve.make({ ...tools, log: steps, routes: () => routes });
     const stops: (() => void)[] = [];
     const ears: ((now: Routes) => void)[] = [];
@@ -140,6 +147,7 @@
           certain = true;
           life.send('sure');
           log.say('Serving.');
+          void head.tick();
           return;
         }
         await Timer.nap(clock, WAIT);
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -91,7 +91,7 @@
       t.log.note(job.request.id, 'run', { at: s.id, word: handle?.server.id ?? '', tokens: fresh, ahead: beside - 1 });
       job.handle = null;
       const ms = Math.max(1, job.due - now());
-      const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now()), signal: stop.signal };
+      const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now(), job.first), signal: stop.signal };
       const got = await t.engine.run(s, job.request, handle, job.after, terms, hearer(job, s, watch.stir, read));
       watch.stop();
       const more = job.events - before;
@@ -123,6 +123,7 @@
       job.avoid.add(s.id);
       if (f.code === 'gone' && job.left.signal.aborted) return true;
       if (f.code === 'unsent') job.arrivals--;
+      if (f.code === 'refused' || f.code === 'misdirected') t.turned(s);
       if (f.code === 'gone' || Blame.falls(f, t.health.silent(s.id), SILENT)) t.suspect(s, f.why);
       if (f.ran === 'no') return false;
       job.maybe = true;
--- a/packages/router/src/serve.test.ts
+++ b/packages/router/src/serve.test.ts
@@ -123,6 +123,11 @@
       { calls: ['run d', 'run d'], log: ['1;', 'end'], suspects: 1 },
     ],
     ['no route is said as such', { script: [], request: { path: '/other/' } }, { calls: [], code: 'unknownroute' }],
+    [
+      'a request waits a little for a young list',
+      { ...DIRECT, script: [{ run: 'ok', events: 1 }], old: true, renewed: 400 },
+      { calls: ['run d'], log: ['1;', 'end'] },
+    ],
     ['an old list sends nothing', { script: [], old: true }, { calls: [], code: 'oldlist', ran: 'no' }],
     [
       'a daemon that is not sure sends nothing',
@@ -153,6 +158,18 @@
     });
   }
 
+  it('sends a first try away at once while the readers are far behind, and takes it when it is back', async () => {
+    const busy = { p1: 60_000, d1: 60_000, d2: 60_000 };
+    const first = await play({ script: [{ read: 'ok' }], busy });
+    expect(first.calls).to.deep.equal([]);
+    expect(first.log).to.deep.equal([]);
+    expect(first.verdict).to.include({ code: 'deferred', ran: 'no' });
+    expect(first.verdict?.after).to.be.within(0.3, 2.6);
+    const back = await play({ script: [{ read: 'ok' }, { run: 'ok', events: 1 }], busy, wait: 6000 });
+    expect(d(back.calls)).to.deep.equal(['read p1', 'run d from h1']);
+    expect(back.log.at(-1)).to.equal('end');
+  });
+
   it('moves a silent stream that may go on elsewhere, and suspects the server', async () => {
     const got = await play({
       ...DIRECT,
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -1,5 +1,7 @@
 import { Timer, Verdicts, type Verdict } from '@pumicebarrow/forms';
 import type { AnswerSink } from './answersink.js';
+import { Deferral } from './deferral.js';
+import { FirstTries } from './firsttries.js';
 import type { Job } from './job.js';
 import { Reader } from './reader.js';
 import type { Request } from './request.js';
@@ -14,6 +16,9 @@
 const WAIT = 0.2;
 const LOOK = 20;
 const LATER = 0.4;
+/** ms that a request waits for what this daemon doesn't know yet: once it has served, and before that. */
+const UNSURE = 150;
+const BEGINNING = 500;
 
 /**
  * One request, from its arrival to its answer, written straight down.
@@ -25,6 +30,7 @@
     const now = (): number => t.world.clock.mono();
     const read = Reader.make(t),
       run = Runner.make(t);
+    const firsts = FirstTries.make();
     const refuse = (code: string, why: string): Verdict => Verdicts.not(code, why, SOON);
     const start = (request: Request, sink: AnswerSink): Job | Verdict => {
       const shut = t.shut();
@@ -45,11 +51,29 @@
       sink.left(() => left.abort('gone'));
       return {
         ...{ request, sink, service, left, route: found.route, after: request.after },
+        first: firsts.is(found.route, request.wait),
         due: Math.min(request.due, now() + found.route.timeout),
         ...{ arrivals: 0, reads: 0, events: 0, handle: null, begun: false, status: 0, maybe: false, fault: null },
         avoid: new Set(),
       };
     };
+    let begun = false;
+    const sure = (): boolean => t.shut() === null && t.routes() !== null && t.list.young();
+    /** Waits a little for the newest configuration and a young list; what is still missing then is told by `start`. */
+    const settle = async (sink: AnswerSink): Promise<void> => {
+      const until = now() + (begun ? UNSURE : BEGINNING);
+      while (!sure() && now() < until && !sink.gone()) await Timer.nap(t.world.clock, LOOK);
+      begun ||= sure();
+    };
+    /** Seconds after which a request had better come back, because it would miss its aim now; null if it stays. */
+    const deferred = (job: Job): number | null => {
+      const p = job.request.prompt;
+      if (!p) return null;
+      const { ms, alone } = t.placement.foreseen(job.service, job.route, p);
+      const c = { foreseen: ms, alone, aim: job.route.aim, left: job.due - now(), first: job.first };
+      const wait = Deferral.of(c, t.world.chance.real());
+      return wait === null ? null : wait / 1000;
+    };
     /** Waits a little where every server is full; false if that did not help. */
     const admit = async (job: Job): Promise<boolean> => {
       if (t.placement.room(job.service, job.request.prompt)) return true;
@@ -81,12 +105,15 @@
     };
     /** Null once the sink has had its answer; else why there is none, for the client to be told at once. */
     return async (request: Request, sink: AnswerSink): Promise<Verdict | null> => {
+      await settle(sink);
       const job = start(request, sink);
       if ('ran' in job) {
         t.log.note(request.id, 'done', { at: job.ran, word: job.code, why: job.why });
         return job;
       }
       t.budget.request();
+      const later = deferred(job);
+      if (later !== null) return told(job, Verdicts.not('deferred', 'It would be late now.', later));
       if (!(await admit(job))) return told(job, Verdicts.not('full', 'Every server is full.', LATER));
       await go(job);
       if (job.handle) void t.engine.free(job.handle);
--- a/packages/router/src/servetools.ts
+++ b/packages/router/src/servetools.ts
@@ -31,4 +31,6 @@
   log: ReturnType<typeof RequestLog.make>;
   /** This daemon saw a server fail. */
   suspect: (s: Server, why: string) => void;
+  /** A server turned a request of this daemon away. */
+  turned: (s: Server) => void;
 };
