Hollow routers and keepers: what control costs, counted up to the design size

`routesim capacity` runs the real Router and Keeper, many to a process, in virtual time over a counted wire, and shares the process's user time out by whose each event was.

Ruled out: sim's Net as the wire (it looks through all hosts at each mail, which would have been charged to the routers); a heap of its own for the metered clock (it wraps Engine).

Before: no slopes.

sim: `Bound`, `Chart` and `Wanted` have files of their own, `Fits.rows` and `Plots.draw` take what they are to draw; no test of sim changed.

--- /dev/null
+++ b/packages/routesim/src/capacity/mixes.ts
@@ -0,0 +1,38 @@
+import { StageMix } from '@pumicebarrow/router';
+import { Hollow, type Figure } from '@pumicebarrow/sim';
+
+const LOOKS = 40;
+const PARTS = [2, 3, 4, 6, 8, 12];
+/** ms of reading that wait at each prefill server, and runs at each decode server. */
+const LOADS = [
+  { read: 700, run: 6 },
+  { read: 1400, run: 12 },
+  { read: 2800, run: 12 },
+];
+
+/**
+ * Whether the real `StageMix` moves a server of one service while reading is two, four and eight times as busy as it
+ * should be, and decoding far less: by how many servers the service has.
+ */
+export const Mixes = {
+  moves(load: { read: number; run: number }, prefill: number, decode: number): number {
+    const mix = StageMix.make();
+    let moved = 0;
+    for (let i = 0; i < LOOKS; i++) if (mix.look(load, { prefill, decode }) === 1) moved++;
+    return moved > 0 ? 1 : 0;
+  },
+  run(n: number): Figure[] {
+    const a = { run: 'mixes', axis: 'servers of a service', at: n };
+    const prefill = Math.max(1, Math.round(n / 3));
+    return LOADS.map((load) =>
+      Hollow.figure(
+        a,
+        'head',
+        `moves one: ${load.read} ms wait to be read, ${load.run} run`,
+        'count',
+        Mixes.moves(load, prefill, n - prefill),
+      ),
+    );
+  },
+  sizes: PARTS.flatMap((n) => [n, n * 10, n * 100]).sort((x, y) => x - y),
+};
--- /dev/null
+++ b/packages/routesim/src/capacity/routedruns.ts
@@ -0,0 +1,87 @@
+import { Design, type Figure } from '@pumicebarrow/sim';
+import { Mixes } from './mixes.js';
+import { RoutedFleet } from './routedfleet.js';
+import { RoutedStart } from './routedstart.js';
+import { RoutedWorks } from './routedworks.js';
+import { UnderWay } from './underway.js';
+
+type Job = (n: number, seed: number, span?: number) => Figure[] | Promise<Figure[]>;
+type Run = { about: string; sizes: readonly number[]; job: Job };
+const fleet = (run: string, axis: string) => (at: number, seed: number) => ({ run, axis, at, seed });
+const routers = fleet('routers', 'routers'),
+  servers = fleet('routedservers', 'servers'),
+  lists = fleet('routedlist', 'servers'),
+  runs = fleet('routedruns', 'requests under way'),
+  routes = fleet('routedroutes', 'routes'),
+  far = fleet('routersfar', 'routers'),
+  whole = fleet('routedwhole', 'routers');
+const sizes = [25, 50, 100, 200, 400, 800, 1600, 2900];
+const tables = [4, 16, 64, 256, 1024, 4096, 10_000];
+/** Requests under way at a router at the design size. */
+const UNDER_WAY = Math.round((Design.visits / Design.daemons / 1000) * UnderWay.STREAM);
+/** ms between regions, one way. */
+const FAR = 35;
+const SERVERS = Design.servers / Design.daemons;
+
+/** The runs of `routesim capacity`, by name, each with the sizes it is made at. */
+export const RoutedRuns: Record<string, Run> = {
+  routers: {
+    about: 'routers before 16 servers, five keepers, no requests',
+    sizes,
+    job: (n, seed, span) => RoutedFleet.run({ span, ...routers(n, seed), routers: n, servers: 16 }),
+  },
+  routedservers: {
+    about: '25 routers, a list that stays as it is',
+    sizes: tables,
+    job: (n, seed, span) => RoutedFleet.run({ span, ...servers(n, seed), routers: 25, servers: n }),
+  },
+  routedlist: {
+    about: '25 routers, one server exchanged each four seconds',
+    sizes: tables,
+    job: (n, seed, span) => RoutedFleet.run({ span, ...lists(n, seed), routers: 25, servers: n, listed: 0.25 }),
+  },
+  routedruns: {
+    about: '100 routers before 1,024 servers, requests under way at each',
+    sizes: [8, 27, 54, 108, 215, 430],
+    job: (n, seed, span) => RoutedFleet.run({ span, ...runs(n, seed), routers: 100, servers: 1024, runs: n }),
+  },
+  routedroutes: {
+    about: '25 routers, a configuration of more and more routes',
+    sizes: [8, 32, 128, 512, 2600],
+    job: (n, seed, span) => RoutedFleet.run({ span, ...routes(n, seed), routers: 25, servers: 16, routes: n }),
+  },
+  routersfar: {
+    about: 'routers before 16 servers, 35 ms apart',
+    sizes: [100, 200, 400, 800],
+    job: (n, seed, span) => RoutedFleet.run({ span, ...far(n, seed), routers: n, servers: 16, slow: FAR }),
+  },
+  routedstart: {
+    about: 'a router that starts in a fleet of 25',
+    sizes: tables,
+    job: async (n, seed) => [...(await RoutedStart.run(n, seed, 0)), ...(await RoutedStart.run(n, seed, FAR))],
+  },
+  routedwhole: {
+    about: 'all of it at once, servers in proportion, changes as at the design size',
+    sizes: [25, 50, 100, 200],
+    job: (n, seed, span) =>
+      RoutedFleet.run({
+        span,
+        ...whole(n, seed),
+        ...{ routers: n, servers: Math.round(n * SERVERS), runs: UNDER_WAY, routes: 2600 },
+        listed: Design.listed,
+      }),
+  },
+  desk: { about: 'timed: check-ins at the head', sizes, job: (n) => RoutedWorks.desk(n) },
+  table: { about: 'timed: the list at a router and the head', sizes: tables, job: (n) => RoutedWorks.table(n) },
+  loads: { about: 'timed: news of loads', sizes: [8, 27, 54, 108, 215, 430], job: (n) => RoutedWorks.loads(n) },
+  mixes: {
+    about: 'whether a stage gains a server, by how many there are',
+    sizes: Mixes.sizes,
+    job: (n) => Mixes.run(n),
+  },
+  prompts: {
+    about: 'timed: prompts remembered',
+    sizes: [1000, 2000, 5000, 10_000, 50_000, 200_000],
+    job: (n) => RoutedWorks.prompts(n),
+  },
+};
--- a/packages/sim/src/capacity/bounds.ts
+++ b/packages/sim/src/capacity/bounds.ts
@@ -1,15 +1,7 @@
+import type { Bound } from './bound.js';
 import type { Figure } from './figure.js';
 import { Slope } from './slope.js';
 
-type Bound = {
-  run: string;
-  role: string;
-  what: string;
-  unit: string;
-  shape: 'line' | 'log';
-  most: number;
-  why: string;
-};
 const fleet = { run: 'fleet', role: 'edge', shape: 'line' } as const;
 const servers = { run: 'servers', role: 'edge', shape: 'line' } as const;
 
--- a/packages/sim/src/capacity/fits.ts
+++ b/packages/sim/src/capacity/fits.ts
@@ -3,9 +3,9 @@
 import { Design } from './design.js';
 import type { Figure } from './figure.js';
 import { Slope } from './slope.js';
+import type { Wanted } from './wanted.js';
 
-type Shape = 'line' | 'power' | 'log';
-type Wanted = { file: string; role: string; what: string; unit: string; shape: Shape; to: number };
+type Shape = Wanted['shape'];
 type Row = Wanted & { fit: ReturnType<typeof Slope.fit>; last: number; target: number };
 
 const { daemons, servers } = Design;
@@ -56,9 +56,9 @@
       (t) => JSON.parse(t) as Figure[],
       () => [],
     ),
-  async rows(dir: string): Promise<Row[]> {
+  async rows(dir: string, wanted: readonly Wanted[]): Promise<Row[]> {
     const out: Row[] = [];
-    for (const w of Fits.wanted) {
+    for (const w of wanted) {
       const points = Slope.points(await Fits.read(dir, w.file), w.role, w.what, w.unit);
       // What is timed below the size of the processor's caches and of the compiler's warming up bends the power.
       const seen = w.shape === 'power' ? points.filter(([x]) => x >= 200) : points;
--- a/packages/sim/src/capacity/plots.ts
+++ b/packages/sim/src/capacity/plots.ts
@@ -1,22 +1,10 @@
 import { mkdir, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
+import type { Chart } from './chart.js';
 import { Design } from './design.js';
 import { Fits } from './fits.js';
 import { Slope } from './slope.js';
 
-type Chart = {
-  name: string;
-  title: string;
-  file: readonly string[];
-  role: string;
-  unit: string;
-  what: readonly string[];
-  x: string;
-  y: string;
-  to: number;
-  budget?: number;
-  linear?: boolean;
-};
 type Dot = { x: number; y: number; what: string; kind: string };
 const { daemons, servers, budget } = Design;
 
@@ -137,11 +125,11 @@
       ],
     };
   },
-  async draw(from: string, to: string): Promise<string[]> {
+  async draw(from: string, to: string, charts: readonly Chart[]): Promise<string[]> {
     const [vega, lite] = await Promise.all([import('vega'), import('vega-lite')]);
     await mkdir(to, { recursive: true });
     const out: string[] = [];
-    for (const c of Plots.charts) {
+    for (const c of charts) {
       const { spec } = lite.compile(Plots.spec(c, await Plots.dots(from, c)) as never);
       const view = new vega.View(vega.parse(spec), { renderer: 'none' });
       const path = join(to, `capacity-${c.name}.svg`);
--- a/packages/sim/src/capacity/timed.ts
+++ b/packages/sim/src/capacity/timed.ts
@@ -21,13 +21,16 @@
     const all = Array.from({ length: TIMES }, () => (one(n) / n) * 1000);
     return all.sort((a, b) => a - b)[Math.floor(TIMES / 2)]!;
   },
+  /** Bytes of heap in use once what nobody holds is gone. */
+  used(): number {
+    sweep();
+    return process.memoryUsage().heapUsed;
+  },
   /** Bytes of heap that what is made keeps hold of. */
   heap(make: () => unknown): number {
-    sweep();
-    const before = process.memoryUsage().heapUsed;
+    const before = Timed.used();
     const held = make();
-    sweep();
-    const after = process.memoryUsage().heapUsed;
+    const after = Timed.used();
     return held === null ? 0 : after - before;
   },
 };
--- a/packages/sim/src/commands/capacity.ts
+++ b/packages/sim/src/commands/capacity.ts
@@ -22,8 +22,9 @@
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(CapacityCommand);
-    if (args.what === 'fits') return this.log([Fits.head, ...(await Fits.rows(flags.dir)).map(Fits.line)].join('\n'));
-    if (args.what === 'plot') return this.log((await Plots.draw(flags.dir, flags.img)).join('\n'));
+    if (args.what === 'fits')
+      return this.log([Fits.head, ...(await Fits.rows(flags.dir, Fits.wanted)).map(Fits.line)].join('\n'));
+    if (args.what === 'plot') return this.log((await Plots.draw(flags.dir, flags.img, Plots.charts)).join('\n'));
     const run = Object.hasOwn(Runs, args.what) ? Runs[args.what]! : null;
     if (!run) {
       process.stderr.write(`valid: ${Object.keys(Runs).join(', ')}, fits, plot\n`);
