--- a/packages/forms/src/check.ts
+++ b/packages/forms/src/check.ts
@@ -13,16 +13,9 @@
     return (e.params?.requiredProperties ?? []).map((n) => ({ path: `${e.instancePath}/${n}`, why: 'is missing' }));
   return [{ path: e.instancePath, why: e.keyword === 'boolean' ? 'is not known' : e.message }];
 };
-type Tool = { made: Made; uses: number };
-const tools = new WeakMap<object, Tool>();
-/** The check with which a schema is compiled: that takes as long as some twenty checks without. */
-const OFTEN = 4;
-const plainly = (form: TSchema): Made => ({
-  Check: (v) => Value.Check(form, v),
-  Errors: (v) => Value.Errors(form, v) as Iterable<Told>,
-});
+const made = new WeakMap<object, Made>();
 
-/** Checks a value against a schema. Invariant: a schema is compiled once, and only if it is used often. */
+/** Checks a value against a schema, once compiled for each schema. */
 export const Check = {
   is(form: TSchema, v: unknown): boolean {
     return Check.tool(form).Check(v);
@@ -43,10 +36,10 @@
     return Check.tool(form).Check(v) ? v : Value.Clean(form, Value.Clone(v));
   },
   tool(form: TSchema): Made {
-    const tool = tools.get(form) ?? { made: plainly(form), uses: 0 };
-    tools.set(form, tool);
-    tool.uses++;
-    if (tool.uses === OFTEN) tool.made = Compile(form) as unknown as Made;
-    return tool.made;
+    const old = made.get(form);
+    if (old) return old;
+    const tool = Compile(form) as unknown as Made;
+    made.set(form, tool);
+    return tool;
   },
 };
