--- a/packages/router/src/engine.ts
+++ b/packages/router/src/engine.ts
@@ -30,6 +30,8 @@
     terms: Terms,
     heard: Heard,
   ): Promise<Result<void, SendFault>>;
+  /** Whether a connection to the server stands idle, so that none has to be opened for the next request. */
+  linked(server: Server): boolean;
   /** Gives memory back that nobody will fetch. */
   free(handle: Handle): Promise<void>;
   report(server: Server, ms: number): Promise<Result<Report, string>>;
--- a/packages/router/src/placement.test.ts
+++ b/packages/router/src/placement.test.ts
@@ -26,6 +26,7 @@
     const loads = ServerLoads.make(),
       health = ServerHealth.make(time.clock);
     const changed = new Set<string>();
+    const linked = new Set<string>();
     const slow = new Map<string, number>();
     const place = Placement.make({
       ...{ chance: Dice.seeded(3), zone: 'z1', list, loads, health, kept: KeptParts.make(() => 400_000) },
@@ -33,12 +34,27 @@
         pace: () => 40,
         speed: (id: string) => slow.get(id) ?? 1,
         changing: (s: { id: string }) => changed.has(s.id),
+        linked: (s: { id: string }) => linked.has(s.id),
       },
     });
     const { services, routes } = routing();
-    return { time, list, loads, health, place, changed, slow, service: services[0]!, route: routes[0]! };
+    return { time, list, loads, health, place, changed, linked, slow, service: services[0]!, route: routes[0]! };
   };
   const none = new Set<string>();
+  it('decodes where a connection stands, if that is hardly busier or farther', () => {
+    const cases = [
+      { runs: 6, links: [], want: 'd1' },
+      { runs: 6, links: ['d2'], want: 'd2' },
+      { runs: 6, links: ['d1', 'd2'], want: 'd1' },
+      { runs: 4, links: ['d2'], want: 'd1' },
+    ];
+    for (const { runs, links, want } of cases) {
+      const { place, loads, linked, service } = make();
+      for (const id of links) linked.add(id);
+      for (let i = 0; i < runs; i++) loads.run('d1');
+      for (let i = 0; i < 20; i++) expect(place.decode(service, null, null, none)!.id, links.join()).to.equal(want);
+    }
+  });
   it('keeps one prefix at one home, until the home is too busy', () => {
     const { place, loads, service, route } = make();
     const p = prompt(1200, 8000);
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -17,6 +17,8 @@
   changing: (s: Server) => boolean;
   /** Prompt tokens that a server reads in a ms, as learnt. */
   pace: () => number;
+  /** Whether a request there needs no new connection. */
+  linked: (s: Server) => boolean;
   /** How much longer than foreseen a server takes. */
   speed: (id: string) => number;
 };
@@ -47,6 +49,8 @@
 /** ms that another zone than ours is held to cost. */
 const FAR = 4;
 const WARM = 80;
+/** The part of a server's slots that a new connection to it is held to cost: each is paid for, and few see all. */
+const CONNECT = 0.04;
 /** What an idle decode server is held to be busy, so that a slow one is not taken for a quick one while idle. */
 const IDLE = 0.08;
 
@@ -103,8 +107,9 @@
       const best = least(list, (s) => {
         const { runs, tokens } = t.loads.at(s.id);
         const busy = runs / Math.max(1, s.slots || most) + tokens / (t.pace() * BESIDE * 1000);
+        const link = t.linked(s) ? 0 : CONNECT;
         const own = p && !from ? fresh(s, p, home) / (t.pace() * BESIDE * 1000) : 0;
-        return (busy + own + IDLE) * t.speed(s.id) + (s.zone === near ? 0 : 0.12) + (s.warm > 0 ? 0.5 : 0);
+        return (busy + own + IDLE) * t.speed(s.id) + (s.zone === near ? 0 : 0.12) + (s.warm > 0 ? 0.5 : 0) + link;
       });
       if (!best || !p || from) return best;
       const { runs, tokens } = t.loads.at(best.s.id);
--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -67,6 +67,7 @@
     pace: pace.now,
     speed: speed.of,
     changing: () => false,
+    linked: () => false,
   };
   const serve = Serve.make({
     ...{ world, list, loads, health, kept, pace, speed, budget, engine: testEngine(s.script, calls) },
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -90,6 +90,7 @@
     const placement = Placement.make({
       ...{ chance: world.chance, zone: startup.zone, list, loads, health, kept },
       changing: (s) => Changing.of(shelf, s),
+      linked: engine.linked,
       pace: pace.now,
       speed: speed.of,
     });
--- a/packages/router/src/stand.test.ts
+++ b/packages/router/src/stand.test.ts
@@ -127,6 +127,7 @@
       }
       return act.run === 'ok' ? Ok(undefined) : fault(act.run, act.ran);
     },
+    linked: () => false,
     free(h) {
       calls.push(`free ${h.id}`);
       return Promise.resolve();
--- a/packages/routesim/src/modelengine.ts
+++ b/packages/routesim/src/modelengine.ts
@@ -167,6 +167,7 @@
           };
         });
       },
+      linked: () => true,
       async free(handle) {
         await exchange<void>(handle.server, { ms: 1000, signal: null }, (to, _back, done) => {
           if (to.id === handle.server.id) to.give(handle.id);
