--- a/packages/forms/src/charter.ts
+++ b/packages/forms/src/charter.ts
@@ -1,4 +1,5 @@
 import { Type, type Static } from 'typebox';
+import { Lending } from './lending.js';
 import { Rule } from './rule.js';
 
 /** The operators' intent: what is served and how. Invariant: a charter in force has passed Clauses.faults. */
@@ -31,6 +32,7 @@
       },
       { additionalProperties: false },
     ),
+    lending: Type.Optional(Lending),
   },
   { additionalProperties: false },
 );
--- a/packages/forms/src/clauses.ts
+++ b/packages/forms/src/clauses.ts
@@ -4,6 +4,7 @@
 import type { Fault } from './fault.js';
 import type { Intent } from './intent.js';
 import { Intents } from './intents.js';
+import { LendingClauses } from './lendingclauses.js';
 import { Ok } from './ok.js';
 import type { Result } from './result.js';
 import { RoutingClauses } from './routingclauses.js';
@@ -57,6 +58,6 @@
     if (c.casting.prefill < c.casting.floor.prefill) out.push({ path: '/casting/prefill', why: 'is below its floor' });
     if (c.servers.length - c.casting.prefill < c.casting.floor.decode)
       out.push({ path: '/casting/prefill', why: 'leaves decode below its floor' });
-    return out;
+    return [...out, ...LendingClauses.faults(c)];
   },
 };
--- a/packages/forms/src/index.ts
+++ b/packages/forms/src/index.ts
@@ -23,6 +23,8 @@
 export { Intent } from './intent.js';
 export { Intents } from './intents.js';
 export { JsonBody } from './jsonbody.js';
+export { Lending } from './lending.js';
+export { LendingClauses } from './lendingclauses.js';
 export { Limits } from './limits.js';
 export { type Log } from './log.js';
 export { Logs } from './logs.js';
--- a/packages/registry/src/apply.test.ts
+++ b/packages/registry/src/apply.test.ts
@@ -76,10 +76,19 @@
   });
 });
 
+const lending = { rules: ['x'], most: { prefill: 0, decode: 1 }, keep: { prefill: 1, decode: 1 }, length: 800 };
+
 describe('Diff', () => {
   const cases2: [string, Charter | null, Charter, string[]][] = [
     ['no change', charter(1), charter(1), []],
     ['a number', charter(1), charter(2), ['/rules/verdict/limit changes from 1 to 2.']],
+    ['a clause that is new', charter(1), { ...charter(1), lending }, [`/lending is new: ${JSON.stringify(lending)}.`]],
+    [
+      'a number within a clause',
+      { ...charter(1), lending },
+      { ...charter(1), lending: { ...lending, length: 900 } },
+      ['/lending/length changes from 800 to 900.'],
+    ],
     ['a first charter', null, charter(1), ['There is no charter yet; all of this is new.']],
   ];
   for (const [name, was, will, words] of cases2)
--- a/packages/registry/src/warnings.test.ts
+++ b/packages/registry/src/warnings.test.ts
@@ -60,6 +60,20 @@
       expect(Warnings.of(was, { ...was, ...change }, rows)).to.deep.equal(want);
     });
   }
+  const loans = (most: number, keep: number): Partial<Charter> => ({
+    lending: { rules: ['review'], most: { prefill: 0, decode: most }, keep: { prefill: 0, decode: keep }, length: 900 },
+  });
+  const lending: [string, Partial<Charter>, Partial<Charter>, string[]][] = [
+    ['lending that begins', {}, loans(0.5, 4), ['up to 50% of the slots that decode may be lent to bursts']],
+    ['lending that stays', loans(0.5, 4), loans(0.5, 4), []],
+    ['less kept', loans(0.5, 4), loans(0.4, 1), ['only 1 slots that decode are kept for live work (4 before)']],
+    ['lending that ends', loans(0.5, 4), {}, ['bursts of the rule review borrow no more, and come to rest']],
+  ];
+  for (const [name, before, after, want] of lending) {
+    it(`tells ${name}`, () => {
+      expect(Warnings.of({ ...was, ...before }, { ...was, ...after }, rows)).to.deep.equal(want);
+    });
+  }
   it('tells nothing of a first charter', () => {
     expect(Warnings.of(null, was, [])).to.deep.equal([]);
   });
--- a/packages/registry/src/warnings.ts
+++ b/packages/registry/src/warnings.ts
@@ -36,11 +36,28 @@
       : [];
   });
 
+/** Whether capacity is lent that was not lent before, or is kept no more; and whose bursts will come to rest. */
+const lending = (was: Charter, will: Charter): string[] => {
+  const out: string[] = [],
+    [a, b] = [was.lending, will.lending];
+  for (const p of ['prefill', 'decode'] as const) {
+    if (b && b.most[p] > (a?.most[p] ?? 0))
+      out.push(`up to ${Math.round(b.most[p] * 100)}% of the slots that ${p} may be lent to bursts`);
+    if (a && b && b.keep[p] < a.keep[p])
+      out.push(`only ${b.keep[p]} slots that ${p} are kept for live work (${a.keep[p]} before)`);
+  }
+  for (const r of a?.rules ?? [])
+    if (!b?.rules.includes(r)) out.push(`bursts of the rule ${r} borrow no more, and come to rest`);
+  return out;
+};
+
 /** What of a plan an operator should look at twice, in plain words. It is said, never held against the plan. */
 export const Warnings = {
   of(before: Intent | null, after: Intent, rows: readonly InUse[]): string[] {
     const was = Intents.charter(before),
       will = Intents.charter(after);
-    return !was || !will ? [] : [...capacity(was, will), ...servers(was, will, rows), ...parts(will, rows)];
+    return !was || !will
+      ? []
+      : [...capacity(was, will), ...servers(was, will, rows), ...parts(will, rows), ...lending(was, will)];
   },
 };
