Lending: the core keeps each burst's record, one mark and one outcome a generation

Ruled out: a runner's own disk (edge daemons have none), a second store on the core's disks (a second chain to prove). Before: nothing kept a burst. After: `begin`, `mark`, `settle` and `end` go through the chain, fenced by the claim of the burst's shard and compared with what is held, so each may be said again; bursts are read at the tail (`core.burst`). Nothing begins one yet.

--- a/packages/registry/src/apply.ts
+++ b/packages/registry/src/apply.ts
@@ -1,6 +1,7 @@
 import { Intents, Verdicts, type Intent, type Verdict } from '@pumicebarrow/forms';
 import type { Command } from './command.js';
 import type { CoreState } from './corestate.js';
+import { Bursts } from './lending/bursts.js';
 import type { Plan } from './plan.js';
 import type { Ruling } from './ruling.js';
 
@@ -38,6 +39,11 @@
 export const Apply = {
   empty: { seq: 0, charter: null, plans: [], claims: {} } as CoreState,
   one(state: CoreState, c: Command): Done {
+    if (c.do === 'begin' || c.do === 'end' || c.do === 'mark' || c.do === 'settle') {
+      const was = state.bursts ?? [],
+        { bursts, verdict } = Bursts.apply(was, state.claims, c);
+      return { state: bursts === was ? state : { ...state, bursts: [...bursts] }, ruling: { verdict } };
+    }
     const no = (code: string, why: string, fate?: string): Done => ({
       state,
       ruling: { verdict: Verdicts.not(code, why), ...(fate === undefined ? {} : { fate }) },
--- a/packages/registry/src/command.ts
+++ b/packages/registry/src/command.ts
@@ -1,5 +1,6 @@
 import { Intent, Routing } from '@pumicebarrow/forms';
 import { Type, type Static } from 'typebox';
+import { BurstCommand } from './lending/burstcommand.js';
 
 const shut = { additionalProperties: false } as const;
 
@@ -34,5 +35,6 @@
     },
     shut,
   ),
+  ...BurstCommand.anyOf,
 ]);
 export type Command = Static<typeof Command>;
--- a/packages/registry/src/coredesk.ts
+++ b/packages/registry/src/coredesk.ts
@@ -1,6 +1,8 @@
 import { Clauses, Verdicts, type PostBox, type World } from '@pumicebarrow/forms';
 import { Claims } from './claims.js';
 import { CoreWords } from './corewords.js';
+import { BurstDesk } from './lending/burstdesk.js';
+import { BurstRule } from './lending/burstrule.js';
 import type { Links } from './links.js';
 import { Paces } from './paces.js';
 import { Roll } from './roll.js';
@@ -28,6 +30,8 @@
         if (faults.length > 0) return { ruling: { verdict: Verdicts.bad(faults) }, term: 0, view: h.view() };
       }
       if (!head || !h.live()) return { ruling: null, term: 0, view: h.view() };
+      if (c.do === 'begin' && h.chain.ready() && !BurstRule.may(h.chain.passed(), c.spec.rule))
+        return { ruling: { verdict: BurstRule.no(c.spec.rule) }, term: 0, view: h.view() };
       const ruling = c.do === 'claim' ? await claims.take(c.name, c.id, c.born) : await h.chain.write(c);
       return { ruling, term: c.do === 'claim' && ruling.fence !== undefined ? Paces.claim : 0, view: h.view() };
     });
@@ -37,6 +41,7 @@
       const plan = body.plan === undefined ? null : (s.plans.find((p) => p.id === body.plan) ?? null);
       return { ok: true, view: h.view(), charter: s.charter, plan };
     });
+    BurstDesk.make(post, { view: h.view, read: () => (h.isTail() && h.live() ? h.chain.passed() : null) });
     post.on('core.checkin', CoreWords.checkin, (body, from) => {
       const ok = head && h.live();
       if (ok) roll.note(from, body.version, body.sum, body.load);
--- a/packages/registry/src/corestate.ts
+++ b/packages/registry/src/corestate.ts
@@ -1,5 +1,6 @@
 import { Intent } from '@pumicebarrow/forms';
 import { Type, type Static } from 'typebox';
+import { Burst } from './lending/burst.js';
 import { Plan } from './plan.js';
 
 /**
@@ -25,6 +26,9 @@
         { additionalProperties: false },
       ),
     ),
+    bursts: Type.Optional(
+      Type.Array(Burst, { description: 'in order of their beginning; left out while there is none' }),
+    ),
   },
   { additionalProperties: false },
 );
--- /dev/null
+++ b/packages/registry/src/lending/burstdesk.ts
@@ -0,0 +1,27 @@
+import type { PostBox } from '@pumicebarrow/forms';
+import type { CoreState } from '../corestate.js';
+import type { View } from '../view.js';
+import type { Burst } from './burst.js';
+import { BurstSummary } from './burstsummary.js';
+import { BurstWords } from './burstwords.js';
+
+type Hooks = { view: () => View | null; read: () => CoreState | null };
+
+const bare = (b: Burst): Burst => ({
+  ...b,
+  generations: b.generations.map(({ text: _text, ...g }) => g),
+});
+
+/** Where bursts are read, at the tail under its claim alone, as the charter is. */
+export const BurstDesk = {
+  make(post: PostBox, h: Hooks): void {
+    post.on('core.burst', BurstWords.read, (body) => {
+      const s = h.read();
+      if (!s) return { ok: false, view: h.view(), list: [], burst: null };
+      const all = s.bursts ?? [],
+        one = all.find((b) => b.spec.key === body.key) ?? null;
+      const burst = one && body.texts !== true ? bare(one) : one;
+      return { ok: true, view: h.view(), list: all.map((b) => BurstSummary.of(b)), burst };
+    });
+  },
+};
--- /dev/null
+++ b/packages/registry/src/lending/burstwords.ts
@@ -0,0 +1,20 @@
+import { Type } from 'typebox';
+import { View } from '../view.js';
+import { Burst } from './burst.js';
+import { BurstSummary } from './burstsummary.js';
+
+const shut = { additionalProperties: false } as const;
+
+/** The forms of reading bursts at the tail. */
+export const BurstWords = {
+  read: Type.Object({ key: Type.Optional(Type.String()), texts: Type.Optional(Type.Boolean()) }, shut),
+  told: Type.Object(
+    {
+      ok: Type.Boolean(),
+      view: Type.Union([View, Type.Null()]),
+      list: Type.Array(BurstSummary.form),
+      burst: Type.Union([Burst, Type.Null()]),
+    },
+    shut,
+  ),
+};
--- /dev/null
+++ b/packages/registry/src/lending/shards.ts
@@ -0,0 +1,9 @@
+import { Hash } from '@pumicebarrow/forms';
+
+const COUNT = 8;
+
+/** Bursts are cut by key into a few shards; who holds a shard's claim runs its bursts. So claims do not grow with keys. */
+export const Shards = {
+  names: Array.from({ length: COUNT }, (_, i) => `lend:${i}`),
+  of: (key: string): string => `lend:${Hash.num(key) % COUNT}`,
+};
--- a/packages/registry/src/line.ts
+++ b/packages/registry/src/line.ts
@@ -2,6 +2,7 @@
 import type { Static } from 'typebox';
 import type { Command } from './command.js';
 import { CoreWords } from './corewords.js';
+import { BurstWords } from './lending/burstwords.js';
 import { Paces } from './paces.js';
 import type { Ruling } from './ruling.js';
 import type { View } from './view.js';
@@ -109,6 +110,12 @@
           );
           return r.ok ? { got: r.val.ok ? r.val : null, view: r.val.view } : { got: null, view: null };
         }),
+      /** Bursts in counts, and one of them whole; with its outcomes' texts only if they are asked for. */
+      bursts: (ask: Static<typeof BurstWords.read>, ms: number): Promise<Static<typeof BurstWords.told> | null> =>
+        reach('tail', ms, async (addr, id) => {
+          const r = await post.ask(addr, id, 'core.burst', ask, BurstWords.told, Paces.ask);
+          return r.ok ? { got: r.val.ok ? r.val : null, view: r.val.view } : { got: null, view: null };
+        }),
       checkin: (body: Static<typeof CoreWords.checkin>): Promise<Checked | null> =>
         reach('head', 0, async (addr, id) => {
           const r = await post.ask(addr, id, 'core.checkin', body, CoreWords.checked, Paces.ask);
--- a/tools/house.mjs
+++ b/tools/house.mjs
@@ -5,7 +5,7 @@
 const MOST = 250;
 // The field's own terms win. In packages named here the brief's words are gone; in the others a word keeps its old name
 // until it is renamed everywhere at once.
-const NEW = /^(packages\/(?:router|routesim)|platform)\//;
+const NEW = /^(packages\/(?:router|routesim|(?:registry|counter|sim|clerk)\/src\/lending)|platform)\//;
 // The product's routes by host and path are the field's; the older rules that callers name are another thing.
 const FORMS = /^packages\/forms\/src\/(route|routing)\.ts$/;
 const TURNED = { bounce: 'refuse', bounced: 'refused', visit: 'request', visits: 'requests', gated: 'admitted', waitlist: 'queue' };
