Lending: servers are lent by the holders of their rows, and bursts run on what is lent

Ruled out: a claim of its own a loan (the row's fence is there), the live path's gate and loads for borrowed work (live work would wait behind it). Before: bursts were kept by the core, and nothing ran them.

--- a/packages/counter/src/control.ts
+++ b/packages/counter/src/control.ts
@@ -3,6 +3,7 @@
 import { Diff, TraceDesk, Warnings, type CharterBody } from '@pumicebarrow/registry';
 import { Type } from 'typebox';
 import type { Counting } from './counting.js';
+import { LendingControl } from './lending/lendingcontrol.js';
 import { VisitDesk } from './visitdesk.js';
 import { Wellness } from './wellness.js';
 
@@ -53,6 +54,7 @@
       return [...all.values()].sort((a, b) => (a.id < b.id ? -1 : 1));
     };
     return {
+      lending: LendingControl.make(d),
       async plan(body: unknown): Promise<Told> {
         const got = Check.parse(Planned, body);
         if (got.err) return { verdict: Verdicts.bad(got.val) };
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -1,6 +1,6 @@
 import { Awake, Dice, Post, Timer, Verdicts, type Ident, type Verdict, type World } from '@pumicebarrow/forms';
 import { Purge, Shelf } from '@pumicebarrow/purge';
-import { Line, Sound, TraceDesk, Views, type SheetRow } from '@pumicebarrow/registry';
+import { Line, Sound, TraceDesk, Views } from '@pumicebarrow/registry';
 import { interpret } from 'robot3';
 import type { Back } from './back.js';
 import { Bucket } from './bucket.js';
@@ -12,8 +12,10 @@
 import { Duty } from './duty.js';
 import { Gate } from './gate.js';
 import { Hails } from './hails.js';
+import { Hearing } from './hearing.js';
 import { Ledger } from './ledger.js';
 import { LedgerDesk } from './ledgerdesk.js';
+import { Lending } from './lending/lending.js';
 import { Loads } from './loads.js';
 import { Met } from './met.js';
 import { Mixer } from './mixer.js';
@@ -52,7 +54,8 @@
     };
     const self = (): Ident => ident;
     const life = interpret(DaemonLife, () => undefined);
-    const is = (): string => life.machine.current;
+    const is = (): string => life.machine.current,
+      serving = (): boolean => is() === 'serving';
     const post = Post.make(world, self);
     const shelf = Shelf.make(Sound.doc);
     const seeds = (): readonly string[] => startup.seeds;
@@ -102,6 +105,7 @@
       duty.drop();
       watch.drop();
       hails.drop();
+      lending.drop();
       certain = false;
       if (is() !== 'serving') return;
       log.warn('This daemon slept. Asking for the newest charter.');
@@ -120,7 +124,7 @@
     };
     const door = { site: ident.site, charter: sheet.charter, open: shut, young: watch.young };
     const gate = Gate.make({ ...door, waitlist, select, loads });
-    const pump = Pump.make({ clock, waitlist, hands, gate, select, loads, serving: () => is() === 'serving' });
+    const pump = Pump.make({ clock, waitlist, hands, gate, select, loads, serving });
     const duty = Duty.make(world, line, self, crew, () => awake.look());
     const sights = Sights.make({ world, shelf, sheet, shuns, purge, town: watch, self: ident.id });
     const shared = { world, sheet, town: watch, hails, duty, purge, back, self: (): string => ident.id };
@@ -128,30 +132,19 @@
     const mixer = Mixer.make({ ...shared, load: () => checkin.load() });
     const witness = Witness.make(world, post, crew, known);
     const bucket = Bucket.make(RATE, CAP);
-    const lists = { waitlist, hands, select, loads };
     /** A daemon that has just started, or slept, may hold an older charter than it once did. */
     const sure = (): boolean => {
       awake.look();
       return certain;
     };
+    const lists = { waitlist, hands, select, loads };
     const tools = { ...shared, ...lists, gate, witness, bucket, sighted: sights.saw, pump, demand };
     const visit = Run.make({ ...tools, version: sheet.version, sure });
+    const seeing = { look: () => awake.look(), load: () => checkin.load(), roster: crew, version: sheet.version, sure };
+    const lending = Lending.make({ ...tools, ...door, ...seeing, post, line, shelf, queue: waitlist, serving });
     const stops: (() => void)[] = [];
 
-    shelf.heed((doc, old) => {
-      if (doc.name === 'charter') {
-        log.say(`Charter ${doc.mark[0]} has taken hold.`);
-        pump();
-      }
-      if (doc.name.startsWith('row:')) {
-        const row = doc.body as SheetRow,
-          was = old?.body as SheetRow | undefined;
-        if (was && was.part !== row.part) casting.noted();
-        if (row.stage === 'serving' && was?.stage !== 'serving') shuns.clear(row.server, row.born);
-        pump();
-      }
-      if (doc.name.startsWith('sight:')) sights.heard(doc);
-    });
+    Hearing.make({ log, shelf, pump, casting, shuns, sights });
     watch.heed(() => {
       hails.tick();
       pump();
@@ -177,25 +170,14 @@
     };
     TraceDesk.make(post, self, purge, shelf, sure);
     VisitDesk.make(post, diary, ledger);
-    const parts = {
-      ident,
-      gate,
-      post,
-      line,
-      purge,
-      shelf,
-      sheet,
-      watch,
-      ledger,
-      duty,
-      shuns,
-      roster: crew,
-      met: met.all,
-      life: is,
-    };
+    const parts = { ident, gate, post, line, purge, shelf, sheet, watch, ledger, duty, shuns, lending };
     return {
       ...parts,
-      visit: (v: Visit, sink: CallerSink): Promise<Verdict> => visit(v, sink),
+      ...{ roster: crew, met: met.all, life: is },
+      visit(v: Visit, sink: CallerSink): Promise<Verdict> {
+        lending.arrived(v.rule);
+        return visit(v, sink);
+      },
       /** Two lives that a caller may name as the owners of a visit. */
       owners: (): string[] =>
         Dice.some(
@@ -214,13 +196,15 @@
         purge.start();
         watch.start();
         hails.start();
+        lending.start();
         void ask();
         stops.push(Timer.every(clock, 400, meet));
         stops.push(
           Timer.every(clock, 300, async () => {
             if (is() !== 'serving') return;
-            duty.tick([...casting.names(), mixer.name]);
+            duty.tick([...casting.names(), mixer.name, ...lending.names()]);
             mixer.tick();
+            void lending.tick();
             await casting.tick();
           }),
         );
@@ -231,9 +215,10 @@
         life.send('leave');
         log.say('Leaving: no more visits are let in.');
         waitlist.clear();
+        const end = clock.mono() + ms;
+        await lending.leave(Math.min(end, clock.mono() + ms / 2));
         await line.leave(duty.names());
         duty.drop();
-        const end = clock.mono() + ms;
         while (gate.under() > 0 && clock.mono() < end) await Timer.nap(clock, 50);
         life.send('empty');
       },
@@ -242,6 +227,7 @@
         awake.stop();
         watch.stop();
         hails.stop();
+        lending.stop();
         purge.stop();
         post.close();
       },
--- a/packages/counter/src/front.ts
+++ b/packages/counter/src/front.ts
@@ -22,6 +22,7 @@
   dropped: 409,
   won: 409,
   stale: 409,
+  notlent: 409,
 };
 const MOST = 9 * 1024 * 1024;
 /** What is held for a caller that reads slowly, and how long one may take to send a visit. */
@@ -135,6 +136,25 @@
       app.get('/visit/:key', (req, res) => {
         void desk.visit(decodeURIComponent(String(req.params['key']))).then((r) => Front.say(res, r));
       });
+      const { lending } = desk;
+      const key = (req: { params: object }): string =>
+        decodeURIComponent(String((req.params as Record<string, unknown>)['key']));
+      app.post('/burst', (req, res) => {
+        void body(req, res).then(async (got) => {
+          if (got) Front.say(res, await lending.begin(got.v));
+        });
+      });
+      app.post('/burst/:key/end', (req, res) => {
+        void lending.end(key(req)).then((r) => Front.say(res, r));
+      });
+      app.get('/burst/:key', (req, res) => {
+        void lending.burst(key(req)).then((r) => Front.say(res, r));
+      });
+      app.get('/bursts', (_req, res) => {
+        void lending.bursts().then((r) => Front.say(res, r));
+      });
+      app.get('/loans', (_req, res) => Front.say(res, lending.loans()));
+      app.get('/loan/:key', (req, res) => Front.say(res, lending.loan(key(req))));
       app.get('/status', (_req, res) => {
         void desk.status().then((r) => Front.say(res, r));
       });
--- /dev/null
+++ b/packages/counter/src/lending/lentselect.ts
@@ -0,0 +1,39 @@
+import type { Rule } from '@pumicebarrow/forms';
+import type { Listed } from '../listed.js';
+import type { LoadBook } from '../loadbook.js';
+import type { Selecting } from '../selecting.js';
+import type { Borrower } from './borrower.js';
+
+type Part = 'prefill' | 'decode';
+type Tools = { live: Selecting; loads: LoadBook; borrower: ReturnType<typeof Borrower.make> };
+
+/**
+ * The choice of servers for borrowed work. Invariants: only a server that is usable for live work and under a live
+ * lease here is selected; no more is begun at it than was lent.
+ */
+export const LentSelect = {
+  make(t: Tools): Selecting {
+    const slots = (s: Listed): number => t.borrower.slots(s.id, s.born);
+    const usable = (part: Part): Listed[] => t.live.usable(part).filter((s) => slots(s) > 0);
+    const room = (s: Listed, weight: number): boolean => t.loads.at(s.id) + weight <= slots(s);
+    const share = (s: Listed): number => t.loads.at(s.id) / slots(s);
+    const pick = (part: Part, rule: Rule, not: ReadonlySet<string>): Listed | null => {
+      const list = usable(part).filter((s) => !not.has(s.id) && room(s, rule.weight));
+      return list.reduce<Listed | null>((a, b) => (a === null || share(b) < share(a) ? b : a), null);
+    };
+    return {
+      usable,
+      share: (id) => {
+        const s = [...usable('prefill'), ...usable('decode')].find((x) => x.id === id);
+        return s ? slots(s) : 0;
+      },
+      roomy: (part, rule, held) => {
+        const list = usable(part);
+        const free = list.reduce((n, s) => n + Math.max(0, slots(s) - t.loads.at(s.id)), 0);
+        return list.some((s) => room(s, rule.weight)) && t.loads.at(held) + rule.weight <= free;
+      },
+      prefill: (rule, _prefix, not) => pick('prefill', rule, not),
+      decode: (rule, _from, not) => pick('decode', rule, not),
+    };
+  },
+};
--- /dev/null
+++ b/packages/counter/src/lentrun.ts
@@ -0,0 +1,65 @@
+import type { Charter, Rule, Verdict } from '@pumicebarrow/forms';
+import type { CallerSink } from './callersink.js';
+import { Gate } from './gate.js';
+import type { Borrower } from './lending/borrower.js';
+import { LentSelect } from './lending/lentselect.js';
+import { Loads } from './loads.js';
+import { Pump } from './pump.js';
+import { Run } from './run.js';
+import type { RunTools } from './runtools.js';
+import type { Visit } from './visit.js';
+import { Waitlist } from './waitlist.js';
+
+type Tools = Pick<
+  RunTools,
+  'world' | 'select' | 'town' | 'hails' | 'witness' | 'back' | 'sighted' | 'version' | 'sure'
+> & {
+  site: string;
+  charter: () => Charter | null;
+  open: () => Verdict | null;
+  young: () => boolean;
+  serving: () => boolean;
+  borrower: ReturnType<typeof Borrower.make>;
+  loads: ReturnType<typeof Loads.make>;
+};
+
+/**
+ * The path of borrowed visits: that of live ones, with a gate, waitlists and loads of its own. Invariants: live work
+ * shares none of these, so it never waits for what is borrowed; every send is bound by its server's lease; there are
+ * no extra tries, what finds a fault goes back to its burst.
+ */
+export const LentRun = {
+  make(t: Tools) {
+    const { clock } = t.world;
+    const waitlist = Waitlist.make(clock),
+      hands = Waitlist.make(clock);
+    const select = LentSelect.make({ live: t.select, loads: t.loads, borrower: t.borrower });
+    const gate = Gate.make({ ...t, waitlist, select });
+    const pump = Pump.make({ clock, waitlist, hands, gate, select, loads: t.loads, serving: t.serving });
+    const hails = {
+      ...t.hails,
+      bound: (s: Parameters<typeof t.hails.bound>[0], until: number) =>
+        t.borrower.lease(s.id, s.born) ? t.hails.bound(s, Math.min(until, t.borrower.until(s.id))) : null,
+    };
+    const bucket = { visit: (): void => undefined, take: (): boolean => false, level: (): number => 0 };
+    const demand = { read: 0, write: 0 };
+    const lists = { waitlist, hands, select, loads: t.loads };
+    const visit = Run.make({ ...t, ...lists, hails, gate, pump, bucket, demand });
+    return {
+      visit: (v: Visit, sink: CallerSink): Promise<Verdict> => visit(v, sink),
+      pump,
+      under: gate.under,
+      /** How much of a rule may be in hand at once: what is lent at decode servers, while readers are lent too. */
+      room: (rule: Rule): number => {
+        const slots = (part: 'prefill' | 'decode'): number =>
+          select.usable(part).reduce((n, s) => n + t.borrower.slots(s.id, s.born), 0);
+        return slots('prefill') >= rule.weight ? slots('decode') : 0;
+      },
+      /** All that waits is given up, as not run. */
+      clear(): void {
+        waitlist.clear();
+        hands.clear();
+      },
+    };
+  },
+};
--- a/packages/registry/src/index.ts
+++ b/packages/registry/src/index.ts
@@ -23,6 +23,7 @@
 export { BurstSummary } from './lending/burstsummary.js';
 export { BurstWords } from './lending/burstwords.js';
 export { Generation } from './lending/generation.js';
+export { Loan } from './lending/loan.js';
 export { Shards } from './lending/shards.js';
 export { Line } from './line.js';
 export { type Links } from './links.js';
--- /dev/null
+++ b/packages/registry/src/lending/loan.ts
@@ -0,0 +1,28 @@
+import { Type, type Static } from 'typebox';
+
+/**
+ * What of one server is lent: the body of the shared doc `loan:<server>`, under the fence of that server's row.
+ * Invariants: written only by the holder of the row's claim; `slots` is 0 once it is given back, revoked or lapsed. It
+ * tells of a loan; the loan itself is the lease that its holder was given, and ends with that.
+ */
+export const Loan = Type.Object(
+  {
+    server: Type.String(),
+    born: Type.String(),
+    part: Type.Union([Type.Literal('prefill'), Type.Literal('decode')]),
+    slots: Type.Integer({ minimum: 0 }),
+    holder: Type.String({ description: 'the daemon that borrows' }),
+    burst: Type.String({ description: 'the first of the bursts that it borrows for' }),
+    why: Type.Union([
+      Type.Literal('lent'),
+      Type.Literal('live'),
+      Type.Literal('load'),
+      Type.Literal('given'),
+      Type.Literal('lapsed'),
+    ]),
+    by: Type.String(),
+    since: Type.Number({ description: 'by the wall clock of the lender, to read only' }),
+  },
+  { additionalProperties: false },
+);
+export type Loan = Static<typeof Loan>;
--- a/packages/registry/src/sound.ts
+++ b/packages/registry/src/sound.ts
@@ -1,5 +1,6 @@
 import { Check, Clauses, type Doc } from '@pumicebarrow/forms';
 import { CharterBody } from './charterbody.js';
+import { Loan } from './lending/loan.js';
 import { Mix } from './mix.js';
 import { SheetRow } from './sheetrow.js';
 import { Sighting } from './sighting.js';
@@ -13,7 +14,7 @@
     }
     if (d.name === 'mix') return Check.is(Mix, d.body);
     const [kind, server] = d.name.split(':');
-    const form = kind === 'row' ? SheetRow : kind === 'sight' ? Sighting : null;
+    const form = kind === 'row' ? SheetRow : kind === 'sight' ? Sighting : kind === 'loan' ? Loan : null;
     return form !== null && Check.is(form, d.body) && (d.body as { server: string }).server === server;
   },
 };
--- a/packages/sim/src/commands/run.ts
+++ b/packages/sim/src/commands/run.ts
@@ -6,11 +6,12 @@
 import { Drills } from '../drills.js';
 import { Explore } from '../explore.js';
 import { Guards } from '../guards.js';
+import { LentWork } from '../lending/lentwork.js';
 import type { Job } from '../job.js';
 import { Seeds } from '../seeds.js';
 
 type Fleet = Job['fleet'];
-const SETS = ['all', 'day', 'core', 'explore', 'points'];
+const SETS = ['all', 'day', 'core', 'explore', 'points', 'lending'];
 const FLEETS = ['coop', 'registry', 'both'];
 
 /** sim run */
@@ -25,7 +26,10 @@
     '<%= config.bin %> run duty --without quiet',
   ];
   static override args = {
-    drill: Args.string({ description: "a drill's name, `all`, `day`, `core`, `explore` or `points`", required: true }),
+    drill: Args.string({
+      description: "a drill's name, `all`, `day`, `core`, `explore`, `points` or `lending`",
+      required: true,
+    }),
   };
   static override flags = {
     fleet: Flags.string({ default: 'coop', description: 'coop, registry or both' }),
@@ -41,7 +45,7 @@
     const seeds = Seeds.read(flags.seeds);
     const faults = /^\d{1,3}$/.test(flags.faults) ? Number(flags.faults) : 0;
     const guard = Guards.find((g) => g.name === flags.without) ?? null;
-    const names = [...SETS, ...Drills.keys(), ...Alone.map((d) => d.name)];
+    const names = [...SETS, ...Drills.keys(), ...Alone.map((d) => d.name), ...LentWork.names];
     if (!names.includes(args.drill)) {
       wrong.push(`unknown drill ${args.drill}; valid: ${names.join(', ')}`);
     }
@@ -97,6 +101,7 @@
       );
     if (Alone.some((d) => d.name === drill)) return all([drill], 'coop');
     if (drill === 'points') return all(DiskPoints.names, 'coop');
+    if (drill === 'lending') return fleets.flatMap((fleet) => all(LentWork.names, fleet));
     return fleets.flatMap((fleet) => all(drill === 'all' ? Day.names(fleet) : [drill], fleet));
   }
 }
--- a/packages/sim/src/guardrun.ts
+++ b/packages/sim/src/guardrun.ts
@@ -7,7 +7,7 @@
 
 type Row = { fleet: string; seeds: number | null; by: string };
 const judge = (r: Ran): string[] => {
-  if (r.broken) return r.broken.length > 0 ? ['core'] : [];
+  if (r.broken) return [...new Set(r.broken.map((w) => (w.startsWith('lending: ') ? 'lending' : 'core')))];
   const h = History.make(r.deeds);
   return Nevers.filter((n) => n.judge(h).broken.length > 0).map((n) => n.name);
 };
--- /dev/null
+++ b/packages/sim/src/lending/lentfleet.ts
@@ -0,0 +1,26 @@
+import type { Charter } from '@pumicebarrow/forms';
+import type { Deployment } from '../deployment.js';
+import { Deployments } from '../deployments.js';
+
+const rollout = {
+  ...{ name: 'rollout', weight: 1, urgency: 0, limit: 200, waitlist: 400, deadline: 4000, pieces: 24, bytes: 65536 },
+};
+
+/** The two deployments with a charter that lends. */
+export const LentFleet = {
+  term: 2000,
+  of(fleet: 'coop' | 'registry'): Deployment {
+    const d = Deployments[fleet];
+    const charter: Charter = {
+      ...d.charter,
+      rules: [...d.charter.rules, rollout],
+      lending: {
+        rules: ['rollout'],
+        most: { prefill: 0.5, decode: 0.5 },
+        keep: { prefill: 4, decode: 6 },
+        length: LentFleet.term,
+      },
+    };
+    return { ...d, charter };
+  },
+};
--- a/packages/sim/src/work.ts
+++ b/packages/sim/src/work.ts
@@ -6,6 +6,7 @@
 import { Drills } from './drills.js';
 import { Explore } from './explore.js';
 import type { History } from './history.js';
+import { LentWork } from './lending/lentwork.js';
 import { Meets } from './meets.js';
 import type { Job } from './job.js';
 import type { Ran } from './ran.js';
@@ -60,6 +61,8 @@
     if (j.drill === 'explore') return explore(j);
     const core = await alone(j);
     if (core) return core;
+    const lent = await LentWork.run(j);
+    if (lent) return lent;
     const script = j.drill === 'day' ? Day.script(j.fleet, j.faults) : (s: Scene) => Day.last(s, j.drill);
     const r = await Stage.run(Deployments[j.fleet], j.seed, script);
     return { deeds: r.history.all, ended: r.ended, broken: null, points: 0, unmet: unmet(r.history) };
