clerk: bursts begun, watched and ended, loans and the story of one; tables for the loans' parts

Ruled out: a bar of our own (cli-progress is there). Before: bursts and loans could be reached over HTTP alone. After: clerk burst begin|watch|end, bursts, loans, loan SERVER.

--- /dev/null
+++ b/packages/clerk/src/commands/burstbegin.ts
@@ -0,0 +1,33 @@
+import { Args, Command } from '@oclif/core';
+import { readFile } from 'node:fs/promises';
+import { Common } from '../common.js';
+import { Desk } from '../desk.js';
+import { Printer } from '../printer.js';
+
+/** clerk burst begin */
+export class BurstBeginCommand extends Command {
+  static override description = 'Begin a burst. Said again with the same file it is harmless: its key names it.';
+  static override examples = ['<%= config.bin %> burst begin burst.json'];
+  static override args = {
+    file: Args.string({ description: 'a JSON file: key, rule, prompts, samples, repeats', required: true }),
+  };
+  static override flags = Common;
+
+  async run(): Promise<void> {
+    const { args, flags } = await this.parse(BurstBeginCommand);
+    let spec: unknown;
+    try {
+      spec = JSON.parse(await readFile(args.file, 'utf8'));
+    } catch (e) {
+      process.stderr.write(`${args.file} can't be read: ${(e as Error).message}\n`);
+      this.exit(2);
+    }
+    const r = await Desk.ask(flags.at, 'POST', '/burst', spec);
+    this.exit(
+      Printer.show(r.body, flags.json, (b) => [
+        `${(b['verdict'] as { why: string }).why} ${String(b['total'])} generations.`,
+        `Watch it with: clerk burst watch ${String(b['key'])}`,
+      ]),
+    );
+  }
+}
--- a/packages/clerk/src/commands/index.ts
+++ b/packages/clerk/src/commands/index.ts
@@ -1,5 +1,11 @@
+import { BurstBeginCommand } from './burstbegin.js';
+import { BurstEndCommand } from './burstend.js';
+import { BurstsCommand } from './bursts.js';
+import { BurstWatchCommand } from './burstwatch.js';
 import { ConfirmCommand } from './confirm.js';
 import { DropCommand } from './drop.js';
+import { LoanCommand } from './loan.js';
+import { LoansCommand } from './loans.js';
 import { PlanCommand } from './plan.js';
 import { ReadCommand } from './read.js';
 import { StatusCommand } from './status.js';
@@ -15,4 +21,10 @@
   status: StatusCommand,
   trace: TraceCommand,
   visit: VisitCommand,
+  bursts: BurstsCommand,
+  'burst:begin': BurstBeginCommand,
+  'burst:watch': BurstWatchCommand,
+  'burst:end': BurstEndCommand,
+  loans: LoansCommand,
+  loan: LoanCommand,
 };
--- a/packages/counter/src/lending/runner.ts
+++ b/packages/counter/src/lending/runner.ts
@@ -84,7 +84,10 @@
         return send(p, rule, left);
       const { ruling } = await t.line.write({ do: 'mark', id: p.burst.spec.key, index: p.index, ...step }, WRITE);
       if (ruling.verdict.ran === 'maybe') unsaid.set(id(p), step);
-      if (ruling.verdict.ran !== 'yes') return;
+      if (ruling.verdict.ran !== 'yes') {
+        pause = now() + PAUSE;
+        return;
+      }
       await send(p, rule, step);
     };
     const fill = (): void => {
