--- a/packages/counter/src/lending/lender.test.ts
+++ b/packages/counter/src/lending/lender.test.ts
@@ -100,6 +100,13 @@
     r.lender.tick();
     expect(r.ask('e2', 1)).to.equal('nothing');
   });
+  it('does so, and tells that the loan ran out, also when another asks before it has looked', () => {
+    const r = rig();
+    r.ask('e1');
+    r.wait(2300);
+    expect(r.ask('e2', 1)).to.equal('nothing');
+    expect(r.loan()).to.include({ slots: 0, why: 'lapsed', holder: 'e1' });
+  });
   it('gives another the server at once when it was given back with nothing running', () => {
     const r = rig();
     r.ask('e1');
--- a/packages/counter/src/lending/lender.ts
+++ b/packages/counter/src/lending/lender.ts
@@ -103,6 +103,7 @@
         term = t.sheet.charter()?.lending?.length;
       if (fence(b.server) === null || term === undefined) return no('notmine');
       if (t.sheet.rows().get(b.server)?.row.born !== b.born) return no('notserving');
+      if (held.has(b.server) && !open(b.server)) over(b.server, 'lapsed', held.get(b.server)!.slots);
       const first = noted(b.server, who, b.order).every((a) => a.order >= b.order);
       const h = open(b.server);
       if (h && name(h.holder) !== who) return no('held');
--- a/packages/registry/src/lending/bursts.test.ts
+++ b/packages/registry/src/lending/bursts.test.ts
@@ -1,6 +1,8 @@
+import { Check } from '@pumicebarrow/forms';
 import { expect } from 'chai';
 import type { Static } from 'typebox';
 import { Apply } from '../apply.js';
+import { CoreState } from '../corestate.js';
 import type { BurstCommand } from './burstcommand.js';
 import { Bursts } from './bursts.js';
 import { BurstSummary } from './burstsummary.js';
@@ -89,6 +91,7 @@
       const got = list.map((c) => {
         const d = Apply.one(s, c);
         s = d.state;
+        expect(Check.is(CoreState, s), `what the core may keep, after ${c.do}`).to.equal(true);
         return d.ruling.verdict.code;
       });
       expect(got).to.deep.equal(codes);
--- a/packages/sim/src/commands/measure.ts
+++ b/packages/sim/src/commands/measure.ts
@@ -5,6 +5,7 @@
 import { Drills } from '../drills.js';
 import { Figures } from '../figures.js';
 import { History } from '../history.js';
+import { LentMeasure } from '../lending/lentmeasure.js';
 import { Measure } from '../measure.js';
 import { Seeds } from '../seeds.js';
 
@@ -14,7 +15,9 @@
 export class MeasureCommand extends Command {
   static override description =
     'Figures of a drill, of an idle fleet, of casting against a fixed cast; or `all`: every drill in one table.';
-  static override args = { what: Args.string({ description: 'all, cast, idle, detect, or a drill', required: true }) };
+  static override args = {
+    what: Args.string({ description: 'all, cast, idle, detect, lending, or a drill', required: true }),
+  };
   static override flags = {
     fleet: Flags.option({ options: ['coop', 'registry'] as const, default: 'coop' as const })({
       description: 'which deployment',
@@ -25,11 +28,20 @@
   async run(): Promise<void> {
     const { args, flags } = await this.parse(MeasureCommand);
     const seeds = Seeds.read(flags.seeds);
-    if (!seeds || !(['all', 'cast', 'idle', 'detect'].includes(args.what) || Drills.has(args.what))) {
-      process.stderr.write(`valid: all, cast, idle, detect, ${[...Drills.keys()].join(', ')}; seeds 7, 1-20, 3,5,8\n`);
+    if (!seeds || !(['all', 'cast', 'idle', 'detect', 'lending'].includes(args.what) || Drills.has(args.what))) {
+      process.stderr.write(
+        `valid: all, cast, idle, detect, lending, ${[...Drills.keys()].join(', ')}; seeds 7, 1-20, 3,5,8\n`,
+      );
       return this.exit(2);
     }
     if (args.what === 'all') return this.table(seeds);
+    if (args.what === 'lending') {
+      const pairs = [];
+      for (const seed of seeds) pairs.push(await LentMeasure.pair(flags.fleet, seed));
+      this.log(`${flags.fleet} lending, seeds ${seeds.join(', ')}`);
+      for (const l of LentMeasure.lines(flags.fleet, pairs)) this.log(l);
+      return;
+    }
     const d = Deployments[flags.fleet];
     const rows = (label: string, list: Rows): void => {
       for (const r of list)
--- a/packages/sim/src/drills.test.ts
+++ b/packages/sim/src/drills.test.ts
@@ -8,6 +8,7 @@
 import { GuardRun } from './guardrun.js';
 import { Guards } from './guards.js';
 import type { Job } from './job.js';
+import { LentWork } from './lending/lentwork.js';
 import { Spread } from './spread.js';
 import { Work } from './work.js';
 
@@ -43,6 +44,15 @@
   });
 });
 
+describe('Lending, in virtual time', () => {
+  for (const fleet of ['coop', 'registry'] as const) {
+    it(`breaks no never and no promise of its own at the ${fleet}`, async () => {
+      const { points } = await clean(jobs(fleet, LentWork.names, 1, [101, 102]));
+      expect(points).to.be.greaterThan(LentWork.names.length * 2 * 100);
+    });
+  }
+});
+
 describe('The core alone', () => {
   it('holds under explored schedules', async () => {
     const seeds = Array.from({ length: 64 }, (_, i) => i + 1);
--- a/packages/sim/src/index.ts
+++ b/packages/sim/src/index.ts
@@ -57,6 +57,7 @@
 export { type LentDrill } from './lending/lentdrill.js';
 export { LentDrills } from './lending/lentdrills.js';
 export { LentFleet } from './lending/lentfleet.js';
+export { LentMeasure } from './lending/lentmeasure.js';
 export { LentWork } from './lending/lentwork.js';
 export { Promises } from './lending/promises.js';
 export { Trainers } from './lending/trainers.js';
--- a/packages/sim/src/lending/lentdrills.ts
+++ b/packages/sim/src/lending/lentdrills.ts
@@ -5,9 +5,9 @@
 type Training = ReturnType<typeof Trainers.make>;
 const LONG = 90_000;
 /** Two bursts by two runners, if their keys fall so; the second may be repeated. */
-const begin = async (s: Scene, t: Training): Promise<string> => {
-  await t.begin('burst-a', 12, 8);
-  await t.begin('burst-b', 12, 8, 2);
+const begin = async (s: Scene, t: Training, samples = 8): Promise<string> => {
+  await t.begin('burst-a', 12, samples);
+  await t.begin('burst-b', 12, samples, 2);
   await t.until(() => t.runner() !== null, 15_000);
   await s.nap(300 + s.real() * 600);
   return t.runner() ?? s.f.edgeIds[0]!;
@@ -22,6 +22,7 @@
     async run(s, t) {
       await begin(s, t);
       for (let i = 0; i < 3; i++) {
+        await t.until(t.queued, 3000);
         s.callers.crowd(250);
         await s.nap(1500 + s.real() * 1500);
       }
@@ -72,7 +73,7 @@
     about: 'borrower and lender lose sight of each other, and live work comes',
     meets: ['lent', 'lapsed'],
     async run(s, t) {
-      const id = await begin(s, t);
+      const id = await begin(s, t, 20);
       const by = t.loan(id)?.by;
       if (by && by !== id) s.cut([id], [by], 8000);
       await s.nap(2500);
--- a/packages/sim/src/lending/lentwork.ts
+++ b/packages/sim/src/lending/lentwork.ts
@@ -1,6 +1,5 @@
 import type { Deed } from '@pumicebarrow/forms';
 import { History } from '../history.js';
-import { Measure } from '../measure.js';
 import type { Job } from '../job.js';
 import { Nevers } from '../nevers.js';
 import type { Ran } from '../ran.js';
@@ -40,30 +39,23 @@
       broken: [...nevers, ...Promises.broken(h, LentFleet.term)],
     };
   },
-  /** One day of waves with bursts and the same without, by one seed: what live callers saw, and what was lent. */
-  async pair(fleet: Job['fleet'], seed: number) {
-    const one = async (lends: boolean) => {
-      let from = 0;
-      const r = await Stage.run(LentFleet.of(fleet), seed, async (s) => {
-        const t = Trainers.make(s);
-        from = s.now();
-        for (let i = 0; i < 4; i++) {
-          if (lends) await t.begin(`burst-${i}`, 16, 12);
-          await s.nap(4000);
-          s.callers.crowd(120);
-          await s.nap(6000);
-        }
-        if (lends) await t.finish(60_000);
-      });
-      const h = r.history,
-        told = History.make([...Promises.wishes(h), ...h.all]);
-      return {
-        rows: Measure.callers(h, from, from + 40_000),
-        ran: h.of('generation').filter((d) => d['to'] === 'ran').length,
-        back: Promises.back(h, LentFleet.term).waits,
-        broken: [...Nevers.flatMap((n) => n.judge(told).broken), ...Promises.broken(h, LentFleet.term)].length,
-      };
-    };
-    return { without: await one(false), lends: await one(true) };
+  /** One day of waves, with bursts that come one after another or without any. */
+  async waves(fleet: Job['fleet'], seed: number, lends: boolean) {
+    let from = 0;
+    const r = await Stage.run(LentFleet.of(fleet), seed, async (s) => {
+      const t = Trainers.make(s);
+      from = s.now();
+      for (let i = 0; i < 4; i++) {
+        if (lends) await t.begin(`burst-${i}`, 16, 12);
+        await s.nap(4000);
+        s.callers.crowd(120);
+        await s.nap(6000);
+      }
+      if (lends) await t.finish(60_000);
+    });
+    const told = History.make([...Promises.wishes(r.history), ...r.history.all]);
+    const nevers = Nevers.flatMap((n) => n.judge(told).broken).length;
+    const broken = nevers + Promises.broken(r.history, LentFleet.term).length;
+    return { history: r.history, window: { from, to: from + 40_000 }, broken };
   },
 };
--- a/packages/sim/src/lending/promises.ts
+++ b/packages/sim/src/lending/promises.ts
@@ -26,6 +26,8 @@
       .map(([p, n]) => `${p} ran ${n} times, ${most} at the most`);
     if (f['open'] !== 0) out.push(`${key} has ${String(f['open'])} generations without an outcome`);
     if (f['wrong'] !== 0) out.push(`${key} has ${String(f['wrong'])} outcomes that are not what ran`);
+    const end = h.of('burstend').find((d) => d['key'] === key)?.['code'];
+    if (f['open'] === 0 && end !== 'gone') out.push(`${key} is over, and its end was told ${String(end)}`);
     for (const i of f['ranat'] as number[])
       if (!runs.has(`${key} ${i}`)) out.push(`${key} ${i} has an outcome and never ran`);
     return out;
--- a/packages/sim/src/lending/trainers.ts
+++ b/packages/sim/src/lending/trainers.ts
@@ -59,6 +59,8 @@
         up()
           .flatMap((c) => c.lending.loans())
           .find((l) => l.holder === holder && l.by !== holder && l.slots > 0 && s.f.boxes.get(l.by)?.up()) ?? null,
+      /** Whether something borrowed is marked, and has no server yet. */
+      queued: (): boolean => up().some((c) => c.lending.hand() > c.lending.under()),
       /** A decode server with borrowed streams; null while there is none. */
       streaming: (): string | null =>
         up()
@@ -88,6 +90,9 @@
             ranat: (list ?? []).flatMap((g, i) => (g.state === 'ran' ? [i] : [])),
             wrong,
           });
+          let told = await call((c) => c.end(spec.key));
+          for (let i = 0; i < 5 && told?.verdict.ran !== 'yes'; i++) told = await call((c) => c.end(spec.key));
+          s.note('burstend', { key: spec.key, code: told?.verdict.code ?? 'torn' });
         }
       },
     };
--- a/tools/house.mjs
+++ b/tools/house.mjs
@@ -79,7 +79,7 @@
 tree('.', plain, /\.(ts|md|json|mjs)$|^\.npmrc$/);
 // docs/brief.md names only what is there.
 const brief = readFileSync('docs/brief.md', 'utf8');
-const drills = readdirSync('packages/sim/src/drills').map((f) => readFileSync(`packages/sim/src/drills/${f}`, 'utf8')).join();
+const drills = ['drills', 'lending'].flatMap((d) => readdirSync(`packages/sim/src/${d}`).map((f) => readFileSync(`packages/sim/src/${d}/${f}`, 'utf8'))).join();
 const guards = JSON.parse(readFileSync('packages/sim/guards.json', 'utf8'));
 const there = {
   drill: (n) => drills.includes(`name: '${n}'`),
