Lending: house check passes; the callers' types have bursts; figures with and without lending

Cause: the house check (words, lines, types) and the callers' types, written anew by tools/client.mjs. Before: 4 faults of words, 10 of the linter.

--- a/packages/client/src/generated.ts
+++ b/packages/client/src/generated.ts
@@ -174,4 +174,36 @@
      */
     calm: number;
   };
+  lending?: {
+    /**
+     * the rules whose bursts may borrow
+     *
+     * @minItems 1
+     */
+    rules: [string, ...string[]];
+    most: {
+      /**
+       * share of a part's slots that is lent at the most
+       */
+      prefill: number;
+      /**
+       * share of a part's slots that is lent at the most
+       */
+      decode: number;
+    };
+    keep: {
+      /**
+       * slots that are never lent
+       */
+      prefill: number;
+      /**
+       * slots that are never lent
+       */
+      decode: number;
+    };
+    /**
+     * ms after which a loan must have been asked for again
+     */
+    length: number;
+  };
 }
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -141,7 +141,16 @@
     const tools = { ...shared, ...lists, gate, witness, bucket, sighted: sights.saw, pump, demand };
     const visit = Run.make({ ...tools, version: sheet.version, sure });
     const seeing = { look: () => awake.look(), load: () => checkin.load(), roster: crew, version: sheet.version, sure };
-    const lending = Lending.make({ ...tools, ...door, ...seeing, post, line, shelf, queue: waitlist, serving });
+    const lending = Lending.make({
+      ...tools,
+      ...door,
+      ...seeing,
+      post,
+      line,
+      shelf,
+      waiting: waitlist.weight,
+      serving,
+    });
     const stops: (() => void)[] = [];
 
     Hearing.make({ log, shelf, pump, casting, shuns, sights });
--- a/packages/counter/src/lending/lender.test.ts
+++ b/packages/counter/src/lending/lender.test.ts
@@ -3,12 +3,9 @@
 import { expect } from 'chai';
 import { Lender } from './lender.js';
 
-const rule = (name: string, urgency: number) => ({
-  ...{ name, urgency, weight: 1, limit: 9, waitlist: 9, deadline: 900, pieces: 9, bytes: 900 },
-});
 const charter: Charter = {
   sites: ['s'],
-  rules: [rule('verdict', 9), rule('rollout', 0)],
+  rules: [],
   servers: ['m1', 'm2'].map((id) => ({ id, site: 's', part: 'either' as const, slots: 8 })),
   casting: { prefill: 1, floor: { prefill: 1, decode: 1 }, swing: false, calm: 1000 },
   lending: { rules: ['rollout'], most: { prefill: 0.5, decode: 0.5 }, keep: { prefill: 0, decode: 2 }, length: 2000 },
--- a/packages/counter/src/lending/lender.ts
+++ b/packages/counter/src/lending/lender.ts
@@ -76,7 +76,7 @@
       trails.set(server, { slots: running, until: now() + LINGER });
       if ((t.loan(server)?.slots ?? 0) > 0) publish(server, 0, h.holder.id, h.burst, why);
     };
-    /** Nothing is lent from now on; the server is free for another once the holder has said so, or its lease is past. */
+    /** Nothing is lent from now on; another may borrow once the holder has said so, or its lease is past. */
     const revoke = async (server: string, why: 'live' | 'load'): Promise<void> => {
       const h = open(server);
       calm.set(server, now() + CALM);
--- a/packages/counter/src/lending/lending.ts
+++ b/packages/counter/src/lending/lending.ts
@@ -6,7 +6,6 @@
 import { Loads } from '../loads.js';
 import type { RunTools } from '../runtools.js';
 import type { SheetView } from '../sheetview.js';
-import type { Waitlist } from '../waitlist.js';
 import { Borrower } from './borrower.js';
 import { Lender } from './lender.js';
 import { LoanDiary } from './loandiary.js';
@@ -26,7 +25,7 @@
   purge: Purging;
   duty: Duties;
   loads: ReturnType<typeof Loads.make>;
-  queue: ReturnType<typeof Waitlist.make>;
+  waiting: () => number;
   site: string;
   open: () => Verdict | null;
   young: () => boolean;
@@ -64,7 +63,7 @@
     const watch = LiveWatch.make({
       ...{ clock: world.clock, post: t.post, select: t.select, loads: t.loads, loans, roster: t.roster },
       slots: (server) => sheet.charter()?.servers.find((s) => s.id === server)?.slots ?? 0,
-      waiting: () => t.queue.weight(),
+      waiting: t.waiting,
       lender: (server) =>
         Lot.rank(
           `row:${server}`,
--- a/packages/counter/src/lending/runner.test.ts
+++ b/packages/counter/src/lending/runner.test.ts
@@ -5,7 +5,7 @@
 import type { Visit } from '../visit.js';
 import { Runner } from './runner.js';
 
-const rollout = { name: 'rollout', urgency: 0, weight: 1, limit: 9, waitlist: 9, deadline: 900, pieces: 9, bytes: 900 };
+const rollout = { name: 'rollout', urgency: 0, weight: 1, limit: 9, deadline: 900, pieces: 9, bytes: 900 };
 const charter = { rules: [rollout], lending: { rules: ['rollout'] } } as unknown as Charter;
 type Going = { request: Visit; sink: CallerSink; done: (v: Verdict) => void };
 const ranWhole = Verdicts.ran('ran', 'x');
--- a/packages/counter/src/lending/spare.test.ts
+++ b/packages/counter/src/lending/spare.test.ts
@@ -19,12 +19,7 @@
   ['what is left beside live work, part by part', charter(1, 0), { read: 8, write: 6 }, [0, 2, 4, 0]],
   ['nothing where live work takes more than all', charter(1, 0), { read: 99, write: 99 }, [0, 0, 0, 0]],
   ['nothing by a share of nothing', charter(0, 0), { read: 0, write: 0 }, [0, 0, 0, 0]],
-  [
-    'nothing without the clause',
-    { ...charter(1, 0), lending: undefined as never },
-    { read: 0, write: 0 },
-    [0, 0, 0, 0],
-  ],
+  ['nothing without the clause', { ...charter(1, 0), lending: undefined }, { read: 0, write: 0 }, [0, 0, 0, 0]],
 ];
 
 describe('What is spare', () => {
--- a/packages/counter/src/lending/spare.ts
+++ b/packages/counter/src/lending/spare.ts
@@ -4,8 +4,8 @@
 type Load = { read: number; write: number };
 
 /**
- * How much of a server may be lent. Pure, so that every lender comes to the same from the same figures. Invariant: over
- * the servers of a part it never sums to more than the clause's share of them, nor than live work and what is kept leave.
+ * How much of a server may be lent. Pure, so that every lender comes to the same from the same figures. Invariant:
+ * over the servers of a part it never sums to more than the clause's share, nor than live work and what is kept leave.
  */
 export const Spare = {
   slots(c: Charter, rows: readonly SheetRow[], load: Load, server: string): number {
--- a/packages/counter/src/lentrun.ts
+++ b/packages/counter/src/lentrun.ts
@@ -3,7 +3,7 @@
 import { Gate } from './gate.js';
 import type { Borrower } from './lending/borrower.js';
 import { LentSelect } from './lending/lentselect.js';
-import { Loads } from './loads.js';
+import type { Loads } from './loads.js';
 import { Pump } from './pump.js';
 import { Run } from './run.js';
 import type { RunTools } from './runtools.js';
--- a/packages/registry/src/lending/burst.ts
+++ b/packages/registry/src/lending/burst.ts
@@ -3,9 +3,9 @@
 import { Generation } from './generation.js';
 
 /**
- * A burst as the core keeps it. Invariants: `order` is unique and rises with each that is begun; there are prompts times
- * samples generations, the samples of one prompt next to each other; once `ended` nothing more is begun. Of one that
- * is `gone` only its key and digest are left.
+ * A burst as the core keeps it. Invariants: `order` is unique and rises with each that is begun; there are prompts
+ * times samples generations, the samples of one prompt next to each other; once `ended` nothing more is begun. One
+ * that is `gone` has no generations, and of its prompts nothing is left.
  */
 export const Burst = Type.Object(
   {
--- a/packages/registry/src/lending/bursts.test.ts
+++ b/packages/registry/src/lending/bursts.test.ts
@@ -112,7 +112,7 @@
     const say = (key: string, samples: number, part = 'q'): string => {
       const d = Apply.one(s, {
         do: 'begin',
-        spec: { ...spec(key, samples), prompts: Array(5).fill({ prefix: '', part }) },
+        spec: { ...spec(key, samples), prompts: Array.from({ length: 5 }, () => ({ prefix: '', part })) },
       });
       s = d.state;
       return d.ruling.verdict.code;
--- a/packages/registry/src/lending/bursts.ts
+++ b/packages/registry/src/lending/bursts.ts
@@ -57,7 +57,13 @@
         const generations = b.generations.map((g) => (g.state === 'waiting' ? { ...g, state: 'dropped' as const } : g));
         return put({ ...b, ended: true, generations }, 'ending', `Burst ${id} is ended; what was begun runs on.`);
       }
-      const gone = { ...b, spec: { ...b.spec, prompts: [{ prefix: '', part: '' }] }, ended: true, gone: true, generations: [] };
+      const gone = {
+        ...b,
+        spec: { ...b.spec, prompts: [{ prefix: '', part: '' }] },
+        ended: true,
+        gone: true,
+        generations: [],
+      };
       const rest = bursts.map((x) => (x === b ? gone : x));
       const old = rest.filter((x) => x.gone).slice(0, -MOST.gone);
       return {
--- a/packages/sim/src/lending/lentfleet.ts
+++ b/packages/sim/src/lending/lentfleet.ts
@@ -2,9 +2,8 @@
 import type { Deployment } from '../deployment.js';
 import { Deployments } from '../deployments.js';
 
-const rollout = {
-  ...{ name: 'rollout', weight: 1, urgency: 0, limit: 200, waitlist: 400, deadline: 4000, pieces: 24, bytes: 65536 },
-};
+const rule = Deployments.coop.charter.rules.find((r) => r.name === 'changelog')!;
+const rollout = { ...rule, ...{ name: 'rollout', urgency: 0, limit: 200, deadline: 4000, pieces: 24 } };
 
 /** The two deployments with a charter that lends. */
 export const LentFleet = {
--- a/packages/sim/src/lending/lentmeasure.ts
+++ b/packages/sim/src/lending/lentmeasure.ts
@@ -30,37 +30,40 @@
   return out;
 };
 
+const one = async (fleet: Job['fleet'], seed: number, lends: boolean) => {
+  const { history: h, window, broken } = await LentWork.waves(fleet, seed, lends);
+  const back = Promises.back(h, LentFleet.term).waits;
+  return {
+    ...waits(h, window),
+    ...written(h, window),
+    ms: window.to - window.from,
+    ran: h.of('generation').filter((d) => d['to'] === 'ran').length,
+    unrun: h.of('generation').filter((d) => d['to'] === 'unrun').length,
+    recalls: back.length,
+    back: Math.max(0, ...back),
+    broken,
+  };
+};
+type Figures = Awaited<ReturnType<typeof one>>;
+type Pair = { without: Figures; lends: Figures };
+
 /** Figures of a day of waves with bursts, beside the same day by the same seed without. */
 export const LentMeasure = {
-  async pair(fleet: Job['fleet'], seed: number) {
-    const one = async (lends: boolean) => {
-      const { history: h, window, broken } = await LentWork.waves(fleet, seed, lends);
-      const back = Promises.back(h, LentFleet.term).waits;
-      return {
-        ...waits(h, window),
-        ...written(h, window),
-        ms: window.to - window.from,
-        ran: h.of('generation').filter((d) => d['to'] === 'ran').length,
-        unrun: h.of('generation').filter((d) => d['to'] === 'unrun').length,
-        recalls: back.length,
-        back: Math.max(0, ...back),
-        broken,
-      };
-    };
-    return { without: await one(false), lends: await one(true) };
+  async pair(fleet: Job['fleet'], seed: number): Promise<Pair> {
+    return { without: await one(fleet, seed, false), lends: await one(fleet, seed, true) };
   },
   /** Pairs of several seeds, told in lines: live waits pooled, and what of the spare decode slots was used. */
-  lines(fleet: Job['fleet'], pairs: readonly Awaited<ReturnType<typeof LentMeasure.pair>>[]): string[] {
+  lines(fleet: Job['fleet'], pairs: readonly Pair[]): string[] {
     const { charter } = LentFleet.of(fleet);
     const slots =
       charter.servers.reduce((n, s) => n + s.slots, 0) * (1 - charter.casting.prefill / charter.servers.length);
-    const side = (label: string, list: readonly (typeof pairs)[number]['lends'][]): string => {
+    const side = (label: string, list: readonly Figures[]): string => {
       const all = list.flatMap((x) => x.list);
       const sum = (k: 'none' | 'ran' | 'unrun' | 'recalls' | 'broken'): number => list.reduce((n, x) => n + x[k], 0);
       return (
         `  ${label.padEnd(8)}${all.length} live visits, first piece median ${Math.round(at(all, 0.5))}, p99 ` +
-        `${Math.round(at(all, 0.99))} ms, ${sum('none')} without; ${sum('ran')} generations ran, ${sum('unrun')} given ` +
-        `back; ${sum('recalls')} recalls; broken ${sum('broken')}`
+        `${Math.round(at(all, 0.99))} ms, ${sum('none')} without; ${sum('ran')} generations ran, ${sum('unrun')} ` +
+        `given back; ${sum('recalls')} recalls; broken ${sum('broken')}`
       );
     };
     const lent = pairs.map((p) => p.lends);
--- a/packages/sim/src/lending/promises.ts
+++ b/packages/sim/src/lending/promises.ts
@@ -33,7 +33,7 @@
     return out;
   });
 };
-/** A server has one borrower: who sends borrowed work holds the newest loan, and not once it was called back or ended. */
+/** A server has one borrower: who sends borrowed work holds the newest loan, and not once it is over. */
 const holder = (h: Past, term: number): { broken: string[]; worst: number } => {
   const broken: string[] = [];
   const loans = new Map<string, Deed>();
