--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -60,6 +60,7 @@
  * by rendezvous, the same for every router; a request leaves it only where waiting there would put its aim at risk.
  */
 export const Placement = {
+  FULL,
   make(t: Tools) {
     const able = (service: Service, stage: Server['stage'], not: ReadonlySet<string>): Server[] => {
       const all = t.list
--- a/packages/router/src/stagemix.ts
+++ b/packages/router/src/stagemix.ts
@@ -1,5 +1,8 @@
-/** How busy a service is: ms of reading that waits at each prefill server, and runs at each decode server. */
-type Load = { read: number; run: number };
+/**
+ * How busy a service is: ms of reading that waits at each prefill server, runs at each decode server, and, where known,
+ * how many of them are let in there before requests are refused.
+ */
+type Load = { read: number; run: number; room?: number };
 type Count = { prefill: number; decode: number };
 
 /** What is held to be busy: of reading, and of runs. */
@@ -12,11 +15,15 @@
 const BUSY = 0.9;
 const GAIN = 0.8;
 const TIMES = 5;
+/** The part of the room from which on decode servers are held to be full, and the reading that may wait then. */
+const BRIM = 0.85;
+const WAITS = 150;
 
 /**
  * Whether one more server of a service should read, or one fewer. Invariants: never below one server of a stage; by
  * one at a time; only where the busier stage would be clearly less busy for it, seen several times running, unless a
- * stage has no server left, which is mended at once.
+ * stage has no server left, which is mended at once. Where decode servers are full, requests are refused that readers
+ * would have time for: then a reader decodes, if readers are the more or little waits there.
  */
 export const StageMix = {
   /** How busy the busier stage is; work goes round, so what one server gives up the others take. */
@@ -37,6 +44,8 @@
     if (now.prefill + now.decode < 2) return 0;
     if (now.prefill < 1) return 1;
     if (now.decode < 1) return -1;
+    const full = load.room !== undefined && load.run >= load.room * BRIM;
+    if (full && now.prefill > 1 && (now.prefill > now.decode || load.read < WAITS)) return -1;
     const here = StageMix.pressure(load, now, now);
     if (here < BUSY) return 0;
     const more = StageMix.pressure(load, now, { prefill: now.prefill + 1, decode: now.decode - 1 });
--- a/packages/router/src/stages.test.ts
+++ b/packages/router/src/stages.test.ts
@@ -10,7 +10,12 @@
 import { server, testClock, testEngine } from './stand.test.js';
 
 describe('the mix of stages', () => {
-  const cases: [string, { read: number; run: number }, { prefill: number; decode: number }, -1 | 0 | 1][] = [
+  const cases: [
+    string,
+    { read: number; run: number; room?: number },
+    { prefill: number; decode: number },
+    -1 | 0 | 1,
+  ][] = [
     ['an idle service stays', { read: 0, run: 0 }, { prefill: 2, decode: 4 }, 0],
     ['reading far behind takes a decoder', { read: 1500, run: 4 }, { prefill: 2, decode: 4 }, 1],
     ['many runs take a reader', { read: 50, run: 30 }, { prefill: 3, decode: 3 }, -1],
@@ -18,6 +23,9 @@
     ['a passing clump of reads takes nothing', { read: 300, run: 6 }, { prefill: 3, decode: 3 }, 0],
     ['what waits at two readers would drown one', { read: 173, run: 20 }, { prefill: 2, decode: 3 }, 0],
     ['a clump of runs takes no reader that is half used', { read: 151, run: 14 }, { prefill: 3, decode: 3 }, 0],
+    ['one full decoder takes one of three readers', { read: 250, run: 43, room: 45 }, { prefill: 3, decode: 1 }, -1],
+    ['but not the second of two that are busy', { read: 250, run: 43, room: 45 }, { prefill: 2, decode: 2 }, 0],
+    ['full decoders take a reader with little to do', { read: 60, run: 40, room: 45 }, { prefill: 2, decode: 4 }, -1],
     ['the last reader stays', { read: 0, run: 60 }, { prefill: 1, decode: 3 }, 0],
     ['the last decoder stays', { read: 5000, run: 0 }, { prefill: 3, decode: 1 }, 0],
     ['a stage without any is filled', { read: 0, run: 0 }, { prefill: 0, decode: 3 }, 1],
