--- a/packages/sim/src/drills/visits.ts
+++ b/packages/sim/src/drills/visits.ts
@@ -18,6 +18,21 @@
       }
     },
   },
+  {
+    name: 'forgotten',
+    about: 'all edge daemons are killed at once with visits in hand, and start again knowing of none of them',
+    meets: ['killedbusy', 'unproven'],
+    async run(s) {
+      for (let i = 0; i < 3; i++) {
+        s.callers.crowd(120);
+        await s.nap(150);
+        for (const id of s.f.edgeIds) s.f.kill(id);
+        await s.nap(5);
+        for (const id of s.f.edgeIds) s.f.start(id);
+        await s.nap(5000);
+      }
+    },
+  },
   {
     name: 'twins',
     about:
--- a/packages/sim/src/meets.ts
+++ b/packages/sim/src/meets.ts
@@ -96,6 +96,8 @@
   tricked: (list: List): number =>
     some('extra', has('code', 'bad'))(list) + some('visit', has('code', 'bad', 'cut', 'mayhaverun'))(list),
   oldlist: some('told', has('code', 'oldlist')),
+  /** A later try of which nobody could prove that the one before had not run. */
+  unproven: some('told', has('code', 'unproven')),
   twin: some('twin'),
   confirmed: some('verdict', has('code', 'confirmed')),
   beaten: some('verdict', has('code', 'lost')),
