--- a/packages/clerk/src/index.ts
+++ b/packages/clerk/src/index.ts
@@ -9,6 +9,8 @@
 export { FleetWellness } from './fleet/fleetwellness.js';
 export { RequestStory } from './fleet/requeststory.js';
 export { StatusLines } from './fleet/statuslines.js';
+export { BurstStory } from './lending/burststory.js';
+export { LoanStory } from './lending/loanstory.js';
 export { Printer } from './printer.js';
 export { Story } from './story.js';
 export { VisitStory } from './visitstory.js';
--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -68,6 +68,7 @@
     pace: pace.now,
     speed: speed.of,
     changing: () => false,
+    linked: () => false,
   };
   const steps = RequestLog.make(time.clock);
   const serve = Serve.make({
--- a/packages/router/src/serverhealth.ts
+++ b/packages/router/src/serverhealth.ts
@@ -14,7 +14,8 @@
  * How servers fare, judged by what requests met and by nothing else: a health answer may be false either way.
  * Invariants: a server that failed is left alone for a time that doubles with its level; after it, one request at a
  * time tries it, and a good outcome opens it again; its level falls slowly, so that one which fails a part of its
- * requests is left alone for longer each time; one that turns requests away is left alone for a moment; suspicion bars no server while no other is left.
+ * requests is left alone for longer each time; one that turns requests away is left alone for a moment; suspicion bars
+ * no server while no other is left.
  */
 export const ServerHealth = {
   make(clock: Clock) {
--- a/packages/router/src/stageduty.ts
+++ b/packages/router/src/stageduty.ts
@@ -3,6 +3,7 @@
 import type { SheetRow } from '@pumicebarrow/registry';
 import type { Engine } from './engine.js';
 import type { Server } from './server.js';
+import { Placement } from './placement.js';
 import { StageMix } from './stagemix.js';
 
 type Load = { read: number; beside: number; run: number };
@@ -97,6 +98,7 @@
       const load = {
         read: mean.read / PACE / Math.max(1, count.prefill),
         run: mean.run / Math.max(1, count.decode),
+        room: Math.max(1, ...mine.map((s) => s.slots)) * Placement.FULL,
       };
       const lean = mix.look(load, count);
       const bare = count.prefill < 1 || count.decode < 1;
--- a/tools/house.mjs
+++ b/tools/house.mjs
@@ -5,7 +5,8 @@
 const MOST = 250;
 // The field's own terms win. In packages named here the brief's words are gone; in the others a word keeps its old name
 // until it is renamed everywhere at once.
-const NEW = /^(packages\/(?:router|routesim|clerk\/src\/fleet|yard\/src\/routed)|platform)\//;
+const NEW =
+  /^(packages\/(?:router|routesim|clerk\/src\/fleet|yard\/src\/routed|(?:registry|counter|sim|clerk)\/src\/lending)|platform)\//;
 // The product's routes by host and path are the field's; the older rules that callers name are another thing.
 const FORMS = /^packages\/forms\/src\/(route|routing)\.ts$/;
 const TURNED = { bounce: 'refuse', bounced: 'refused', visit: 'request', visits: 'requests', gated: 'admitted', waitlist: 'queue' };
@@ -79,7 +80,7 @@
 tree('.', plain, /\.(ts|md|json|mjs)$|^\.npmrc$/);
 // docs/brief.md names only what is there.
 const brief = readFileSync('docs/brief.md', 'utf8');
-const drills = readdirSync('packages/sim/src/drills').map((f) => readFileSync(`packages/sim/src/drills/${f}`, 'utf8')).join();
+const drills = ['drills', 'lending'].flatMap((d) => readdirSync(`packages/sim/src/${d}`).map((f) => readFileSync(`packages/sim/src/${d}/${f}`, 'utf8'))).join();
 const guards = JSON.parse(readFileSync('packages/sim/guards.json', 'utf8'));
 const there = {
   drill: (n) => drills.includes(`name: '${n}'`),
