--- a/packages/counter/src/lending/lender.ts
+++ b/packages/counter/src/lending/lender.ts
@@ -73,6 +73,7 @@
       const h = held.get(server);
       if (!h) return;
       held.delete(server);
+      if (why === 'lapsed') t.world.tell({ what: 'lapsed', server, holder: h.holder.id });
       trails.set(server, { slots: running, until: now() + LINGER });
       if ((t.loan(server)?.slots ?? 0) > 0) publish(server, 0, h.holder.id, h.burst, why);
     };
--- a/packages/sim/src/lending/lentwork.ts
+++ b/packages/sim/src/lending/lentwork.ts
@@ -15,7 +15,7 @@
   wouldwait: (d) => d.what === 'wouldwait',
   unrun: (d) => d.what === 'generation' && d['to'] === 'unrun',
   unsure: (d) => d.what === 'generation' && d['to'] === 'unsure',
-  lapsed: (d) => d.what === 'loan' && d['why'] === 'lapsed',
+  lapsed: (d) => d.what === 'lapsed',
   killed: (d) => d.what === 'killed',
   frozen: (d) => d.what === 'frozen',
   fell: (d) => d.what === 'fell',
