--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -40,6 +40,7 @@
 export { ServerSpeed } from './serverspeed.js';
 export { type ServeTools } from './servetools.js';
 export { SharedSound } from './sharedsound.js';
+export { Sightings } from './sightings.js';
 export { StageDuty } from './stageduty.js';
 export { StageMix } from './stagemix.js';
 export { Urgency } from './urgency.js';
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -27,6 +27,7 @@
 import { ServerLoads } from './serverloads.js';
 import { ServerSpeed } from './serverspeed.js';
 import { SharedSound } from './sharedsound.js';
+import { Sightings } from './sightings.js';
 
 const CHECKIN = 450;
 const WAIT = 100;
@@ -100,13 +101,12 @@
       if (is() === 'serving' || (is() === 'draining' && certain)) return null;
       return Verdicts.not('asking', 'This daemon is learning the newest configuration.', 0.2);
     };
-    /** A server failed here: it is told to all, once for each time that it begins to. */
+    const sightings = Sightings.make({ clock, chance: world.chance, shelf, purge, self: ident.id });
+    /** A server failed here: it is told to all, once each time that it begins to, unless they just heard it. */
     const suspect = (s: Server, why: string): void => {
       if (!health.bad(s.id)) return;
       log.warn(`${s.id} is under suspicion: ${why}.`);
-      const old = shelf.mark(`sight:${s.id}`);
-      const body: Sighting = { server: s.id, born: s.id, by: ident.id };
-      purge.publish({ name: `sight:${s.id}`, mark: [(old?.[0] ?? 0) + 1, Dice.int(world.chance, 1e6)], body });
+      sightings.tell(s.id);
     };
     const tools = { world, engine, shut, list, loads, health, kept, pace, speed, placement, budget, suspect };
     const serve = Serve.make({ ...tools, routes: () => routes });
