--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -29,6 +29,7 @@
 import { ServerLoads } from './serverloads.js';
 import { ServerSpeed } from './serverspeed.js';
 import { SharedSound } from './sharedsound.js';
+import { Sightings } from './sightings.js';
 import { StatusDesk } from './statusdesk.js';
 
 const CHECKIN = 450;
@@ -103,20 +104,16 @@
       if (is() === 'serving' || (is() === 'draining' && certain)) return null;
       return Verdicts.not('asking', 'This daemon is learning the newest configuration.', 0.2);
     };
-    /** A server failed here: it is told to all, once for each time that it begins to. */
+    const sightings = Sightings.make({ clock, chance: world.chance, shelf, purge, self: ident.id });
+    /** A server failed here: it is told to all, once each time that it begins to, unless they just heard it. */
     const suspect = (s: Server, why: string): void => {
       if (!health.bad(s.id)) return;
       log.warn(`${s.id} is under suspicion: ${why}.`);
-      tellAll(s);
+      sightings.tell(s.id);
     };
     /** One that should have room and turns requests away does so to all: it may be changing its stage. */
     const turned = (s: Server): void => {
-      if (health.turned(s.id) && loads.at(s.id).runs < s.slots / 2) tellAll(s);
-    };
-    const tellAll = (s: Server): void => {
-      const old = shelf.mark(`sight:${s.id}`);
-      const body: Sighting = { server: s.id, born: s.id, by: ident.id };
-      purge.publish({ name: `sight:${s.id}`, mark: [(old?.[0] ?? 0) + 1, Dice.int(world.chance, 1e6)], body });
+      if (health.turned(s.id) && loads.at(s.id).runs < s.slots / 2) sightings.tell(s.id);
     };
     const steps = RequestLog.make(clock);
     const tools = { world, engine, shut, list, loads, health, kept, pace, speed, placement, budget, suspect, turned };
