Weighed once a request, one timer for all runs, one who-holds-it; an unchanged list is not opened anew

Found on reading the change: deferral and the read each weighed all servers in the same turn; each run had a timer of its own; three places ranked all daemons to name the first (Lot.first, Holder); each check-in opened the whole list though the same mark was held (ServerList.confirm was there and nothing called it).

--- a/packages/counter/src/duty.ts
+++ b/packages/counter/src/duty.ts
@@ -1,4 +1,5 @@
-import { Lot, type Ident, type World } from '@pumicebarrow/forms';
+import { type Ident, type World } from '@pumicebarrow/forms';
+import { Holder } from './holder.js';
 import { Paces, type CoreLine } from '@pumicebarrow/registry';
 
 type Held = { fence: number; until: number; ready: number };
@@ -19,12 +20,7 @@
     const busy = new Set<string>();
     let slept = 0;
     const now = (): number => world.clock.mono();
-    const mine = (name: string): boolean =>
-      Lot.rank(
-        name,
-        roster().filter((r) => r.role === 'counter'),
-        (r) => r.id,
-      )[0]?.id === self().id;
+    const mine = (name: string): boolean => Holder.of(name, roster())?.id === self().id;
     const renew = async (name: string): Promise<void> => {
       if (busy.has(name)) return;
       busy.add(name);
--- a/packages/counter/src/index.ts
+++ b/packages/counter/src/index.ts
@@ -24,6 +24,7 @@
 export { Hails } from './hails.js';
 export { Handle } from './handle.js';
 export { Hearing } from './hearing.js';
+export { Holder } from './holder.js';
 export { HttpBack } from './httpback.js';
 export { HttpTown } from './httptown.js';
 export { Ledger } from './ledger.js';
--- a/packages/counter/src/lending/borrower.ts
+++ b/packages/counter/src/lending/borrower.ts
@@ -1,4 +1,5 @@
-import { Lot, type Ident, type PostBox, type World } from '@pumicebarrow/forms';
+import { type Ident, type PostBox, type World } from '@pumicebarrow/forms';
+import { Holder } from '../holder.js';
 import type { SheetView } from '../sheetview.js';
 import type { TownView } from '../townview.js';
 import { LoanWords } from './loanwords.js';
@@ -40,12 +41,7 @@
       leases = next;
       return true;
     };
-    const lender = (server: string): Ident | null =>
-      Lot.rank(
-        `row:${server}`,
-        t.roster().filter((r) => r.role === 'counter'),
-        (r) => r.id,
-      )[0] ?? null;
+    const lender = (server: string): Ident | null => Holder.of(`row:${server}`, t.roster());
     const lease = (server: string, born: string): Lease | null => {
       t.look();
       const l = leases.get(server);
--- a/packages/counter/src/lending/lending.ts
+++ b/packages/counter/src/lending/lending.ts
@@ -1,4 +1,5 @@
-import { Lot, Timer, type Ident, type PostBox, type Rule, type Verdict } from '@pumicebarrow/forms';
+import { Timer, type Ident, type PostBox, type Rule, type Verdict } from '@pumicebarrow/forms';
+import { Holder } from '../holder.js';
 import type { Holding, Purging } from '@pumicebarrow/purge';
 import type { CoreLine, Loan } from '@pumicebarrow/registry';
 import type { Duties } from '../duties.js';
@@ -64,12 +65,7 @@
       ...{ clock: world.clock, post: t.post, select: t.select, loads: t.loads, loans, roster: t.roster },
       slots: (server) => sheet.charter()?.servers.find((s) => s.id === server)?.slots ?? 0,
       waiting: t.waiting,
-      lender: (server) =>
-        Lot.rank(
-          `row:${server}`,
-          t.roster().filter((r) => r.role === 'counter'),
-          (r) => r.id,
-        )[0] ?? null,
+      lender: (server) => Holder.of(`row:${server}`, t.roster()),
       tell: (part, servers) => world.tell({ what: 'wouldwait', part, servers }),
     });
     t.post.on('loan.recall', LoanWords.recall, (b) => {
--- a/packages/counter/src/select.ts
+++ b/packages/counter/src/select.ts
@@ -48,7 +48,7 @@
       /** The server most likely to hold the prefix, unless it has no room. */
       prefill(rule: Rule, prefix: string, not: ReadonlySet<string>): Listed | null {
         const list = usable('prefill').filter((s) => !not.has(s.id) && room(s, rule));
-        return Lot.rank(`prefix:${prefix}`, list, (s) => s.id)[0] ?? null;
+        return Lot.first(`prefix:${prefix}`, list, (s) => s.id) ?? null;
       },
       /** The least laden, with slow links weighed in. */
       decode(rule: Rule, from: Listed, not: ReadonlySet<string>): Listed | null {
--- a/packages/router/src/headline.ts
+++ b/packages/router/src/headline.ts
@@ -34,6 +34,7 @@
     let peers: readonly Ident[] = [];
     let sum = Hash.of(peers);
     let told = -Infinity;
+    let opened: Mark | null = null;
     let behind = { version: -1, list: -1 };
     const count = { fetchedVersions: 0, fetchedLists: 0 };
     const since = (was: number, late: boolean): number => (!late ? -1 : was < 0 ? t.clock.mono() : was);
@@ -49,7 +50,12 @@
     const compare = (mark: Mark | null, age: number, sent: number): boolean => {
       const held = t.shelf.get('list');
       if (!mark || !held || Order.newer(mark, held.mark)) return false;
-      if (Order.cmp(mark, held.mark) === 0) t.list.take(ListRows.open(held.body as ListBody), sent - age, 'shared');
+      if (Order.cmp(mark, held.mark) !== 0) return true;
+      // What is held is opened once; from then on its youth alone is news, unless a list of another asking came between.
+      const known = opened !== null && Order.cmp(mark, opened) === 0;
+      if (!known || !t.list.confirm(sent - age))
+        t.list.take(ListRows.open(held.body as ListBody), sent - age, 'shared');
+      opened = mark;
       return true;
     };
     const ask = async (): Promise<boolean> => {
--- a/packages/router/src/job.ts
+++ b/packages/router/src/job.ts
@@ -3,6 +3,7 @@
 import type { Handle } from './handle.js';
 import type { Request } from './request.js';
 import type { SendFault } from './sendfault.js';
+import type { Weighed } from './weighed.js';
 
 /**
  * One request on its way. Invariants: `arrivals` counts every send that may have reached a server and counts towards
@@ -19,6 +20,8 @@
   first: boolean;
   arrivals: number;
   reads: number;
+  /** How it fares, as weighed in this very turn; null once that may have changed. */
+  weighed: Weighed | null;
   handle: Handle | null;
   after: string | null;
   begun: boolean;
--- a/packages/router/src/placement.test.ts
+++ b/packages/router/src/placement.test.ts
@@ -58,27 +58,27 @@
   it('keeps one prefix at one home, until the home is too busy', () => {
     const { place, loads, service, route } = make();
     const p = prompt(1200, 8000);
-    const home = place.prefill(service, route, p, none)!.server.id;
-    for (let i = 0; i < 20; i++) expect(place.prefill(service, route, p, none)!.server.id).to.equal(home);
+    const home = place.weigh(service, route, p, none).read!.server.id;
+    for (let i = 0; i < 20; i++) expect(place.weigh(service, route, p, none).read!.server.id).to.equal(home);
     loads.read(home, 60_000);
     for (const id of ['d1', 'd2']) loads.read(id, 60_000);
-    expect(place.prefill(service, route, p, none)!.server.id).to.not.equal(home);
+    expect(place.weigh(service, route, p, none).read!.server.id).to.not.equal(home);
   });
   it('reads short prompts where they run, unless that is busy reading', () => {
     const { place, loads, service, route } = make();
     const p = prompt(200, 200);
-    expect(place.prefill(service, route, p, none)).to.equal(null);
+    expect(place.weigh(service, route, p, none).read).to.equal(null);
     loads.read('d1', 4000);
     loads.read('d2', 4000);
-    expect(place.prefill(service, route, p, none)?.server.stage).to.equal('prefill');
+    expect(place.weigh(service, route, p, none).read?.server.stage).to.equal('prefill');
   });
   it('reads long prompts where they run once the readers are far behind', () => {
     const { place, loads, service, route } = make();
     const p = prompt(3000, 200);
-    expect(place.prefill(service, route, p, none)?.server.stage).to.equal('prefill');
+    expect(place.weigh(service, route, p, none).read?.server.stage).to.equal('prefill');
     loads.read('p1', 40_000);
     loads.read('p2', 40_000);
-    expect(place.prefill(service, route, p, none)).to.equal(null);
+    expect(place.weigh(service, route, p, none).read).to.equal(null);
   });
   it('sends nothing to a server that was ordered to another stage', () => {
     const { place, changed, service } = make();
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -5,6 +5,7 @@
 import type { ServerHealth } from './serverhealth.js';
 import type { ServerListing } from './serverlisting.js';
 import type { ServerLoads } from './serverloads.js';
+import type { Weighed } from './weighed.js';
 
 type Tools = {
   chance: Chance;
@@ -23,7 +24,7 @@
   speed: (id: string) => number;
 };
 const NONE: ReadonlySet<string> = new Set();
-type Read = { server: Server; fresh: number; home: boolean };
+const UNWEIGHED: Weighed = { read: null, ms: 0, alone: 0 };
 type Where = { s: Server; ms: number };
 /** A decode server reads at this part of the pace, between the tokens of others. */
 const BESIDE = 0.5;
@@ -91,7 +92,7 @@
     /** Where it would be read soonest, and when; the home, if that is soon enough. */
     const reader = (service: Service, route: Route, p: Prompt, not: ReadonlySet<string>) => {
       const list = able(service, 'prefill', not);
-      const home = Lot.rank(KeptParts.home(p), list, (s) => s.id)[0];
+      const home = Lot.first(KeptParts.home(p), list, (s) => s.id);
       const ms = (s: Server): number =>
         ((t.loads.at(s.id).tokens + fresh(s, p, home)) / t.pace()) * t.speed(s.id) + cold(s);
       const best = least(list, (s) => ms(s) + again(s, p, home) * AGAIN);
@@ -104,7 +105,7 @@
       const list = able(service, service.engine ? 'decode' : null, not);
       const near = from?.zone ?? t.zone;
       const most = Math.max(1, service.engine?.slots ?? 1);
-      const home = p && !from ? Lot.rank(KeptParts.home(p), list, (s) => s.id)[0] : undefined;
+      const home = p && !from ? Lot.first(KeptParts.home(p), list, (s) => s.id) : undefined;
       const best = least(list, (s) => {
         const { runs, tokens } = t.loads.at(s.id);
         const busy = runs / Math.max(1, s.slots || most) + tokens / (t.pace() * BESIDE * 1000);
@@ -127,29 +128,20 @@
         const most = service.engine.slots;
         return list.length === 0 || list.some((s) => t.loads.at(s.id).runs < (s.slots || most) * FULL);
       },
-      /**
-       * The prefill server that is to read it first, and how many tokens that is; null where the run had better read
-       * it itself.
-       */
-      prefill(service: Service, route: Route, p: Prompt, not: ReadonlySet<string>): Read | null {
-        if (!service.engine) return null;
-        const apart = reader(service, route, p, not);
-        const beside = decoder(service, p, null, not);
-        if (!apart || !beside) return null;
-        const read = { server: apart.s, fresh: apart.fresh, home: apart.home };
-        if (t.loads.at(beside.s.id).runs >= CROWDED) return read;
+      /** Where it is to be read first, and when it would begin; looked at once for both. */
+      weigh(service: Service, route: Route, p: Prompt, not: ReadonlySet<string>): Weighed {
+        const apart = service.engine ? reader(service, route, p, not) : null;
+        const beside = service.engine ? decoder(service, p, null, not) : null;
+        if (!apart || !beside) return UNWEIGHED;
+        const crowded = t.loads.at(beside.s.id).runs >= CROWDED;
         const short = t.kept.held(beside.s.id, p) + SHORT > p.tokens;
         const bar = short ? apart.ms + HAND + SHORT / t.pace() : apart.ms + HAND;
-        return beside.ms <= bar ? null : read;
-      },
-      /** ms until the first event if it is sent now, and if nothing else were waiting. */
-      foreseen(service: Service, route: Route, p: Prompt): { ms: number; alone: number } {
-        const apart = service.engine ? reader(service, route, p, NONE) : null;
-        const beside = service.engine ? decoder(service, p, null, NONE) : null;
-        if (!apart || !beside) return { ms: 0, alone: 0 };
-        const crowded = t.loads.at(beside.s.id).runs >= CROWDED;
-        const ms = crowded ? apart.ms : Math.min(apart.ms, beside.ms);
-        return { ms: ms + HAND + START, alone: apart.fresh / t.pace() + HAND + START };
+        const read = { server: apart.s, fresh: apart.fresh, home: apart.home };
+        return {
+          read: !crowded && beside.ms <= bar ? null : read,
+          ms: (crowded ? apart.ms : Math.min(apart.ms, beside.ms)) + HAND + START,
+          alone: apart.fresh / t.pace() + HAND + START,
+        };
       },
       /** Where it is decoded: few under way, near the memory. */
       decode: (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>): Server | null =>
--- a/packages/router/src/reader.ts
+++ b/packages/router/src/reader.ts
@@ -27,7 +27,7 @@
       t.log.note(job.request.id, 'unread', { at: s.id, word: f.code, why: f.why });
       if (f.code === 'gone') return;
       job.avoid.add(s.id);
-      if (f.code === 'refused' || f.code === 'misdirected') {
+      if (Blame.turned(f)) {
         job.arrivals++;
         t.turned(s);
       }
@@ -50,7 +50,8 @@
     /** Leaves a handle in the job, or a fault. */
     return async (job: Job): Promise<void> => {
       const p = job.request.prompt!;
-      const found = t.placement.prefill(job.service, job.route, p, job.avoid);
+      const { read: found } = job.weighed ?? t.placement.weigh(job.service, job.route, p, job.avoid);
+      job.weighed = null;
       if (!found) {
         t.log.note(job.request.id, 'beside');
         return;
--- /dev/null
+++ b/packages/router/src/rounds.test.ts
@@ -0,0 +1,33 @@
+import { expect } from 'chai';
+import { Rounds } from './rounds.js';
+import { testClock } from './stand.test.js';
+
+describe('one timer for all that is under way', () => {
+  it('looks at each once a round, until it is taken off', async () => {
+    const time = testClock();
+    let timers = 0;
+    const after = (ms: number, fn: () => void): (() => void) => {
+      timers++;
+      return time.clock.after(ms, fn);
+    };
+    const add = Rounds.make({ ...time.clock, after }, 100);
+    const seen = { a: 0, b: 0 };
+    const ends = [add(() => seen.a++), add(() => seen.b++)];
+    await time.pass(1000);
+    expect(seen.a).to.be.within(10, 11);
+    expect(seen.b).to.be.within(9, 11);
+    expect(timers).to.be.at.most(11);
+    ends[0]!();
+    const { a, b } = seen;
+    await time.pass(300);
+    expect([seen.a, seen.b]).to.deep.equal([a, b + 3]);
+    ends[1]!();
+    await time.pass(200);
+    const stood = timers;
+    await time.pass(2000);
+    expect(timers).to.equal(stood);
+    add(() => seen.a++);
+    await time.pass(500);
+    expect(seen.a).to.be.within(a + 5, a + 6);
+  });
+});
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -1,7 +1,8 @@
-import { Timer, type Result } from '@pumicebarrow/forms';
+import type { Result } from '@pumicebarrow/forms';
 import { Blame } from './blame.js';
 import type { Heard } from './heard.js';
 import type { Job } from './job.js';
+import { Rounds } from './rounds.js';
 import type { SendFault } from './sendfault.js';
 import type { Server } from './server.js';
 import type { ServeTools } from './servetools.js';
@@ -28,6 +29,7 @@
 export const Runner = {
   make(t: ServeTools) {
     const now = (): number => t.world.clock.mono();
+    const watch = Rounds.make(t.world.clock, LOOK);
     /** Whether another server may take it up once this one may have run it. */
     const again = (job: Job): boolean =>
       (job.route.resumable && job.route.kind === 'stream') || (job.route.kind === 'idempotent' && !job.begun);
@@ -35,7 +37,7 @@
     const guard = (job: Job, s: Server, stop: AbortController) => {
       let last = now();
       let told = false;
-      const stopped = Timer.every(t.world.clock, LOOK, () => {
+      const stopped = watch(() => {
         const quiet = now() - last;
         if (quiet > SILENT && t.health.silent(s.id) > SILENT && !told) {
           told = true;
@@ -82,7 +84,7 @@
       const stop = new AbortController();
       const gone = (): void => stop.abort('gone');
       job.left.signal.addEventListener('abort', gone);
-      const watch = guard(job, s, stop);
+      const kept = guard(job, s, stop);
       const beside = t.loads.at(s.id).runs;
       const before = job.events;
       const from = now();
@@ -92,8 +94,8 @@
       job.handle = null;
       const ms = Math.max(1, job.due - now());
       const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now(), job.first), signal: stop.signal };
-      const got = await t.engine.run(s, job.request, handle, job.after, terms, hearer(job, s, watch.stir, read));
-      watch.stop();
+      const got = await t.engine.run(s, job.request, handle, job.after, terms, hearer(job, s, kept.stir, read));
+      kept.stop();
       const more = job.events - before;
       if (more > ENOUGH) t.speed.note(s.id, (now() - from) / more, GAP + beside * EACH);
       free();
@@ -123,7 +125,7 @@
       job.avoid.add(s.id);
       if (f.code === 'gone' && job.left.signal.aborted) return true;
       if (f.code === 'unsent') job.arrivals--;
-      if (f.code === 'refused' || f.code === 'misdirected') t.turned(s);
+      if (Blame.turned(f)) t.turned(s);
       if (f.code === 'gone' || Blame.falls(f, t.health.silent(s.id), SILENT)) t.suspect(s, f.why);
       if (f.ran === 'no') return false;
       job.maybe = true;
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -53,7 +53,17 @@
         ...{ request, sink, service, left, route: found.route, after: request.after },
         first: firsts.is(found.route, request.wait),
         due: Math.min(request.due, now() + found.route.timeout),
-        ...{ arrivals: 0, reads: 0, events: 0, handle: null, begun: false, status: 0, maybe: false, fault: null },
+        ...{
+          arrivals: 0,
+          reads: 0,
+          weighed: null,
+          events: 0,
+          handle: null,
+          begun: false,
+          status: 0,
+          maybe: false,
+          fault: null,
+        },
         avoid: new Set(),
       };
     };
@@ -69,15 +79,16 @@
     const deferred = (job: Job): number | null => {
       const p = job.request.prompt;
       if (!p) return null;
-      const { ms, alone } = t.placement.foreseen(job.service, job.route, p);
+      job.weighed = t.placement.weigh(job.service, job.route, p, job.avoid);
+      const { ms, alone } = job.weighed;
       const c = { foreseen: ms, alone, aim: job.route.aim, left: job.due - now(), first: job.first };
       const wait = Deferral.of(c, t.world.chance.real());
       return wait === null ? null : wait / 1000;
     };
     /** Waits a little where every server is full; false if that did not help. */
     const admit = async (job: Job): Promise<boolean> => {
-      if (t.placement.room(job.service, job.request.prompt)) return true;
       const until = now() + job.route.aim * WAIT;
+      job.weighed = null;
       t.log.note(job.request.id, 'queued');
       while (!t.placement.room(job.service, job.request.prompt)) {
         if (now() >= until || job.left.signal.aborted) return false;
@@ -114,7 +125,8 @@
       t.budget.request();
       const later = deferred(job);
       if (later !== null) return told(job, Verdicts.not('deferred', 'It would be late now.', later));
-      if (!(await admit(job))) return told(job, Verdicts.not('full', 'Every server is full.', LATER));
+      if (!t.placement.room(job.service, job.request.prompt) && !(await admit(job)))
+        return told(job, Verdicts.not('full', 'Every server is full.', LATER));
       await go(job);
       if (job.handle) void t.engine.free(job.handle);
       if (job.begun) {
--- a/packages/router/src/serverlist.ts
+++ b/packages/router/src/serverlist.ts
@@ -42,10 +42,11 @@
       glimpse(servers: readonly Server[]): void {
         if (by === 'shared') set(servers);
       },
-      /** What is held was still the newest at `at`. */
-      confirm(at: number): void {
+      /** What is held was still the newest at `at`; false if it is not the shared one. */
+      confirm(at: number): boolean {
         look();
         if (by === 'shared' && at > from && at >= dropped) from = at;
+        return by === 'shared';
       },
       drop(): void {
         from = -Infinity;
--- /dev/null
+++ b/packages/router/src/weighed.ts
@@ -0,0 +1,10 @@
+import type { Server } from './server.js';
+
+/** How a request fares if it is sent at this instant. */
+export type Weighed = {
+  /** The prefill server that is to read it first, and how many tokens; null where the run had better read it itself. */
+  read: { server: Server; fresh: number; home: boolean } | null;
+  /** ms until its first event, and if nothing else were waiting. */
+  ms: number;
+  alone: number;
+};
--- a/packages/routesim/src/capacity/routedworks.ts
+++ b/packages/routesim/src/capacity/routedworks.ts
@@ -138,7 +138,7 @@
       router(
         'choosing who reads',
         'us',
-        Timed.us(() => placement.prefill(service!, route!, prompt(), none)),
+        Timed.us(() => placement.weigh(service!, route!, prompt(), none)),
       ),
       router(
         'choosing who decodes',
