--- a/packages/router/src/headline.ts
+++ b/packages/router/src/headline.ts
@@ -53,9 +53,8 @@
       if (Order.cmp(mark, held.mark) !== 0) return true;
       // What is held is opened once; from then on its youth alone is news, unless a list of another asking came between.
       const known = opened !== null && Order.cmp(mark, opened) === 0;
-      if (!known || !t.list.confirm(sent - age))
-        t.list.take(ListRows.open(held.body as ListBody), sent - age, 'shared');
-      opened = mark;
+      if (known && t.list.confirm(sent - age)) return true;
+      if (t.list.take(ListRows.open(held.body as ListBody), sent - age, 'shared')) opened = mark;
       return true;
     };
     const ask = async (): Promise<boolean> => {
--- a/packages/router/src/serverlist.ts
+++ b/packages/router/src/serverlist.ts
@@ -30,13 +30,14 @@
     return {
       young,
       age,
-      /** A whole list that was asked for at `at`, by whomever. */
-      take(servers: readonly Server[], at: number, how: 'shared' | 'asked'): void {
+      /** A whole list that was asked for at `at`, by whomever; false if what is held is younger. */
+      take(servers: readonly Server[], at: number, how: 'shared' | 'asked'): boolean {
         look();
-        if (at <= from || at < dropped) return;
+        if (at <= from || at < dropped) return false;
         from = at;
         by = how;
         set(servers);
+        return true;
       },
       /** A later list than the shared one held, of an age not known yet: what it shows counts, its youth does not. */
       glimpse(servers: readonly Server[]): void {
