--- a/packages/routesim/src/capacity/routedworks.ts
+++ b/packages/routesim/src/capacity/routedworks.ts
@@ -96,7 +96,7 @@
       return { list, health, kept };
     };
     const { list, health, kept } = made();
-    const take = (): void => list.take(ListRows.open(body), ++at, 'shared');
+    const take = (): void => void list.take(ListRows.open(body), ++at, 'shared');
     const shelf = Shelf.make(SharedSound.doc);
     const loads = ServerLoads.make();
     const placement = Placement.make({
