Mends found on reading: a recalled loan's trail, a leaving router that slept, our own cap no server's fault

Faults, each with a test seen to fail first: a lapse wiped out what may still run of a loan that was called back; a router that slept while it left refused all until its end; 48 connections of our own to one server were held against it (crowded); a burst said again after its clause was withdrawn was refused; prompt memory was taken of the first service, also where it names none. Work done twice: the core's line asked for views after each write; a write that changed nothing was turned to text twice; each burst read summed up all; prefix keys were made anew for each server; Timer left its last nap behind; a second beat in each keeper. Written again: Order.next for the mark under a fence, Share, Dialer for the platform's connections, Slips.pulled.

--- a/packages/counter/src/casting.ts
+++ b/packages/counter/src/casting.ts
@@ -1,4 +1,4 @@
-import { type World } from '@pumicebarrow/forms';
+import { Order, type World } from '@pumicebarrow/forms';
 import type { Purging } from '@pumicebarrow/purge';
 import type { SheetRow } from '@pumicebarrow/registry';
 import type { Back } from './back.js';
@@ -41,10 +41,8 @@
     const log = t.world.log('cast');
 
     const write = (fence: number, row: SheetRow): boolean => {
-      const old = t.sheet.rows().get(row.server)?.mark;
-      if (old && old[0] > fence) return false;
-      const step = old && old[0] === fence ? old[1] + 1 : 0;
-      return t.purge.publish({ name: `row:${row.server}`, mark: [fence, step], body: row });
+      const mark = Order.next(t.sheet.rows().get(row.server)?.mark, fence);
+      return mark !== null && t.purge.publish({ name: `row:${row.server}`, mark, body: row });
     };
     const order = async (s: Listed, part: SheetRow['part']): Promise<void> => {
       const fence = t.duty.fence(`row:${s.id}`);
--- a/packages/counter/src/dialer.ts
+++ b/packages/counter/src/dialer.ts
@@ -9,11 +9,11 @@
  * Invariant: a connection that took longer than it may, as one does while this process is frozen, is never used.
  */
 export const Dialer = {
-  make(met: (s: Socket) => void) {
+  make(met: (s: Socket) => void, ms = CONNECT, mono: () => number = () => performance.now()) {
     const failed = new WeakSet<object>();
-    const dial = buildConnector({ timeout: CONNECT });
+    const dial = buildConnector({ timeout: ms });
     const connect: buildConnector.connector = (o, done) => {
-      const from = performance.now();
+      const from = mono();
       const fail = (e: Error): void => {
         failed.add(e);
         done(e, null);
@@ -24,7 +24,7 @@
           return;
         }
         const sock = s;
-        if (performance.now() - from > CONNECT + SLACK) {
+        if (mono() - from > ms + SLACK) {
           sock.destroy();
           fail(Object.assign(new Error('The connection took too long.'), { code: 'UND_ERR_CONNECT_TIMEOUT' }));
           return;
--- a/packages/counter/src/front.ts
+++ b/packages/counter/src/front.ts
@@ -133,12 +133,12 @@
       app.get('/plan/:id', (req, res) => {
         void desk.fate(String(req.params['id'])).then((r) => Front.say(res, r));
       });
+      const key = (req: { params: object }): string =>
+        decodeURIComponent(String((req.params as Record<string, unknown>)['key']));
       app.get('/visit/:key', (req, res) => {
-        void desk.visit(decodeURIComponent(String(req.params['key']))).then((r) => Front.say(res, r));
+        void desk.visit(key(req)).then((r) => Front.say(res, r));
       });
       const { lending } = desk;
-      const key = (req: { params: object }): string =>
-        decodeURIComponent(String((req.params as Record<string, unknown>)['key']));
       app.post('/burst', (req, res) => {
         void body(req, res).then(async (got) => {
           if (got) Front.say(res, await lending.begin(got.v));
--- a/packages/counter/src/index.ts
+++ b/packages/counter/src/index.ts
@@ -56,6 +56,7 @@
 export { type RunTools } from './runtools.js';
 export { Select } from './select.js';
 export { type Selecting } from './selecting.js';
+export { Share } from './share.js';
 export { Sheet } from './sheet.js';
 export { type SheetView } from './sheetview.js';
 export { Shuns } from './shuns.js';
--- a/packages/counter/src/lending/borrower.ts
+++ b/packages/counter/src/lending/borrower.ts
@@ -79,8 +79,6 @@
     return {
       lease,
       recalled,
-      /** Until when a send to a server may take hold. */
-      until: (server: string): number => leases.get(server)?.until ?? -Infinity,
       slots: (server: string, born: string): number => lease(server, born)?.slots ?? 0,
       count: (): number => [...leases.values()].filter((l) => l.until > now()).length,
       drop(): void {
--- a/packages/counter/src/lending/lender.test.ts
+++ b/packages/counter/src/lending/lender.test.ts
@@ -72,6 +72,18 @@
     r.is.load = 5;
     expect(r.ask('e1')).to.equal('lent 1');
   });
+  it('counts on what was begun for one that was called back and never replied, also after its lease', async () => {
+    const r = rig();
+    r.is.reached = false;
+    expect(r.ask('e1')).to.equal('lent 4');
+    r.lender.recalled('m2');
+    await r.settle();
+    r.wait(2300);
+    r.lender.tick();
+    expect(r.ask('e2')).to.equal('nothing');
+    r.wait(6100);
+    expect(r.ask('e2')).to.equal('lent 4');
+  });
   it('lends nothing without a live fence', () => {
     const r = rig();
     r.is.fence = null;
--- a/packages/counter/src/lending/lender.ts
+++ b/packages/counter/src/lending/lender.ts
@@ -1,4 +1,4 @@
-import type { Doc, Ident, PostBox, World } from '@pumicebarrow/forms';
+import { Order, type Ident, type PostBox, type World } from '@pumicebarrow/forms';
 import type { Purging } from '@pumicebarrow/purge';
 import type { Loan, SheetRow } from '@pumicebarrow/registry';
 import type { Duties } from '../duties.js';
@@ -59,13 +59,12 @@
     const publish = (server: string, slots: number, holder: string, burst: string, why: Loan['why']): boolean => {
       const f = fence(server),
         row = t.sheet.rows().get(server)?.row;
-      const old: Doc['mark'] | null = t.sheet.mark(`loan:${server}`);
-      if (f === null || !row || (old && old[0] > f)) return false;
+      const mark = f === null ? null : Order.next(t.sheet.mark(`loan:${server}`), f);
+      if (!mark || !row) return false;
       const { born, part } = row,
         since = t.world.clock.wall();
       const body: Loan = { server, born, part, slots, holder, burst, why, by: t.self(), since };
-      const step = old && old[0] === f ? old[1] + 1 : 0;
-      if (!t.purge.publish({ name: `loan:${server}`, mark: [f, step], body })) return false;
+      if (!t.purge.publish({ name: `loan:${server}`, mark, body })) return false;
       t.world.tell({ what: 'loan', server, part, slots, holder, burst, why });
       return true;
     };
@@ -74,7 +73,8 @@
       if (!h) return;
       held.delete(server);
       if (why === 'lapsed') t.world.tell({ what: 'lapsed', server, holder: h.holder.id });
-      trails.set(server, { slots: running, until: now() + LINGER });
+      // Of one that was called back and never replied, the trail laid then still holds.
+      if (why !== 'lapsed' || h.slots > 0) trails.set(server, { slots: running, until: now() + LINGER });
       if ((t.loan(server)?.slots ?? 0) > 0) publish(server, 0, h.holder.id, h.burst, why);
     };
     /** Nothing is lent from now on; another may borrow once the holder has said so, or its lease is past. */
@@ -129,7 +129,6 @@
     });
     return {
       recalled: (server: string): void => void revoke(server, 'live'),
-      mine: (server: string): boolean => fence(server) !== null,
       /** Lapsed loans are told of, also those of a lender before this one; what live work needs is called back. */
       tick(): void {
         for (const [server, h] of held) {
--- a/packages/counter/src/lending/lentselect.ts
+++ b/packages/counter/src/lending/lentselect.ts
@@ -23,10 +23,6 @@
     };
     return {
       usable,
-      share: (id) => {
-        const s = [...usable('prefill'), ...usable('decode')].find((x) => x.id === id);
-        return s ? slots(s) : 0;
-      },
       roomy: (part, rule, held) => {
         const list = usable(part);
         const free = list.reduce((n, s) => n + Math.max(0, slots(s) - t.loads.at(s.id)), 0);
--- a/packages/counter/src/lending/livewatch.ts
+++ b/packages/counter/src/lending/livewatch.ts
@@ -2,6 +2,7 @@
 import type { Loan } from '@pumicebarrow/registry';
 import type { LoadBook } from '../loadbook.js';
 import type { Selecting } from '../selecting.js';
+import { Share } from '../share.js';
 import { LoanWords } from './loanwords.js';
 
 type Part = 'prefill' | 'decode';
@@ -27,12 +28,11 @@
 export const LiveWatch = {
   make(t: Tools) {
     const told = new Map<string, number>();
-    const would = (part: Part, rule: Rule): boolean => {
+    const would = (part: Part, rule: Rule, loans: readonly Loan[]): boolean => {
       const list = t.select.usable(part);
-      const n = Math.max(1, t.roster().filter((r) => r.role === 'counter').length);
-      const lent = new Map(t.loans().map((l) => [l.server, l.slots]));
-      const share = (id: string): number =>
-        Math.max(1, Math.ceil((Math.max(0, t.slots(id) - (lent.get(id) ?? 0)) * 1.5) / n));
+      const n = t.roster().filter((r) => r.role === 'counter').length;
+      const lent = new Map(loans.map((l) => [l.server, l.slots]));
+      const share = (id: string): number => Share.of(Math.max(0, t.slots(id) - (lent.get(id) ?? 0)), n);
       const used = list.reduce((a, s) => a + t.loads.at(s.id), 0) + t.loads.at('*turn') + t.waiting();
       return used > 0 && used + rule.weight > list.reduce((a, s) => a + share(s.id), 0);
     };
@@ -47,9 +47,10 @@
     return {
       /** A live request of this rule has come in. */
       arrived(rule: Rule): void {
+        const loans = t.loans();
         for (const part of ['prefill', 'decode'] as const) {
-          const lent = t.loans().filter((l) => l.part === part && l.slots > 0);
-          if (lent.length === 0 || !would(part, rule)) continue;
+          const lent = loans.filter((l) => l.part === part && l.slots > 0);
+          if (lent.length === 0 || !would(part, rule, loans)) continue;
           const called = lent.filter(recall).map((l) => l.server);
           if (called.length > 0) t.tell(part, called);
         }
--- a/packages/counter/src/lending/runner.ts
+++ b/packages/counter/src/lending/runner.ts
@@ -1,4 +1,4 @@
-import type { Charter, Rule, Verdict, World } from '@pumicebarrow/forms';
+import { Timer, type Charter, type Rule, type Verdict, type World } from '@pumicebarrow/forms';
 import { Shards, type Burst, type CoreLine, type Generation } from '@pumicebarrow/registry';
 import type { CallerSink } from '../callersink.js';
 import type { Duties } from '../duties.js';
@@ -38,7 +38,6 @@
     let reading = false;
     let off = false;
     const now = (): number => t.world.clock.mono();
-    const nap = (ms: number): Promise<void> => new Promise((done) => void t.world.clock.after(ms, done));
     const ruleOf = (b: Burst): Rule | null => {
       const c = t.charter();
       return c?.lending?.rules.includes(b.spec.rule) ? (c.rules.find((r) => r.name === b.spec.rule) ?? null) : null;
@@ -59,7 +58,7 @@
         const { verdict } = (await t.line.write({ ...base, ...out }, WRITE)).ruling;
         if (verdict.ran === 'yes' || (verdict.ran === 'no' && verdict.code !== 'unready' && verdict.code !== 'full'))
           return;
-        await nap(AGAIN);
+        await Timer.nap(t.world.clock, AGAIN);
       }
     };
     const send = async (p: Place, rule: Rule, step: Step): Promise<void> => {
--- a/packages/counter/src/lentrun.ts
+++ b/packages/counter/src/lentrun.ts
@@ -1,5 +1,4 @@
 import type { Charter, Rule, Verdict } from '@pumicebarrow/forms';
-import type { CallerSink } from './callersink.js';
 import { Gate } from './gate.js';
 import type { Borrower } from './lending/borrower.js';
 import { LentSelect } from './lending/lentselect.js';
@@ -7,7 +6,6 @@
 import { Pump } from './pump.js';
 import { Run } from './run.js';
 import type { RunTools } from './runtools.js';
-import type { Visit } from './visit.js';
 import { Waitlist } from './waitlist.js';
 
 type Tools = Pick<
@@ -38,15 +36,17 @@
     const pump = Pump.make({ clock, waitlist, hands, gate, select, loads: t.loads, serving: t.serving });
     const hails = {
       ...t.hails,
-      bound: (s: Parameters<typeof t.hails.bound>[0], until: number) =>
-        t.borrower.lease(s.id, s.born) ? t.hails.bound(s, Math.min(until, t.borrower.until(s.id))) : null,
+      bound: (s: Parameters<typeof t.hails.bound>[0], until: number) => {
+        const lent = t.borrower.lease(s.id, s.born);
+        return lent && t.hails.bound(s, Math.min(until, lent.until));
+      },
     };
     const bucket = { visit: (): void => undefined, take: (): boolean => false, level: (): number => 0 };
     const demand = { read: 0, write: 0 };
     const lists = { waitlist, hands, select, loads: t.loads };
     const visit = Run.make({ ...t, ...lists, hails, gate, pump, bucket, demand });
     return {
-      visit: (v: Visit, sink: CallerSink): Promise<Verdict> => visit(v, sink),
+      visit,
       pump,
       under: gate.under,
       /** How much of a rule may be in hand at once: what is lent at decode servers, while readers are lent too. */
--- a/packages/counter/src/newest.ts
+++ b/packages/counter/src/newest.ts
@@ -1,9 +1,7 @@
-import { Check, Doc, Order, type Ident, type PostBox, type World } from '@pumicebarrow/forms';
-import type { Holding, Purging } from '@pumicebarrow/purge';
+import { Order, type Doc, type Ident, type PostBox, type World } from '@pumicebarrow/forms';
+import { Slips, type Holding, type Purging } from '@pumicebarrow/purge';
 import type { CoreLine } from '@pumicebarrow/registry';
-import { Type } from 'typebox';
 
-const Pulled = Type.Object({ doc: Type.Union([Doc, Type.Null()]) }, { additionalProperties: false });
 type Tools = {
   world: World;
   post: PostBox;
@@ -42,13 +40,11 @@
       if (t.world.clock.mono() - started < MEET) return false;
       const others = t.known().filter((k) => k.role === 'counter' && k.id !== t.self().id);
       const got = await Promise.all(
-        others.map((o) => t.post.ask(o.addr, o.id, 'purge.pull', { name: 'charter' }, Pulled, 400)),
+        others.map((o) => t.post.ask(o.addr, o.id, 'purge.pull', { name: 'charter' }, Slips.pulled, 400)),
       );
       const heard = got.flatMap((g) => (g.ok ? [g.val.doc] : []));
       if (heard.length + 1 <= (others.length + 1) / 2) return false;
-      const best = heard
-        .filter((d): d is Doc => d !== null && Check.is(Doc, d))
-        .sort((a, b) => Order.cmp(b.mark, a.mark))[0];
+      const best = heard.filter((d): d is Doc => d !== null).sort((a, b) => Order.cmp(b.mark, a.mark))[0];
       if (best) t.purge.learn(best, 'majority');
       return t.shelf.get('charter') !== null;
     };
--- a/packages/counter/src/select.ts
+++ b/packages/counter/src/select.ts
@@ -2,6 +2,7 @@
 import type { Hailing } from './hailing.js';
 import type { Listed } from './listed.js';
 import type { LoadBook } from './loadbook.js';
+import { Share } from './share.js';
 import type { SheetView } from './sheetview.js';
 import type { Shuns } from './shuns.js';
 import type { TownView } from './townview.js';
@@ -19,11 +20,9 @@
 /** Which server a visit goes to. */
 export const Select = {
   make(t: Tools) {
-    /** This daemon's share of a server, in weights; never less than one visit's worth. */
     const share = (id: string): number => {
       const slots = t.sheet.charter()?.servers.find((s) => s.id === id)?.slots ?? 1;
-      const n = Math.max(1, t.roster().filter((r) => r.role === 'counter').length);
-      return Math.max(1, Math.ceil((slots * 1.5) / n));
+      return Share.of(slots, t.roster().filter((r) => r.role === 'counter').length);
     };
     const usable = (part: Part): Listed[] => {
       const out: Listed[] = [];
@@ -38,7 +37,6 @@
       t.loads.at(s.id) === 0 || t.loads.at(s.id) + rule.weight <= share(s.id);
     return {
       usable,
-      share,
       /** Whether a part has room for one more, beside what is promised under the name `held`. */
       roomy(part: Part, rule: Pick<Rule, 'weight'>, held: string): boolean {
         const list = usable(part);
--- a/packages/forms/src/timer.ts
+++ b/packages/forms/src/timer.ts
@@ -27,15 +27,20 @@
   /** The same, with a pause that is asked for anew each time. */
   paced(clock: Clock, ms: () => number, fn: () => Promise<void> | void): () => void {
     let off = false;
+    let cancel: () => void = () => undefined;
     const loop = async (): Promise<void> => {
       while (!off) {
         await fn();
-        if (!off) await Timer.nap(clock, ms());
+        if (off) return;
+        await new Promise<void>((done) => {
+          cancel = clock.after(ms(), done);
+        });
       }
     };
     void loop();
     return () => {
       off = true;
+      cancel();
     };
   },
 };
--- a/packages/registry/src/chain.ts
+++ b/packages/registry/src/chain.ts
@@ -45,7 +45,8 @@
       return next;
     };
     const save = async (next: CoreState): Promise<boolean> => {
-      if (next.seq !== state.seq || JSON.stringify(next) !== JSON.stringify(state)) {
+      const same = next === state || (next.seq === state.seq && JSON.stringify(next) === JSON.stringify(state));
+      if (!same) {
         const done = await store.put('state', next);
         if (done.err) {
           hooks.ill(done.val);
--- a/packages/registry/src/coredesk.ts
+++ b/packages/registry/src/coredesk.ts
@@ -30,7 +30,7 @@
         if (faults.length > 0) return { ruling: { verdict: Verdicts.bad(faults) }, term: 0, view: h.view() };
       }
       if (!head || !h.live()) return { ruling: null, term: 0, view: h.view() };
-      if (c.do === 'begin' && h.chain.ready() && !BurstRule.may(h.chain.passed(), c.spec.rule))
+      if (c.do === 'begin' && h.chain.ready() && !BurstRule.may(h.chain.passed(), c.spec))
         return { ruling: { verdict: BurstRule.no(c.spec.rule) }, term: 0, view: h.view() };
       const ruling = c.do === 'claim' ? await claims.take(c.name, c.id, c.born) : await h.chain.write(c);
       return { ruling, term: c.do === 'claim' && ruling.fence !== undefined ? Paces.claim : 0, view: h.view() };
--- a/packages/registry/src/lending/burstdesk.ts
+++ b/packages/registry/src/lending/burstdesk.ts
@@ -21,7 +21,8 @@
       const all = s.bursts ?? [],
         one = all.find((b) => b.spec.key === body.key) ?? null;
       const burst = one && body.texts !== true ? bare(one) : one;
-      return { ok: true, view: h.view(), list: all.map((b) => BurstSummary.of(b)), burst };
+      const listed = body.key === undefined ? all : one ? [one] : [];
+      return { ok: true, view: h.view(), list: listed.map((b) => BurstSummary.of(b)), burst };
     });
   },
 };
--- a/packages/registry/src/lending/burstrule.ts
+++ b/packages/registry/src/lending/burstrule.ts
@@ -1,9 +1,11 @@
 import { Intents, Verdicts, type Verdict } from '@pumicebarrow/forms';
 import type { CoreState } from '../corestate.js';
+import type { BurstSpec } from './burstspec.js';
 
-/** Whether the charter in force lets a rule's bursts borrow. */
+/** Whether a burst may begin: the charter in force lets its rule borrow, or it is held, and is only said again. */
 export const BurstRule = {
-  may: (s: CoreState | null, rule: string): boolean =>
-    Intents.charter(s?.charter?.body)?.lending?.rules.includes(rule) === true,
+  may: (s: CoreState | null, spec: Pick<BurstSpec, 'key' | 'rule'>): boolean =>
+    s?.bursts?.some((b) => b.spec.key === spec.key) === true ||
+    Intents.charter(s?.charter?.body)?.lending?.rules.includes(spec.rule) === true,
   no: (rule: string): Verdict => Verdicts.not('notlent', `The charter in force lets no bursts of ${rule} borrow.`),
 };
--- a/packages/registry/src/lending/bursts.test.ts
+++ b/packages/registry/src/lending/bursts.test.ts
@@ -4,6 +4,7 @@
 import { Apply } from '../apply.js';
 import { CoreState } from '../corestate.js';
 import type { BurstCommand } from './burstcommand.js';
+import { BurstRule } from './burstrule.js';
 import { Bursts } from './bursts.js';
 import { BurstSummary } from './burstsummary.js';
 import { Shards } from './shards.js';
@@ -135,4 +136,11 @@
     s = Apply.one(s, settle(0, 'unsure')).state;
     expect(Bursts.over(s.bursts![0]!)).to.equal(true);
   });
+  it('may be said again also where the charter lets its rule borrow no more', () => {
+    const held = Apply.one(Apply.one(Apply.empty, claim('e1')).state, begin()).state;
+    expect(BurstRule.may(held, spec())).to.equal(true);
+    expect(BurstRule.may(held, spec('other'))).to.equal(false);
+    expect(BurstRule.may(Apply.empty, spec())).to.equal(false);
+    expect(BurstRule.may(null, spec())).to.equal(false);
+  });
 });
--- a/packages/registry/src/line.ts
+++ b/packages/registry/src/line.ts
@@ -58,15 +58,19 @@
     const unlessMoved = <T>(job: Promise<Result<T, WireFault>>): Promise<Result<T, WireFault>> => {
       const epoch = view?.epoch ?? 0;
       return new Promise((done) => {
+        let open = true;
+        const settle = (r: Result<T, WireFault>): void => {
+          open = false;
+          stop();
+          done(r);
+        };
         const stop = Timer.every(world.clock, Paces.peek, async () => {
           await Timer.nap(world.clock, Paces.peek);
+          if (!open) return;
           await look();
-          if ((view?.epoch ?? 0) > epoch) done(Err('lost'));
-        });
-        void job.then((r) => {
-          stop();
-          done(r);
+          if ((view?.epoch ?? 0) > epoch) settle(Err('lost'));
         });
+        void job.then(settle);
       });
     };
     if (!own) post.on('core.hint', CoreWords.look, () => ({ view }));
@@ -110,7 +114,7 @@
           );
           return r.ok ? { got: r.val.ok ? r.val : null, view: r.val.view } : { got: null, view: null };
         }),
-      /** Bursts in counts, and one of them whole; with its outcomes' texts only if they are asked for. */
+      /** Bursts in counts; with a key that one alone, and whole; its outcomes' texts only if they are asked for. */
       bursts: (ask: Static<typeof BurstWords.read>, ms: number): Promise<Static<typeof BurstWords.told> | null> =>
         reach('tail', ms, async (addr, id) => {
           const r = await post.ask(addr, id, 'core.burst', ask, BurstWords.told, Paces.ask);
--- a/packages/router/src/headline.ts
+++ b/packages/router/src/headline.ts
@@ -1,9 +1,8 @@
 import { Hash, Order, type Clock, type Ident, type Mark, type PostBox } from '@pumicebarrow/forms';
-import type { Holding, Purging } from '@pumicebarrow/purge';
+import { Slips, type Holding, type Purging } from '@pumicebarrow/purge';
 import { Views, type CoreLine } from '@pumicebarrow/registry';
 import type { ListBody } from './listbody.js';
 import { ListRows } from './listrows.js';
-import { ListWords } from './listwords.js';
 import type { ServerListing } from './serverlisting.js';
 import { Words } from './words.js';
 
@@ -39,8 +38,8 @@
     const count = { fetchedVersions: 0, fetchedLists: 0 };
     const since = (was: number, late: boolean): number => (!late ? -1 : was < 0 ? t.clock.mono() : was);
     const fetchList = async (addr: string, id: string): Promise<void> => {
-      const doc = await ListWords.pull(t.post, addr, id);
-      if (doc && t.purge.learn(doc, 'head')) count.fetchedLists++;
+      const got = await t.post.ask(addr, id, 'purge.pull', { name: 'list' }, Slips.pulled, ASK);
+      if (got.ok && got.val.doc && t.purge.learn(got.val.doc, 'head')) count.fetchedLists++;
     };
     const catchUp = async (addr: string, id: string): Promise<void> => {
       const now = t.clock.mono();
@@ -51,7 +50,7 @@
       const held = t.shelf.get('list');
       if (!mark || !held || Order.newer(mark, held.mark)) return false;
       if (Order.cmp(mark, held.mark) !== 0) return true;
-      // What is held is opened once; from then on its youth alone is news, unless a list of another asking came between.
+      // What is held is opened once; then its youth alone is news, unless a list of another asking came between.
       const known = opened !== null && Order.cmp(mark, opened) === 0;
       if (known && t.list.confirm(sent - age)) return true;
       if (t.list.take(ListRows.open(held.body as ListBody), sent - age, 'shared')) opened = mark;
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -19,7 +19,6 @@
 export { ListRows } from './listrows.js';
 export { type ListSource } from './listsource.js';
 export { ListWatch } from './listwatch.js';
-export { ListWords } from './listwords.js';
 export { LoadNews } from './loadnews.js';
 export { Pace } from './pace.js';
 export { Placement } from './placement.js';
--- a/packages/router/src/keeper.ts
+++ b/packages/router/src/keeper.ts
@@ -1,14 +1,4 @@
-import {
-  Awake,
-  Err,
-  Hash,
-  Ok,
-  type Fault,
-  type Result,
-  type Routing,
-  type Verdict,
-  type World,
-} from '@pumicebarrow/forms';
+import { Err, Hash, Ok, type Fault, type Result, type Routing, type Verdict, type World } from '@pumicebarrow/forms';
 import { Registrar, Views } from '@pumicebarrow/registry';
 import { IntentDesk } from './intentdesk.js';
 import { KeeperDesk } from './keeperdesk.js';
@@ -35,16 +25,12 @@
     if (made.err) return made;
     const d = made.val;
     const { clock } = world;
-    const awake = Awake.make(clock, () => undefined);
     const view = () => d.core.view();
     const head = (): boolean => {
       const v = view();
       return v !== null && Views.same(Views.head(v), d.ident);
     };
-    const speaks = (): boolean => {
-      awake.look();
-      return head() && d.core.live();
-    };
+    const speaks = (): boolean => head() && d.core.live();
     /** The agreed view's epoch, at the one daemon that may speak for it: no two have one, and it only rises. */
     const fence = (): number | null => (speaks() ? (view()?.epoch ?? null) : null);
     const duty = ListDuty.make({
@@ -95,7 +81,6 @@
       },
       start(): void {
         d.start();
-        awake.start();
         duty.start();
         stages.start();
       },
@@ -105,7 +90,6 @@
         await d.leave();
       },
       stop(): void {
-        awake.stop();
         duty.stop();
         stages.stop();
         d.stop();
--- a/packages/router/src/keptparts.ts
+++ b/packages/router/src/keptparts.ts
@@ -3,15 +3,21 @@
 
 const MOST = 4000;
 
-/** The names of a prompt's prefixes, the shortest first; a part counts only behind all parts before it. */
-const chain = (p: Prompt): { key: string; tokens: number }[] => {
+type Link = { key: string; tokens: number };
+const made = new WeakMap<Prompt['parts'], { model: string; links: readonly Link[] }>();
+/** The names of a prompt's prefixes, the shortest first; a part counts only behind all parts before it. Made once. */
+const chain = (p: Prompt): readonly Link[] => {
+  const old = made.get(p.parts);
+  if (old?.model === p.model) return old.links;
   let key = p.model;
   let tokens = 0;
-  return p.parts.map((part) => {
+  const links = p.parts.map((part) => {
     key = `${key}/${part.id}`;
     tokens += part.tokens;
     return { key, tokens };
   });
+  made.set(p.parts, { model: p.model, links });
+  return links;
 };
 
 /**
@@ -48,7 +54,6 @@
         }
         return best;
       },
-      forget: (server: string): boolean => servers.delete(server),
       only(ids: ReadonlySet<string>): void {
         for (const id of servers.keys()) if (!ids.has(id)) servers.delete(id);
       },
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -65,7 +65,7 @@
     const awake = Awake.make(clock, () => {
       list.drop();
       certain = false;
-      if (is() !== 'serving') return;
+      if (is() !== 'serving' && is() !== 'draining') return;
       log.warn('This daemon slept. Asking for the newest configuration.');
       life.send('woke');
       void ask();
@@ -89,7 +89,7 @@
     const health = ServerHealth.make(clock),
       pace = Pace.make(),
       speed = ServerSpeed.make(clock);
-    const memory = (): number => routes?.services()[0]?.engine?.memory ?? MEMORY;
+    const memory = (): number => routes?.services().find((s) => (s.engine?.memory ?? 0) > 0)?.engine?.memory ?? MEMORY;
     const kept = KeptParts.make(memory);
     const placement = Placement.make({
       ...{ chance: world.chance, zone: startup.zone, list, loads, health, kept },
@@ -139,17 +139,20 @@
       health.only(ids);
       speed.only(ids);
     });
+    let seeking = false;
+    /** Until this daemon is sure of its configuration: one that leaves serves what comes all the same, and asks too. */
     const ask = async (): Promise<void> => {
-      while (is() === 'asking') {
+      if (seeking) return;
+      seeking = true;
+      while (!certain && (is() === 'asking' || is() === 'draining')) {
         if (await newest.sure()) {
           certain = true;
           life.send('sure');
           log.say('Serving.');
           void head.tick();
-          return;
-        }
-        await Timer.nap(clock, WAIT);
+        } else await Timer.nap(clock, WAIT);
       }
+      seeking = false;
     };
     TraceDesk.make(post, self, purge, shelf, () => certain);
     RequestDesk.make(post, steps);
@@ -187,6 +190,7 @@
         log.say('Leaving: clients are sent elsewhere.');
       },
       stop(): void {
+        life.send('empty');
         for (const s of stops) s();
         awake.stop();
         watch.stop();
--- a/packages/router/src/routetable.ts
+++ b/packages/router/src/routetable.ts
@@ -22,9 +22,7 @@
     return {
       revision: routing.revision,
       limits: routing.limits,
-      routes: routing.routes,
       services: (): readonly Service[] => routing.services,
-      service: (name: string): Service | null => services.get(name) ?? null,
       find(host: string, path: string): Found | null {
         const plain = path.split('?', 1)[0]!;
         return table.get(host)?.find((p) => plain.startsWith(p.prefix))?.found ?? null;
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -102,7 +102,7 @@
       read();
       job.left.signal.removeEventListener('abort', gone);
       // A send that never arrived has taken nothing: the memory may still be fetched by another.
-      if (got.err && got.val.code === 'unsent') job.handle = handle;
+      if (got.err && Blame.unmet(got.val)) job.handle = handle;
       return got;
     };
     /** Gives true once the job is over: whole, cut, or without a way on. */
@@ -124,7 +124,7 @@
       t.log.note(job.request.id, 'failed', { at: s.id, word: f.code, why: f.why });
       job.avoid.add(s.id);
       if (f.code === 'gone' && job.left.signal.aborted) return true;
-      if (f.code === 'unsent') job.arrivals--;
+      if (Blame.unmet(f)) job.arrivals--;
       if (Blame.turned(f)) t.turned(s);
       if (f.code === 'gone' || Blame.falls(f, t.health.silent(s.id), SILENT)) t.suspect(s, f.why);
       if (f.ran === 'no') return false;
--- a/packages/router/src/serve.test.ts
+++ b/packages/router/src/serve.test.ts
@@ -54,6 +54,11 @@
       { script: [{ read: 'ok' }, { run: 'unsent' }, { run: 'ok', events: 1 }], route: { tries: 1 }, budget: 0 },
       { calls: ['read p1', 'run d from h1', 'run d from h1'], log: ['1;', 'end'], suspects: 1 },
     ],
+    [
+      'a send for which no connection is left costs no try, and speaks against no server',
+      { script: [{ read: 'ok' }, { run: 'crowded' }, { run: 'ok', events: 1 }], route: { tries: 1 }, budget: 0 },
+      { calls: ['read p1', 'run d from h1', 'run d from h1'], log: ['1;', 'end'] },
+    ],
     [
       'memory that no run took is given back',
       { script: [{ read: 'ok' }, { run: 'unsent' }, { run: 'unsent' }] },
--- a/packages/router/src/stageduty.ts
+++ b/packages/router/src/stageduty.ts
@@ -1,4 +1,4 @@
-import { Timer, type Clock, type Log } from '@pumicebarrow/forms';
+import { Order, Timer, type Clock, type Log } from '@pumicebarrow/forms';
 import type { Holding, Purging } from '@pumicebarrow/purge';
 import type { SheetRow } from '@pumicebarrow/registry';
 import type { Engine } from './engine.js';
@@ -50,10 +50,8 @@
     const now = (): number => t.clock.mono();
     const write = (fence: number, s: Server, part: Stage, stage: SheetRow['stage']): void => {
       const name = `row:${s.id}`;
-      const old = t.shelf.mark(name);
-      if (old && old[0] > fence) return;
-      const step = old && old[0] === fence ? old[1] + 1 : 0;
-      t.purge.publish({ name, mark: [fence, step], body: { server: s.id, born: s.id, part, stage, by: t.self } });
+      const mark = Order.next(t.shelf.mark(name), fence);
+      if (mark) t.purge.publish({ name, mark, body: { server: s.id, born: s.id, part, stage, by: t.self } });
     };
     const ask = async (c: Change): Promise<void> => {
       c.asked = now();
@@ -141,7 +139,6 @@
       },
       stop: (): void => stop(),
       tick,
-      mean: (): Load => mean,
     };
   },
 };
