Late by the time given to gossip, a daemon reads the tail then, not two check-ins later

Cause: the 600 ms that gossip is given were looked at only when a check-in was replied to. With check-ins each 480 ms over a network slowed by 40 ms that is 960 ms and the read; a check-in lost in between (600 ms, and a look) made it longer still, or began it anew.

Mend: a timer from the check-in that told of it; what the tail does not reply to is asked again at the next check-in. Each version that gossip brings before a newer one is told of gives gossip its time anew, as before only the newest did.

--- a/packages/counter/src/checkin.ts
+++ b/packages/counter/src/checkin.ts
@@ -13,17 +13,28 @@
   newest: ReturnType<typeof Newest.make>;
   demand: () => Load;
 };
+/** ms that gossip is given for a version that the head has passed. */
 const LAG = 600;
+type Late = { want: number; since: number };
 
 /**
  * Tells the head what this daemon holds, and learns who is live and how laden the fleet is.
- * Invariant: one that is behind for longer than gossip takes reads the charter at the tail.
+ * Invariant: one that is behind for LAG reads the charter at the tail then, not at a later check-in.
  */
 export const Checkin = {
   make(t: Tools) {
     let roster: readonly Ident[] = [];
     let load: Load = { read: 0, write: 0 };
-    let behind = -1;
+    let late: Late | null = null;
+    let reading = false;
+    const caughtUp = (): boolean => late === null || t.sheet.version() >= late.want;
+    const read = async (): Promise<void> => {
+      if (reading || caughtUp()) return;
+      const mine = late;
+      reading = true;
+      if ((await t.newest.tail(300)) && late === mine) late = null;
+      reading = false;
+    };
     return {
       roster: (): readonly Ident[] => roster,
       load: (): Load => load,
@@ -33,13 +44,16 @@
         if (got.roster) roster = got.roster;
         load = got.load;
         if (got.version <= t.sheet.version()) {
-          behind = -1;
-          return;
+          late = null;
+        } else if (late === null || caughtUp()) {
+          const mine = { want: got.version, since: t.clock.mono() };
+          late = mine;
+          t.clock.after(LAG, () => {
+            if (late === mine) void read();
+          });
+        } else if (t.clock.mono() - late.since > LAG) {
+          await read();
         }
-        if (behind < 0) behind = t.clock.mono();
-        if (t.clock.mono() - behind <= LAG) return;
-        await t.newest.tail(300);
-        behind = -1;
       },
     };
   },
