--- a/packages/registry/src/line.ts
+++ b/packages/registry/src/line.ts
@@ -27,8 +27,8 @@
       if (v && v.epoch > epoch()) view = v;
     };
     /**
-     * Asks for the view, among members of the one known before others. Over with the first word of a newer one: a
-     * daemon that is silent holds nobody up whom another has told.
+     * Asks for the view, among members of the one known before others. Over with the first word of a newer one, or soon
+     * if one is known; later words are learnt all the same. So nobody that is silent holds up what another may tell.
      */
     const look = (): Promise<void> => {
       const was = epoch();
@@ -42,7 +42,11 @@
           if (r.ok) learn(r.val.view);
           if (epoch() > was) done();
         });
-        void Promise.all(asked).then(() => done());
+        const stop = view ? world.clock.after(Paces.peek, done) : () => undefined;
+        void Promise.all(asked).then(() => {
+          stop();
+          done();
+        });
       });
     };
     /**
@@ -76,17 +80,21 @@
       const was = epoch();
       return new Promise((done) => {
         let open = true;
+        let stop: () => void = () => undefined;
         const settle = (r: Result<T, WireFault>): void => {
           open = false;
           stop();
           done(r);
         };
-        const stop = Timer.every(world.clock, Paces.peek, async () => {
-          await Timer.nap(world.clock, Paces.peek);
-          if (!open) return;
+        const peek = async (): Promise<void> => {
           await look();
           if (epoch() > was) settle(Err('lost'));
-        });
+          else if (open) wait();
+        };
+        const wait = (): void => {
+          stop = world.clock.after(Paces.peek, () => void peek());
+        };
+        wait();
         void job.then(settle);
       });
     };
@@ -139,7 +147,7 @@
         }),
       checkin: (body: Static<typeof CoreWords.checkin>): Promise<Checked | null> =>
         reach('head', 0, async (addr, id) => {
-          const r = await post.ask(addr, id, 'core.checkin', body, CoreWords.checked, Paces.ask);
+          const r = await unlessMoved(post.ask(addr, id, 'core.checkin', body, CoreWords.checked, Paces.ask));
           return r.ok ? { got: r.val.ok ? r.val : null, view: r.val.view } : { got: null, view: null };
         }),
       roll: (): Promise<Static<typeof CoreWords.roll> | null> =>
