--- a/packages/routesim/src/drills.test.ts
+++ b/packages/routesim/src/drills.test.ts
@@ -7,7 +7,8 @@
 
 /** Seeds that once broke a rule, beside the first. */
 const SEEDS: Record<string, readonly number[]> = { core_oneway: [1, 2] };
-const MOST = 3;
+/** Each has to catch what is broken on purpose; a drill that catches it by luck of the schedule is not sure enough. */
+const BROKEN = [1, 2];
 
 describe('A routed fleet, in virtual time', () => {
   for (const [name, drill] of Drills) {
@@ -33,13 +34,12 @@
 describe('A part that is broken on purpose', () => {
   for (const m of Mutants) {
     it(`is caught by ${m.rule}: ${m.bent}`, async () => {
-      const found: string[] = [];
-      for (let seed = 1; seed <= MOST && found.length === 0; seed++) {
+      for (const seed of BROKEN) {
         const got = await Play.run(Drills.get(m.drill)!, Sizes.small, seed, m.bent);
         const rule = got.rules.find((r) => r.name === m.rule);
-        found.push(...(rule?.faults ?? []).filter((x) => x.includes(m.says)));
+        const found = (rule?.faults ?? []).filter((x) => x.includes(m.says));
+        expect(found, `seed ${seed}`).not.to.deep.equal([]);
       }
-      expect(found).not.to.deep.equal([]);
     });
   }
 });
--- a/packages/routesim/src/modeloperators.ts
+++ b/packages/routesim/src/modeloperators.ts
@@ -107,9 +107,9 @@
       outcome: (n: number): Ruled | null => outcomes.get(n) ?? null,
       /** The keeper that acknowledged last. */
       acker: (): string | null => acker,
-      async change(): Promise<boolean> {
+      async change(step?: number): Promise<boolean> {
         const on = await base();
-        return on !== null && (await send(make(on, on + 1 + Dice.int(motor.chance, 3)))) === 'acked';
+        return on !== null && (await send(make(on, on + (step ?? 1 + Dice.int(motor.chance, 3))))) === 'acked';
       },
       async race(): Promise<void> {
         const on = await base();
