The tests run in several processes, and none may be missing

Now tools/knownred.mjs finds all tests, shares them out over processes (as many as there are cores, 1 to 8, PUMICEBARROW_WORKERS for fewer) and judges what all report: every test found has to run once, a process that ends early, a title that is there twice or reported twice is a fault. Three stages: the drills that share their runs out over threads (one at a time, threads as many as cores); all other tests in virtual time and pure units (long files a test a process, others a file a process); then, one by one with nothing beside, those that start processes, listen or measure real time. The last line is `N passed, N failed`.

--- a/packages/sim/src/crew.ts
+++ b/packages/sim/src/crew.ts
@@ -8,6 +8,8 @@
 import { Work } from './work.js';
 
 type Back = Ran & { job: Job };
+/** How many threads: as many as there are cores, unless whoever runs several crews says how many each may have. */
+const hands = (): number => Number(process.env['PUMICEBARROW_HANDS']) || availableParallelism();
 
 /**
  * Shares runs out over worker threads; what comes of a run does not depend on which thread made it.
@@ -18,7 +20,7 @@
     const rest = [...jobs];
     await Promise.all(
       Array.from(
-        { length: Math.min(availableParallelism(), rest.length) },
+        { length: Math.min(hands(), rest.length) },
         () =>
           new Promise<void>((end, fail) => {
             const w = new Worker(new URL('./hand.js', import.meta.url), { workerData: { guard } });
--- a/tools/knownred.mjs
+++ b/tools/knownred.mjs
@@ -1,31 +1,33 @@
-// Runs the tests and compares what fails with KNOWN-RED.txt: listed tests have to fail, all others have to pass.
-// node tools/knownred.mjs [list [file of tests]...]
-import Mocha from 'mocha';
-import options from 'mocha/lib/cli/options.js';
-import collect from 'mocha/lib/cli/collect-files.js';
+// Runs the tests in several processes and compares what fails with KNOWN-RED.txt: listed tests have to fail, all others
+// have to pass, and every test that was found has to run once. The last line is `N passed, N failed`.
+// node tools/knownred.mjs [--beside COMMAND] [list [file of tests]...]; PUMICEBARROW_WORKERS says how many processes at the
+// most. The command runs beside the tests in virtual time, and has to succeed.
 import { readFileSync } from 'node:fs';
+import { Beside } from './tests/beside.mjs';
+import { Cores } from './tests/cores.mjs';
+import { Crew } from './tests/crew.mjs';
+import { Found } from './tests/found.mjs';
+import { Plan } from './tests/plan.mjs';
+import { Verdict } from './tests/verdict.mjs';
 
-const [file = 'KNOWN-RED.txt', ...specs] = process.argv.slice(2);
-const listed = new Set(
-  readFileSync(file, 'utf8').split('\n').map((l) => l.trim()).filter((l) => l !== '' && !l.startsWith('#')),
-);
-// The patterns of .mocharc.json come back as positional arguments.
-const opts = options.loadOptions(specs.length > 0 ? ['--no-config'] : []);
-const mocha = new Mocha(opts);
-const files = specs.length > 0 ? specs : collect({ extension: opts.extension, file: [], ignore: [], recursive: false, sort: false, spec: opts._ }).files;
-for (const f of files) mocha.addFile(f);
-await mocha.loadFilesAsync();
-const failed = new Set(), passed = new Set();
-mocha
-  .run(() => {
-    for (const t of listed) if (failed.has(t)) console.log(`known red: ${t}`);
-    const faults = [
-      ...[...failed].filter((t) => !listed.has(t)).map((t) => `fails and is not listed: ${t}`),
-      ...[...listed].filter((t) => !failed.has(t)).map((t) => `is listed and ${passed.has(t) ? 'passes' : 'did not run'}: ${t}`),
-    ];
-    if (passed.size + failed.size === 0) faults.push('no test ran');
-    for (const f of faults) console.error(`known red: ${f}`);
-    process.exit(faults.length > 0 ? 1 : 0);
-  })
-  .on('pass', (t) => passed.add(t.fullTitle()))
-  .on('fail', (t) => failed.add(t.fullTitle()));
+const args = process.argv.slice(2);
+const command = args[0] === '--beside' ? args.splice(0, 2)[1] : null;
+const [file = 'KNOWN-RED.txt', ...specs] = args;
+const listed = readFileSync(file, 'utf8').split('\n').map((l) => l.trim()).filter((l) => l !== '' && !l.startsWith('#'));
+const cores = Cores.count();
+const { found, timeout } = await Found.of(specs);
+const beside = command ? Beside.start(command) : null;
+const reports = [], crashes = [];
+for (const stage of Plan.of(found, cores)) {
+  if (stage.alone) await beside?.over;
+  const got = await Crew.run(stage.units, stage.atOnce, timeout, console.log);
+  reports.push(...got.reports);
+  crashes.push(...got.crashes);
+}
+const besides = (await beside?.over) ?? [];
+const v = Verdict.of(found.map((t) => t.title), reports, crashes, listed);
+v.faults.push(...besides);
+for (const t of v.red) console.log(`known red: ${t}`);
+for (const f of v.faults) console.error(`known red: ${f}`);
+console.log(`\n${v.passed} passed, ${v.failed} failed${v.skipped > 0 ? `, ${v.skipped} skipped` : ''}`);
+process.exitCode = v.faults.length > 0 ? 1 : 0;
