--- a/packages/router/src/keeper.ts
+++ b/packages/router/src/keeper.ts
@@ -40,9 +40,15 @@
     });
     const version = (): number => d.core.chain.passed()?.charter?.version ?? 0;
     const desk = KeeperDesk.make({ clock, post: d.post, view, speaks, version, list: duty.now });
+    /** ms that a server of a service is away while it changes its stage, as the configuration says. */
+    const away = (service: string): number => {
+      const intent = d.core.chain.passed()?.charter?.body;
+      if (!intent || !('services' in intent)) return 0;
+      return intent.services.find((s) => s.name === service)?.engine?.change ?? 0;
+    };
     const stages = StageDuty.make({
       ...{ clock, log: world.log('stages'), engine, purge: d.purge, shelf: d.shelf, fence, self: d.ident.id },
-      ...{ servers: duty.servers, load: desk.load, lease: startup.lease },
+      ...{ servers: duty.servers, load: desk.load, lease: startup.lease, away },
     });
     IntentDesk.make(d.post, d.line, startup.read ?? null);
     StatusDesk.make({
--- a/packages/router/src/stageduty.ts
+++ b/packages/router/src/stageduty.ts
@@ -21,6 +21,8 @@
   load: () => Load;
   /** ms that orders of two holders must lie apart. */
   lease: number;
+  /** ms that a server of a service is away while it changes its stage. */
+  away: (service: string) => number;
 };
 type Change = { server: Server; stage: Stage; at: number; asked: number };
 const LOOK = 400;
@@ -31,6 +33,8 @@
 const AGAIN = 2000;
 const GIVE_UP = 20_000;
 const SPARE = 400;
+/** What a change takes in all, in times of what the server is away for: it is emptied first. */
+const EMPTIED = 2;
 
 /**
  * Which servers of a service read and which decode: looked after by one daemon, under a fence.
@@ -98,7 +102,7 @@
         run: mean.run / Math.max(1, count.decode),
         room: Math.max(1, ...mine.map((s) => s.slots)) * Placement.FULL,
       };
-      const lean = mix.look(load, count);
+      const lean = mix.look(load, count, Math.ceil((t.away(service) * EMPTIED) / LOOK));
       const bare = count.prefill < 1 || count.decode < 1;
       if (lean === 0 || (!bare && (changes.size > 0 || now() - moved < CALM))) return;
       const from: Stage = lean > 0 ? 'decode' : 'prefill';
--- a/packages/router/src/stagemix.ts
+++ b/packages/router/src/stagemix.ts
@@ -14,6 +14,7 @@
 /** Below this no change is worth its cost; and a change must bring the busier stage below this part of what it is. */
 const BUSY = 0.9;
 const GAIN = 0.8;
+/** How often running a need is seen before it counts as lasting, at the least. */
 const TIMES = 5;
 /** The part of the room from which on decode servers are held to be full, and the reading that may wait then. */
 const BRIM = 0.85;
@@ -57,12 +58,12 @@
     let same = 0;
     let last = 0;
     return {
-      look(load: Load, now: Count): -1 | 0 | 1 {
+      look(load: Load, now: Count, times = TIMES): -1 | 0 | 1 {
         const lean = StageMix.lean(load, now);
         same = lean !== 0 && lean === last ? same + 1 : 1;
         last = lean;
         const bare = now.prefill < 1 || now.decode < 1;
-        return lean !== 0 && (bare || same >= TIMES) ? lean : 0;
+        return lean !== 0 && (bare || same >= Math.max(TIMES, times)) ? lean : 0;
       },
       reset(): void {
         same = 0;
--- a/packages/router/src/stages.test.ts
+++ b/packages/router/src/stages.test.ts
@@ -51,6 +51,7 @@
       fence: 4 as number | null,
       servers,
       load: { read: 0, beside: 0, run: 0 },
+      away: 0,
       reply: 'taken' as 'taken' | 'lost',
     };
     const engine: Engine = {
@@ -65,6 +66,7 @@
     const duty = StageDuty.make({
       ...{ clock: time.clock, log: Logs.quiet(), engine, purge, shelf, self: 'k1', lease: 3000 },
       ...{ fence: () => state.fence, servers: () => state.servers, load: () => state.load },
+      away: () => state.away,
     });
     const pass = async (ms: number): Promise<void> => {
       for (let t = 0; t < ms; t += 400) {
@@ -116,6 +118,20 @@
     expect(d.orders).to.have.length(2);
     expect(Changing.of(d.shelf, d.state.servers[0]!)).to.equal(false);
   });
+  it('takes a need for lasting once it has been seen for as long as the change would take', async () => {
+    const d = make([server('p1', 'prefill'), server('d1', 'decode'), server('d2', 'decode'), server('d3', 'decode')]);
+    d.state.away = 1800;
+    await d.pass(4400);
+    const clump = { read: 40_000, beside: 0, run: 9 };
+    d.state.load = clump;
+    await d.pass(2000);
+    d.state.load = { read: 0, beside: 0, run: 9 };
+    await d.pass(6000);
+    expect(d.orders).to.deep.equal([]);
+    d.state.load = clump;
+    await d.pass(6000);
+    expect(d.orders).to.deep.equal(['d1 prefill 4 prefill draining']);
+  });
   it('gives up on a server that never changes, and lets it be used as the list shows it', async () => {
     const d = make(bare);
     await d.pass(4400);
--- a/packages/routesim/src/capacity/routedworks.ts
+++ b/packages/routesim/src/capacity/routedworks.ts
@@ -126,6 +126,7 @@
         servers: () => servers,
         load: () => ({ read: 0, beside: 0, run: 0 }),
         lease: -1e6,
+        away: () => 0,
       },
     });
     const figures = [
