--- a/packages/router/src/placement.test.ts
+++ b/packages/router/src/placement.test.ts
@@ -80,6 +80,14 @@
     loads.read('p2', 40_000);
     expect(place.weigh(service, route, p, none).read).to.equal(null);
   });
+  it('foresees no queue for what is read before all that waits', () => {
+    const { place, loads, service, route } = make();
+    for (const id of ['p1', 'p2', 'd1', 'd2']) loads.read(id, 60_000);
+    const tiny = place.weigh(service, route, prompt(300, 200), none),
+      long = place.weigh(service, route, prompt(3000, 200), none);
+    expect(tiny.ms).to.be.lessThan(route.aim / 2);
+    expect(long.ms).to.be.greaterThan(1500);
+  });
   it('sends nothing to a server that was ordered to another stage', () => {
     const { place, changed, service } = make();
     changed.add('d1');
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -5,6 +5,7 @@
 import type { ServerHealth } from './serverhealth.js';
 import type { ServerListing } from './serverlisting.js';
 import type { ServerLoads } from './serverloads.js';
+import { Urgency } from './urgency.js';
 import type { Weighed } from './weighed.js';
 
 type Tools = {
@@ -137,11 +138,11 @@
         const short = t.kept.held(beside.s.id, p) + SHORT > p.tokens;
         const bar = short ? apart.ms + HAND + SHORT / t.pace() : apart.ms + HAND;
         const read = { server: apart.s, fresh: apart.fresh, home: apart.home };
-        return {
-          read: !crowded && beside.ms <= bar ? null : read,
-          ms: (crowded ? apart.ms : Math.min(apart.ms, beside.ms)) + HAND + START,
-          alone: apart.fresh / t.pace() + HAND + START,
-        };
+        const alone = apart.fresh / t.pace() + HAND + START;
+        // What takes next to nothing is read before all that waits: the queue doesn't make it late.
+        const soon = apart.fresh / t.pace() < Urgency.TINY;
+        const ms = (crowded ? apart.ms : Math.min(apart.ms, beside.ms)) + HAND + START;
+        return { read: !crowded && beside.ms <= bar ? null : read, ms: soon ? Math.min(ms, alone) : ms, alone };
       },
       /** Where it is decoded: few under way, near the memory. */
       decode: (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>): Server | null =>
--- a/packages/router/src/urgency.ts
+++ b/packages/router/src/urgency.ts
@@ -17,6 +17,7 @@
  * comes back, and so is what takes next to nothing.
  */
 export const Urgency = {
+  TINY,
   of(route: Route, ms: number, first: boolean): number {
     const laxity = route.aim - ms - BESIDE;
     if (laxity < 0) return HOPELESS;
