--- a/packages/router/src/placement.test.ts
+++ b/packages/router/src/placement.test.ts
@@ -88,6 +88,21 @@
     expect(tiny.ms).to.be.lessThan(route.aim / 2);
     expect(long.ms).to.be.greaterThan(1500);
   });
+  it('leaves a home that is too busy only for a server at which few wait for what is read again', () => {
+    for (const [reads, stays] of [
+      [1, false],
+      [20, true],
+    ] as const) {
+      const { place, loads, service, route } = make();
+      const p = prompt(5000, 3000);
+      const home = place.weigh(service, route, p, none).read!.server.id;
+      const other = home === 'p1' ? 'p2' : 'p1';
+      loads.read(home, 70_000);
+      for (let i = 0; i < reads; i++) loads.read(other, 40_000 / reads);
+      for (const id of ['d1', 'd2']) loads.read(id, 90_000);
+      expect(place.weigh(service, route, p, none).read!.server.id === home, `${reads} reads`).to.equal(stays);
+    }
+  });
   it('sends nothing to a server that was ordered to another stage', () => {
     const { place, changed, service } = make();
     changed.add('d1');
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -47,7 +47,9 @@
 /** The part of the aim within which a prefix stays at its home although another server would be sooner. */
 const CALM = 0.75;
 /** ms that one shared token, read again where its home has it, is held to cost: it is work taken from others. */
-const AGAIN = 0.05;
+const AGAIN = 0.1;
+/** The part of such work that each read waiting at the server is held to lose by it. */
+const DELAYED = 0.5;
 /** ms that another zone than ours is held to cost. */
 const FAR = 4;
 const WARM = 80;
@@ -96,7 +98,8 @@
       const home = Lot.first(KeptParts.home(p), list, (s) => s.id);
       const ms = (s: Server): number =>
         ((t.loads.at(s.id).tokens + fresh(s, p, home)) / t.pace()) * t.speed(s.id) + cold(s);
-      const best = least(list, (s) => ms(s) + again(s, p, home) * AGAIN);
+      const cost = (s: Server): number => AGAIN + (t.loads.at(s.id).reads * DELAYED) / t.pace();
+      const best = least(list, (s) => ms(s) + again(s, p, home) * cost(s));
       if (!home || !best) return null;
       const there = ms(home);
       const chosen = there <= route.aim * CALM ? { s: home, ms: there } : best;
