One server of a stage gets a second sooner; needs are seen while the lease passes

The test of a lasting need has two readers now, since one alone is mended sooner. Ruled out: suspicion of servers (first at 38 s).

--- a/packages/router/src/stageduty.ts
+++ b/packages/router/src/stageduty.ts
@@ -90,7 +90,7 @@
         (a, b) => (zones.get(b.zone) ?? 0) - (zones.get(a.zone) ?? 0) || a.warm - b.warm || (a.id < b.id ? -1 : 1),
       )[0];
     };
-    const look = (fence: number, service: string, all: readonly Server[]): void => {
+    const look = (fence: number, service: string, all: readonly Server[], early: boolean): void => {
       const mine = all.filter((s) => s.service === service && s.state === 'ready' && s.stage !== null);
       const part = (s: Server): Stage => changes.get(s.id)?.stage ?? s.stage!;
       const of = (stage: Stage): Server[] => mine.filter((s) => part(s) === stage);
@@ -104,7 +104,7 @@
       };
       const lean = mix.look(load, count, Math.ceil((t.away(service) * EMPTIED) / LOOK));
       const bare = count.prefill < 1 || count.decode < 1;
-      if (lean === 0 || (!bare && (changes.size > 0 || now() - moved < CALM))) return;
+      if (lean === 0 || early || (!bare && (changes.size > 0 || now() - moved < CALM))) return;
       const from: Stage = lean > 0 ? 'decode' : 'prefill';
       const s = pick(of(from).filter((x) => !changes.has(x.id)));
       if (!s) return;
@@ -124,7 +124,9 @@
         mixes.clear();
         mean = { read: 0, beside: 0, run: 0 };
       }
-      if (fence === null || now() - since < t.lease + SPARE) return;
+      if (fence === null) return;
+      // What is needed is seen from the start; nothing is ordered before the lease has passed.
+      const early = now() - since < t.lease + SPARE;
       const load = t.load();
       const blend = (a: number, b: number): number => a * (1 - NEW) + b * NEW;
       mean = {
@@ -133,9 +135,9 @@
         run: blend(mean.run, load.run),
       };
       const all = t.servers();
-      follow(fence, all);
+      if (!early) follow(fence, all);
       for (const service of new Set(all.filter((s) => s.stage !== null).map((s) => s.service)))
-        look(fence, service, all);
+        look(fence, service, all, early);
     };
     return {
       start(): void {
--- a/packages/router/src/stagemix.ts
+++ b/packages/router/src/stagemix.ts
@@ -63,7 +63,9 @@
         same = lean !== 0 && lean === last ? same + 1 : 1;
         last = lean;
         const bare = now.prefill < 1 || now.decode < 1;
-        return lean !== 0 && (bare || same >= Math.max(TIMES, times)) ? lean : 0;
+        // A stage of one server has twice as much for a second: that is worth a change even for a short need.
+        const lone = (lean > 0 ? now.prefill : now.decode) === 1;
+        return lean !== 0 && (bare || same >= (lone ? TIMES : Math.max(TIMES, times))) ? lean : 0;
       },
       reset(): void {
         same = 0;
