--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -5,6 +5,7 @@
 import type { ServerHealth } from './serverhealth.js';
 import type { ServerListing } from './serverlisting.js';
 import type { ServerLoads } from './serverloads.js';
+import { Urgency } from './urgency.js';
 import type { Weighed } from './weighed.js';
 
 type Tools = {
@@ -46,7 +47,9 @@
 /** The part of the aim within which a prefix stays at its home although another server would be sooner. */
 const CALM = 0.75;
 /** ms that one shared token, read again where its home has it, is held to cost: it is work taken from others. */
-const AGAIN = 0.05;
+const AGAIN = 0.1;
+/** The part of such work that each read waiting at the server is held to lose by it. */
+const DELAYED = 0.5;
 /** ms that another zone than ours is held to cost. */
 const FAR = 4;
 const WARM = 80;
@@ -95,7 +98,8 @@
       const home = Lot.first(KeptParts.home(p), list, (s) => s.id);
       const ms = (s: Server): number =>
         ((t.loads.at(s.id).tokens + fresh(s, p, home)) / t.pace()) * t.speed(s.id) + cold(s);
-      const best = least(list, (s) => ms(s) + again(s, p, home) * AGAIN);
+      const cost = (s: Server): number => AGAIN + (t.loads.at(s.id).reads * DELAYED) / t.pace();
+      const best = least(list, (s) => ms(s) + again(s, p, home) * cost(s));
       if (!home || !best) return null;
       const there = ms(home);
       const chosen = there <= route.aim * CALM ? { s: home, ms: there } : best;
@@ -137,11 +141,11 @@
         const short = t.kept.held(beside.s.id, p) + SHORT > p.tokens;
         const bar = short ? apart.ms + HAND + SHORT / t.pace() : apart.ms + HAND;
         const read = { server: apart.s, fresh: apart.fresh, home: apart.home };
-        return {
-          read: !crowded && beside.ms <= bar ? null : read,
-          ms: (crowded ? apart.ms : Math.min(apart.ms, beside.ms)) + HAND + START,
-          alone: apart.fresh / t.pace() + HAND + START,
-        };
+        const alone = apart.fresh / t.pace() + HAND + START;
+        // What takes next to nothing is read before all that waits: the queue doesn't make it late.
+        const soon = apart.fresh / t.pace() < Urgency.TINY;
+        const ms = (crowded ? apart.ms : Math.min(apart.ms, beside.ms)) + HAND + START;
+        return { read: !crowded && beside.ms <= bar ? null : read, ms: soon ? Math.min(ms, alone) : ms, alone };
       },
       /** Where it is decoded: few under way, near the memory. */
       decode: (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>): Server | null =>
