A handle that can't be fetched speaks against its giver, once several running can't

Cause: a decode server says the same words where it is full and where the handle can't be had, and the router took both for a full server: with handles that lapse at a third of the readers, decode servers were left alone one after the other, and told of to all routers, while the readers at fault went on getting prompts. Now a run with a handle that is refused counts against the one that gave the handle; two running without one fetched between make it a suspect; the decode server is left alone only for what it turned away without a handle. Ruled out: telling the two cases apart by the answer, its words are the same. Before: serve.test 'a handle that could not be fetched' failed (a decode server was left alone). After: passes.

--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -36,7 +36,8 @@
 export const play = async (s: Setting) => {
   const time = testClock(),
     calls: string[] = [],
-    suspected: string[] = [];
+    suspected: string[] = [],
+    turned: string[] = [];
   const world = testWorld(time.clock);
   const list = ServerList.make(
     time.clock,
@@ -75,7 +76,7 @@
     log: steps,
     ...{ world, list, loads, health, kept, pace, speed, budget, engine: testEngine(s.script, calls) },
     ...{ shut: () => s.shut ?? null, routes: () => routes, placement: Placement.make(tools) },
-    turned: (x) => void health.turned(x.id),
+    turned: (x) => void (health.turned(x.id) && turned.push(x.id)),
     suspect: (x) => void (health.bad(x.id) && suspected.push(x.id)),
   });
   loads.heard(() => new Map(Object.entries(s.busy ?? {}).map(([id, tokens]) => [id, { runs: 0, reads: 1, tokens }])));
@@ -90,7 +91,7 @@
   if (s.old || s.shut) await time.pass(600);
   if (s.after) await s.after(time, out);
   const verdict = await done;
-  return { calls, steps: steps.of('q1'), log: out.log, verdict, suspected, loads, level: budget.level() };
+  return { calls, steps: steps.of('q1'), log: out.log, verdict, suspected, turned, loads, level: budget.level() };
 };
 export const DIRECT = { request: { prompt: prompt(200, 200) } };
 export const d = (calls: string[]): string[] => calls.map((c) => c.replace(/ d\d/, ' d'));
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -104,8 +104,14 @@
       if (got.err && Blame.unmet(got.val)) job.handle = handle;
       return got;
     };
-    const judge = (job: Job, s: Server, from: number, got: Result<void, SendFault>): boolean => {
+    /** A handle that can't be had and a server that is full are told alike: the one that gave the handle is asked. */
+    const turned = (s: Server, f: SendFault, giver: Server | null): void => {
+      if (!giver || f.code !== 'refused') t.turned(s);
+      else if (t.health.lapse(giver.id)) t.suspect(giver, 'its handles lapse');
+    };
+    const judge = (job: Job, s: Server, from: number, giver: Server | null, got: Result<void, SendFault>): boolean => {
       if (got.ok) {
+        if (giver) t.health.fetched(giver.id);
         if (job.request.prompt) t.kept.note(s.id, job.request.prompt);
         job.fault = null;
         if (job.status >= FAILED) t.suspect(s, `answered ${job.status}`);
@@ -118,7 +124,7 @@
       job.avoid.add(s.id);
       if (f.code === 'gone' && job.left.signal.aborted) return true;
       if (Blame.unmet(f)) job.arrivals--;
-      if (Blame.turned(f)) t.turned(s);
+      if (Blame.turned(f)) turned(s, f, giver);
       if (f.code === 'gone' || Blame.falls(f, t.health.silent(s.id), SILENT)) t.suspect(s, f.why);
       if (f.ran === 'no') return false;
       job.maybe = true;
@@ -131,8 +137,9 @@
       if (job.arrivals > 0 && !t.budget.take()) return true;
       job.arrivals++;
       const from = now();
+      const giver = job.handle?.server ?? null;
       const over = t.health.begin(s.id);
-      const ended = judge(job, s, from, await send(job, s));
+      const ended = judge(job, s, from, giver, await send(job, s));
       over();
       return ended;
     };
--- a/packages/router/src/serve.test.ts
+++ b/packages/router/src/serve.test.ts
@@ -7,7 +7,7 @@
   const cases: [
     string,
     Setting,
-    { calls: string[]; log?: string[]; code?: string; ran?: string; suspects?: number },
+    { calls: string[]; log?: string[]; code?: string; ran?: string; suspects?: number; turned?: string[] },
   ][] = [
     [
       'long prompts are read first, then run from the handle',
@@ -59,6 +59,11 @@
       { script: [{ read: 'ok' }, { run: 'crowded' }, { run: 'ok', events: 1 }], route: { tries: 1 }, budget: 0 },
       { calls: ['read p1', 'run d from h1', 'run d from h1'], log: ['1;', 'end'] },
     ],
+    [
+      'a handle that could not be fetched speaks against no server that should have fetched it',
+      { script: [{ read: 'ok' }, { run: 'refused' }, { run: 'ok', events: 1 }] },
+      { calls: ['read p1', 'run d from h1', 'run d'], log: ['1;', 'end'], turned: [] },
+    ],
     [
       'memory that no run took is given back',
       { script: [{ read: 'ok' }, { run: 'unsent' }, { run: 'unsent' }] },
@@ -160,6 +165,7 @@
       if (want.ran) expect(got.verdict?.ran).to.equal(want.ran);
       expect(got.suspected).to.have.length(want.suspects ?? 0);
       expect([...got.loads.mine()]).to.deep.equal([]);
+      if (want.turned) expect(got.turned).to.deep.equal(want.turned);
     });
   }
 
--- a/packages/router/src/serverhealth.test.ts
+++ b/packages/router/src/serverhealth.test.ts
@@ -112,4 +112,15 @@
     await time.pass(400);
     expect(h.open('s')).to.equal(true);
   });
+  it('holds the handles of a server to be at fault only where several running could not be fetched', async () => {
+    const time = testClock();
+    const h = ServerHealth.make(time.clock);
+    expect(h.lapse('s')).to.equal(false);
+    h.fetched('s');
+    expect(h.lapse('s')).to.equal(false);
+    expect(h.lapse('s')).to.equal(true);
+    expect(h.lapse('s')).to.equal(true);
+    await time.pass(11_000);
+    expect(h.lapse('s')).to.equal(false);
+  });
 });
--- a/packages/router/src/serverhealth.ts
+++ b/packages/router/src/serverhealth.ts
@@ -9,6 +9,9 @@
   shut: boolean;
   trial: number;
   turns: number;
+  /** Handles of it running that no server could fetch, and when the last was. */
+  lapses: number;
+  lapsed: number;
   word: { until: number; weight: number; at: number; by: string };
 };
 const FIRST = 700;
@@ -19,6 +22,9 @@
 const TOP = 5;
 /** What one good outcome takes off the level that one failure adds to by 1. */
 const EASE = 0.12;
+/** Handles running that could not be fetched, after which their server is at fault, and ms until one is forgotten. */
+const LAPSES = 2;
+const LAPSE = 10_000;
 /** ms over which words of others fade, and the most that they weigh together. */
 const FADE = 4000;
 const HEAVY = 4;
@@ -42,6 +48,7 @@
       if (old) return old;
       const next = {
         ...{ stir: -Infinity, level: 0, since: -Infinity, until: -Infinity, shut: false, trial: 0, turns: 0 },
+        ...{ lapses: 0, lapsed: -Infinity },
         word: { until: -Infinity, weight: 0, at: -Infinity, by: '' },
       };
       rows.set(id, next);
@@ -75,6 +82,21 @@
         r.until = Math.max(r.until, now + Math.min(LONGEST, TURNED * 2 ** (r.turns - 1)));
         return fresh;
       },
+      /**
+       * A server could not fetch a handle of this one. True once its handles are held to be at fault: the one who
+       * should fetch may be full instead, and says so in the same words.
+       */
+      lapse(id: string): boolean {
+        const r = row(id),
+          now = clock.mono();
+        r.lapses = now - r.lapsed > LAPSE ? 1 : r.lapses + 1;
+        r.lapsed = now;
+        return r.lapses >= LAPSES;
+      },
+      /** A handle of it was fetched. */
+      fetched(id: string): void {
+        row(id).lapses = 0;
+      },
       /** True if this is news: the server was open to all before. */
       bad(id: string): boolean {
         const r = row(id),
