--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -88,7 +88,6 @@
       const beside = t.loads.at(s.id).runs;
       const before = job.events;
       const from = now();
-      t.health.begin(s.id);
       const handle = job.handle;
       t.log.note(job.request.id, 'run', { at: s.id, word: handle?.server.id ?? '', tokens: fresh, ahead: beside - 1 });
       job.handle = null;
@@ -105,18 +104,18 @@
       if (got.err && Blame.unmet(got.val)) job.handle = handle;
       return got;
     };
-    /** Gives true once the job is over: whole, cut, or without a way on. */
-    return async (job: Job): Promise<boolean> => {
-      const s = t.placement.decode(job.service, job.request.prompt, job.handle?.server ?? null, job.avoid);
-      if (!s) return true;
-      if (job.arrivals > 0 && !t.budget.take()) return true;
-      job.arrivals++;
-      const got = await send(job, s);
-      if (got.ok && job.request.prompt) t.kept.note(s.id, job.request.prompt);
+    /** A handle that can't be had and a server that is full are told alike: the one that gave the handle is asked. */
+    const turned = (s: Server, f: SendFault, giver: Server | null): void => {
+      if (!giver || f.code !== 'refused') t.turned(s);
+      else if (t.health.lapse(giver.id)) t.suspect(giver, 'its handles lapse');
+    };
+    const judge = (job: Job, s: Server, from: number, giver: Server | null, got: Result<void, SendFault>): boolean => {
       if (got.ok) {
+        if (giver) t.health.fetched(giver.id);
+        if (job.request.prompt) t.kept.note(s.id, job.request.prompt);
         job.fault = null;
         if (job.status >= FAILED) t.suspect(s, `answered ${job.status}`);
-        else t.health.good(s.id);
+        else t.health.good(s.id, from);
         return true;
       }
       const f = got.val;
@@ -125,11 +124,24 @@
       job.avoid.add(s.id);
       if (f.code === 'gone' && job.left.signal.aborted) return true;
       if (Blame.unmet(f)) job.arrivals--;
-      if (Blame.turned(f)) t.turned(s);
+      if (Blame.turned(f)) turned(s, f, giver);
       if (f.code === 'gone' || Blame.falls(f, t.health.silent(s.id), SILENT)) t.suspect(s, f.why);
       if (f.ran === 'no') return false;
       job.maybe = true;
       return !again(job);
     };
+    /** Gives true once the job is over: whole, cut, or without a way on. */
+    return async (job: Job): Promise<boolean> => {
+      const s = t.placement.decode(job.service, job.request.prompt, job.handle?.server ?? null, job.avoid);
+      if (!s) return true;
+      if (job.arrivals > 0 && !t.budget.take()) return true;
+      job.arrivals++;
+      const from = now();
+      const giver = job.handle?.server ?? null;
+      const over = t.health.begin(s.id);
+      const ended = judge(job, s, from, giver, await send(job, s));
+      over();
+      return ended;
+    };
   },
 };
