--- a/packages/yard/src/routed/routedplant.ts
+++ b/packages/yard/src/routed/routedplant.ts
@@ -6,6 +6,7 @@
 import { fileURLToPath } from 'node:url';
 import { Child } from '../child.js';
 import { Ports } from '../ports.js';
+import { RunFlags } from './runflags.js';
 
 type Held = ReturnType<typeof Child.node>;
 type Size = { keepers: number; routers: number; prefill: number; decode: number };
@@ -61,10 +62,11 @@
     const standIns = new Map<string, Awaited<ReturnType<typeof ModelStandIn.make>>>();
     const up = new Map<string, Held>();
     let listHost: { close(): Promise<void> } | null = null;
+    const flags = RunFlags.read();
     const rise = (id: string): void => {
       const d = daemons.find((x) => x.id === id)!;
       const env = { PUMICEBARROW_CONFIG: d.file };
-      up.set(id, Child.node(['--max-old-space-size=200', PROGRAM, d.role], join(dir, `${id}.log`), env));
+      up.set(id, Child.node([...flags, PROGRAM, d.role], join(dir, `${id}.log`), env));
     };
     return {
       dir,
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -3,6 +3,7 @@
 import { spawnSync } from 'node:child_process';
 import { mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import { resolve } from 'node:path';
+import { RunFlags } from './runflags.mjs';
 
 const folder = (name) => (name === 'platform' ? 'platform' : `packages/${name}`);
 const workspace = {
@@ -109,6 +110,5 @@
 );
 rmSync(`${target}/program.cache`, { force: true });
 // With the flags of deploy/system.toml, which are part of what V8 compares.
-const flags = ['--max-old-space-size=200'];
-const kept = spawnSync(process.execPath, [...flags, `${target}/pumicebarrow.js`, 'keep-code'], { stdio: 'inherit' });
+const kept = spawnSync(process.execPath, [...RunFlags, `${target}/pumicebarrow.js`, 'keep-code'], { stdio: 'inherit' });
 if (kept.status !== 0) process.exit(1);
