--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,7 +1,7 @@
 // Puts the platform's program under target/, or the folder named, from the sources alone: nothing is built before.
 import { build } from 'esbuild';
 import { spawnSync } from 'node:child_process';
-import { mkdirSync, rmSync, writeFileSync } from 'node:fs';
+import { existsSync, mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import { resolve } from 'node:path';
 import { RunFlags } from './runflags.mjs';
 
@@ -96,7 +96,7 @@
 writeFileSync(
   `${target}/pumicebarrow.js`,
   `'use strict';
-const { existsSync, readFileSync, writeFileSync } = require('node:fs');
+const { existsSync, readFileSync } = require('node:fs');
 const { Script } = require('node:vm');
 const file = \`\${__dirname}/program.js\`;
 const kept = \`\${__dirname}/program.cache\`;
@@ -104,11 +104,15 @@
 const script = new Script(readFileSync(file, 'latin1'), { filename: file, cachedData });
 const program = { exports: {} };
 script.runInThisContext()(program.exports, require, program);
-if (process.argv[2] === 'keep-code') writeFileSync(kept, script.createCachedData());
-else void program.exports.Main.run(process.argv.slice(2));
+void program.exports.Main.run(process.argv.slice(2));
 `,
 );
 rmSync(`${target}/program.cache`, { force: true });
 // With the flags of deploy/system.toml, which are part of what V8 compares.
-const kept = spawnSync(process.execPath, [...RunFlags, `${target}/pumicebarrow.js`, 'keep-code'], { stdio: 'inherit' });
-if (kept.status !== 0) process.exit(1);
+const kept = spawnSync(process.execPath, [...RunFlags, 'tools/keepcode.cjs', target], {
+  stdio: ['ignore', 'ignore', 'pipe'],
+});
+if (kept.status !== 0 || !existsSync(`${target}/program.cache`)) {
+  process.stderr.write(kept.stderr);
+  process.exit(1);
+}
