--- a/packages/clerk/src/fleet/caller.ts
+++ b/packages/clerk/src/fleet/caller.ts
@@ -11,7 +11,7 @@
     const world: World = {
       clock: RealClock.make(),
       chance,
-      wire: { ask: lines.ask, hear: () => undefined },
+      wire: { ask: lines.ask, tell: lines.tell, hear: () => undefined },
       disk: null,
       log: Logs.quiet,
       tell: () => undefined,
--- a/packages/forms/src/post.test.ts
+++ b/packages/forms/src/post.test.ts
@@ -41,4 +41,21 @@
       expect(got).to.deep.equal(want);
     });
   }
+  it('has no reply to what is told, and turns away what does not fit all the same', async () => {
+    let ear: (m: Mail) => Promise<unknown> = () => Promise.resolve(null);
+    const world = {
+      wire: {
+        hear: (fn: typeof ear) => {
+          ear = fn;
+        },
+      },
+      log: Logs.quiet,
+    } as unknown as World;
+    const got: number[] = [];
+    Post.make(world, () => me).heed('news', form, (b) => void got.push(b.n));
+    const news: Mail = { v: 3, to: 'me', from: { ...me, id: 'you' }, kind: 'news', body: { n: 1 } };
+    expect(await ear(news)).to.equal(undefined);
+    expect(await ear({ ...news, body: {} })).to.equal(null);
+    expect(got).to.deep.equal([1]);
+  });
 });
--- a/packages/forms/src/post.ts
+++ b/packages/forms/src/post.ts
@@ -11,7 +11,7 @@
 
 /** Raised with each release that adds a key to any mail: 2 names the life meant in `ledger.open`, 3 keeps bursts. */
 const VOICE = 3;
-type Desk = { form: TSchema; fn: (body: never, from: Ident) => unknown };
+type Desk = { form: TSchema; fn: (body: never, from: Ident) => unknown; told: boolean };
 
 /**
  * The mail room of one daemon: checks what comes in and what comes back.
@@ -43,11 +43,18 @@
         log.warn(`Turned away bad ${mail.kind} from ${mail.from.id}.`);
         return null;
       }
-      return (await desk.fn(body.val as never, mail.from)) ?? null;
+      const back = await desk.fn(body.val as never, mail.from);
+      return desk.told ? undefined : (back ?? null);
     });
     return {
       on<S extends TSchema>(kind: string, form: S, fn: (body: Static<S>, from: Ident) => unknown): void {
-        desks.set(kind, { form, fn: fn });
+        desks.set(kind, { form, fn, told: false });
+      },
+      heed<S extends TSchema>(kind: string, form: S, fn: (body: Static<S>, from: Ident) => void): void {
+        desks.set(kind, { form, fn, told: true });
+      },
+      tell(addr: string, to: string, kind: string, body: unknown): void {
+        world.wire.tell(addr, { v: VOICE, to, from: self(), kind, body });
       },
       async ask<S extends TSchema>(
         addr: string,
--- a/packages/forms/src/tcplines.ts
+++ b/packages/forms/src/tcplines.ts
@@ -19,7 +19,7 @@
  */
 export const TcpLines = {
   split,
-  make(log: Log): Pick<Wire, 'ask'> & { close(): void } {
+  make(log: Log): Pick<Wire, 'ask' | 'tell'> & { close(): void } {
     const peers = new Map<string, Peer>();
     let next = 1;
 
@@ -84,6 +84,13 @@
           Framer.write(peer.sock, { n, mail });
         });
       },
+      tell(to, mail) {
+        const peer = dial(to);
+        const n = next++;
+        void peer.ready.then((up) => {
+          if (up) Framer.write(peer.sock, { n, mail });
+        });
+      },
       close() {
         for (const p of peers.values()) p.sock.destroy();
       },
--- a/packages/forms/src/tcpwire.test.ts
+++ b/packages/forms/src/tcpwire.test.ts
@@ -22,14 +22,20 @@
 describe('TcpWire', () => {
   let a: Awaited<ReturnType<typeof TcpWire.make>>,
     b: typeof a,
-    at = '';
+    at = '',
+    told: unknown[] = [];
   beforeEach(async () => {
     at = `127.0.0.1:${await port()}`;
     a = await TcpWire.make(`127.0.0.1:${await port()}`, Logs.quiet());
     b = await TcpWire.make(at, Logs.quiet());
-    b.hear((m) =>
-      Promise.resolve(m.kind === 'echo' ? m.body : m.kind === 'hang' ? new Promise(() => undefined) : null),
-    );
+    told = [];
+    b.hear((m) => {
+      if (m.kind === 'told') {
+        told.push(m.body);
+        return Promise.resolve(undefined);
+      }
+      return Promise.resolve(m.kind === 'echo' ? m.body : m.kind === 'hang' ? new Promise(() => undefined) : null);
+    });
   });
   afterEach(async () => {
     await a.close();
@@ -40,6 +46,19 @@
     const got = await Promise.all(Array.from({ length: 50 }, () => a.ask(at, mail('echo'), 5000)));
     expect(got.every((g) => g.ok)).to.equal(true);
   });
+  it('tells on the same connection, before what is asked after, and nothing comes back', async () => {
+    const [host, p] = at.split(':') as [string, string];
+    const s = connect(Number(p), host);
+    let back = '';
+    s.on('data', (bytes) => (back += bytes.toString()));
+    s.write(`${JSON.stringify({ n: 1, mail: mail('told') })}\n${JSON.stringify({ n: 2, mail: mail('echo') })}\n`);
+    while (!back.includes('\n')) await new Promise((done) => setImmediate(done));
+    s.destroy();
+    expect(JSON.parse(back)).to.deep.equal({ n: 2, re: { n: 1 } });
+    a.tell(at, mail('told'));
+    await a.ask(at, mail('echo'), 5000);
+    expect(told).to.deep.equal([{ n: 1 }, { n: 1 }]);
+  });
   it('says unsent only where nothing listens', async () => {
     const free = `127.0.0.1:${await port()}`;
     expect((await a.ask(free, mail('echo'), 5000)).val).to.equal('unsent');
--- a/packages/forms/src/tcpwire.ts
+++ b/packages/forms/src/tcpwire.ts
@@ -26,7 +26,8 @@
         (f) => {
           if (!('mail' in f)) return;
           void ear(f.mail).then((re) => {
-            Framer.write(sock, { n: f.n, re: re ?? null });
+            if (re === undefined) return;
+            Framer.write(sock, { n: f.n, re });
             if (re === null) {
               log.warn(`Closed the line from ${f.mail.from.id}: its ${f.mail.kind} was turned away.`);
               sock.end();
@@ -48,6 +49,7 @@
         ear = fn;
       },
       ask: lines.ask,
+      tell: lines.tell,
       async close() {
         for (const s of open) s.destroy();
         lines.close();
--- a/packages/router/src/loadnews.ts
+++ b/packages/router/src/loadnews.ts
@@ -48,7 +48,7 @@
         }
       return next;
     };
-    t.post.on('router.loads', Words.loads, (body, from) => {
+    t.post.heed('router.loads', Words.loads, (body, from) => {
       count.heard++;
       heard.set(
         from.id,
@@ -56,7 +56,6 @@
         KEEP,
       );
       t.loads.heard(sum);
-      return { ok: true };
     });
     const pace = (): number => Math.min(LATEST, LOOK * Math.max(1, (t.routers() ?? 1) / SMALL));
     const tick = (): void => {
@@ -70,7 +69,7 @@
       at = now;
       for (const p of t.peers()) {
         count.sent++;
-        void t.post.ask(p.addr, p.id, 'router.loads', { rows }, Words.done, 400);
+        t.post.tell(p.addr, p.id, 'router.loads', { rows });
       }
     };
     return {
--- a/packages/router/src/post.test.ts
+++ b/packages/router/src/post.test.ts
@@ -16,6 +16,15 @@
       desks.set(who.addr, mine);
       return {
         on: (kind, form, fn) => void mine.set(kind, { form, fn: fn }),
+        heed: (kind, form, fn) => void mine.set(kind, { form, fn: fn }),
+        tell(addr, _to, kind, body): void {
+          asked.push(`${who.id} ${kind} ${addr}`);
+          const desk = down.has(addr) ? undefined : desks.get(addr)?.get(kind);
+          if (!desk) return;
+          const sent = Check.parse(desk.form, JSON.parse(JSON.stringify(body)));
+          if (sent.err) throw new Error(JSON.stringify(sent.val));
+          desk.fn(sent.val as never, who);
+        },
         async ask(addr, _to, kind, body, form): Promise<Result<never, never>> {
           asked.push(`${who.id} ${kind} ${addr}`);
           const desk = down.has(addr) ? undefined : desks.get(addr)?.get(kind);
--- a/packages/router/src/stand.test.ts
+++ b/packages/router/src/stand.test.ts
@@ -45,7 +45,7 @@
 export const testWorld = (clock: Clock, seed = 1): World => ({
   clock,
   chance: Dice.seeded(seed),
-  wire: { ask: () => Promise.resolve(Err('unsent')), hear: () => undefined },
+  wire: { ask: () => Promise.resolve(Err('unsent')), tell: () => undefined, hear: () => undefined },
   disk: null,
   log: Logs.quiet,
   tell: () => undefined,
--- a/packages/routesim/src/capacity/countedwire.ts
+++ b/packages/routesim/src/capacity/countedwire.ts
@@ -2,6 +2,8 @@
 import type { Box } from '@pumicebarrow/sim';
 import type { Metered } from './metered.js';
 
+/** ms after which what was told, and not heard, is forgotten. */
+const TOLD = 400;
 type Told = (kind: string, from: string, to: string, sent: number, back: number) => void;
 
 /**
@@ -15,40 +17,44 @@
     const delay = (): number => 0.3 + motor.chance.real() * 1.5 + slow;
     return {
       add: (b: Box): void => void hosts.set(b.addr(), b),
-      wire: (me: Box): Wire => ({
-        hear: (fn) => me.hear(fn),
-        ask: (to: string, mail: Mail, ms: number): Promise<Result<unknown, WireFault>> =>
-          new Promise((done) => {
-            const from = motor.now();
-            const say = (r: Result<unknown, WireFault>): void =>
-              motor.at(motor.now() + delay(), () => {
-                motor.own(me.id);
-                done(motor.now() - from > ms ? Err('lost') : r);
-              });
-            const there = hosts.get(to);
-            if (!there?.up()) {
-              say(Err('unsent'));
-              return;
-            }
-            const text = JSON.stringify(mail);
-            motor.at(from + delay(), () => {
-              motor.own(there.id);
-              const ear = there.ear();
-              if (!ear) {
-                say(Err('lost'));
-                return;
-              }
-              void ear(JSON.parse(text) as Mail).then((re) => {
-                const back = JSON.stringify(re ?? null);
-                told(mail.kind, me.id, there.id, text.length, back.length);
+      wire(me: Box): Wire {
+        const wire: Wire = {
+          hear: (fn) => me.hear(fn),
+          tell: (to, mail) => void wire.ask(to, mail, TOLD),
+          ask: (to: string, mail: Mail, ms: number): Promise<Result<unknown, WireFault>> =>
+            new Promise((done) => {
+              const from = motor.now();
+              const say = (r: Result<unknown, WireFault>): void =>
                 motor.at(motor.now() + delay(), () => {
                   motor.own(me.id);
-                  done(motor.now() - from > ms ? Err('lost') : Ok(JSON.parse(back) as unknown));
+                  done(motor.now() - from > ms ? Err('lost') : r);
+                });
+              const there = hosts.get(to);
+              if (!there?.up()) {
+                say(Err('unsent'));
+                return;
+              }
+              const text = JSON.stringify(mail);
+              motor.at(from + delay(), () => {
+                motor.own(there.id);
+                const ear = there.ear();
+                if (!ear) {
+                  say(Err('lost'));
+                  return;
+                }
+                void ear(JSON.parse(text) as Mail).then((re) => {
+                  const back = JSON.stringify(re ?? null);
+                  told(mail.kind, me.id, there.id, text.length, back.length);
+                  motor.at(motor.now() + delay(), () => {
+                    motor.own(me.id);
+                    done(motor.now() - from > ms ? Err('lost') : Ok(JSON.parse(back) as unknown));
+                  });
                 });
               });
-            });
-          }),
-      }),
+            }),
+        };
+        return wire;
+      },
     };
   },
 };
--- a/packages/sim/src/capacity/props.ts
+++ b/packages/sim/src/capacity/props.ts
@@ -45,7 +45,7 @@
   world: (clock: Clock): World => ({
     clock,
     chance: { real: () => 0.5 },
-    wire: { ask: () => Promise.resolve(Err('unsent')), hear: () => undefined },
+    wire: { ask: () => Promise.resolve(Err('unsent')), tell: () => undefined, hear: () => undefined },
     disk: null,
     log: () => ({ say: () => undefined, warn: () => undefined }),
     tell: () => undefined,
--- a/packages/sim/src/net.ts
+++ b/packages/sim/src/net.ts
@@ -16,6 +16,8 @@
 type Bend = (kind: string, from: string, to: string, re: unknown, body: unknown) => unknown;
 /** Told of each exchange that was ended: who asked whom, and how many bytes went each way. */
 type Tap = (kind: string, from: string, to: string, sent: number, back: number) => void;
+/** ms after which what was told, and not heard, is forgotten. */
+const TOLD = 400;
 const size = (v: unknown): number => (typeof v === 'string' ? v : JSON.stringify(v)).length;
 
 /**
@@ -108,8 +110,9 @@
         tell: (x) => b.tell(x),
       }),
       wire(me: Box): Wire {
-        return {
+        const wire: Wire = {
           hear: (fn) => me.hear(fn),
+          tell: (to, mail) => void wire.ask(to, mail, TOLD),
           ask(to: string, mail: Mail, ms: number): Promise<Result<unknown, WireFault>> {
             mails++;
             const mine = me.life();
@@ -181,6 +184,7 @@
             });
           },
         };
+        return wire;
       },
     };
     return net;
