--- a/tools/keepcode.cjs
+++ b/tools/keepcode.cjs
@@ -1,4 +1,4 @@
-// Keeps what V8 made of the program beside it, with the functions that a life goes through: a keeper and a router are
+// Keeps what V8 made of the program beside it, with the functions that a life goes through: keepers and a router
 // run here on loopback, take a configuration and serve requests with a stand-in server and list. Where that can't be
 // done, what was made in loading is kept.
 'use strict';
@@ -9,7 +9,9 @@
 const { Script } = require('node:vm');
 
 const target = resolve(process.argv[2]);
-const [HOST, OTHER] = ['127.0.0.1', '127.0.0.2'];
+const HOST = '127.0.0.1';
+const KEEPERS = [HOST, '127.0.0.2', '127.0.0.3'];
+const ROUTER = '127.0.0.4';
 const LATE = 10_000;
 const script = new Script(readFileSync(`${target}/program.js`, 'latin1'), { filename: `${target}/program.js` });
 const program = { exports: {} };
@@ -58,12 +60,12 @@
 zone = "z"
 region = "r"
 internal_port_range = [${port},${port}]
-seed_nodes = ["${HOST}:${port}"]
+seed_nodes = [${KEEPERS.map((ip) => `"${ip}:${port}"`).join(', ')}]
 bootstrap = true
 quorum_member = ${role === 'keeper'}
 ${more}
 limits = { memory_mb = 250 }
-fault_tolerance = { machine_losses = 0 }
+fault_tolerance = { machine_losses = 1 }
 timing_bounds = { contact_ms = 3000, drain_ms = 3000, grace_s = 8, config_apply_ms = 2000, fencing_enabled = true }
 cloud_api = { address = "${list}" }
 [zones]
@@ -71,11 +73,11 @@
 [bind_addresses]
 ${binds}
 `;
-const start = (name, text) => {
+const start = (role, name, text) => {
   const file = join(dir, `${name}.toml`);
   writeFileSync(file, text);
   process.env.PUMICEBARROW_CONFIG = file;
-  void program.exports.Main.run([name]);
+  void program.exports.Main.run([role]);
 };
 const service = (n) => ({
   name: `s${n}`,
@@ -123,10 +125,12 @@
   }));
   const list = at(await listen((_req, res) => res.end(JSON.stringify({ instance_list: listed, next_token: null }))));
   const [port, control, front, ready] = await Promise.all([free(), free(), free(), free()]);
-  const data = `data_dir = ${JSON.stringify(join(dir, 'data'))}`;
-  start('keeper', settings('k', 'keeper', HOST, port, list, `control_plane = "${HOST}:${control}"`, data));
+  for (const ip of KEEPERS) {
+    const data = `data_dir = ${JSON.stringify(join(dir, `data-${ip}`))}`;
+    start('keeper', ip, settings(ip, 'keeper', ip, port, list, `control_plane = "${ip}:${control}"`, data));
+  }
   const binds = `front_http = "${HOST}:${front}"\nreadiness = "${HOST}:${ready}"`;
-  start('router', settings('r', 'router', OTHER, port, list, binds));
+  start('router', 'r', settings('r', 'router', ROUTER, port, list, binds));
   const text = JSON.stringify({ revision: 1, route_table: [route], backend_services: [service(1)] });
   const base = { 'x-pumicebarrow-base-version': '0' };
   while ((await call(`${HOST}:${control}`, 'POST', '/api/Config.Replace', base, text)) !== 200) await nap(50);
