--- a/packages/forms/src/awake.ts
+++ b/packages/forms/src/awake.ts
@@ -26,7 +26,7 @@
     const beat = (): void => {
       if (off) return;
       look();
-      clock.after(BEAT, beat);
+      (clock.beat ?? clock.after)(BEAT, beat);
     };
     return {
       start: beat,
--- a/packages/forms/src/clock.ts
+++ b/packages/forms/src/clock.ts
@@ -6,4 +6,6 @@
   mono(): number;
   wall(): number;
   after(ms: number, fn: () => void): () => void;
+  /** The same for what comes again and again, at about that time: with whatever else is due then. */
+  beat?(ms: number, fn: () => void): () => void;
 };
--- a/packages/forms/src/index.ts
+++ b/packages/forms/src/index.ts
@@ -1,5 +1,6 @@
 export { Addr } from './addr.js';
 export { Awake } from './awake.js';
+export { BeatClock } from './beatclock.js';
 export { type Chance } from './chance.js';
 export { Charter } from './charter.js';
 export { Check } from './check.js';
--- a/packages/forms/src/timer.ts
+++ b/packages/forms/src/timer.ts
@@ -33,7 +33,7 @@
         await fn();
         if (off) return;
         await new Promise<void>((done) => {
-          cancel = clock.after(ms(), done);
+          cancel = (clock.beat ?? clock.after)(ms(), done);
         });
       }
     };
--- a/packages/yard/src/index.ts
+++ b/packages/yard/src/index.ts
@@ -9,5 +9,6 @@
 export { RealDay } from './realday.js';
 export { Relay } from './relay.js';
 export { RoutedPlant } from './routed/routedplant.js';
+export { RunFlags } from './routed/runflags.js';
 export { Tale } from './tale.js';
 export { TownHost } from './townhost.js';
