--- a/packages/router/src/loadnews.ts
+++ b/packages/router/src/loadnews.ts
@@ -55,12 +55,11 @@
         }
       return next;
     };
-    t.post.on('router.loads', Words.loads, (body, from) => {
+    t.post.heed('router.loads', Words.loads, (body, from) => {
       count.heard++;
       heard.set(from.id, LoadRows.open(body.rows), KEEP);
       if (summed()) return { ok: true };
       t.loads.heard(sum);
-      return { ok: true };
     });
     /** Whether the head told lately what all others have under way; then none need tell each other. */
     const summed = (): boolean => t.clock.mono() - taken < FRESH;
@@ -77,7 +76,7 @@
       at = now;
       for (const p of t.peers()) {
         count.sent++;
-        void t.post.ask(p.addr, p.id, 'router.loads', { rows }, Words.done, 400);
+        t.post.tell(p.addr, p.id, 'router.loads', { rows });
       }
     };
     return {
