The head keeps each router's peers: a check-in weighs only who came since

Cause: at each check-in the head walked all ends, listed and ranked all routers: O(n log n), 12,800 times a second. Now each router's six are kept; who came is weighed, and all of them only where one of the six is gone; ends lie in order. Ruled out: a ring of hashed ids (busy arcs, other peers than today); kept peers without weighing newcomers (nobody would choose those); a whole ranking where a new head hears all at once: the first few without a sort. Same peers as a ranking of all that live: test over members that come and go, also green on the old code.

--- a/packages/forms/src/lot.ts
+++ b/packages/forms/src/lot.ts
@@ -13,6 +13,20 @@
       .sort(before)
       .map((x) => x.t);
   },
+  /** The first few of those ranked, without ranking the rest. */
+  few<T>(key: string, list: Iterable<T>, name: (t: T) => string, many: number): T[] {
+    const best: (Weighed & { t: T })[] = [];
+    for (const t of list) {
+      const n = name(t),
+        w = Hash.num(`${key}|${n}`),
+        last = best.at(-1);
+      if (last && best.length >= many && (w < last.w || (w === last.w && n >= last.n))) continue;
+      best.push({ t, n, w });
+      best.sort(before);
+      if (best.length > many) best.pop();
+    }
+    return best.map((x) => x.t);
+  },
   /** The first of those ranked, without ranking the rest. */
   first<T>(key: string, list: readonly T[], name: (t: T) => string): T | undefined {
     let best: (Weighed & { t: T }) | undefined;
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -20,6 +20,7 @@
 export { type ListSource } from './listsource.js';
 export { ListWatch } from './listwatch.js';
 export { LoadNews } from './loadnews.js';
+export { Nearest } from './nearest.js';
 export { Pace } from './pace.js';
 export { Placement } from './placement.js';
 export { type Prompt } from './prompt.js';
--- /dev/null
+++ b/packages/router/src/keeperdesk.test.ts
@@ -0,0 +1,75 @@
+import { Dice, Hash, Lot, type Ident } from '@pumicebarrow/forms';
+import { expect } from 'chai';
+import { KeeperDesk } from './keeperdesk.js';
+import { daemon, testTown } from './post.test.js';
+import { testClock } from './stand.test.js';
+import { Words } from './words.js';
+
+const FEW = 6;
+
+describe('check-ins at the head', () => {
+  const make = () => {
+    const time = testClock(),
+      town = testTown();
+    const count = { clock: 0 };
+    const mono = (): number => {
+      count.clock++;
+      return time.clock.mono();
+    };
+    KeeperDesk.make({
+      ...{ clock: { ...time.clock, mono }, post: town.post(daemon('k1', 'registry')), view: () => null },
+      ...{ speaks: () => true, version: () => 1, list: () => null },
+    });
+    const load = { read: 1, beside: 0, run: 1 };
+    const posts = new Map<string, ReturnType<typeof town.post>>();
+    const checkin = async (id: string) => {
+      const post = posts.get(id) ?? town.post(daemon(id));
+      posts.set(id, post);
+      const body = { version: 1, list: null, epoch: 1, peers: '', load };
+      const r = await post.ask(daemon('k1', 'registry').addr, 'k1', 'keeper.checkin', body, Words.checked, 500);
+      if (r.err) throw new Error(r.val);
+      return { peers: r.val.peers?.map((p: Ident) => p.id) ?? [], routers: r.val.routers };
+    };
+    return { time, count, checkin };
+  };
+  const names = (from: number, to: number): string[] => Array.from({ length: to - from }, (_, i) => `r${from + i}`);
+  const best = (id: string, all: readonly string[]): string[] => {
+    const others = all.filter((x) => x !== id);
+    return (others.length <= 16 ? others : Lot.rank(id, others, (x) => x).slice(0, FEW)).sort();
+  };
+  it('look neither at all routers nor at all of their ends, once the routers are known', async () => {
+    const { count, checkin } = make();
+    const all = names(0, 400);
+    for (const id of [...all, ...all]) await checkin(id);
+    const was = Hash.num;
+    let weighed = 0;
+    Hash.num = (s) => {
+      weighed++;
+      return was(s);
+    };
+    count.clock = 0;
+    for (const id of all) await checkin(id);
+    Hash.num = was;
+    expect([weighed, count.clock / all.length < 8]).to.deep.equal([0, true]);
+  });
+  it('name the same peers as a ranking of all that live does, whoever comes and goes', async () => {
+    const { time, checkin } = make();
+    const chance = Dice.seeded(5);
+    let live = names(0, 14),
+      next = 14;
+    for (let turn = 0; turn < 40; turn++) {
+      for (const id of live) await checkin(id);
+      for (const id of live) {
+        const got = await checkin(id);
+        expect([got.peers, got.routers]).to.deep.equal([best(id, live), live.length]);
+      }
+      const gone = turn % 3 === 0 ? Dice.some(chance, live, Dice.int(chance, 4)) : [];
+      live = live.filter((id) => !gone.includes(id));
+      await time.pass(1100);
+      for (const id of live) await checkin(id);
+      await time.pass(1100);
+      if (turn % 2 === 0) live = [...live, ...names(next, (next += 2)), ...(turn % 5 === 0 ? gone.slice(0, 1) : [])];
+    }
+    expect(live.length).to.be.greaterThan(20);
+  });
+});
--- a/packages/router/src/keeperdesk.ts
+++ b/packages/router/src/keeperdesk.ts
@@ -1,5 +1,6 @@
-import { Fading, Hash, Lot, type Clock, type Ident, type Mark, type PostBox } from '@pumicebarrow/forms';
+import { Hash, type Clock, type Ident, type Mark, type PostBox } from '@pumicebarrow/forms';
 import type { View } from '@pumicebarrow/registry';
+import { Nearest } from './nearest.js';
 import { Words } from './words.js';
 
 type Tools = {
@@ -18,17 +19,42 @@
 const PEERS = 16;
 const FEW = 6;
 type Load = { read: number; beside: number; run: number };
-type Seen = { who: Ident; load: Load };
+type Seen = { who: Ident; load: Load; until: number };
 
-/** Where routers check in with the head. What it knows of them is soft: lost with the head, and learnt again. */
+/**
+ * Where routers check in with the head. What it knows of them is soft: lost with the head, and learnt again.
+ * Invariant: rows lie in the order of their ends, as each is set for the same time.
+ */
 export const KeeperDesk = {
   make(t: Tools) {
-    const seen = Fading.make<Seen>(t.clock.mono, MOST);
+    const seen = new Map<string, Seen>();
+    const nearest = Nearest.make({
+      ...{ mono: t.clock.mono, lives: (id) => seen.has(id), all: () => seen.keys(), many: FEW, term: GONE },
+    });
+    const drop = (id: string): void => {
+      seen.delete(id);
+      nearest.left(id);
+    };
+    const tidy = (): void => {
+      const now = t.clock.mono();
+      for (const [id, s] of seen) {
+        if (s.until > now && seen.size <= MOST) break;
+        drop(id);
+      }
+    };
+    const note = (who: Ident, load: Load): void => {
+      if (!seen.delete(who.id)) nearest.joined(who.id);
+      seen.set(who.id, { who, load, until: t.clock.mono() + GONE });
+    };
+    const live = (): Seen[] => {
+      tidy();
+      return [...seen.values()];
+    };
     /** The same few for one router for as long as they live, and each router a peer of about as many others. */
     const peers = (who: Ident): Ident[] => {
-      const others = seen.all().flatMap((s) => (s.who.id === who.id ? [] : [s.who]));
-      const some = others.length <= PEERS ? others : Lot.rank(who.id, others, (o) => o.id).slice(0, FEW);
-      return some.sort((a, b) => (a.id < b.id ? -1 : 1));
+      const few = seen.size - (seen.has(who.id) ? 1 : 0) > PEERS;
+      const ids = few ? [...nearest.of(who.id)] : [...seen.keys()].filter((id) => id !== who.id);
+      return ids.sort().map((id) => seen.get(id)!.who);
     };
     const fresh = (who: Ident, held: string): Ident[] | null => {
       const now = peers(who);
@@ -37,7 +63,8 @@
     t.post.on('keeper.checkin', Words.checkin, (body, from) => {
       const ok = t.speaks();
       const view = t.view();
-      if (ok) seen.set(from.id, { who: from, load: body.load }, GONE);
+      tidy();
+      if (ok) note(from, body.load);
       const list = ok ? t.list() : null;
       return {
         ok,
@@ -45,20 +72,18 @@
         version: t.version(),
         list: list?.mark ?? null,
         age: list?.age ?? 0,
-        routers: seen.size(),
+        routers: seen.size,
         peers: ok ? fresh(from, body.peers) : null,
       };
     });
     return {
-      routers: (): Ident[] => seen.all().map((s) => s.who),
+      routers: (): Ident[] => live().map((s) => s.who),
       /** What all routers together have under way: prompt tokens at readers, others at decoders, and runs. */
       load: (): Load =>
-        seen
-          .all()
-          .reduce(
-            (a, { load }) => ({ read: a.read + load.read, beside: a.beside + load.beside, run: a.run + load.run }),
-            { read: 0, beside: 0, run: 0 },
-          ),
+        live().reduce(
+          (a, { load }) => ({ read: a.read + load.read, beside: a.beside + load.beside, run: a.run + load.run }),
+          { read: 0, beside: 0, run: 0 },
+        ),
     };
   },
 };
--- a/packages/routesim/src/capacity/capacity.test.ts
+++ b/packages/routesim/src/capacity/capacity.test.ts
@@ -9,6 +9,7 @@
   routedlist: [16, 64, 256],
   routedruns: [8, 27],
   routedroutes: [8, 32, 128],
+  desk: [200, 400, 800],
 };
 /** ms measured of each fleet, fewer than for the page. */
 const SPAN = 7000;
@@ -47,7 +48,8 @@
   });
   it('brings every change into force everywhere', () => {
     const rounds = all.filter((f) => f.what === 'a configuration in force, worst' && f.unit === 'ms');
-    expect(rounds).to.have.length(Object.values(SIZES).flat().length);
+    const fleets = Object.entries(SIZES).flatMap(([name, sizes]) => (name === 'desk' ? [] : sizes));
+    expect(rounds).to.have.length(fleets.length);
     for (const f of rounds) expect(f.value).to.be.below(10_000);
   });
 });
--- a/packages/routesim/src/capacity/routedbounds.ts
+++ b/packages/routesim/src/capacity/routedbounds.ts
@@ -26,6 +26,10 @@
     { ...runs, what: 'router.loads', unit: 'B/s', most: 700, why: 'one row of each server in use, to six others' },
     { ...routes, what: 'purge.pull', unit: 'B/s', most: 400, why: 'a change brings one line of each route' },
     { ...routes, role: 'head', what: 'core.push', unit: 'B/s', most: 260, why: 'the state goes down the chain once' },
+    {
+      ...{ run: 'work', role: 'head', what: 'names weighed a check-in after one went and one came', unit: 'count' },
+      ...{ shape: 'line', most: 0.02, why: 'who came is weighed, and all only where a peer went' },
+    },
     {
       ...{ run: 'routers', role: 'router', what: 'a configuration in force, median', unit: 'rounds', shape: 'log' },
       ...{ most: 1, why: 'about a round for twice as many' },
--- a/packages/routesim/src/capacity/routedfits.ts
+++ b/packages/routesim/src/capacity/routedfits.ts
@@ -46,7 +46,12 @@
     of('routersfar', 'router', 'rounds', 'log', daemons),
   ),
   ...line('routedstart', 'router', 'B', servers, 'until it is ready'),
-  ...power('desk', 'head', 'us', daemons, 'a check-in at the head', 'of it, ranking all routers'),
+  ...power('desk', 'head', 'us', daemons, 'a check-in at the head', 'all routers known to a new head'),
+  ...power('desk', 'head', 'us', daemons, 'all routers weighed, as one of the peers is gone'),
+  ...line(
+    ...(['desk', 'head', 'count', daemons] as const),
+    ...['names weighed a check-in, all of them new', 'names weighed a check-in after one went and one came'],
+  ),
   ...power(
     ...(['table', 'router', 'us', servers] as const),
     ...['the list taken up at a check-in', 'a list read and checked', 'choosing who reads', 'choosing who decodes'],
--- a/packages/routesim/src/capacity/routedworks.ts
+++ b/packages/routesim/src/capacity/routedworks.ts
@@ -19,6 +19,7 @@
 import { Design, Hollow, Timed, type Figure } from '@pumicebarrow/sim';
 import { HollowList } from './hollowlist.js';
 import { HollowRouting } from './hollowrouting.js';
+import { Weighings } from './weighings.js';
 
 type Desk = (body: never, from: Ident) => unknown;
 type Work = (what: string, unit: string, value: number) => Figure;
@@ -55,20 +56,39 @@
     const one = RoutedWorks.of('routers', n, 'head');
     const { post, hear } = RoutedWorks.post();
     const all = Array.from({ length: n }, (_, i) => RoutedWorks.ident(i));
-    KeeperDesk.make({ clock, post, view: () => null, speaks: () => true, version: () => 1, list: () => null });
+    const time = { now: 5000 };
+    const mono = (): number => time.now;
+    KeeperDesk.make({
+      ...{ clock: { ...clock, mono }, post, view: () => null, speaks: () => true, version: () => 1, list: () => null },
+    });
     const body = { version: 1, list: null, epoch: 1, peers: '', load: { read: 1, beside: 1, run: 1 } };
-    for (const who of all) hear('keeper.checkin', body, who);
+    const checkin = (who: Ident): void => void hear('keeper.checkin', body, who);
+    const begun = performance.now();
+    const first = Weighings.of(() => all.forEach(checkin));
+    all.forEach(checkin);
+    const begin = performance.now() - begun;
+    // One goes and another comes: the others check in twice meanwhile, as they do each 450 ms.
+    const rest = [...all.slice(1), RoutedWorks.ident(n)];
+    const turned = Weighings.of(() => {
+      for (const ms of [1500, 1000]) {
+        time.now += ms;
+        rest.forEach(checkin);
+      }
+    });
     let turn = 0;
     return [
+      one('names weighed a check-in, all of them new', 'count', first / n),
+      one('names weighed a check-in after one went and one came', 'count', turned / n),
+      one('all routers known to a new head', 'us', begin * 1000),
       one(
         'a check-in at the head',
         'us',
-        Timed.us(() => hear('keeper.checkin', body, all[turn++ % n]!)),
+        Timed.us(() => checkin(rest[turn++ % n]!)),
       ),
       one(
-        'of it, ranking all routers',
+        'all routers weighed, as one of the peers is gone',
         'us',
-        Timed.us(() => Lot.rank(all[turn++ % n]!.id, all, (o) => o.id)),
+        Timed.us(() => Lot.few(all[turn++ % n]!.id, all, (o) => o.id, FEW)),
       ),
     ];
   },
--- a/packages/routesim/src/index.ts
+++ b/packages/routesim/src/index.ts
@@ -16,6 +16,7 @@
 export { RoutedStart } from './capacity/routedstart.js';
 export { RoutedWorks } from './capacity/routedworks.js';
 export { UnderWay } from './capacity/underway.js';
+export { Weighings } from './capacity/weighings.js';
 export { Contact } from './contact.js';
 export { Day } from './day.js';
 export { Deliveries } from './deliveries.js';
