--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -22,6 +22,7 @@
 export { LoadNews } from './loadnews.js';
 export { LoadRows } from './loadrows.js';
 export { LoadSums } from './loadsums.js';
+export { Nearest } from './nearest.js';
 export { Pace } from './pace.js';
 export { Placement } from './placement.js';
 export { type Prompt } from './prompt.js';
