--- a/packages/counter/src/lending/lentselect.ts
+++ b/packages/counter/src/lending/lentselect.ts
@@ -15,7 +15,8 @@
   make(t: Tools): Selecting {
     const slots = (s: Listed): number => t.borrower.slots(s.id, s.born);
     const usable = (part: Part): Listed[] => t.live.usable(part).filter((s) => slots(s) > 0);
-    const room = (s: Listed, weight: number): boolean => t.loads.at(s.id) + weight <= slots(s);
+    const free = (s: Listed): number => slots(s) - t.loads.at(s.id);
+    const room = (s: Listed, weight: number): boolean => weight <= free(s);
     const share = (s: Listed): number => t.loads.at(s.id) / slots(s);
     const pick = (part: Part, rule: Rule, not: ReadonlySet<string>): Listed | null => {
       const list = usable(part).filter((s) => !not.has(s.id) && room(s, rule.weight));
@@ -25,8 +26,8 @@
       usable,
       roomy: (part, rule, held) => {
         const list = usable(part);
-        const free = list.reduce((n, s) => n + Math.max(0, slots(s) - t.loads.at(s.id)), 0);
-        return list.some((s) => room(s, rule.weight)) && t.loads.at(held) + rule.weight <= free;
+        const all = list.reduce((n, s) => n + Math.max(0, free(s)), 0);
+        return list.some((s) => room(s, rule.weight)) && t.loads.at(held) + rule.weight <= all;
       },
       prefill: (rule, _prefix, not) => pick('prefill', rule, not),
       decode: (rule, _from, not) => pick('decode', rule, not),
--- a/packages/counter/src/lending/runner.test.ts
+++ b/packages/counter/src/lending/runner.test.ts
@@ -26,7 +26,7 @@
     for (const name of Shards.names) write({ do: 'claim', name, id: by, born: 'x' });
   };
   claim('e1');
-  const is = { room: 2, fence: 1 as number | null, bent: null as Verdict | null };
+  const is = { room: 2, fence: 1 as number | null, bent: null as Verdict | null, mute: false, unread: false };
   const going: Going[] = [];
   const timers: (() => void)[] = [];
   const runner = Runner.make({
@@ -36,11 +36,16 @@
     } as unknown as World,
     line: {
       bursts: (ask: { key?: string }) =>
-        Promise.resolve({
-          list: (state.bursts ?? []).map((b) => BurstSummary.of(b)),
-          burst: state.bursts?.find((b) => b.spec.key === ask.key) ?? null,
-        }),
+        Promise.resolve(
+          is.unread
+            ? null
+            : {
+                list: (state.bursts ?? []).map((b) => BurstSummary.of(b)),
+                burst: state.bursts?.find((b) => b.spec.key === ask.key) ?? null,
+              },
+        ),
       write: (c: Parameters<typeof Apply.one>[1]) => {
+        if (is.mute && c.do === 'settle') return new Promise(() => undefined);
         const verdict = write(c),
           bent = is.bent;
         is.bent = null;
@@ -103,6 +108,36 @@
     await r.end(2, ranWhole, 'x');
     expect(r.keys()).to.deep.equal(['a.0.1/1', 'a.1.1/1', 'a.0.2/1', 'b.0.1/1', 'b.1.1/1']);
   });
+  it('begins nothing later while the core has not taken that an earlier one was given back', async () => {
+    const r = rig(1);
+    r.begin('a');
+    r.begin('b');
+    r.is.room = 1;
+    await r.read();
+    r.is.mute = true;
+    await r.end(0, unrun);
+    r.is.room = 2;
+    r.wait(400);
+    await r.read();
+    expect(r.keys()).to.deep.equal(['a.0.1/1']);
+  });
+  it('still knows what it gave back, and what needs a loan, after the core could not be read', async () => {
+    const r = rig(1);
+    r.begin('a');
+    r.begin('b');
+    r.is.room = 1;
+    await r.read();
+    r.is.mute = true;
+    await r.end(0, unrun);
+    r.is.unread = true;
+    await r.read();
+    expect(r.runner.need()).to.deep.equal({ burst: 'a', order: 1 });
+    r.is.unread = false;
+    r.is.room = 2;
+    r.wait(400);
+    await r.read();
+    expect(r.keys()).to.deep.equal(['a.0.1/1']);
+  });
   it('begins nothing without a fence, or without room', async () => {
     const r = rig();
     r.begin('a');
--- a/packages/counter/src/lending/runner.ts
+++ b/packages/counter/src/lending/runner.ts
@@ -32,6 +32,8 @@
     /** Places whose state was read since this daemon last had them in hand. */
     let known = new Set<string>();
     const hand = new Set<string>();
+    /** Places that were given back here and not begun again since: nothing that comes later is begun before them. */
+    const back = new Set<string>();
     /** Marks that may have been written and for which nothing was sent, since the core did not say. */
     const unsaid = new Map<string, Step>();
     let pause = 0;
@@ -67,7 +69,10 @@
       const take = Takes.make();
       const request: Visit = { key: `${id(p)}.${step.mark}`, attempt: step.turn, rule: rule.name, ...prompt };
       const out = Takes.outcome(await t.run(request, take.sink), take);
-      if (out.to === 'unrun') pause = now() + PAUSE;
+      if (out.to === 'unrun') {
+        pause = now() + PAUSE;
+        back.add(id(p));
+      }
       t.world.tell({ what: 'generation', burst: spec.key, index: p.index, mark: step.mark, to: out.to });
       await settle(p, step, out);
     };
@@ -85,6 +90,7 @@
       if (ruling.verdict.ran === 'maybe') unsaid.set(id(p), step);
       if (ruling.verdict.ran !== 'yes') {
         pause = now() + PAUSE;
+        if (waits && g.mark > 0) back.add(id(p));
         return;
       }
       await send(p, rule, step);
@@ -94,9 +100,15 @@
       for (const p of places()) {
         const rule = ruleOf(p.burst),
           name = id(p);
-        if (!rule || hand.has(name) || !known.has(name)) continue;
+        if (!rule) continue;
+        if (hand.has(name) || !known.has(name)) {
+          if (back.has(name)) return;
+          continue;
+        }
         if (hand.size * rule.weight + rule.weight > t.room(rule)) return;
         hand.add(name);
+        back.delete(name);
+        t.world.tell({ what: 'taken', burst: p.burst.spec.key, index: p.index, mark: p.generation.mark });
         void start(p, rule).finally(() => {
           hand.delete(name);
           known.delete(name);
@@ -109,18 +121,29 @@
       reading = true;
       const mine = (key: string): boolean => t.duty.fence(Shards.of(key)) !== null;
       const all = await t.line.bursts({}, 0);
-      const open = (all?.list ?? [])
+      if (!all) {
+        reading = false;
+        return;
+      }
+      const held = all.list
         .filter((b) => !b.gone && b.waiting + b.begun > 0 && mine(b.key))
         .sort((a, b) => a.order - b.order);
       const next: Burst[] = [];
-      const early = new Set(hand);
-      for (const b of open) {
+      const early = new Set(hand),
+        unread = new Set<string>();
+      for (const b of held) {
         const got = await t.line.bursts({ key: b.key }, 0);
-        if (got?.burst) next.push(got.burst);
+        const burst = got ? got.burst : bursts.find((x) => x.spec.key === b.key);
+        if (burst) next.push(burst);
+        if (!got) unread.add(b.key);
       }
       bursts = next;
-      known = new Set(places().map(id));
-      for (const name of early) known.delete(name);
+      const open = places();
+      const sure = open.filter((p) => !early.has(id(p)) && (!unread.has(p.burst.spec.key) || known.has(id(p))));
+      known = new Set(sure.map(id));
+      for (const name of back)
+        if (!open.some((p) => id(p) === name) && !hand.has(name) && back.delete(name))
+          t.world.tell({ what: 'passedon', name });
       reading = false;
       fill();
     };
--- a/packages/counter/src/reading.ts
+++ b/packages/counter/src/reading.ts
@@ -8,6 +8,7 @@
 import type { Trip } from './trip.js';
 import type { Visit } from './visit.js';
 
+type Taken = { s: Listed; free: () => void };
 const PATIENCE = 4000;
 const LEAST = 200;
 const LOOK = 20;
@@ -23,18 +24,20 @@
   h.digest === Hash.text(v.prefix + v.part);
 
 /**
- * A visit's prompt is read by a prefill server. Invariants: it is sent in the same turn as the list was looked at;
+ * A visit's prompt is read by a prefill server. Invariants: it is sent in the same turn as the list was looked at; the
+ * room it was given is taken in the instant in which it is found;
  * whatever comes of it, the visit has not run.
  */
 export const Reading = {
   make(t: RunTools, tries: ReturnType<typeof Tries.make>) {
     const { world, loads } = t;
     const now = (): number => world.clock.mono();
-    const room = async (trip: Trip): Promise<Listed | null> => {
+    const room = async (trip: Trip): Promise<Taken | null> => {
       const from = (not: ReadonlySet<string>): Listed | null => t.select.prefill(trip.rule, trip.prefix, not);
       for (;;) {
         const s = tries.pick(trip, from);
-        if (s || now() >= trip.due || trip.sink.gone()) return s;
+        if (s) return { s, free: loads.take(s.id, trip.rule.weight) };
+        if (now() >= trip.due || trip.sink.gone()) return null;
         await Timer.nap(world.clock, LOOK);
       }
     };
@@ -56,13 +59,12 @@
     };
     return async (trip: Trip): Promise<void> => {
       t.demand.read += trip.rule.weight;
-      const s = await room(trip);
+      const got = await room(trip);
       trip.settled();
-      const free = s ? loads.take(s.id, trip.rule.weight) : null;
-      const bound = tries.bound(s);
-      if (s && free && bound) await send(trip, s, bound);
+      const bound = tries.bound(got?.s ?? null);
+      if (got && bound) await send(trip, got.s, bound);
       else trip.life.send('give');
-      free?.();
+      got?.free();
       t.demand.read -= trip.rule.weight;
       t.pump();
     };
--- /dev/null
+++ b/packages/counter/src/writing.test.ts
@@ -0,0 +1,64 @@
+import { Err, type Rule, type World } from '@pumicebarrow/forms';
+import { expect } from 'chai';
+import { interpret } from 'robot3';
+import { Loads } from './loads.js';
+import { Reading } from './reading.js';
+import type { RunTools } from './runtools.js';
+import { Tries } from './tries.js';
+import type { Trip } from './trip.js';
+import { VisitLife } from './visitlife.js';
+import { Writing } from './writing.js';
+
+const rule = { name: 'r', weight: 1, urgency: 1, limit: 9, waitlist: 9, deadline: 900, pieces: 2, bytes: 99 } as Rule;
+const servers = ['m1', 'm2', 'm3'].map((id) => ({ id, born: 'x', addr: id, site: 's', mark: 'serving' as const }));
+
+/** Visits that get their turn in one instant, where each server has room for one. */
+const rig = () => {
+  const loads = Loads.make();
+  const met: string[] = [];
+  const least = () => servers.filter((s) => loads.at(s.id) === 0)[0] ?? null;
+  const call = (addr: string) => {
+    met.push(addr);
+    return new Promise<never>(() => undefined);
+  };
+  const t = {
+    world: { clock: { mono: () => 0, after: () => () => undefined }, tell: () => undefined } as unknown as World,
+    select: { decode: least, prefill: least, usable: () => servers, roomy: () => true },
+    ...{ loads, town: { good: () => ({}), until: () => 900 }, demand: { read: 0, write: 0 }, pump: () => undefined },
+    hands: { enter: () => ({ turn: Promise.resolve(true), leave: () => undefined }) },
+    hails: { bound: () => ({ born: 'x', by: 900 }) },
+    back: { decode: call, prefill: call },
+    ...{ bucket: { take: () => false }, sighted: () => undefined, version: () => 1, sure: () => true },
+  } as unknown as RunTools;
+  const trip = (i: number): Trip => ({
+    ...{ v: { key: `k${i}`, attempt: 1, prefix: '', part: '' }, rule, due: 900, prefix: '', avoid: new Set<string>() },
+    sink: {
+      piece: () => undefined,
+      end: () => undefined,
+      cut: () => undefined,
+      bounce: () => undefined,
+      gone: () => false,
+    },
+    settled: () => undefined,
+    life: interpret(VisitLife, () => undefined),
+    handle: { id: 'h', key: `k${i}`, attempt: 1, server: 'm1', born: 'x', addr: 'm1', digest: '' },
+    reader: servers[0]!,
+    why: Err('x') as never,
+  });
+  return { t, tries: Tries.make(t), trip, met };
+};
+
+describe('Visits that have their turn in one instant', () => {
+  for (const [name, make] of [
+    ['read', Reading.make],
+    ['written', Writing.make],
+  ] as const) {
+    it(`are ${name} each at a server that has room, not all at the one that looked the idlest`, async () => {
+      const r = rig(),
+        go = make(r.t, r.tries);
+      for (let i = 0; i < 3; i++) void go(r.trip(i));
+      await new Promise((done) => void setTimeout(done, 0));
+      expect(r.met).to.deep.equal(['m1', 'm2', 'm3']);
+    });
+  }
+});
--- a/packages/counter/src/writing.ts
+++ b/packages/counter/src/writing.ts
@@ -9,6 +9,7 @@
 import type { Trip } from './trip.js';
 
 type Checking = ReturnType<typeof StreamCheck.make>;
+type Taken = { s: Listed; free: () => void };
 type Piece = Parameters<Checking['look']>[0];
 const IDLE = 2500;
 const PATIENCE = 4000;
@@ -17,6 +18,7 @@
 
 /**
  * A visit's outcome is written by a decode server. Invariants: it is sent in the same turn as the list was looked at;
+ * the room it was given is taken in the instant in which it is found;
  * it is sent again only on proof that this try has not run, and never once a piece has come; no piece is handed on
  * that is not the next one of this visit and this life.
  */
@@ -25,14 +27,14 @@
     const { world, loads } = t;
     const now = (): number => world.clock.mono();
     /** Waits among those with a handle, the most urgent first. */
-    const hand = async (trip: Trip): Promise<Listed | null> => {
+    const hand = async (trip: Trip): Promise<Taken | null> => {
       const from = (not: ReadonlySet<string>): Listed | null => t.select.decode(trip.rule, trip.reader!, not);
       for (;;) {
         const spot = t.hands.enter(trip.rule, trip.due);
         t.pump();
         if (!(await spot.turn) || trip.sink.gone()) return null;
         const s = tries.pick(trip, from);
-        if (s) return s;
+        if (s) return { s, free: loads.take(s.id, trip.rule.weight) };
         await Timer.nap(world.clock, LOOK);
       }
     };
@@ -98,12 +100,11 @@
     };
     return async (trip: Trip): Promise<void> => {
       t.demand.write += trip.rule.weight;
-      const s = await hand(trip);
-      const free = s ? loads.take(s.id, trip.rule.weight) : null;
-      const bound = tries.bound(s);
-      if (s && free && trip.handle && bound && !trip.sink.gone()) await send(trip, s, trip.handle, bound);
+      const got = await hand(trip);
+      const bound = tries.bound(got?.s ?? null);
+      if (got && trip.handle && bound && !trip.sink.gone()) await send(trip, got.s, trip.handle, bound);
       else trip.life.send('give');
-      free?.();
+      got?.free();
       t.demand.write -= trip.rule.weight;
       t.pump();
     };
--- a/packages/sim/src/lending/lentdrill.ts
+++ b/packages/sim/src/lending/lentdrill.ts
@@ -5,6 +5,8 @@
 export type LentDrill = {
   name: string;
   about: string;
-  meets: readonly ('lent' | 'recalled' | 'unrun' | 'killed' | 'frozen' | 'fell' | 'lapsed' | 'wouldwait' | 'unsure')[];
+  meets: readonly (
+    'lent' | 'recalled' | 'unrun' | 'killed' | 'frozen' | 'fell' | 'lapsed' | 'wouldwait' | 'unsure' | 'late' | 'again'
+  )[];
   run(s: Scene, t: ReturnType<typeof Trainers.make>): Promise<void>;
 };
--- a/packages/sim/src/lending/lentdrills.ts
+++ b/packages/sim/src/lending/lentdrills.ts
@@ -124,4 +124,53 @@
       await t.finish(LONG);
     },
   },
+  {
+    name: 'lendmark',
+    about: 'core disks are slow, so that marks are long on their way, when all daemons are killed at one instant',
+    meets: ['lent', 'killed'],
+    async run(s, t) {
+      await begin(s, t, 20);
+      for (const id of s.f.coreIds) s.f.disks.get(id)!.slow(120);
+      await s.nap(1500 + s.real() * 1000);
+      const all = [...s.f.coreIds, ...s.f.edgeIds];
+      for (const id of all) s.f.kill(id);
+      for (const id of s.f.coreIds) s.f.disks.get(id)!.slow(0);
+      await s.nap(2500);
+      for (const id of all) s.f.start(id);
+      await s.nap(4000);
+      await t.finish(LONG);
+    },
+  },
+  {
+    name: 'lendowed',
+    about: 'generations are given back while the core is out of reach, and others wait for their turn',
+    meets: ['lent', 'unrun', 'again'],
+    async run(s, t) {
+      await begin(s, t, 20);
+      for (let i = 0; i < 5; i++) {
+        await t.until(t.queued, 3000);
+        s.cut(s.f.coreIds, s.f.edgeIds, 1400 + 150 * i);
+        s.callers.crowd(200);
+        await s.nap(5000);
+      }
+      await t.finish(LONG);
+    },
+  },
+  {
+    name: 'lendlate',
+    about: 'lent servers stand still with borrowed work in their buffers, and go on once their loans have lapsed',
+    meets: ['lent', 'late', 'lapsed'],
+    async run(s, t) {
+      await begin(s, t, 20);
+      for (let i = 0; i < 3; i++) {
+        await t.until(() => t.streaming() !== null, 3000);
+        const ids = s.park.ids();
+        for (const id of ids) s.park.dark(id, true);
+        await s.nap(2600 + s.real() * 300);
+        for (const id of ids) s.park.dark(id, false);
+        await s.nap(2500);
+      }
+      await t.finish(LONG);
+    },
+  },
 ];
--- a/packages/sim/src/lending/lentwork.ts
+++ b/packages/sim/src/lending/lentwork.ts
@@ -17,6 +17,8 @@
   unsure: (d) => d.what === 'generation' && d['to'] === 'unsure',
   lapsed: (d) => d.what === 'lapsed',
   killed: (d) => d.what === 'killed',
+  late: (d) => d.what === 'late',
+  again: (d) => d.what === 'taken' && Number(d['mark']) > 0,
   frozen: (d) => d.what === 'frozen',
   fell: (d) => d.what === 'fell',
 };
--- a/packages/sim/src/lending/promises.ts
+++ b/packages/sim/src/lending/promises.ts
@@ -1,5 +1,7 @@
 import type { Deed } from '@pumicebarrow/forms';
 import type { History } from '../history.js';
+import { Fairness } from './fairness.js';
+import { SendBounds } from './sendbounds.js';
 
 type Past = ReturnType<typeof History.make>;
 const LENT = /^(burst-\w+)\.(\d+)\.\d+$/;
@@ -92,5 +94,11 @@
   back,
   wishes,
   broken: (h: Past, term: number): string[] =>
-    [...once(h), ...holder(h, term).broken, ...back(h, term).broken].map((w) => `lending: ${w}`),
+    [
+      ...once(h),
+      ...holder(h, term).broken,
+      ...back(h, term).broken,
+      ...Fairness.broken(h),
+      ...SendBounds.broken(h, term, (d) => place(d) !== null),
+    ].map((w) => `lending: ${w}`),
 };
