--- a/packages/sim/src/lending/lentdrills.ts
+++ b/packages/sim/src/lending/lentdrills.ts
@@ -1,9 +1,13 @@
+import { Shards } from '@pumicebarrow/registry';
 import type { Scene } from '../scene.js';
 import type { LentDrill } from './lentdrill.js';
 import type { Trainers } from './trainers.js';
 
 type Training = ReturnType<typeof Trainers.make>;
 const LONG = 90_000;
+/** A key that falls to the same runner. */
+const beside = (key: string): string =>
+  Array.from({ length: 200 }, (_, i) => `burst-b${i}`).find((k) => Shards.of(k) === Shards.of(key))!;
 /** Two bursts by two runners, if their keys fall so; the second may be repeated. */
 const begin = async (s: Scene, t: Training, samples = 8): Promise<string> => {
   await t.begin('burst-a', 12, samples);
@@ -124,4 +128,54 @@
       await t.finish(LONG);
     },
   },
+  {
+    name: 'lendmark',
+    about: 'core disks are slow, so that marks are long on their way, when all daemons are killed at one instant',
+    meets: ['lent', 'killed'],
+    async run(s, t) {
+      await begin(s, t, 20);
+      for (const id of s.f.coreIds) s.f.disks.get(id)!.slow(120);
+      await s.nap(1500 + s.real() * 1000);
+      const all = [...s.f.coreIds, ...s.f.edgeIds];
+      for (const id of all) s.f.kill(id);
+      for (const id of s.f.coreIds) s.f.disks.get(id)!.slow(0);
+      await s.nap(2500);
+      for (const id of all) s.f.start(id);
+      await s.nap(4000);
+      await t.finish(LONG);
+    },
+  },
+  {
+    name: 'lendowed',
+    about: 'one daemon runs two bursts, and gives generations of the first back to crowds of live visits',
+    meets: ['lent', 'unrun', 'again'],
+    async run(s, t) {
+      await t.begin('burst-a', 12, 16);
+      await t.until(() => t.runner() !== null, 15_000);
+      for (let i = 0; i < 5; i++) {
+        if (i === 2) await t.begin(beside('burst-a'), 12, 8);
+        await t.until(t.queued, 3000);
+        s.callers.crowd(250);
+        await s.nap(1500 + s.real() * 1500);
+      }
+      await t.finish(LONG);
+    },
+  },
+  {
+    name: 'lendlate',
+    about: 'lent servers stand still with borrowed work in their buffers, and go on once their loans have lapsed',
+    meets: ['lent', 'late', 'lapsed'],
+    async run(s, t) {
+      await begin(s, t, 20);
+      for (let i = 0; i < 3; i++) {
+        await t.until(() => t.streaming() !== null, 3000);
+        const ids = s.park.ids();
+        for (const id of ids) s.park.dark(id, true);
+        await s.nap(2600 + s.real() * 300);
+        for (const id of ids) s.park.dark(id, false);
+        await s.nap(2500);
+      }
+      await t.finish(LONG);
+    },
+  },
 ];
