--- a/packages/forms/src/beatclock.test.ts
+++ b/packages/forms/src/beatclock.test.ts
@@ -21,13 +21,18 @@
     },
   });
   const runs = DUTIES.map(() => 0);
-  const stops = DUTIES.map((ms, i) => {
+  const stops: (() => void)[] = [];
+  const settle = async (): Promise<void> => {
+    for (let i = 0; i < 20; i++) await Promise.resolve();
+  };
+  for (const [i, ms] of DUTIES.entries()) {
     now += 7.3;
-    return Timer.every(clock, ms, () => void runs[i]!++);
-  });
+    stops.push(Timer.every(clock, ms, () => void runs[i]!++));
+    await settle();
+  }
   const at: number[] = [];
   for (;;) {
-    for (let i = 0; i < 20; i++) await Promise.resolve();
+    await settle();
     const next = Math.min(...due.values());
     if (next > SPAN) break;
     now = next;
