--- a/packages/sim/src/crew.ts
+++ b/packages/sim/src/crew.ts
@@ -16,6 +16,7 @@
  * With a guard, the workers load the daemons' code with that one guard taken out.
  */
 export const Crew = {
+  hands,
   async run(jobs: readonly Job[], done: (b: Back) => void, guard: Guard | null = null): Promise<void> {
     const rest = [...jobs];
     await Promise.all(
--- a/packages/sim/src/drills/alone.ts
+++ b/packages/sim/src/drills/alone.ts
@@ -75,12 +75,14 @@
   {
     name: 'pausedtail',
     about:
-      'the tail is paused with its monotonic clock, and is read as it wakes, after charters were confirmed without it',
+      'the tail is paused with its monotonic clock, and is read as it wakes, not yet reached by the others, after ' +
+      'charters were confirmed without it',
     async run(s) {
       const tail = s.b.chain().at(-1)!;
       await s.read();
       const plan = await s.plan();
       const from = s.now();
+      const lift = s.b.net.cut(others(tail), [tail]);
       s.b.boxes.get(tail)!.pause(4000);
       while (plan && s.now() < from + 3900 && !confirmed(s, from)) {
         void s.confirm(plan);
@@ -88,6 +90,7 @@
       }
       await s.nap(from + 3990 - s.now());
       await watch(s, 200, 2);
+      lift();
       return confirmed(s, from);
     },
   },
--- a/packages/sim/src/drills/servers.ts
+++ b/packages/sim/src/drills/servers.ts
@@ -176,16 +176,16 @@
   },
   {
     name: 'nolist',
-    about: "the platform's list can't be had for a while",
+    about: "the platform's list can't be had for a while, in which half of the servers leave",
     meets: ['oldlist', 'draining'],
     async run(s) {
       s.park.platform(false);
       await s.nap(1000);
-      const id = s.f.some(s.park.ids(), 1)[0]!;
-      s.park.mark(id, 'draining');
+      const ids = s.f.some(s.park.ids(), Math.ceil(s.park.ids().length / 2));
+      for (const id of ids) s.park.mark(id, 'draining');
       await s.nap(5000);
       s.park.platform(true);
-      s.park.renew(id);
+      for (const id of ids) s.park.renew(id);
     },
   },
 ];
