--- a/tools/tests/worker.mjs
+++ b/tools/tests/worker.mjs
@@ -4,6 +4,8 @@
 
 const plain = (s) => s.replace(/[.*+?^${}()|[\]\\]/g, '\\$&');
 const [file] = process.argv.slice(2);
+// Nobody is left to report to.
+process.once('disconnect', () => process.exit(1));
 const { titles, timeout } = await new Promise((done) => void process.once('message', done));
 const say = (m) => process.connected && process.send(m);
 const report = (t, state, e) => say({ what: 'test', title: t.fullTitle(), state, ms: t.duration ?? 0, why: e ? inspect(e) : '' });
