A head that speaks but hears nobody goes out of the chain; drill deafhead

Mend: the watch counts for how long a member has replied to no beat (afresh after a sleep of its own and with each view); the minder takes it out after 2 s, later by rank, if a majority of the voters does reply. Not taken: a word in each beat.

--- a/packages/registry/src/minder.test.ts
+++ b/packages/registry/src/minder.test.ts
@@ -20,7 +20,13 @@
     it(name, () => {
       let at = 0;
       const proposed: View[] = [];
-      const watch = { live: () => live(at), silent: () => 0, heard: () => undefined, emptied: () => false };
+      const watch = {
+        live: () => live(at),
+        silent: () => 0,
+        deaf: () => 0,
+        heard: () => undefined,
+        emptied: () => false,
+      };
       const helm = { busy: () => false, propose: (_: unknown, next: View) => Promise.resolve(proposed.push(next) > 0) };
       const m = Minder.make(
         () => member(me),
@@ -34,4 +40,35 @@
       if (want) expect(proposed[0]!.chain).to.deep.equal(VIEW.chain);
     });
   }
+
+  /** Who leaves its beats without a reply, though all are heard, and the chain proposed after so many ms. */
+  const lost: [string, { deaf: readonly string[]; me: string; ms: number }, string[] | null][] = [
+    ['leaves in one that did not reply for a moment', { deaf: ['k1'], me: 'k2', ms: 2200 }, null],
+    ['takes out a head that speaks but replies to nobody', { deaf: ['k1'], me: 'k2', ms: 2600 }, ['k2', 'k3']],
+    ['leaves that to the voters before it first', { deaf: ['k1'], me: 'k3', ms: 2500 }, null],
+    ['takes out nobody where no majority replies', { deaf: ['k2', 'k3'], me: 'k1', ms: 20_000 }, null],
+  ];
+  for (const [name, { deaf, me, ms }, want] of lost) {
+    it(name, () => {
+      let at = 0;
+      const proposed: View[] = [];
+      const watch = {
+        live: () => true,
+        silent: () => 0,
+        deaf: (m: { id: string }) => (deaf.includes(m.id) ? at : 0),
+        heard: () => undefined,
+        emptied: () => false,
+      };
+      const helm = { busy: () => false, propose: (_: unknown, next: View) => Promise.resolve(proposed.push(next) > 0) };
+      const m = Minder.make(
+        () => member(me),
+        () => at,
+        watch as unknown as Lookout,
+        helm as unknown as Rudder,
+        { remend: () => undefined } as unknown as Links,
+      );
+      for (; at < ms; at += 150) m.mind(VIEW);
+      expect(proposed[0]?.chain.map((x) => x.id) ?? null).to.deep.equal(want);
+    });
+  }
 });
--- a/packages/registry/src/minder.ts
+++ b/packages/registry/src/minder.ts
@@ -8,18 +8,26 @@
 
 /** ms without a claim, though all are heard, after which the view is made anew. */
 const LAME = 2 * Paces.suspect;
+/** ms for which a member that is heard may leave our beats without a reply: what is sent to it is lost. */
+const DEAF = 2 * Paces.suspect;
 
 /**
- * What a member of the chain that votes does about the others: those that are silent or sick go out of the chain, and a
- * vote goes to a member that has caught up. Invariants: the vote of a daemon goes to its heir of the same id, if that
- * stands in the chain, and else only once its owner is out of the chain and silent, or leaves. A change that was
- * promised and then given up bars every claim for good; so whoever goes long without makes the view anew.
+ * What a member of the chain that votes does about the others: those that are silent, deaf or sick go out of the
+ * chain, and a vote goes to a member that has caught up. Invariants: the vote of a daemon goes to its heir of the
+ * same id, if that stands in the chain, and else only once its owner is out of the chain and silent, or leaves. A
+ * change that was promised and then given up bars every claim for good; so whoever goes long without makes the view
+ * anew.
  */
 export const Minder = {
   make(me: () => Member, mono: () => number, watch: Lookout, helm: Rudder, chain: Links) {
     const mine = (m: Member): boolean => Views.same(m, me());
     const known = (m: Member): boolean => watch.heard(m)?.sick === true || watch.emptied(m);
-    const gone = (m: Member): boolean => known(m) || watch.silent(m) > Paces.suspect;
+    /** One that a majority does not reply to is cut off itself, and can't tell who else is. */
+    const replied = (v: View): boolean =>
+      v.voters.filter((m) => mine(m) || watch.deaf(m) < Paces.suspect).length >= Views.most(v);
+    const late = (v: View, m: Member, turn: number): boolean =>
+      watch.silent(m) > Paces.suspect + turn || (watch.deaf(m) > DEAF + turn && replied(v));
+    const gone = (v: View, m: Member): boolean => known(m) || late(v, m, 0);
     /** Members without a vote that hold all of this view. */
     const caught = (v: View): Member[] =>
       v.chain.filter((m) => {
@@ -29,9 +37,15 @@
     const shorten = (v: View, list: readonly Member[]): void => {
       const up = v.voters.filter((m) => mine(m) || watch.silent(m) < Paces.suspect);
       const turn = up.findIndex(mine) * 300;
-      const due = list.find((m) => known(m) || watch.silent(m) > Paces.suspect + turn);
+      const due = list.find((m) => known(m) || late(v, m, turn));
       if (!due) return;
-      const how = watch.heard(due)?.sick ? 'sick' : watch.emptied(due) ? 'emptied' : 'silent';
+      const how = watch.heard(due)?.sick
+        ? 'sick'
+        : watch.emptied(due)
+          ? 'emptied'
+          : watch.silent(due) > Paces.suspect
+            ? 'silent'
+            : 'deaf';
       const why = `${list.map((m) => m.id).join(', ')}: ${how}.`;
       void helm.propose(v.voters, Views.without(v, list), why);
     };
@@ -59,7 +73,7 @@
       mind(v: View): void {
         if (helm.busy() || !Views.votes(v, me())) return;
         const mates = v.chain.filter((m) => !mine(m));
-        const list = mates.filter(gone);
+        const list = mates.filter((m) => gone(v, m));
         if (list.length > 0) {
           shorten(v, list);
           return;
--- /dev/null
+++ b/packages/registry/src/watch.test.ts
@@ -0,0 +1,75 @@
+import { Err, Ok, type PostBox, type World } from '@pumicebarrow/forms';
+import { expect } from 'chai';
+import type { Spots } from './spots.js';
+import type { View } from './view.js';
+import type { Voting } from './voting.js';
+import { Watch } from './watch.js';
+
+const member = (id: string) => ({ id, born: 'b', addr: `${id}:1` });
+const [k1, k2, k3] = [member('k1'), member('k2'), member('k3')];
+const VIEW: View = { epoch: 3, chain: [k1, k2, k3], voters: [k1, k2, k3] };
+
+/** k2, to which k1 speaks all the while; whether k1 replies is up to the case. */
+const bench = () => {
+  let now = 0;
+  let replies = true;
+  const post = {
+    ask: (_addr: string, id: string) =>
+      Promise.resolve(
+        id === 'k1' && !replies
+          ? Err('lost')
+          : Ok({ me: member(id), view: VIEW, claim: true, sick: false, fresh: true }),
+      ),
+  } as unknown as PostBox;
+  const clock = { mono: () => now, wall: () => now, after: () => () => undefined };
+  const spots = { of: (m: { addr: string }) => m.addr, search: () => Promise.resolve() } as unknown as Spots;
+  const voter = { grant: () => true } as unknown as Voting;
+  const watch = Watch.make({ clock } as unknown as World, post, () => k2, spots, voter);
+  return {
+    watch,
+    reply(on: boolean): void {
+      replies = on;
+    },
+    async beats(ms: number): Promise<void> {
+      for (const end = now + ms; now < end; now += 150) {
+        watch.seen(k1, { sick: false, fresh: true, epoch: 3 });
+        await watch.beat(VIEW, { sick: false, fresh: true });
+        await new Promise((done) => setImmediate(done));
+      }
+    },
+    sleep(ms: number): void {
+      now += ms;
+    },
+  };
+};
+
+describe('The watch over the core', () => {
+  it('knows one that is heard and replies to no beat', async () => {
+    const b = bench();
+    await b.beats(600);
+    expect(b.watch.deaf(k1)).to.equal(0);
+    b.reply(false);
+    await b.beats(1500);
+    expect(b.watch.deaf(k1)).to.equal(1500);
+    expect(b.watch.deaf(k3)).to.equal(0);
+    expect(b.watch.silent(k1)).to.be.at.most(150);
+  });
+  it('forgets it with the first reply', async () => {
+    const b = bench();
+    b.reply(false);
+    await b.beats(1500);
+    b.reply(true);
+    await b.beats(150);
+    expect(b.watch.deaf(k1)).to.equal(0);
+  });
+  it('counts nothing over a sleep of its own, and from a new view on afresh', async () => {
+    const b = bench();
+    b.reply(false);
+    await b.beats(1500);
+    b.sleep(5000);
+    await b.beats(150);
+    expect(b.watch.deaf(k1)).to.equal(150);
+    b.watch.reset();
+    expect(b.watch.deaf(k1)).to.equal(0);
+  });
+});
--- a/packages/registry/src/watch.ts
+++ b/packages/registry/src/watch.ts
@@ -32,8 +32,11 @@
     let best: View | null = null;
     const asking = new Set<string>();
     const empty = Fading.make<boolean>(world.clock.mono, LIVES);
+    /** When the first beat went out of those that a member has not replied to since its last reply. */
+    const vain = new Map<string, number>();
     const awake = Awake.make(world.clock, () => {
       grants.clear();
+      vain.clear();
       slept++;
     });
 
@@ -42,6 +45,8 @@
       heard: (m: Member): Heard | undefined => heard.get(key(m)),
       /** Silence, counted from the view's start for one never heard in it. */
       silent: (m: Member): number => now() - Math.max(heard.get(key(m))?.at ?? 0, since),
+      /** For how long it has replied to no beat, however much of it is heard. */
+      deaf: (m: Member): number => now() - (vain.get(key(m)) ?? now()),
       /** Whether its place was found taken by one of the same id and another life: so it is no more. */
       emptied: (m: Member): boolean => empty.get(key(m)) === true,
       /** Lays down all claims, those still on their way too. */
@@ -51,6 +56,7 @@
       },
       reset(): void {
         grants.clear();
+        vain.clear();
         eras++;
         since = now();
       },
@@ -75,7 +81,10 @@
           asking.delete(key(m));
           awake.look();
           if (!r.ok) void spots.search(view);
-          if (!r.ok || slept !== before) return;
+          if (slept !== before) return;
+          if (r.ok) vain.delete(key(m));
+          else if (era === eras && !vain.has(key(m))) vain.set(key(m), at);
+          if (!r.ok) return;
           if (r.val.me.id === m.id && r.val.me.born !== m.born) empty.set(key(m), true, KEEP);
           if (!Views.same(r.val.me, m)) return;
           seen(m, { sick: r.val.sick, fresh: r.val.fresh, epoch: r.val.view?.epoch ?? 0 });
--- a/packages/sim/src/drills/alone.ts
+++ b/packages/sim/src/drills/alone.ts
@@ -125,6 +125,26 @@
       return next !== undefined && next.at - from < 2000;
     },
   },
+  {
+    name: 'deafhead',
+    about:
+      'what the others send to the head is lost, and it goes on speaking to them; a charter is confirmed without it',
+    async run(s) {
+      const head = s.b.chain()[0]!;
+      await s.read();
+      const plan = await s.plan();
+      const n = views(s).length;
+      const lift = s.b.net.cut(others(head), [head], true);
+      const moved = await s.until(() => without(s, n, head) !== undefined, 8000);
+      const from = s.now();
+      await s.spray(1500, 20, () => {
+        if (plan && !confirmed(s, from)) void s.confirm(plan);
+      });
+      const done = confirmed(s, from);
+      lift();
+      return moved && done;
+    },
+  },
   {
     name: 'liveclaim',
     about:
