Drill lapse has a crowd, so that some memory is held when it lapses

No product fault. Now a crowd of 60 comes before each tenth lapse. Nothing is taken out of the drill.

--- a/packages/sim/src/drills/servers.ts
+++ b/packages/sim/src/drills/servers.ts
@@ -110,6 +110,11 @@
     meets: ['lapsed'],
     async run(s) {
       for (let i = 0; i < 60; i++) {
+        // Memory is held for a few ms where servers are idle: a crowd sees to it that some is held when it lapses.
+        if (i % 10 === 0) {
+          s.callers.crowd(60);
+          await s.nap(10 + s.real() * 20);
+        }
         s.park.lapse();
         await s.nap(120);
       }
