Lending: borrowed work goes to servers with the lowest urgency

Sends of borrowed visits name urgency 0, live ones none; the stand-in server serves the latter as if the former were not there. Before: both had the same share of a server.

--- a/packages/counter/src/lentrun.ts
+++ b/packages/counter/src/lentrun.ts
@@ -23,8 +23,8 @@
 
 /**
  * The path of borrowed visits: that of live ones, with a gate, waitlists and loads of its own. Invariants: live work
- * shares none of these, so it never waits for what is borrowed; every send is bound by its server's lease; there are
- * no extra tries, what finds a fault goes back to its burst.
+ * shares none of these, so it never waits for what is borrowed; every send is bound by its server's lease, and of the
+ * lowest urgency there; there are no extra tries, what finds a fault goes back to its burst.
  */
 export const LentRun = {
   make(t: Tools) {
@@ -44,7 +44,7 @@
     const bucket = { visit: (): void => undefined, take: (): boolean => false, level: (): number => 0 };
     const demand = { read: 0, write: 0 };
     const lists = { waitlist, hands, select, loads: t.loads };
-    const visit = Run.make({ ...t, ...lists, hails, gate, pump, bucket, demand });
+    const visit = Run.make({ ...t, ...lists, hails, gate, pump, bucket, demand, urgency: 0 });
     return {
       visit,
       pump,
--- a/packages/counter/src/reading.ts
+++ b/packages/counter/src/reading.ts
@@ -6,6 +6,7 @@
 import type { RunTools } from './runtools.js';
 import type { Tries } from './tries.js';
 import type { Trip } from './trip.js';
+import { Urgency } from './urgency.js';
 import type { Visit } from './visit.js';
 
 type Taken = { s: Listed; free: () => void };
@@ -45,7 +46,7 @@
       const { v, rule, life } = trip;
       const { key, attempt, prefix, part } = v;
       world.tell({ what: 'send', part: 'prefill', server: s.id, key, attempt, version: t.version() });
-      const job = { key, attempt, ...bound, prefix, part, weight: rule.weight };
+      const job = { key, attempt, ...Urgency.of(t), ...bound, prefix, part, weight: rule.weight };
       const got = await t.back.prefill(s.addr, job, Math.max(LEAST, Math.min(PATIENCE, trip.due - now())));
       const h = got.ok ? got.val : null;
       if (fits(h, v, s)) {
--- a/packages/counter/src/runtools.ts
+++ b/packages/counter/src/runtools.ts
@@ -29,4 +29,6 @@
   /** Whether the charter held is surely not an older one than was once held here. */
   sure: () => boolean;
   demand: { read: number; write: number };
+  /** Told to servers with each send, for work that live work may overtake there; left out for live work. */
+  urgency?: number;
 };
--- a/packages/counter/src/writing.test.ts
+++ b/packages/counter/src/writing.test.ts
@@ -17,8 +17,10 @@
   const loads = Loads.make();
   const met: string[] = [];
   const least = () => servers.filter((s) => loads.at(s.id) === 0)[0] ?? null;
-  const call = (addr: string) => {
+  const jobs: { urgency?: number }[] = [];
+  const call = (addr: string, job: { urgency?: number }) => {
     met.push(addr);
+    jobs.push(job);
     return new Promise<never>(() => undefined);
   };
   const t = {
@@ -45,7 +47,7 @@
     reader: servers[0]!,
     why: Err('x') as never,
   });
-  return { t, tries: Tries.make(t), trip, met };
+  return { t, jobs, tries: Tries.make(t), trip, met };
 };
 
 describe('Visits that have their turn in one instant', () => {
@@ -60,5 +62,11 @@
       await new Promise((done) => void setTimeout(done, 0));
       expect(r.met).to.deep.equal(['m1', 'm2', 'm3']);
     });
+    it(`are ${name} with the urgency that they have at the server, live ones with none`, async () => {
+      const r = rig();
+      for (const t of [r.t, { ...r.t, urgency: 0 }]) void make(t, r.tries)(r.trip(r.jobs.length));
+      await new Promise((done) => void setTimeout(done, 0));
+      expect(r.jobs.map((j) => j.urgency)).to.deep.equal([undefined, 0]);
+    });
   }
 });
--- a/packages/counter/src/writing.ts
+++ b/packages/counter/src/writing.ts
@@ -7,6 +7,7 @@
 import { StreamCheck } from './streamcheck.js';
 import type { Tries } from './tries.js';
 import type { Trip } from './trip.js';
+import { Urgency } from './urgency.js';
 
 type Checking = ReturnType<typeof StreamCheck.make>;
 type Taken = { s: Listed; free: () => void };
@@ -93,7 +94,7 @@
       world.tell({ what: 'send', part: 'decode', server: s.id, key, attempt });
       const check = StreamCheck.make({ key, attempt, born: s.born });
       const ear = hearer(trip, s, check);
-      const job = { key, attempt, ...bound, handle, pieces, weight };
+      const job = { key, attempt, ...Urgency.of(t), ...bound, handle, pieces, weight };
       const ms = Math.max(IDLE, Math.min(PATIENCE, trip.due - now()));
       const got = await t.back.decode(s.addr, job, ms, (p) => ear.take(p));
       if (trip.life.machine.current !== 'ended') failed(trip, s, fault(got, ear.wrong), check.count());
--- a/packages/sim/src/model.test.ts
+++ b/packages/sim/src/model.test.ts
@@ -19,10 +19,12 @@
   let mono = 0;
   let wall = 0;
   const told: Deed[] = [];
+  const naps: number[] = [];
   const clock: Clock = {
     mono: () => mono,
     wall: () => wall,
-    after: (_ms, fn) => {
+    after: (ms, fn) => {
+      naps.push(ms);
       queueMicrotask(fn);
       return () => undefined;
     },
@@ -43,6 +45,7 @@
   return {
     m,
     told,
+    naps,
     pass(a: number, b = a): void {
       mono += a;
       wall += b;
@@ -101,3 +104,27 @@
     expect(told.filter((t) => t.startsWith('ran'))).to.deep.equal(['ran k 1']);
   });
 });
+
+describe('A stand-in server with work that may be overtaken', () => {
+  /** How long the last of some jobs, begun in one instant, takes to be read. */
+  const last = (...urgencies: (number | undefined)[]): number => {
+    const s = stand();
+    s.m.order(slip);
+    urgencies.forEach((urgency, i) => {
+      const one = { ...job, key: `k${i}`, prefix: String.fromCharCode(97 + i) };
+      void s.m.prefill({ ...one, ...(urgency === undefined ? {} : { urgency }) });
+    });
+    return s.naps.at(-1)!;
+  };
+  const some = (n: number, u: number | undefined) => Array.from({ length: n }, () => u);
+  const alone = last(undefined);
+  it('serves other work as if there were none of it', () => {
+    expect(last(...some(20, 0), undefined)).to.equal(alone);
+    expect(last(...some(20, 0), ...some(16, undefined))).to.equal(last(...some(16, undefined)));
+  });
+  it('serves it as fast where it is alone, and by what is left where it is not', () => {
+    expect(last(...some(8, 0))).to.equal(alone);
+    expect(last(...some(6, undefined), ...some(4, 0))).to.equal(2 * alone);
+    expect(last(...some(8, undefined), 0)).to.be.within(2 * alone, 20 * alone);
+  });
+});
--- a/packages/sim/src/model.ts
+++ b/packages/sim/src/model.ts
@@ -20,6 +20,9 @@
 };
 type Turned = { code: 'busy' | 'wrongpart' | 'lapsed' | 'old' | 'late' | 'bad' };
 
+/** The share of the slots that work which may be overtaken keeps, so that its streams don't fall silent. */
+const LEAST = 0.05;
+
 /**
  * A stand-in model server. Invariants: an order older than the newest obeyed is turned away, and so is whatever is
  * meant for another life or comes after its bound, before it changes anything;
@@ -46,10 +49,18 @@
     };
     const memory = new Map<string, Kept>();
     let prefixes: readonly string[] = [];
-    const bump = (by: number): void => {
+    /** Of what is under way, that which others may overtake. */
+    let low = 0;
+    const bump = (by: number, job: VisitJob): void => {
+      if (job.urgency !== undefined) low += by;
       state = { ...state, busy: state.busy + by };
     };
-    const fair = (): number => s.pace * (1 + Math.max(0, state.busy - s.slots) / s.slots);
+    /** Work that names no urgency is served first; the rest shares what slots that leaves, or a little. */
+    const fair = (job: VisitJob): number => {
+      const first = state.busy - low,
+        left = Math.max(s.slots - first, s.slots * LEAST);
+      return s.pace * (job.urgency === undefined ? Math.max(1, first / s.slots) : Math.max(1, low / left));
+    };
     return {
       state: (): BackState => ({ ...state, clock: tide.now() }),
       lapse(): void {
@@ -69,13 +80,13 @@
         if (state.part !== 'prefill') return { code: 'wrongpart' };
         if (state.busy >= s.slots * 4) return { code: 'busy' };
         h.took('prefill');
-        bump(1);
+        bump(1, job);
         const prefix = Hash.text(job.prefix),
           known = prefixes.includes(prefix);
         prefixes = [prefix, ...prefixes.filter((p) => p !== prefix)].slice(0, 12);
         const size = (known ? 0 : job.prefix.length) + job.part.length;
-        await Timer.nap(clock, fair() * (0.5 + size / 400));
-        bump(-1);
+        await Timer.nap(clock, fair(job) * (0.5 + size / 400));
+        bump(-1, job);
         const handle: Handle = {
           id: Dice.word(chance),
           key: job.key,
@@ -105,14 +116,14 @@
         if (state.part !== 'decode') return { code: 'wrongpart' };
         if (state.busy >= s.slots * 4 || h.trick() === 'flaky') return { code: 'busy' };
         h.took('decode');
-        bump(1);
+        bump(1, job);
         const got = await h.fetch(job.handle);
         const fits =
           got &&
           (h.trick() === 'swap' ||
             (got.key === job.key && got.attempt === job.attempt && got.digest === job.handle.digest));
         if (!fits || (h.trick() !== 'swap' && (job.handle.key !== job.key || job.handle.attempt !== job.attempt))) {
-          bump(-1);
+          bump(-1, job);
           return { code: got ? 'bad' : 'lapsed' };
         }
         const trick = h.trick();
@@ -126,7 +137,7 @@
           born: trick === 'old' ? 'before' : s.born,
         };
         for (let n = 1; n <= count && on(); n++) {
-          await Timer.nap(clock, fair());
+          await Timer.nap(clock, fair(job));
           if (trick === 'early' && n === count) break;
           const text = Text.piece(trick === 'other' ? `other ${digest}` : digest, n);
           hash.update(`${n}:${text}\n`);
@@ -134,7 +145,7 @@
           if (trick === 'repeat' && n === 1) emit({ ...base, n, text });
         }
         if (on() && trick !== 'torn') emit({ ...base, end: true, count, digest: hash.digest('hex').slice(0, 24) });
-        bump(-1);
+        bump(-1, job);
         return null;
       },
     };
