--- a/packages/sim/src/model.ts
+++ b/packages/sim/src/model.ts
@@ -56,6 +56,7 @@
       state = { ...state, busy: state.busy + by };
     };
     /** Work that names no urgency is served first; the rest shares what slots that leaves, or a little. */
+    const full = (job: VisitJob): boolean => state.busy - (job.urgency === undefined ? low : 0) >= s.slots * 4;
     const fair = (job: VisitJob): number => {
       const first = state.busy - low,
         left = Math.max(s.slots - first, s.slots * LEAST);
@@ -78,7 +79,7 @@
       ): Promise<Handle | Turned> {
         if (past(job, 'prefill')) return { code: 'late' };
         if (state.part !== 'prefill') return { code: 'wrongpart' };
-        if (state.busy >= s.slots * 4) return { code: 'busy' };
+        if (full(job)) return { code: 'busy' };
         h.took('prefill');
         bump(1, job);
         const prefix = Hash.text(job.prefix),
@@ -114,7 +115,7 @@
       ): Promise<Turned | null> {
         if (past(job, 'decode')) return { code: 'late' };
         if (state.part !== 'decode') return { code: 'wrongpart' };
-        if (state.busy >= s.slots * 4 || h.trick() === 'flaky') return { code: 'busy' };
+        if (full(job) || h.trick() === 'flaky') return { code: 'busy' };
         h.took('decode');
         bump(1, job);
         const got = await h.fetch(job.handle);
