A leaving router takes only what it will have finished before its end

From 2.6 s on it now refuses at once, unrun, what takes longer than is left, by the longest whole answer of the route lately; the route's limit where none is known.

--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -4,6 +4,7 @@
 export { Changing } from './changing.js';
 export { DaemonStatus } from './daemonstatus.js';
 export { Deferral } from './deferral.js';
+export { Durations } from './durations.js';
 export { type Engine } from './engine.js';
 export { FirstTries } from './firsttries.js';
 export { type Handle } from './handle.js';
--- a/packages/router/src/leaving.test.ts
+++ b/packages/router/src/leaving.test.ts
@@ -1,6 +1,8 @@
 import { Err } from '@pumicebarrow/forms';
 import { Tuned } from '@pumicebarrow/purge';
 import { expect } from 'chai';
+import { Durations } from './durations.js';
+import { DIRECT, play } from './play.test.js';
 import { Router } from './router.js';
 import { request, routing, testClock, testEngine, testSink, testWorld } from './stand.test.js';
 
@@ -27,7 +29,7 @@
     });
     await time.pass(3000);
     expect(await code()).to.equal('oldlist');
-    router.leave();
+    router.leave(2600, 20_000);
     expect(await code()).to.equal('oldlist');
     slept += 5000;
     expect(await code()).to.equal('asking');
@@ -35,4 +37,25 @@
     expect(await code()).to.equal('oldlist');
     router.stop();
   });
+  it('takes nothing that would not be done before its end', async () => {
+    const cases: [string, number, string | undefined][] = [
+      ['while clients may still be sent here', Infinity, undefined],
+      ['with time for the longest', 8001, undefined],
+      ['without, as far as is known', 7000, 'leaving'],
+    ];
+    for (const [name, left, code] of cases) {
+      const got = await play({ ...DIRECT, left, script: [{ run: 'ok', events: 1 }] });
+      expect(got.verdict?.code, name).to.equal(code);
+      expect(got.calls.length, name).to.equal(code ? 0 : 1);
+    }
+    const time = testClock();
+    const durations = Durations.make(time.clock);
+    expect(durations.longest('r', 8000)).to.equal(8000);
+    durations.note('r', 300);
+    durations.note('r', 2400);
+    durations.note('r', 200);
+    expect(durations.longest('r', 8000)).to.equal(2400);
+    await time.pass(60_000);
+    expect(durations.longest('r', 8000)).to.be.lessThan(400);
+  });
 });
--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -23,6 +23,8 @@
   budget?: number;
   shut?: Verdict;
   old?: boolean;
+  /** ms that the daemon still has. */
+  left?: number;
   /** ms after which the list is young again. */
   renewed?: number;
   /** Prompt tokens that others read at servers. */
@@ -74,7 +76,12 @@
   const serve = Serve.make({
     log: steps,
     ...{ world, list, loads, health, kept, pace, speed, budget, engine: testEngine(s.script, calls) },
-    ...{ shut: () => s.shut ?? null, routes: () => routes, placement: Placement.make(tools) },
+    ...{
+      shut: () => s.shut ?? null,
+      left: () => s.left ?? Infinity,
+      routes: () => routes,
+      placement: Placement.make(tools),
+    },
     turned: (x) => void health.turned(x.id),
     suspect: (x) => void (health.bad(x.id) && suspected.push(x.id)),
   });
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -55,6 +55,8 @@
     const life = interpret(DaemonLife, () => undefined);
     const is = (): string => life.machine.current;
     let certain = false;
+    /** When no new clients are sent here any more, and when this daemon ends. */
+    let leaving = { turned: Infinity, end: Infinity };
     let routes: Routes | null = null;
     const post = Post.make(world, self);
     const shelf = Shelf.make(SharedSound.doc);
@@ -104,6 +106,7 @@
       if (is() === 'serving' || (is() === 'draining' && certain)) return null;
       return Verdicts.not('asking', 'This daemon is learning the newest configuration.', 0.2);
     };
+    const left = (): number => (clock.mono() < leaving.turned ? Infinity : leaving.end - clock.mono());
     const sightings = Sightings.make({ clock, chance: world.chance, shelf, purge, self: ident.id });
     /** A server failed here: it is told to all, once each time that it begins to, unless they just heard it. */
     const suspect = (s: Server, why: string): void => {
@@ -116,7 +119,22 @@
       if (health.turned(s.id) && loads.at(s.id).runs < s.slots / 2) sightings.tell(s.id);
     };
     const steps = RequestLog.make(clock);
-    const tools = { world, engine, shut, list, loads, health, kept, pace, speed, placement, budget, suspect, turned };
+    const tools = {
+      world,
+      engine,
+      shut,
+      left,
+      list,
+      loads,
+      health,
+      kept,
+      pace,
+      speed,
+      placement,
+      budget,
+      suspect,
+      turned,
+    };
     const serve = Serve.make({ ...tools, log: steps, routes: () => routes });
     const stops: (() => void)[] = [];
     const ears: ((now: Routes) => void)[] = [];
@@ -184,8 +202,12 @@
         void ask();
         stops.push(Timer.every(clock, CHECKIN, head.tick));
       },
-      /** From here on it is not ready; what comes all the same is served. */
-      leave(): void {
+      /**
+       * From here on it is not ready; what comes all the same is served. After `turned` ms, when clients should go
+       * elsewhere, only what will be done before its end, `end` ms from now.
+       */
+      leave(turned: number, end: number): void {
+        leaving = { turned: clock.mono() + turned, end: clock.mono() + end };
         life.send('leave');
         log.say('Leaving: clients are sent elsewhere.');
       },
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -1,6 +1,7 @@
 import { Timer, Verdicts, type Verdict } from '@pumicebarrow/forms';
 import type { AnswerSink } from './answersink.js';
 import { Deferral } from './deferral.js';
+import { Durations } from './durations.js';
 import { FirstTries } from './firsttries.js';
 import type { Job } from './job.js';
 import { Reader } from './reader.js';
@@ -23,7 +24,8 @@
 /**
  * One request, from its arrival to its answer, written straight down.
  * Invariants: nothing is sent while this daemon isn't sure of its configuration; a request is sent again only where
- * that can't run it twice, within the route's tries, and from the budget; the answer is given up on at once or goes on.
+ * that can't run it twice, within the route's tries, and from the budget; the answer is given up on at once or goes on;
+ * one that this daemon would end before is not taken.
  */
 export const Serve = {
   make(t: ServeTools) {
@@ -31,6 +33,7 @@
     const read = Reader.make(t),
       run = Runner.make(t);
     const firsts = FirstTries.make();
+    const durations = Durations.make(t.world.clock);
     const refuse = (code: string, why: string): Verdict => Verdicts.not(code, why, SOON);
     const start = (request: Request, sink: AnswerSink): Job | Verdict => {
       const shut = t.shut();
@@ -41,6 +44,8 @@
       if (!found) return Verdicts.not('unknownroute', `No route for ${request.host}${request.path}.`);
       const service = routes.pick(found, t.world.chance.real());
       if (!service) return refuse('noservice', `Route ${found.route.name} leads nowhere.`);
+      const { name, timeout } = found.route;
+      if (t.left() < durations.longest(name, timeout)) return refuse('leaving', 'This daemon ends before it.');
       if (!t.list.young()) return refuse('oldlist', "The platform's list is too old to send by.");
       t.log.note(request.id, 'taken', {
         at: service.name,
@@ -122,6 +127,7 @@
         t.log.note(request.id, 'done', { at: job.ran, word: job.code, why: job.why });
         return job;
       }
+      const began = now();
       t.budget.request();
       const later = deferred(job);
       if (later !== null) return told(job, Verdicts.not('deferred', 'It would be late now.', later));
@@ -133,6 +139,7 @@
         const whole = job.fault === null && job.arrivals > 0;
         if (whole) sink.end();
         else sink.cut();
+        if (whole) durations.note(job.route.name, now() - began);
         told(job, whole ? Verdicts.ran('whole', 'Whole.') : Verdicts.maybe('cut', job.fault?.why ?? 'cut'));
         return null;
       }
--- a/packages/router/src/servetools.ts
+++ b/packages/router/src/servetools.ts
@@ -18,6 +18,8 @@
   engine: Engine;
   /** Null while requests may be served; else why not. */
   shut: () => Verdict | null;
+  /** ms that this daemon still has for a request taken now. */
+  left: () => number;
   routes: () => Routes | null;
   list: ServerListing;
   loads: ReturnType<typeof ServerLoads.make>;
--- a/packages/routesim/src/virtualfleet.ts
+++ b/packages/routesim/src/virtualfleet.ts
@@ -111,7 +111,7 @@
         down(id, false);
         return;
       }
-      r?.leave();
+      r?.leave(TURNED, Bounds.grace - SPARE);
       if (r)
         while (here() && gone() < Bounds.grace - SPARE && (gone() < TURNED || (open.get(id) ?? 0) > 0)) await nap(LOOK);
       if (k) await Promise.race([k.leave(), nap(Bounds.grace)]);
