--- a/packages/router/src/stageduty.ts
+++ b/packages/router/src/stageduty.ts
@@ -36,8 +36,8 @@
  * Which servers of a service read and which decode: looked after by one daemon, under a fence.
  * Invariants: an order leaves only under a fence that is live at that instant, and not before the lease of another
  * holder's last order has surely passed; the sheet's row says what was ordered before the order leaves, so no router
- * sends there by the old stage; a few changes of a service at a time, and others only once most of those are done, but where a
- * stage is bare.
+ * sends there by the old stage; a few changes of a service at a time, and others only once most of those are done, but
+ * where a stage is bare.
  */
 export const StageDuty = {
   make(t: Tools) {
--- a/packages/router/src/stagemix.ts
+++ b/packages/router/src/stagemix.ts
@@ -23,9 +23,10 @@
 
 /**
  * Whether more servers of a service should read, or fewer. Invariants: never below one server of a stage; by one at a
- * time, and in a large service by a small part of it, for one of many moves too little to be worth it; only where the busier stage would be clearly less busy for it, seen several times running, unless a
- * stage has no server left, which is mended at once. Where decode servers are full, requests are refused that readers
- * would have time for: then a reader decodes, if readers are the more or little waits there.
+ * time, and in a large service by a small part of it, for one of many moves too little to be worth it; only where the
+ * busier stage would be clearly less busy for it, seen several times running, unless a stage has no server left, which
+ * is mended at once. Where decode servers are full, requests are refused that readers would have time for: then readers
+ * decode, if readers are the more or little waits there.
  */
 export const StageMix = {
   /** How busy the busier stage is; work goes round, so what one server gives up the others take. */
