--- a/packages/routesim/src/drills/serverdrills.ts
+++ b/packages/routesim/src/drills/serverdrills.ts
@@ -114,6 +114,30 @@
     run: (s) => harm(s, 0.4, 6000, { slow: 6 }),
     meets: Met.kind('harm'),
   },
+  {
+    name: 'srv_grey',
+    about: 'servers turn a part of their requests away, although they have room',
+    run: (s) => harm(s, 0.3, 6000, { shed: 0.45 }),
+    meets: Met.turned('refused'),
+  },
+  {
+    name: 'srv_hang',
+    about: 'servers take a part of their requests up and say nothing of them',
+    run: (s) => harm(s, 0.3, 6000, { hang: 0.45 }),
+    meets: Met.kind('harm'),
+  },
+  {
+    name: 'srv_flap',
+    about: 'servers go down and up by turns',
+    async run(s) {
+      for (let i = 0; i < 4; i++) {
+        s.trouble.crash(0.3, 'back', 700);
+        await s.f.nap(1400);
+      }
+      await s.f.nap(4000);
+    },
+    meets: Met.kind('crash'),
+  },
   { name: 'kv_slow', about: 'moves take long', run: (s) => harm(s, 1, 6000, { moves: 60 }), meets: Met.kind('harm') },
   {
     name: 'handle_short',
--- a/packages/routesim/src/modelserver.ts
+++ b/packages/routesim/src/modelserver.ts
@@ -36,7 +36,7 @@
     let next: Stage | null = null;
     let ticking = false;
     let count = 0;
-    const trouble = { hold: Bounds.hold, moves: 1, slow: 1, lose: 0, spoil: 0 };
+    const trouble = { hold: Bounds.hold, moves: 1, slow: 1, lose: 0, spoil: 0, shed: 0, hang: 0 };
     let linkFree = 0;
     const now = motor.now;
     const order = (a: ServerWork, b: ServerWork): number => a.urgency - b.urgency || a.order - b.order;
@@ -155,8 +155,13 @@
         } else if (queue.length >= QUEUE || w.size + w.out > MEMORY || next || w.until <= now()) {
           says(w, 'refused');
           w.done(Err(TURNED('full')));
+        } else if (trouble.shed > 0 && motor.chance.real() < trouble.shed) {
+          says(w, 'refused');
+          w.done(Err(TURNED('grey')));
         } else {
           says(w, 'taken');
+          // One that hangs is taken up and never worked on; nothing more is said of it.
+          if (trouble.hang > 0 && motor.chance.real() < trouble.hang) return;
           queue.push(w);
           wake(1);
         }
