Revert "Of a large service several servers change their stage at once"

Each batch takes a part of the readers away for some two seconds and moves the homes of a part of the prefixes, which are then read anew, so the readers fall further behind and the next batch follows.

--- a/packages/router/src/stageduty.ts
+++ b/packages/router/src/stageduty.ts
@@ -36,8 +36,7 @@
  * Which servers of a service read and which decode: looked after by one daemon, under a fence.
  * Invariants: an order leaves only under a fence that is live at that instant, and not before the lease of another
  * holder's last order has surely passed; the sheet's row says what was ordered before the order leaves, so no router
- * sends there by the old stage; a few changes of a service at a time, and others only once most of those are done, but
- * where a stage is bare.
+ * sends there by the old stage; one change of a service at a time, but where a stage is bare.
  */
 export const StageDuty = {
   make(t: Tools) {
@@ -101,23 +100,16 @@
       };
       const lean = mix.look(load, count);
       const bare = count.prefill < 1 || count.decode < 1;
-      const pending = changes.size * 2 > StageMix.step(count);
-      if (lean === 0 || (!bare && (pending || now() - moved < CALM))) return;
+      if (lean === 0 || (!bare && (changes.size > 0 || now() - moved < CALM))) return;
       const from: Stage = lean > 0 ? 'decode' : 'prefill';
-      const some: Server[] = [];
-      const most = bare ? 1 : Math.min(StageMix.step(count), of(from).length - 1);
-      while (some.length < most) {
-        const s = pick(of(from).filter((x) => !changes.has(x.id) && !some.includes(x)));
-        if (!s) break;
-        some.push(s);
-      }
-      if (some.length === 0) return;
+      const s = pick(of(from).filter((x) => !changes.has(x.id)));
+      if (!s) return;
       t.log.say(
         `${service}: ${count.prefill} read, ${count.decode} decode; ${Math.round(load.read)} ms wait to be read, ` +
           `${Math.round(load.run)} run at each.`,
       );
       mix.reset();
-      for (const s of some) begin(fence, s, lean > 0 ? 'prefill' : 'decode');
+      begin(fence, s, lean > 0 ? 'prefill' : 'decode');
     };
     const tick = (): void => {
       const fence = t.fence();
--- a/packages/router/src/stagemix.ts
+++ b/packages/router/src/stagemix.ts
@@ -18,15 +18,12 @@
 /** The part of the room from which on decode servers are held to be full, and the reading that may wait then. */
 const BRIM = 0.85;
 const WAITS = 150;
-/** The part of a service that may change its stage at once. */
-const PART = 1 / 12;
 
 /**
- * Whether more servers of a service should read, or fewer. Invariants: never below one server of a stage; by one at a
- * time, and in a large service by a small part of it, for one of many moves too little to be worth it; only where the
- * busier stage would be clearly less busy for it, seen several times running, unless a stage has no server left, which
- * is mended at once. Where decode servers are full, requests are refused that readers would have time for: then readers
- * decode, if readers are the more or little waits there.
+ * Whether one more server of a service should read, or one fewer. Invariants: never below one server of a stage; by
+ * one at a time; only where the busier stage would be clearly less busy for it, seen several times running, unless a
+ * stage has no server left, which is mended at once. Where decode servers are full, requests are refused that readers
+ * would have time for: then a reader decodes, if readers are the more or little waits there.
  */
 export const StageMix = {
   /** How busy the busier stage is; work goes round, so what one server gives up the others take. */
@@ -42,9 +39,7 @@
     const used = (at / (at + half)) * ratio;
     return used >= FULL ? Infinity : (half * used) / (1 - used);
   },
-  /** How many servers change at once, where there are so many. */
-  step: (now: Count): number => Math.max(1, Math.floor((now.prefill + now.decode) * PART)),
-  /** More readers (1), fewer (-1), or as many as there are. */
+  /** One more reader (1), one fewer (-1), or none. */
   lean(load: Load, now: Count): -1 | 0 | 1 {
     if (now.prefill + now.decode < 2) return 0;
     if (now.prefill < 1) return 1;
@@ -53,9 +48,8 @@
     if (full && now.prefill > 1 && (now.prefill > now.decode || load.read < WAITS)) return -1;
     const here = StageMix.pressure(load, now, now);
     if (here < BUSY) return 0;
-    const step = StageMix.step(now);
-    const more = StageMix.pressure(load, now, { prefill: now.prefill + step, decode: now.decode - step });
-    const less = StageMix.pressure(load, now, { prefill: now.prefill - step, decode: now.decode + step });
+    const more = StageMix.pressure(load, now, { prefill: now.prefill + 1, decode: now.decode - 1 });
+    const less = StageMix.pressure(load, now, { prefill: now.prefill - 1, decode: now.decode + 1 });
     if (!(Math.min(more, less) <= here * GAIN)) return 0;
     return more < less ? 1 : -1;
   },
