--- a/packages/router/src/placement.test.ts
+++ b/packages/router/src/placement.test.ts
@@ -64,10 +64,12 @@
     for (const id of ['d1', 'd2']) loads.read(id, 60_000);
     expect(place.weigh(service, route, p, none).read!.server.id).to.not.equal(home);
   });
-  it('sends what leaves a home to one other, the same for all, and the longest only where they would wait', () => {
+  it('sends what leaves a home to one other, the same for all, and the longest only where they would wait', async () => {
     const { place, loads, list, time, service, route } = make();
     const many = Array.from({ length: 9 }, (_, i) => server(`p${i}`, 'prefill'));
+    await time.pass(1);
     list.take([...many, ...all.slice(2)], time.clock.mono(), 'shared');
+    expect(list.all()).to.have.length(12);
     const at = (p: ReturnType<typeof prompt>) => place.weigh(service, route, p, none).read!.server.id;
     const p = prompt(4000, 6000);
     const home = at(p);
