Stages change in large services: as many servers are weighed as are a sixtieth

Cause: one server of many never brings the busier stage to 0.8 of what it is, so none was moved (300 servers and more). Now the gain is weighed for a sixtieth of the service; still one is moved at a time, and up to 60 servers nothing changes. Ruled out: the way to the best mix for the gain (moves where today none is moved in small services too).

--- a/packages/router/src/listwatch.ts
+++ b/packages/router/src/listwatch.ts
@@ -26,8 +26,8 @@
 
 /**
  * What a router does when no word of the list comes from the head: it asks two others, and failing that the platform.
- * Invariants: a list that both hold is named by its mark and not sent; an age travels with it and is counted from before
- * it was asked for; the more daemons there are, the fewer of them ask the platform at once.
+ * Invariants: a list that both hold is named by its mark and not sent; an age travels with it and is counted from
+ * before it was asked for; the more daemons there are, the fewer of them ask the platform at once.
  */
 export const ListWatch = {
   make(t: Tools) {
--- a/packages/router/src/stagemix.ts
+++ b/packages/router/src/stagemix.ts
@@ -14,6 +14,8 @@
 /** Below this no change is worth its cost; and a change must bring the busier stage below this part of what it is. */
 const BUSY = 0.9;
 const GAIN = 0.8;
+/** Of so many servers one is weighed alone; of more, a part as large. */
+const STEP = 60;
 const TIMES = 5;
 /** The part of the room from which on decode servers are held to be full, and the reading that may wait then. */
 const BRIM = 0.85;
@@ -21,9 +23,10 @@
 
 /**
  * Whether one more server of a service should read, or one fewer. Invariants: never below one server of a stage; by
- * one at a time; only where the busier stage would be clearly less busy for it, seen several times running, unless a
- * stage has no server left, which is mended at once. Where decode servers are full, requests are refused that readers
- * would have time for: then a reader decodes, if readers are the more or little waits there.
+ * one at a time; only where the busier stage would be clearly less busy for it, or in a large service for as many as
+ * are the same part of it, seen several times running, unless a stage has no server left, which is mended at once.
+ * Where decode servers are full, requests are refused that readers would have time for: then a reader decodes, if
+ * readers are the more or little waits there.
  */
 export const StageMix = {
   /** How busy the busier stage is; work goes round, so what one server gives up the others take. */
@@ -48,8 +51,9 @@
     if (full && now.prefill > 1 && (now.prefill > now.decode || load.read < WAITS)) return -1;
     const here = StageMix.pressure(load, now, now);
     if (here < BUSY) return 0;
-    const more = StageMix.pressure(load, now, { prefill: now.prefill + 1, decode: now.decode - 1 });
-    const less = StageMix.pressure(load, now, { prefill: now.prefill - 1, decode: now.decode + 1 });
+    const step = Math.ceil((now.prefill + now.decode) / STEP);
+    const more = StageMix.pressure(load, now, { prefill: now.prefill + step, decode: now.decode - step });
+    const less = StageMix.pressure(load, now, { prefill: now.prefill - step, decode: now.decode + step });
     if (!(Math.min(more, less) <= here * GAIN)) return 0;
     return more < less ? 1 : -1;
   },
--- a/packages/router/src/stages.test.ts
+++ b/packages/router/src/stages.test.ts
@@ -30,10 +30,35 @@
     ['the last decoder stays', { read: 5000, run: 0 }, { prefill: 3, decode: 1 }, 0],
     ['a stage without any is filled', { read: 0, run: 0 }, { prefill: 0, decode: 3 }, 1],
     ['and the other', { read: 0, run: 0 }, { prefill: 3, decode: 0 }, -1],
+    [
+      'among many servers too reading far behind takes a decoder',
+      { read: 700, run: 6 },
+      { prefill: 425, decode: 825 },
+      1,
+    ],
+    ['and many runs take a reader', { read: 50, run: 200 }, { prefill: 425, decode: 825 }, -1],
+    ['and both busy stay', { read: 2400, run: 200 }, { prefill: 425, decode: 825 }, 0],
+    ['and a passing clump of reads takes nothing', { read: 300, run: 6 }, { prefill: 425, decode: 825 }, 0],
     ['one server alone stays', { read: 9000, run: 90 }, { prefill: 0, decode: 1 }, 0],
   ];
   for (const [name, load, count, want] of cases) it(name, () => expect(StageMix.lean(load, count)).to.equal(want));
 
+  it('never leans back and forth, however many servers there are', () => {
+    for (const total of [6, 60, 61, 200, 1250])
+      for (const read of [400, 700, 1400, 2800])
+        for (const run of [6, 20, 30, 40]) {
+          let now = { prefill: Math.round(total / 3), decode: total - Math.round(total / 3) };
+          const at = { ...now };
+          const load = () => ({ read: (read * at.prefill) / now.prefill, run: (run * at.decode) / now.decode });
+          const leans = new Set<number>();
+          for (let i = 0; i < total; i++) {
+            const by = StageMix.lean(load(), now);
+            leans.add(by);
+            now = { prefill: now.prefill + by, decode: now.decode - by };
+          }
+          expect([total, read, run, leans.has(1) && leans.has(-1)]).to.deep.equal([total, read, run, false]);
+        }
+  });
   it('leans several times before it moves, and at once where a stage is bare', () => {
     const m = StageMix.make();
     const looks = [1, 2, 3, 4, 5].map(() => m.look({ read: 1500, run: 4 }, { prefill: 2, decode: 4 }));
