What servers keep is remembered in tables that grow: no max of the cache's own

Cause: a cache with `max` lays out 4,000 entries beforehand at each server: 98 KB, whatever it holds. Now it is bounded by its tokens, and by the same 4,000 entries counted after each one; what goes first is as before. Ruled out: a smaller max (fewer short parts would be known, so choices would change).

--- a/packages/router/src/keptparts.ts
+++ b/packages/router/src/keptparts.ts
@@ -35,12 +35,14 @@
       note(server: string, p: Prompt): void {
         let kept = servers.get(server);
         if (!kept) {
-          kept = new LRUCache<string, number>({ max: MOST, maxSize: Math.max(1, memory()), sizeCalculation: (n) => n });
+          kept = new LRUCache<string, number>({ maxSize: Math.max(1, memory()), sizeCalculation: (n) => n });
           servers.set(server, kept);
         }
         let before = 0;
         for (const c of chain(p)) {
           kept.set(c.key, Math.max(1, c.tokens - before));
+          // A `max` of the cache's own lays all its entries out beforehand, at each server.
+          if (kept.size > MOST) kept.pop();
           before = c.tokens;
         }
       },
--- a/packages/router/src/tables.test.ts
+++ b/packages/router/src/tables.test.ts
@@ -133,6 +133,12 @@
     expect(kept.held('s', other)).to.equal(0);
     expect(kept.held('t', prompt(100, 5000))).to.equal(0);
   });
+  it('keeps a bounded number of parts of a server, those used last', () => {
+    const kept = KeptParts.make(() => 400_000);
+    const small = (i: number) => ({ ...prompt(0, 1), parts: [{ id: `p${i}`, tokens: 1 }] });
+    for (let i = 0; i < 4010; i++) kept.note('s', small(i));
+    expect([9, 10, 4009].map((i) => kept.held('s', small(i)))).to.deep.equal([0, 1, 1]);
+  });
   it('lets the parts unused longest go once the memory is full', () => {
     const kept = KeptParts.make(() => 6000);
     const one = prompt(3000, 2000);
--- a/packages/routesim/src/capacity/capacity.test.ts
+++ b/packages/routesim/src/capacity/capacity.test.ts
@@ -3,6 +3,7 @@
 import { InForce } from './inforce.js';
 import { RoutedBounds } from './routedbounds.js';
 import { RoutedRuns } from './routedruns.js';
+import { RoutedWorks } from './routedworks.js';
 
 const SIZES: Record<string, readonly number[]> = {
   routers: [25, 50, 75],
@@ -34,6 +35,10 @@
       expect(RoutedBounds.broken(worse)).to.include(Bounds.name(b));
     });
   }
+  it('lays nothing out beforehand for prompts that a server may be sent', () => {
+    const [heap] = RoutedWorks.prompts(1000);
+    expect(heap!.value / 1000).to.be.below(16_000);
+  });
   it('takes figures that are missing for broken', () => {
     expect(RoutedBounds.broken([])).to.have.length(RoutedBounds.list.length);
   });
