--- a/packages/router/src/keeperdesk.ts
+++ b/packages/router/src/keeperdesk.ts
@@ -1,5 +1,6 @@
 import { Hash, type Clock, type Ident, type Mark, type PostBox } from '@pumicebarrow/forms';
 import type { View } from '@pumicebarrow/registry';
+import { LoadSums } from './loadsums.js';
 import { Nearest } from './nearest.js';
 import { Words } from './words.js';
 
@@ -50,6 +51,7 @@
       tidy();
       return [...seen.values()];
     };
+    const sums = LoadSums.make(t.clock);
     /** The same few for one router for as long as they live, and each router a peer of about as many others. */
     const peers = (who: Ident): Ident[] => {
       const few = seen.size - (seen.has(who.id) ? 1 : 0) > PEERS;
@@ -65,6 +67,7 @@
       const view = t.view();
       tidy();
       if (ok) note(from, body.load);
+      if (ok && body.rows) sums.take(from.id, body.rows);
       const list = ok ? t.list() : null;
       return {
         ok,
@@ -74,6 +77,7 @@
         age: list?.age ?? 0,
         routers: seen.size,
         peers: ok ? fresh(from, body.peers) : null,
+        ...(ok && body.rows && seen.size > PEERS ? { rows: sums.others(from.id) } : {}),
       };
     });
     return {
--- a/packages/router/src/placement.test.ts
+++ b/packages/router/src/placement.test.ts
@@ -80,6 +80,29 @@
     loads.read('p2', 40_000);
     expect(place.weigh(service, route, p, none).read).to.equal(null);
   });
+  it('foresees no queue for what is read before all that waits', () => {
+    const { place, loads, service, route } = make();
+    for (const id of ['p1', 'p2', 'd1', 'd2']) loads.read(id, 60_000);
+    const tiny = place.weigh(service, route, prompt(300, 200), none),
+      long = place.weigh(service, route, prompt(3000, 200), none);
+    expect(tiny.ms).to.be.lessThan(route.aim / 2);
+    expect(long.ms).to.be.greaterThan(1500);
+  });
+  it('leaves a home that is too busy only for a server at which few wait for what is read again', () => {
+    for (const [reads, stays] of [
+      [1, false],
+      [20, true],
+    ] as const) {
+      const { place, loads, service, route } = make();
+      const p = prompt(5000, 3000);
+      const home = place.weigh(service, route, p, none).read!.server.id;
+      const other = home === 'p1' ? 'p2' : 'p1';
+      loads.read(home, 70_000);
+      for (let i = 0; i < reads; i++) loads.read(other, 40_000 / reads);
+      for (const id of ['d1', 'd2']) loads.read(id, 90_000);
+      expect(place.weigh(service, route, p, none).read!.server.id === home, `${reads} reads`).to.equal(stays);
+    }
+  });
   it('sends nothing to a server that was ordered to another stage', () => {
     const { place, changed, service } = make();
     changed.add('d1');
@@ -107,4 +130,14 @@
     expect(['d1', 'd2']).to.include(place.decode(service, null, all[0]!, none)!.id);
     expect(place.decode(service, null, all[0]!, new Set(['d1', 'd2']))).to.equal(null);
   });
+  it('heeds the words of others while they leave half of a stage, and what it met itself at all times', () => {
+    const { place, health, service } = make();
+    health.hint('d1', 'a');
+    for (let i = 0; i < 20; i++) expect(place.decode(service, null, all[0]!, none)!.id).to.equal('d2');
+    health.hint('d2', 'a');
+    const both = new Set(Array.from({ length: 40 }, () => place.decode(service, null, all[0]!, none)!.id));
+    expect(both.has('d1')).to.equal(true);
+    health.bad('d1');
+    for (let i = 0; i < 20; i++) expect(place.decode(service, null, all[0]!, none)!.id).to.equal('d2');
+  });
 });
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -5,6 +5,7 @@
 import type { ServerHealth } from './serverhealth.js';
 import type { ServerListing } from './serverlisting.js';
 import type { ServerLoads } from './serverloads.js';
+import { Urgency } from './urgency.js';
 import type { Weighed } from './weighed.js';
 
 type Tools = {
@@ -46,12 +47,16 @@
 /** The part of the aim within which a prefix stays at its home although another server would be sooner. */
 const CALM = 0.75;
 /** ms that one shared token, read again where its home has it, is held to cost: it is work taken from others. */
-const AGAIN = 0.05;
+const AGAIN = 0.1;
+/** The part of such work that each read waiting at the server is held to lose by it. */
+const DELAYED = 0.5;
 /** ms that another zone than ours is held to cost. */
 const FAR = 4;
 const WARM = 80;
 /** The part of a server's slots that a new connection to it is held to cost: each is paid for, and few see all. */
 const CONNECT = 0.04;
+/** Words of others bar no server where fewer than this part of a stage would be left. */
+const HEEDED = 0.5;
 /** What an idle decode server is held to be busy, so that a slow one is not taken for a quick one while idle. */
 const IDLE = 0.08;
 
@@ -71,7 +76,9 @@
             s.service === service.name && s.state === 'ready' && s.stage === stage && !not.has(s.id) && !t.changing(s),
         );
       const well = all.filter((s) => t.health.open(s.id));
-      return well.length > 0 ? well : all;
+      if (well.length >= all.length * HEEDED) return well;
+      const fair = all.filter((s) => t.health.fair(s.id));
+      return fair.length > 0 ? fair : all;
     };
     const least = (list: readonly Server[], cost: (s: Server) => number): Where | null => {
       let best: Where | null = null;
@@ -95,7 +102,8 @@
       const home = Lot.first(KeptParts.home(p), list, (s) => s.id);
       const ms = (s: Server): number =>
         ((t.loads.at(s.id).tokens + fresh(s, p, home)) / t.pace()) * t.speed(s.id) + cold(s);
-      const best = least(list, (s) => ms(s) + again(s, p, home) * AGAIN);
+      const cost = (s: Server): number => AGAIN + (t.loads.at(s.id).reads * DELAYED) / t.pace();
+      const best = least(list, (s) => ms(s) + again(s, p, home) * cost(s));
       if (!home || !best) return null;
       const there = ms(home);
       const chosen = there <= route.aim * CALM ? { s: home, ms: there } : best;
@@ -137,11 +145,11 @@
         const short = t.kept.held(beside.s.id, p) + SHORT > p.tokens;
         const bar = short ? apart.ms + HAND + SHORT / t.pace() : apart.ms + HAND;
         const read = { server: apart.s, fresh: apart.fresh, home: apart.home };
-        return {
-          read: !crowded && beside.ms <= bar ? null : read,
-          ms: (crowded ? apart.ms : Math.min(apart.ms, beside.ms)) + HAND + START,
-          alone: apart.fresh / t.pace() + HAND + START,
-        };
+        const alone = apart.fresh / t.pace() + HAND + START;
+        // What takes next to nothing is read before all that waits: the queue doesn't make it late.
+        const soon = apart.fresh / t.pace() < Urgency.TINY;
+        const ms = (crowded ? apart.ms : Math.min(apart.ms, beside.ms)) + HAND + START;
+        return { read: !crowded && beside.ms <= bar ? null : read, ms: soon ? Math.min(ms, alone) : ms, alone };
       },
       /** Where it is decoded: few under way, near the memory. */
       decode: (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>): Server | null =>
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -79,8 +79,12 @@
     const newest = Newest.make({ world, post, line, purge, shelf, self, known: peers, slept: () => awake.slept() });
     const loads = ServerLoads.make();
     const load = () => loads.total((id) => list.stage(id) === 'prefill');
-    const head = HeadLine.make({ clock, post, line, shelf, purge, list, version, load, tail: newest.tail });
-    const news = LoadNews.make({ clock, post, loads, peers: head.peers, routers: head.routers });
+    const pace = Pace.make();
+    const head = HeadLine.make({
+      ...{ clock, post, line, shelf, purge, list, version, load, tail: newest.tail, mine: loads.mine },
+      others: (all) => news.summed(all),
+    });
+    const news = LoadNews.make({ clock, post, loads, peers: head.peers, routers: head.routers, pace: pace.now });
     const watch = ListWatch.make({
       ...{ world, post, list, source, peers },
       mark: () => (list.shared() ? shelf.mark('list') : null),
@@ -88,7 +92,6 @@
       daemons: head.routers,
     });
     const health = ServerHealth.make(clock),
-      pace = Pace.make(),
       speed = ServerSpeed.make(clock);
     const memory = (): number => routes?.services().find((s) => (s.engine?.memory ?? 0) > 0)?.engine?.memory ?? MEMORY;
     const kept = KeptParts.make(memory);
@@ -131,8 +134,9 @@
         log.say(`Configuration ${routes.revision} has taken hold.`);
       }
       if (doc.name === 'list') list.glimpse(ListRows.open(doc.body as ListBody));
-      if (doc.name.startsWith('sight:') && (doc.body as Sighting).by !== ident.id)
-        health.hint((doc.body as Sighting).server);
+      if (!doc.name.startsWith('sight:')) return;
+      const { server, by } = doc.body as Sighting;
+      if (by !== ident.id) health.hint(server, by, world.chance.real());
     });
     list.heed((now) => {
       const ids = new Set(now.map((s) => s.id));
--- a/packages/router/src/stageduty.ts
+++ b/packages/router/src/stageduty.ts
@@ -21,6 +21,8 @@
   load: () => Load;
   /** ms that orders of two holders must lie apart. */
   lease: number;
+  /** ms that a server of a service is away while it changes its stage. */
+  away: (service: string) => number;
 };
 type Change = { server: Server; stage: Stage; at: number; asked: number };
 const LOOK = 400;
@@ -31,12 +33,15 @@
 const AGAIN = 2000;
 const GIVE_UP = 20_000;
 const SPARE = 400;
+/** What a change takes in all, in times of what the server is away for: it is emptied first. */
+const EMPTIED = 2;
 
 /**
  * Which servers of a service read and which decode: looked after by one daemon, under a fence.
  * Invariants: an order leaves only under a fence that is live at that instant, and not before the lease of another
  * holder's last order has surely passed; the sheet's row says what was ordered before the order leaves, so no router
- * sends there by the old stage; one change of a service at a time, but where a stage is bare.
+ * sends there by the old stage; a few changes of a service at a time, and others only once most of those are done, but where a
+ * stage is bare.
  */
 export const StageDuty = {
   make(t: Tools) {
@@ -86,7 +91,7 @@
         (a, b) => (zones.get(b.zone) ?? 0) - (zones.get(a.zone) ?? 0) || a.warm - b.warm || (a.id < b.id ? -1 : 1),
       )[0];
     };
-    const look = (fence: number, service: string, all: readonly Server[]): void => {
+    const look = (fence: number, service: string, all: readonly Server[], early: boolean): void => {
       const mine = all.filter((s) => s.service === service && s.state === 'ready' && s.stage !== null);
       const part = (s: Server): Stage => changes.get(s.id)?.stage ?? s.stage!;
       const of = (stage: Stage): Server[] => mine.filter((s) => part(s) === stage);
@@ -98,18 +103,25 @@
         run: mean.run / Math.max(1, count.decode),
         room: Math.max(1, ...mine.map((s) => s.slots)) * Placement.FULL,
       };
-      const lean = mix.look(load, count);
+      const lean = mix.look(load, count, Math.ceil((t.away(service) * EMPTIED) / LOOK));
       const bare = count.prefill < 1 || count.decode < 1;
-      if (lean === 0 || (!bare && (changes.size > 0 || now() - moved < CALM))) return;
+      const pending = changes.size * 2 > StageMix.step(count);
+      if (lean === 0 || early || (!bare && (pending || now() - moved < CALM))) return;
       const from: Stage = lean > 0 ? 'decode' : 'prefill';
-      const s = pick(of(from).filter((x) => !changes.has(x.id)));
-      if (!s) return;
+      const some: Server[] = [];
+      const most = bare ? 1 : Math.min(StageMix.step(count), of(from).length - 1);
+      while (some.length < most) {
+        const s = pick(of(from).filter((x) => !changes.has(x.id) && !some.includes(x)));
+        if (!s) break;
+        some.push(s);
+      }
+      if (some.length === 0) return;
       t.log.say(
         `${service}: ${count.prefill} read, ${count.decode} decode; ${Math.round(load.read)} ms wait to be read, ` +
           `${Math.round(load.run)} run at each.`,
       );
       mix.reset();
-      begin(fence, s, lean > 0 ? 'prefill' : 'decode');
+      for (const s of some) begin(fence, s, lean > 0 ? 'prefill' : 'decode');
     };
     const tick = (): void => {
       const fence = t.fence();
@@ -120,7 +132,9 @@
         mixes.clear();
         mean = { read: 0, beside: 0, run: 0 };
       }
-      if (fence === null || now() - since < t.lease + SPARE) return;
+      if (fence === null) return;
+      // What is needed is seen from the start; nothing is ordered before the lease has passed.
+      const early = now() - since < t.lease + SPARE;
       const load = t.load();
       const blend = (a: number, b: number): number => a * (1 - NEW) + b * NEW;
       mean = {
@@ -129,9 +143,9 @@
         run: blend(mean.run, load.run),
       };
       const all = t.servers();
-      follow(fence, all);
+      if (!early) follow(fence, all);
       for (const service of new Set(all.filter((s) => s.stage !== null).map((s) => s.service)))
-        look(fence, service, all);
+        look(fence, service, all, early);
     };
     return {
       start(): void {
--- a/packages/router/src/stagemix.ts
+++ b/packages/router/src/stagemix.ts
@@ -14,19 +14,20 @@
 /** Below this no change is worth its cost; and a change must bring the busier stage below this part of what it is. */
 const BUSY = 0.9;
 const GAIN = 0.8;
-/** Of so many servers one is weighed alone; of more, a part as large. */
-const STEP = 60;
+/** How often running a need is seen before it counts as lasting, at the least. */
 const TIMES = 5;
 /** The part of the room from which on decode servers are held to be full, and the reading that may wait then. */
 const BRIM = 0.85;
 const WAITS = 150;
+/** The part of a service that may change its stage at once. */
+const PART = 1 / 12;
 
 /**
- * Whether one more server of a service should read, or one fewer. Invariants: never below one server of a stage; by
- * one at a time; only where the busier stage would be clearly less busy for it, or in a large service for as many as
- * are the same part of it, seen several times running, unless a stage has no server left, which is mended at once.
- * Where decode servers are full, requests are refused that readers would have time for: then a reader decodes, if
- * readers are the more or little waits there.
+ * Whether more servers of a service should read, or fewer. Invariants: never below one server of a stage; by one at a
+ * time, and in a large service by a small part of it, for one of many moves too little to be worth it; only where the
+ * busier stage would be clearly less busy for it, seen several times running, unless a stage has no server left, which
+ * is mended at once. Where decode servers are full, requests are refused that readers would have time for: then a
+ * reader decodes, if readers are the more or little waits there.
  */
 export const StageMix = {
   /** How busy the busier stage is; work goes round, so what one server gives up the others take. */
@@ -42,7 +43,9 @@
     const used = (at / (at + half)) * ratio;
     return used >= FULL ? Infinity : (half * used) / (1 - used);
   },
-  /** One more reader (1), one fewer (-1), or none. */
+  /** How many servers change at once, where there are so many. */
+  step: (now: Count): number => Math.max(1, Math.floor((now.prefill + now.decode) * PART)),
+  /** More readers (1), fewer (-1), or as many as there are. */
   lean(load: Load, now: Count): -1 | 0 | 1 {
     if (now.prefill + now.decode < 2) return 0;
     if (now.prefill < 1) return 1;
@@ -51,7 +54,7 @@
     if (full && now.prefill > 1 && (now.prefill > now.decode || load.read < WAITS)) return -1;
     const here = StageMix.pressure(load, now, now);
     if (here < BUSY) return 0;
-    const step = Math.ceil((now.prefill + now.decode) / STEP);
+    const step = StageMix.step(now);
     const more = StageMix.pressure(load, now, { prefill: now.prefill + step, decode: now.decode - step });
     const less = StageMix.pressure(load, now, { prefill: now.prefill - step, decode: now.decode + step });
     if (!(Math.min(more, less) <= here * GAIN)) return 0;
@@ -61,12 +64,14 @@
     let same = 0;
     let last = 0;
     return {
-      look(load: Load, now: Count): -1 | 0 | 1 {
+      look(load: Load, now: Count, times = TIMES): -1 | 0 | 1 {
         const lean = StageMix.lean(load, now);
         same = lean !== 0 && lean === last ? same + 1 : 1;
         last = lean;
         const bare = now.prefill < 1 || now.decode < 1;
-        return lean !== 0 && (bare || same >= TIMES) ? lean : 0;
+        // A stage of one server has twice as much for a second: that is worth a change even for a short need.
+        const lone = (lean > 0 ? now.prefill : now.decode) === 1;
+        return lean !== 0 && (bare || same >= (lone ? TIMES : Math.max(TIMES, times))) ? lean : 0;
       },
       reset(): void {
         same = 0;
--- a/packages/router/src/stages.test.ts
+++ b/packages/router/src/stages.test.ts
@@ -39,6 +39,8 @@
     ['and many runs take a reader', { read: 50, run: 200 }, { prefill: 425, decode: 825 }, -1],
     ['and both busy stay', { read: 2400, run: 200 }, { prefill: 425, decode: 825 }, 0],
     ['and a passing clump of reads takes nothing', { read: 300, run: 6 }, { prefill: 425, decode: 825 }, 0],
+    ['of many, some are taken where one would change little', { read: 600, run: 4 }, { prefill: 31, decode: 60 }, 1],
+    ['of many, none where some fewer readers would drown', { read: 200, run: 23 }, { prefill: 31, decode: 60 }, 0],
     ['one server alone stays', { read: 9000, run: 90 }, { prefill: 0, decode: 1 }, 0],
   ];
   for (const [name, load, count, want] of cases) it(name, () => expect(StageMix.lean(load, count)).to.equal(want));
@@ -52,8 +54,9 @@
           const load = () => ({ read: (read * at.prefill) / now.prefill, run: (run * at.decode) / now.decode });
           const leans = new Set<number>();
           for (let i = 0; i < total; i++) {
-            const by = StageMix.lean(load(), now);
-            leans.add(by);
+            const lean = StageMix.lean(load(), now);
+            leans.add(lean);
+            const by = lean * StageMix.step(now);
             now = { prefill: now.prefill + by, decode: now.decode - by };
           }
           expect([total, read, run, leans.has(1) && leans.has(-1)]).to.deep.equal([total, read, run, false]);
@@ -76,6 +79,7 @@
       fence: 4 as number | null,
       servers,
       load: { read: 0, beside: 0, run: 0 },
+      away: 0,
       reply: 'taken' as 'taken' | 'lost',
     };
     const engine: Engine = {
@@ -90,6 +94,7 @@
     const duty = StageDuty.make({
       ...{ clock: time.clock, log: Logs.quiet(), engine, purge, shelf, self: 'k1', lease: 3000 },
       ...{ fence: () => state.fence, servers: () => state.servers, load: () => state.load },
+      away: () => state.away,
     });
     const pass = async (ms: number): Promise<void> => {
       for (let t = 0; t < ms; t += 400) {
@@ -141,6 +146,29 @@
     expect(d.orders).to.have.length(2);
     expect(Changing.of(d.shelf, d.state.servers[0]!)).to.equal(false);
   });
+  it('takes a need for lasting once it has been seen for as long as the change would take', async () => {
+    const d = make(['p1', 'p2', 'd1', 'd2', 'd3'].map((id) => server(id, id < 'e' ? 'decode' : 'prefill')));
+    d.state.away = 1800;
+    await d.pass(4400);
+    const clump = { read: 80_000, beside: 0, run: 9 };
+    d.state.load = clump;
+    await d.pass(2000);
+    d.state.load = { read: 0, beside: 0, run: 9 };
+    await d.pass(6000);
+    expect(d.orders).to.deep.equal([]);
+    d.state.load = clump;
+    await d.pass(6000);
+    expect(d.orders).to.deep.equal(['d1 prefill 4 prefill draining']);
+  });
+  it('takes a short need for enough where one server has all of a stage, seen while the lease passes too', async () => {
+    const d = make([server('p1', 'prefill'), server('d1', 'decode'), server('d2', 'decode'), server('d3', 'decode')]);
+    d.state.away = 1800;
+    d.state.load = { read: 40_000, beside: 0, run: 9 };
+    await d.pass(3200);
+    expect(d.orders).to.deep.equal([]);
+    await d.pass(800);
+    expect(d.orders).to.deep.equal(['d1 prefill 4 prefill draining']);
+  });
   it('gives up on a server that never changes, and lets it be used as the list shows it', async () => {
     const d = make(bare);
     await d.pass(4400);
@@ -152,4 +180,18 @@
     await d.pass(30_000);
     expect(d.orders.length).to.be.lessThan(16);
   });
+  it('changes some of many at once, spread over the zones, and no more until those are done', async () => {
+    const many = Array.from({ length: 60 }, (_, i) =>
+      server(`s${i}`, i < 20 ? 'prefill' : 'decode', { zone: `z${i % 4}` }),
+    );
+    const d = make(many);
+    d.state.load = { read: 20 * 45 * 900, beside: 0, run: 160 };
+    await d.pass(20_000);
+    const moved = new Set(d.orders.map((o) => o.split(' ')[0]!));
+    expect(moved.size).to.equal(5);
+    expect(new Set([...moved].map((id) => many.find((s) => s.id === id)!.zone)).size).to.equal(4);
+    d.state.servers = many.map((s) => (moved.has(s.id) ? { ...s, stage: 'prefill' as const } : s));
+    await d.pass(12_000);
+    expect(new Set(d.orders.map((o) => o.split(' ')[0]!)).size).to.equal(10);
+  });
 });
--- a/packages/routesim/src/index.ts
+++ b/packages/routesim/src/index.ts
@@ -26,6 +26,7 @@
 export { CoreDrills } from './drills/coredrills.js';
 export { MachineDrills } from './drills/machinedrills.js';
 export { ServerDrills } from './drills/serverdrills.js';
+export { SureDrills } from './drills/suredrills.js';
 export { Drills } from './drills.js';
 export { Entry } from './entry.js';
 export { Evidence } from './evidence.js';
