--- a/packages/counter/src/index.ts
+++ b/packages/counter/src/index.ts
@@ -70,6 +70,7 @@
 export { TownWatch } from './townwatch.js';
 export { Tries } from './tries.js';
 export { type Trip } from './trip.js';
+export { Urgency } from './urgency.js';
 export { Visit } from './visit.js';
 export { VisitDesk } from './visitdesk.js';
 export { VisitDiary } from './visitdiary.js';
--- a/packages/sim/src/commands/measure.ts
+++ b/packages/sim/src/commands/measure.ts
@@ -6,6 +6,7 @@
 import { Figures } from '../figures.js';
 import { History } from '../history.js';
 import { LentMeasure } from '../lending/lentmeasure.js';
+import { LentReport } from '../lending/lentreport.js';
 import { Measure } from '../measure.js';
 import { Seeds } from '../seeds.js';
 
@@ -22,6 +23,7 @@
     fleet: Flags.option({ options: ['coop', 'registry'] as const, default: 'coop' as const })({
       description: 'which deployment',
     }),
+    svg: Flags.string({ description: "with lending: a file for the first seed's day as SVG" }),
     seeds: Flags.string({ default: '1-3', description: '7, 1-20 or 3,5,8' }),
   };
 
@@ -36,10 +38,11 @@
     }
     if (args.what === 'all') return this.table(seeds);
     if (args.what === 'lending') {
-      const pairs = [];
-      for (const seed of seeds) pairs.push(await LentMeasure.pair(flags.fleet, seed));
+      const days = [];
+      for (const seed of seeds) days.push(await LentMeasure.days(flags.fleet, seed));
       this.log(`${flags.fleet} lending, seeds ${seeds.join(', ')}`);
-      for (const l of LentMeasure.lines(flags.fleet, pairs)) this.log(l);
+      for (const l of LentMeasure.lines(flags.fleet, days)) this.log(l);
+      if (flags.svg) await LentReport.draw(flags.svg, `${flags.fleet}, seed ${seeds[0]}`, days[0]!);
       return;
     }
     const d = Deployments[flags.fleet];
--- a/packages/sim/src/lending/lentwork.ts
+++ b/packages/sim/src/lending/lentwork.ts
@@ -1,4 +1,5 @@
 import type { Deed } from '@pumicebarrow/forms';
+import type { Deployment } from '../deployment.js';
 import { History } from '../history.js';
 import type { Job } from '../job.js';
 import { Nevers } from '../nevers.js';
@@ -41,16 +42,16 @@
       broken: [...nevers, ...Promises.broken(h, LentFleet.term)],
     };
   },
-  /** One day of waves, with bursts that come one after another or without any. */
-  async waves(fleet: Job['fleet'], seed: number, lends: boolean) {
+  /** One day of waves of live visits, of bursts that come one after another, or of both. */
+  async waves(d: Deployment, seed: number, lends: boolean, live: boolean) {
     let from = 0;
-    const r = await Stage.run(LentFleet.of(fleet), seed, async (s) => {
+    const r = await Stage.run(d, seed, async (s) => {
       const t = Trainers.make(s);
       from = s.now();
       for (let i = 0; i < 4; i++) {
         if (lends) await t.begin(`burst-${i}`, 16, 12);
         await s.nap(4000);
-        s.callers.crowd(120);
+        if (live) s.callers.crowd(120);
         await s.nap(6000);
       }
       if (lends) await t.finish(60_000);
--- a/packages/yard/src/index.ts
+++ b/packages/yard/src/index.ts
@@ -3,6 +3,7 @@
 export { Crowd } from './crowd.js';
 export { Drive } from './drive.js';
 export { HttpCaller } from './httpcaller.js';
+export { LentDay } from './lentday.js';
 export { Plant } from './plant.js';
 export { type Planting } from './planting.js';
 export { Ports } from './ports.js';
