--- a/packages/sim/src/lending/lentmeasure.ts
+++ b/packages/sim/src/lending/lentmeasure.ts
@@ -86,8 +86,8 @@
       k: 'none' | 'ran' | 'unrun' | 'recalls' | 'broken' | 'live' | 'lent' | 'ms',
     ): number => days.reduce((n, x) => n + x[name][k], 0);
     const side = (name: keyof Days): string =>
-      `  ${name.padEnd(8)}${pooled(name).length} live visits, first piece median ${Math.round(at(pooled(name), 0.5))}, p99 ` +
-      `${Math.round(at(pooled(name), 0.99))} ms, ${sum(name, 'none')} without; ${sum(name, 'ran')} generations ran in ` +
+      `  ${name.padEnd(8)}${pooled(name).length} live visits, first piece median ` +
+      `${Math.round(at(pooled(name), 0.5))}, p99 ${Math.round(at(pooled(name), 0.99))} ms, ${sum(name, 'none')} without; ${sum(name, 'ran')} generations ran in ` +
       `the window, ${sum(name, 'unrun')} given back; ${sum(name, 'recalls')} recalls; broken ${sum(name, 'broken')}`;
     const spare = decode * sum('lends', 'ms') - sum('lends', 'live');
     const times = (p: number): number => at(pooled('lends'), p) / at(pooled('without'), p);
