Revert the late reads at doubted servers, and the longer rest of servers that shed

Likely cause: in a crowd a server says 503 when a deadline passes in its queue, and late reads bring words of it, so busy servers are left alone and their prompts read twice.

--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -29,11 +29,7 @@
   busy?: Readonly<Record<string, number>>;
   /** ms that the client waits, after an earlier try of 8 s. */
   wait?: number;
-  after?: (
-    t: ReturnType<typeof testClock>,
-    sink: ReturnType<typeof testSink>,
-    health: ReturnType<typeof ServerHealth.make>,
-  ) => Promise<void>;
+  after?: (t: ReturnType<typeof testClock>, sink: ReturnType<typeof testSink>) => Promise<void>;
 };
 const FLEET = [server('p1', 'prefill'), server('d1', 'decode'), server('d2', 'decode')];
 
@@ -93,7 +89,7 @@
     list.take(s.servers ?? FLEET, time.clock.mono(), 'shared');
   }
   if (s.old || s.shut) await time.pass(600);
-  if (s.after) await s.after(time, out, health);
+  if (s.after) await s.after(time, out);
   const verdict = await done;
   return { calls, steps: steps.of('q1'), log: out.log, verdict, suspected, turned, loads, level: budget.level() };
 };
--- a/packages/router/src/reader.ts
+++ b/packages/router/src/reader.ts
@@ -2,7 +2,6 @@
 import { Blame } from './blame.js';
 import type { Handle } from './handle.js';
 import type { Job } from './job.js';
-import { Rounds } from './rounds.js';
 import type { SendFault } from './sendfault.js';
 import type { Server } from './server.js';
 import type { ServeTools } from './servetools.js';
@@ -13,10 +12,6 @@
 const TIMES = 3;
 /** A server that was heard of more lately than this is busy, not gone. */
 const SILENT = 1200;
-/** A read is late after so many times what is foreseen, and so many ms. */
-const EARLY = 1.3;
-const LATE = 250;
-const LOOK = 100;
 /** ms that a read takes beside the reading. */
 const HAND = 20;
 
@@ -27,7 +22,6 @@
 export const Reader = {
   make(t: ServeTools) {
     const now = (): number => t.world.clock.mono();
-    const watch = Rounds.make(t.world.clock, LOOK);
     const failed = (job: Job, s: Server, f: SendFault): void => {
       job.fault = { ...f, ran: 'no' };
       t.log.note(job.request.id, 'unread', { at: s.id, word: f.code, why: f.why });
@@ -45,17 +39,8 @@
       const alone = t.loads.at(s.id).reads === 0;
       const free = t.loads.read(s.id, fresh);
       const from = now();
-      const stop = new AbortController();
-      const gone = (): void => stop.abort('gone');
-      job.left.signal.addEventListener('abort', gone);
-      // One that is late where others have begun to doubt the server is not waited for.
-      const kept = watch(() => {
-        if (now() - from > foreseen * EARLY + LATE && t.health.doubted(s.id, from)) stop.abort('late');
-      });
-      const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now(), job.first), signal: stop.signal };
+      const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now(), job.first), signal: job.left.signal };
       const got = await t.engine.prefill(s, job.request, terms);
-      kept();
-      job.left.signal.removeEventListener('abort', gone);
       free();
       if (got.ok && alone) t.pace.learn(fresh, now() - from);
       if (got.ok) t.speed.note(s.id, now() - from, foreseen + HAND);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -38,8 +38,6 @@
 const OLDEST = 0.72;
 const WORRY = 0.5;
 const MEMORY = 400_000;
-/** A server before which less than so many ms of reading lie has room. */
-const ROOMY = 400;
 
 /** A router daemon put together: purge, its line to the core, the list, and the requests' path. */
 export const Router = {
@@ -118,9 +116,7 @@
     };
     /** One that should have room and turns requests away does so to all: it may be changing its stage. */
     const turned = (s: Server): void => {
-      const { runs, tokens } = loads.at(s.id);
-      const roomy = runs < s.slots / 2 && tokens < pace.now() * ROOMY;
-      if (health.turned(s.id, roomy) && roomy) sightings.tell(s.id);
+      if (health.turned(s.id) && loads.at(s.id).runs < s.slots / 2) sightings.tell(s.id);
     };
     const steps = RequestLog.make(clock);
     const tools = { world, engine, shut, list, loads, health, kept, pace, speed, placement, budget, suspect, turned };
--- a/packages/router/src/serve.test.ts
+++ b/packages/router/src/serve.test.ts
@@ -1,7 +1,7 @@
 import { Verdicts } from '@pumicebarrow/forms';
 import { expect } from 'chai';
 import { d, DIRECT, play, type Setting } from './play.test.js';
-import { server, type Act } from './stand.test.js';
+import { server } from './stand.test.js';
 
 describe('the serving of a request', () => {
   const cases: [
@@ -195,28 +195,6 @@
     expect(got.suspected).to.have.length(1);
   });
 
-  it('gives up a read that is late at a server that others doubt, and waits where none does', async () => {
-    const servers = ['p1', 'p2', 'd1'].map((id) => server(id, id === 'd1' ? 'decode' : 'prefill'));
-    const script: Act[] = [
-      { read: 'ok', hang: true },
-      { run: 'ok', events: 1 },
-    ];
-    const left = await play({
-      ...{ script, servers },
-      after: async (t, _sink, health) => {
-        await t.pass(400);
-        for (const id of ['p1', 'p2']) health.hint(id, 'other');
-        await t.pass(500);
-      },
-    });
-    expect(left.calls.map((c) => c.split(' ')[0])).to.deep.equal(['read', 'run']);
-    const stays = await play({
-      ...{ script: [{ read: 'ok', hang: true }], servers },
-      after: async (t, sink) => (await t.pass(1000), sink.leave()),
-    });
-    expect(stays.calls).to.have.length(1);
-  });
-
   it('stays with a silent stream that may not', async () => {
     const got = await play({
       ...DIRECT,
--- a/packages/router/src/serverhealth.test.ts
+++ b/packages/router/src/serverhealth.test.ts
@@ -123,32 +123,4 @@
     await time.pass(11_000);
     expect(h.lapse('s')).to.equal(false);
   });
-  it('leaves one alone for ever longer that turns requests away although it should have room', async () => {
-    const time = testClock();
-    const turnedFor = async (roomy: boolean): Promise<number[]> => {
-      const h = ServerHealth.make(time.clock);
-      const out: number[] = [];
-      for (let i = 0; i < 8; i++) {
-        h.turned('s', roomy);
-        let ms = 0;
-        for (; !h.open('s'); ms += 50) await time.pass(50);
-        out.push(ms);
-        h.good('s');
-      }
-      return out;
-    };
-    expect(new Set(await turnedFor(false))).to.deep.equal(new Set([250]));
-    const odd = await turnedFor(true);
-    expect(odd[0]).to.equal(250);
-    expect(odd[7]).to.be.greaterThan(1400);
-  });
-  it('tells whether one came under doubt since', async () => {
-    const time = testClock();
-    const h = ServerHealth.make(time.clock);
-    const since = time.clock.mono();
-    expect(h.doubted('s', since)).to.equal(false);
-    await time.pass(10);
-    h.hint('s', 'a');
-    expect([h.doubted('s', since), h.doubted('s', time.clock.mono())]).to.deep.equal([true, false]);
-  });
 });
--- a/packages/router/src/serverhealth.ts
+++ b/packages/router/src/serverhealth.ts
@@ -22,8 +22,6 @@
 const TOP = 5;
 /** What one good outcome takes off the level that one failure adds to by 1. */
 const EASE = 0.12;
-/** What one request adds to it that was turned away although there should be room. */
-const ODD = 0.5;
 /** Handles running that could not be fetched, after which their server is at fault, and ms until one is forgotten. */
 const LAPSES = 2;
 const LAPSE = 10_000;
@@ -73,18 +71,15 @@
         r.turns = 0;
       },
       /**
-       * It turned a request away: full, or changing its stage. No failure, but the next would fare alike. One that
-       * should have room, and does so again and again between others that go well, is left alone for longer each time.
-       * True if this is news: it was open before.
+       * It turned a request away: full, or changing its stage. No failure, but the next would fare alike. True if this
+       * is news: it was open before.
        */
-      turned(id: string, roomy = false): boolean {
+      turned(id: string): boolean {
         const r = row(id),
           now = clock.mono();
         const fresh = r.until <= now;
         if (fresh) r.turns++;
-        if (fresh && roomy) r.level = Math.min(TOP, r.level + ODD);
-        const ms = Math.min(LONGEST, TURNED * 2 ** (r.turns - 1));
-        r.until = Math.max(r.until, now + (roomy ? Math.max(ms, Math.min(MOST, TURNED * 2 ** (r.level - ODD))) : ms));
+        r.until = Math.max(r.until, now + Math.min(LONGEST, TURNED * 2 ** (r.turns - 1)));
         return fresh;
       },
       /**
@@ -140,11 +135,6 @@
         const r = rows.get(id);
         return !r || (r.until <= clock.mono() && !(r.shut && r.trial > 0));
       },
-      /** Whether it came under doubt since, here or by the word of another. */
-      doubted(id: string, since: number): boolean {
-        const r = rows.get(id);
-        return r !== undefined && ((r.shut && r.since > since) || r.word.at > since);
-      },
       /** Those that failed and have not done well since. */
       suspected: (): string[] => [...rows].flatMap(([id, r]) => (r.shut ? [id] : [])),
       /** Gives what is called once it is over and judged: a trial that showed nothing is left to another request. */
--- a/packages/router/src/stand.test.ts
+++ b/packages/router/src/stand.test.ts
@@ -92,7 +92,7 @@
 
 /** What a scripted engine does at the next call: give a handle, give events and an end, or fail after some. */
 export type Act =
-  | { read: 'ok' | SendFault['code']; ran?: SendFault['ran']; hang?: boolean }
+  | { read: 'ok' | SendFault['code']; ran?: SendFault['ran'] }
   | { run: 'ok' | SendFault['code']; ran?: SendFault['ran']; events?: number; hang?: boolean; status?: number };
 
 export const testEngine = (script: Act[], calls: string[]): Engine => {
@@ -100,16 +100,10 @@
   const fault = (code: SendFault['code'], ran: SendFault['ran'] | undefined): Result<never, SendFault> =>
     Err({ code, ran: ran ?? (code === 'broken' || code === 'late' || code === 'gone' ? 'maybe' : 'no'), why: code });
   return {
-    prefill(s, _q, terms) {
+    prefill(s) {
       const act = script.shift();
       calls.push(`read ${s.id}`);
       if (!act || !('read' in act)) return Promise.resolve(fault('broken', 'maybe'));
-      if (act.hang)
-        return new Promise((done) => {
-          terms.signal.addEventListener('abort', () =>
-            done(fault(terms.signal.reason === 'gone' ? 'gone' : 'late', 'maybe')),
-          );
-        });
       return Promise.resolve(
         act.read === 'ok' ? Ok({ server: s, id: `h${++n}`, tokens: 1 }) : fault(act.read, act.ran),
       );
