Revert the head's sums of loads, and the second home of a prefix

What it shows: a home is left too readily, and reads given up in a queue are arrivals that nobody paid for.

--- a/packages/router/src/headline.ts
+++ b/packages/router/src/headline.ts
@@ -4,8 +4,6 @@
 import type { ListBody } from './listbody.js';
 import { ListRows } from './listrows.js';
 import type { ServerListing } from './serverlisting.js';
-import { LoadRows } from './loadrows.js';
-import type { ServerLoad } from './serverload.js';
 import { Words } from './words.js';
 
 type Tools = {
@@ -17,9 +15,6 @@
   list: ServerListing;
   version: () => number;
   load: () => { read: number; beside: number; run: number };
-  /** What this daemon has under way at servers, and where it is told of the others'. */
-  mine?: () => ReadonlyMap<string, ServerLoad>;
-  others?: (loads: ReadonlyMap<string, ServerLoad>) => void;
   /** Reads the configuration at the tail. */
   tail: (ms: number) => Promise<boolean>;
 };
@@ -69,7 +64,6 @@
       const body = {
         ...{ version: t.version(), list: t.shelf.mark('list'), epoch: view.epoch },
         ...{ peers: sum, load: t.load() },
-        ...(t.mine ? { rows: LoadRows.pack(t.mine()) } : {}),
       };
       const r = await t.post.ask(head.addr, head.id, 'keeper.checkin', body, Words.checked, ASK);
       if (!r.ok) return false;
@@ -81,7 +75,6 @@
         peers = r.val.peers;
         sum = Hash.of(peers);
       }
-      if (r.val.rows) t.others?.(LoadRows.open(r.val.rows));
       const fits = compare(r.val.list, r.val.age, sent);
       behind = {
         version: since(behind.version, r.val.version > t.version()),
--- a/packages/router/src/keeperdesk.ts
+++ b/packages/router/src/keeperdesk.ts
@@ -1,6 +1,5 @@
 import { Fading, Hash, Lot, type Clock, type Ident, type Mark, type PostBox } from '@pumicebarrow/forms';
 import type { View } from '@pumicebarrow/registry';
-import { LoadSums } from './loadsums.js';
 import { Words } from './words.js';
 
 type Tools = {
@@ -25,7 +24,6 @@
 export const KeeperDesk = {
   make(t: Tools) {
     const seen = Fading.make<Seen>(t.clock.mono, MOST);
-    const sums = LoadSums.make(t.clock);
     /** The same few for one router for as long as they live, and each router a peer of about as many others. */
     const peers = (who: Ident): Ident[] => {
       const others = seen.all().flatMap((s) => (s.who.id === who.id ? [] : [s.who]));
@@ -40,7 +38,6 @@
       const ok = t.speaks();
       const view = t.view();
       if (ok) seen.set(from.id, { who: from, load: body.load }, GONE);
-      if (ok && body.rows) sums.take(from.id, body.rows);
       const list = ok ? t.list() : null;
       return {
         ok,
@@ -50,7 +47,6 @@
         age: list?.age ?? 0,
         routers: seen.size(),
         peers: ok ? fresh(from, body.peers) : null,
-        ...(ok && body.rows && seen.size() > PEERS ? { rows: sums.others(from.id) } : {}),
       };
     });
     return {
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -96,26 +96,14 @@
     /** Where it would be read soonest, and when; the home, if that is soon enough. */
     const reader = (service: Service, route: Route, p: Prompt, not: ReadonlySet<string>) => {
       const list = able(service, 'prefill', not);
-      const key = KeptParts.home(p);
-      const home = Lot.first(key, list, (s) => s.id);
-      const ms = (s: Server, at = home): number =>
-        ((t.loads.at(s.id).tokens + fresh(s, p, at)) / t.pace()) * t.speed(s.id) + cold(s);
-      if (!home) return null;
-      const told = (s: Server, ms: number, at: Server) => ({ s, ms, fresh: fresh(s, p, at), home: s === at });
+      const home = Lot.first(KeptParts.home(p), list, (s) => s.id);
+      const ms = (s: Server): number =>
+        ((t.loads.at(s.id).tokens + fresh(s, p, home)) / t.pace()) * t.speed(s.id) + cold(s);
+      const best = least(list, (s) => ms(s) + again(s, p, home) * AGAIN);
+      if (!home || !best) return null;
       const there = ms(home);
-      // A long prompt would miss that anywhere: it leaves only a home where it would wait.
-      const bar = Math.max(route.aim * CALM, fresh(home, p, home) / t.pace() + route.aim * (1 - CALM));
-      if (there <= bar) return told(home, there, home);
-      // What leaves a home goes to the next of the lot, the same for all routers, and so finds its prefix there.
-      const next = Lot.first(
-        key,
-        list.filter((s) => s !== home),
-        (s) => s.id,
-      );
-      const beyond = next ? ms(next, next) : Infinity;
-      if (next && beyond <= bar) return told(next, beyond, next);
-      const best = least(list, (s) => ms(s) + again(s, p, home) * AGAIN)!;
-      return told(best.s, best.ms, home);
+      const chosen = there <= route.aim * CALM ? { s: home, ms: there } : best;
+      return { ...chosen, fresh: fresh(chosen.s, p, home), home: chosen.s === home };
     };
     const decoder = (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>) => {
       const list = able(service, service.engine ? 'decode' : null, not);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -79,18 +79,15 @@
     const newest = Newest.make({ world, post, line, purge, shelf, self, known: peers, slept: () => awake.slept() });
     const loads = ServerLoads.make();
     const load = () => loads.total((id) => list.stage(id) === 'prefill');
-    const pace = Pace.make();
-    const head = HeadLine.make({
-      ...{ clock, post, line, shelf, purge, list, version, load, tail: newest.tail, mine: loads.mine },
-      others: (all) => news.summed(all),
-    });
-    const news = LoadNews.make({ clock, post, loads, peers: head.peers, routers: head.routers, pace: pace.now });
+    const head = HeadLine.make({ clock, post, line, shelf, purge, list, version, load, tail: newest.tail });
+    const news = LoadNews.make({ clock, post, loads, peers: head.peers, routers: head.routers });
     const watch = ListWatch.make({
       ...{ world, post, list, source, peers },
       worry: () => startup.drain * WORRY,
       daemons: head.routers,
     });
     const health = ServerHealth.make(clock),
+      pace = Pace.make(),
       speed = ServerSpeed.make(clock);
     const memory = (): number => routes?.services().find((s) => (s.engine?.memory ?? 0) > 0)?.engine?.memory ?? MEMORY;
     const kept = KeptParts.make(memory);
--- a/packages/router/src/serverloads.ts
+++ b/packages/router/src/serverloads.ts
@@ -1,23 +1,20 @@
-import type { ServerLoad } from './serverload.js';
-
-const NONE: ServerLoad = { runs: 0, reads: 0, tokens: 0 };
+type Row = { runs: number; reads: number; tokens: number };
+const NONE: Row = { runs: 0, reads: 0, tokens: 0 };
 
 /** What this daemon has under way at each server, and what others last said they have. */
 export const ServerLoads = {
   make() {
-    const own = new Map<string, ServerLoad>();
-    let others: ReadonlyMap<string, ServerLoad> = new Map();
+    const own = new Map<string, Row>();
+    let others: ReadonlyMap<string, Row> = new Map();
     /** Adds up what was heard since; null once that is done. */
-    let added: (() => ReadonlyMap<string, ServerLoad>) | null = null;
-    /** Tokens that a server has read since, of those that others had there. */
-    let drained: () => number = () => 0;
-    const bump = (id: string, by: ServerLoad): void => {
+    let added: (() => ReadonlyMap<string, Row>) | null = null;
+    const bump = (id: string, by: Row): void => {
       const row = own.get(id) ?? NONE;
       const next = { runs: row.runs + by.runs, reads: row.reads + by.reads, tokens: row.tokens + by.tokens };
       if (next.runs === 0 && next.reads === 0) own.delete(id);
       else own.set(id, next);
     };
-    const add = (id: string, by: ServerLoad): (() => void) => {
+    const add = (id: string, by: Row): (() => void) => {
       let open = true;
       bump(id, by);
       return () => {
@@ -40,22 +37,17 @@
         }
         return sum;
       },
-      mine: (): ReadonlyMap<string, ServerLoad> => own,
-      at(id: string): ServerLoad {
+      mine: (): ReadonlyMap<string, Row> => own,
+      at(id: string): Row {
         if (added) others = added();
         added = null;
         const a = own.get(id) ?? NONE,
           b = others.get(id) ?? NONE;
-        return {
-          runs: a.runs + b.runs,
-          reads: a.reads + b.reads,
-          tokens: a.tokens + Math.max(0, b.tokens - drained()),
-        };
+        return { runs: a.runs + b.runs, reads: a.reads + b.reads, tokens: a.tokens + b.tokens };
       },
       /** There is news; it is added up when it is next looked at, not before. */
-      heard(next: () => ReadonlyMap<string, ServerLoad>, since: () => number = () => 0): void {
+      heard(next: () => ReadonlyMap<string, Row>): void {
         added = next;
-        drained = since;
       },
     };
   },
--- a/packages/router/src/words.ts
+++ b/packages/router/src/words.ts
@@ -3,10 +3,6 @@
 import { Type } from 'typebox';
 
 const shut = { additionalProperties: false } as const;
-/** What is under way at servers: id, runs, reads, hundreds of tokens to be read. */
-const rows = Type.Array(Type.Tuple([Type.String(), Type.Integer(), Type.Integer(), Type.Integer()]), {
-  maxItems: 4096,
-});
 const maybeMark = Type.Union([Mark, Type.Null()]);
 
 /** What routers and keepers say to each other, beside purge and the core's own words. */
@@ -19,7 +15,6 @@
       epoch: Type.Integer(),
       peers: Type.String({ description: 'digest of the peers held, so that they come again only when they changed' }),
       load: Type.Object({ read: Type.Number(), beside: Type.Number(), run: Type.Number() }, shut),
-      rows: Type.Optional(rows),
     },
     shut,
   ),
@@ -33,13 +28,17 @@
       age: Type.Number(),
       routers: Type.Integer(),
       peers: Type.Union([Type.Array(Ident, { maxItems: 64 }), Type.Null()]),
-      rows: Type.Optional(rows),
     },
     shut,
   ),
   ask: Type.Object({}, shut),
   list: Type.Object({ mark: maybeMark, age: Type.Number(), servers: Type.Union([Type.Unknown(), Type.Null()]) }, shut),
-  /** What a router has under way at servers. */
-  loads: Type.Object({ rows }, shut),
+  /** What a router has under way at servers, in rows of id, runs, reads, tokens. */
+  loads: Type.Object(
+    {
+      rows: Type.Array(Type.Tuple([Type.String(), Type.Integer(), Type.Integer(), Type.Integer()]), { maxItems: 4096 }),
+    },
+    shut,
+  ),
   done: Type.Object({ ok: Type.Boolean() }, shut),
 };
