A read that was given up in a queue is paid for out of the budget

Cause: a read that its server had not taken up when it was given up counts as an arrival, and the run after it as one beyond the first; the router paid for neither. Now such a read is owed: the budget may fall below nothing, and later further tries wait until it is made up. Ruled out: counting it among the route's tries, routes of one try would then refuse what is proven not to have run. Before: 'owe' did not exist, the budget stayed full.

--- a/packages/router/src/budget.ts
+++ b/packages/router/src/budget.ts
@@ -32,6 +32,11 @@
         level -= 1;
         return true;
       },
+      /** Something was sent that counts as a further try, or may: it is paid for by those that come after. */
+      owe(): void {
+        tick();
+        level -= 1;
+      },
       level(): number {
         tick();
         return level;
--- a/packages/router/src/reader.ts
+++ b/packages/router/src/reader.ts
@@ -25,6 +25,8 @@
     const failed = (job: Job, s: Server, f: SendFault): void => {
       job.fault = { ...f, ran: 'no' };
       t.log.note(job.request.id, 'unread', { at: s.id, word: f.code, why: f.why });
+      // One that was given up in a queue was never taken up, and counts as an arrival like any other.
+      if (f.code === 'late') t.budget.owe();
       if (f.code === 'gone') return;
       job.avoid.add(s.id);
       if (Blame.turned(f)) {
--- a/packages/router/src/tables.test.ts
+++ b/packages/router/src/tables.test.ts
@@ -107,6 +107,20 @@
     }
     expect(taken).to.be.within(8, Math.floor(100 * 0.2 + 54 / 7));
   });
+  it('makes those that come after pay for what was sent without it', () => {
+    const time = testClock();
+    const b = Budget.make(
+      time.clock,
+      () => ({ ...terms, slack: 0 }),
+      () => 1,
+    );
+    for (let i = 0; i < 10; i++) b.request();
+    for (let i = 0; i < 3; i++) b.owe();
+    for (let i = 0; i < 20; i++) b.request();
+    expect(b.take()).to.equal(false);
+    for (let i = 0; i < 10; i++) b.request();
+    expect(b.take()).to.equal(true);
+  });
   it('takes the share of one of many while it does not know how many there are', async () => {
     const time = testClock();
     const b = Budget.make(
