--- a/packages/routesim/src/drills.test.ts
+++ b/packages/routesim/src/drills.test.ts
@@ -21,7 +21,7 @@
       expect((await Play.run(Drills.get(name)!, Sizes.five, 2)).faults).to.deep.equal([]);
     });
   for (const name of ['srv_grey', 'srv_hang', 'srv_flap'])
-    it(`breaks no rule where the head adds up loads: ${name}`, async () => {
+    it(`breaks no rule in a larger fleet: ${name}`, async () => {
       expect((await Play.run(Drills.get(name)!, Sizes.many, 1)).faults).to.deep.equal([]);
     });
   it('breaks no rule over a mixed day', async () => {
