--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -38,8 +38,6 @@
 const OLDEST = 0.72;
 const WORRY = 0.5;
 const MEMORY = 400_000;
-/** A server before which less than so many ms of reading lie has room. */
-const ROOMY = 400;
 
 /** A router daemon put together: purge, its line to the core, the list, and the requests' path. */
 export const Router = {
@@ -83,12 +81,8 @@
     const newest = Newest.make({ world, post, line, purge, shelf, self, known: peers, slept: () => awake.slept() });
     const loads = ServerLoads.make();
     const load = () => loads.total((id) => list.stage(id) === 'prefill');
-    const pace = Pace.make();
-    const head = HeadLine.make({
-      ...{ clock, post, line, shelf, purge, list, version, load, tail: newest.tail, mine: loads.mine },
-      others: (all) => news.summed(all),
-    });
-    const news = LoadNews.make({ clock, post, loads, peers: head.peers, routers: head.routers, pace: pace.now });
+    const head = HeadLine.make({ clock, post, line, shelf, purge, list, version, load, tail: newest.tail });
+    const news = LoadNews.make({ clock, post, loads, peers: head.peers, routers: head.routers });
     const watch = ListWatch.make({
       ...{ world, post, list, source, peers },
       mark: () => (list.shared() ? shelf.mark('list') : null),
@@ -96,6 +90,7 @@
       daemons: head.routers,
     });
     const health = ServerHealth.make(clock),
+      pace = Pace.make(),
       speed = ServerSpeed.make(clock);
     const memory = (): number => routes?.services().find((s) => (s.engine?.memory ?? 0) > 0)?.engine?.memory ?? MEMORY;
     const kept = KeptParts.make(memory);
@@ -122,9 +117,7 @@
     };
     /** One that should have room and turns requests away does so to all: it may be changing its stage. */
     const turned = (s: Server): void => {
-      const { runs, tokens } = loads.at(s.id);
-      const roomy = runs < s.slots / 2 && tokens < pace.now() * ROOMY;
-      if (health.turned(s.id, roomy) && roomy) sightings.tell(s.id);
+      if (health.turned(s.id) && loads.at(s.id).runs < s.slots / 2) sightings.tell(s.id);
     };
     const steps = RequestLog.make(clock);
     const tools = {
