--- a/tools/tests/plan.mjs
+++ b/tools/tests/plan.mjs
@@ -8,7 +8,9 @@
 /** Tests that share their runs out over threads of their own, as many as there are cores. */
 const WIDE = [/^(Every drill|Lending), in virtual time breaks /, /^The core alone /];
 /** Files whose tests are long, and so are units of their own. */
-const LONG = [/^packages\/(sim|routesim)\/dist\/(capacity\/)?[a-z]+\.test\.js$/];
+const LONG = [/^packages\/(sim|routesim)\/dist\/[a-z]+\.test\.js$/];
+/** Files that count once for all their tests: one unit, begun first. */
+const COUNTED = [/^packages\/(sim|routesim)\/dist\/capacity\//];
 const any = (list, text) => list.some((p) => p.test(text));
 
 /**
@@ -25,7 +27,8 @@
       else put(narrow, any(LONG, t.path) ? `${t.file} ${t.title}` : t.file, t);
     const unit = (threads) => (list) => ({ file: list[0].file, titles: list.map((t) => t.title), threads });
     // The long ones first, so that none is left over at the end.
-    const rest = [...narrow.values()].sort((a, b) => Number(any(LONG, b[0].path)) - Number(any(LONG, a[0].path)));
+    const rank = ([t]) => (any(COUNTED, t.path) ? 0 : any(LONG, t.path) ? 1 : 2);
+    const rest = [...narrow.values()].sort((a, b) => rank(a) - rank(b));
     return [
       { units: wide.map(unit(cores)), atOnce: 1, alone: false },
       { units: rest.map(unit(1)), atOnce: cores, alone: false },
