--- a/packages/routesim/src/capacity/routedbounds.ts
+++ b/packages/routesim/src/capacity/routedbounds.ts
@@ -22,7 +22,7 @@
     { ...head, what: 'core.beat', unit: 'B/s', most: 20, why: 'keepers beat among themselves' },
     { ...routers, role: 'keeper', what: 'all', unit: 'B/s', most: 260, why: 'keepers gossip with any router at times' },
     { ...lists, what: 'purge.pull', unit: 'B/s', most: 27, why: 'a change brings one row of each server, once' },
-    { ...lists, what: 'router.list', unit: 'B/s', most: 85, why: 'one row of each server, asked of two others' },
+    { ...lists, what: 'router.list', unit: 'B/s', most: 20, why: 'rows go to who holds another list only' },
     { ...runs, what: 'router.loads', unit: 'B/s', most: 700, why: 'one row of each server in use, to six others' },
     { ...routes, what: 'purge.pull', unit: 'B/s', most: 400, why: 'a change brings one line of each route' },
     { ...routes, role: 'head', what: 'core.push', unit: 'B/s', most: 260, why: 'the state goes down the chain once' },
