--- a/packages/routesim/src/capacity/routedworks.ts
+++ b/packages/routesim/src/capacity/routedworks.ts
@@ -39,6 +39,8 @@
     const desks = new Map<string, Desk>();
     const post = {
       on: (kind: string, _form: unknown, fn: Desk) => void desks.set(kind, fn),
+      heed: (kind: string, _form: unknown, fn: Desk) => void desks.set(kind, fn),
+      tell: () => undefined,
       ask: () => Promise.resolve(Ok({ ok: true })),
     } as unknown as PostBox;
     return { post, hear: (kind: string, body: unknown, from: Ident) => desks.get(kind)!(body as never, from) };
