--- a/packages/sim/src/lending/lentmeasure.ts
+++ b/packages/sim/src/lending/lentmeasure.ts
@@ -87,7 +87,8 @@
     ): number => days.reduce((n, x) => n + x[name][k], 0);
     const side = (name: keyof Days): string =>
       `  ${name.padEnd(8)}${pooled(name).length} live visits, first piece median ` +
-      `${Math.round(at(pooled(name), 0.5))}, p99 ${Math.round(at(pooled(name), 0.99))} ms, ${sum(name, 'none')} without; ${sum(name, 'ran')} generations ran in ` +
+      `${Math.round(at(pooled(name), 0.5))}, p99 ${Math.round(at(pooled(name), 0.99))} ms, ` +
+      `${sum(name, 'none')} without; ${sum(name, 'ran')} generations ran in ` +
       `the window, ${sum(name, 'unrun')} given back; ${sum(name, 'recalls')} recalls; broken ${sum(name, 'broken')}`;
     const spare = decode * sum('lends', 'ms') - sum('lends', 'live');
     const times = (p: number): number => at(pooled('lends'), p) / at(pooled('without'), p);
@@ -98,8 +99,10 @@
     return [
       ...NAMES.map(side),
       `  of the decode slots' spare time ${share('lends')} was used by lending, ${share('apart')} by the split's part`,
-      `  live waits with lending, times those without: median ${times(0.5).toFixed(2)} (bound ${median}), p99 ` +
-        `${times(0.99).toFixed(2)} (bound ${p99}); given back within ${worst.toFixed(1)} ms (bound ${LentFleet.term}): ` +
+      `  live waits with lending, times those without: median ` +
+        `${times(0.5).toFixed(2)} (bound ${median}), p99 ` +
+        `${times(0.99).toFixed(2)} (bound ${p99}); given back within ` +
+        `${worst.toFixed(1)} ms (bound ${LentFleet.term}): ` +
         `${held ? 'held' : 'NOT HELD'}`,
     ];
   },
