A reader that is left alone decodes

A server that decodes reads as well. Ruled out: the list (young), the head (there since five seconds). Before: stages.test, the new case failed; after: it passes. The gap of some two seconds while the last decoder of a stage is replaced stays: a change of stage takes as long.

--- a/packages/router/src/stagemix.ts
+++ b/packages/router/src/stagemix.ts
@@ -45,7 +45,8 @@
   },
   /** One more reader (1), one fewer (-1), or none. */
   lean(load: Load, now: Count): -1 | 0 | 1 {
-    if (now.prefill + now.decode < 2) return 0;
+    // One server alone has to decode, for it can read as well then; a reader alone could run nothing.
+    if (now.prefill + now.decode < 2) return now.prefill > 0 ? -1 : 0;
     if (now.prefill < 1) return 1;
     if (now.decode < 1) return -1;
     const full = load.room !== undefined && load.run >= load.room * BRIM;
--- a/packages/router/src/stages.test.ts
+++ b/packages/router/src/stages.test.ts
@@ -41,6 +41,7 @@
     ['and a passing clump of reads takes nothing', { read: 300, run: 6 }, { prefill: 425, decode: 825 }, 0],
     ['of many, some are taken where one would change little', { read: 600, run: 4 }, { prefill: 31, decode: 60 }, 1],
     ['of many, none where some fewer readers would drown', { read: 200, run: 23 }, { prefill: 31, decode: 60 }, 0],
+    ['a reader alone decodes, for nothing could run', { read: 0, run: 0 }, { prefill: 1, decode: 0 }, -1],
     ['one server alone stays', { read: 9000, run: 90 }, { prefill: 0, decode: 1 }, 0],
   ];
   for (const [name, load, count, want] of cases) it(name, () => expect(StageMix.lean(load, count)).to.equal(want));
