--- a/packages/forms/src/post.ts
+++ b/packages/forms/src/post.ts
@@ -10,8 +10,8 @@
 import type { World } from './world.js';
 
 /**
- * Raised with each release that adds a key to any mail: 2 names the life meant in `ledger.open`, 3 keeps bursts, 4 names
- * the list held and has the head add up loads.
+ * Raised with each release that adds a key to any mail: 2 names the life meant in `ledger.open`, 3 keeps bursts, 4
+ * names the list held.
  */
 const VOICE = 4;
 type Desk = { form: TSchema; fn: (body: never, from: Ident) => unknown; told: boolean };
