Capacity: the retry budget of many routers is run; what is and isn't run told apart

Cause, read from the code: what a router has earned is kept without end, up to one try. Not mended here: no source of the routers is touched.

--- a/packages/routesim/src/capacity/newhead.ts
+++ b/packages/routesim/src/capacity/newhead.ts
@@ -12,7 +12,7 @@
 type Seen = { late: number; worst: number; calm: number };
 
 /**
- * A head that begins beside routers which all check in at once, as its one thread has time for them. Invariants: mail is
+ * A head that begins beside routers which all check in, as its one thread has time for them. Invariants: mail is
  * handled in the order in which it was sent, also what nobody waits for any more; a router sends again once it has its
  * reply, or has given up waiting for it.
  */
--- a/packages/routesim/src/capacity/routedruns.ts
+++ b/packages/routesim/src/capacity/routedruns.ts
@@ -4,6 +4,7 @@
 import { RoutedFleet } from './routedfleet.js';
 import { RoutedStart } from './routedstart.js';
 import { RoutedWorks } from './routedworks.js';
+import { SavedTries } from './savedtries.js';
 import { UnderWay } from './underway.js';
 
 type Job = (n: number, seed: number, span?: number) => Figure[] | Promise<Figure[]>;
@@ -73,6 +74,7 @@
       }),
   },
   desk: { about: 'timed: check-ins at the head', sizes, job: (n) => RoutedWorks.desk(n) },
+  budget: { about: 'further tries in ten seconds, of what was saved and earned', sizes, job: (n) => SavedTries.run(n) },
   newhead: {
     about: 'timed: all routers check in at a head that begins, on this machine and one half as fast',
     sizes,
