--- a/packages/sim/src/lending/lentdrills.ts
+++ b/packages/sim/src/lending/lentdrills.ts
@@ -171,7 +171,7 @@
         await t.until(() => t.streaming() !== null, 3000);
         const ids = s.park.ids();
         for (const id of ids) s.park.dark(id, true);
-        await s.nap(2250 + s.real() * 250);
+        await s.nap(2600 + s.real() * 300);
         for (const id of ids) s.park.dark(id, false);
         await s.nap(2500);
       }
