--- a/packages/registry/src/minder.test.ts
+++ b/packages/registry/src/minder.test.ts
@@ -45,7 +45,7 @@
   const lost: [string, { deaf: readonly string[]; me: string; ms: number }, string[] | null][] = [
     ['leaves in one that did not reply for a moment', { deaf: ['k1'], me: 'k2', ms: 2200 }, null],
     ['takes out a head that speaks but replies to nobody', { deaf: ['k1'], me: 'k2', ms: 2600 }, ['k2', 'k3']],
-    ['leaves that to the voters before it first', { deaf: ['k1'], me: 'k3', ms: 2500 }, null],
+    ['leaves one that hears nobody to the voters before it first', { deaf: ['k1'], me: 'k3', ms: 2500 }, null],
     ['takes out nobody where no majority replies', { deaf: ['k2', 'k3'], me: 'k1', ms: 20_000 }, null],
   ];
   for (const [name, { deaf, me, ms }, want] of lost) {
