waitlist is queue: Waitlist, its file, variables and prose

Cause: the field's word is queue; the rule's key of that name is another thing, the queue's length. Nothing else was called queue in these packages.

--- a/packages/client/src/generated.ts
+++ b/packages/client/src/generated.ts
@@ -71,7 +71,7 @@
        */
       weight: number;
       /**
-       * 9 is taken from the waitlist first
+       * 9 is taken from the queue first
        */
       urgency: number;
       /**
@@ -106,7 +106,7 @@
        */
       weight: number;
       /**
-       * 9 is taken from the waitlist first
+       * 9 is taken from the queue first
        */
       urgency: number;
       /**
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -31,7 +31,7 @@
 import type { Visit } from './visit.js';
 import { VisitDesk } from './visitdesk.js';
 import { VisitDiary } from './visitdiary.js';
-import { Waitlist } from './waitlist.js';
+import { Queue } from './queue.js';
 import { Witness } from './witness.js';
 
 /** Extra tries: so many a visit, and so many saved at the most. */
@@ -84,8 +84,8 @@
     LedgerDesk.make(post, ledger, self);
     const loads = Loads.make(),
       shuns = Shuns.make(clock),
-      waitlist = Waitlist.make(clock),
-      hands = Waitlist.make(clock);
+      queue = Queue.make(clock),
+      hands = Queue.make(clock);
     const hails = Hails.make(
       clock,
       back,
@@ -96,7 +96,7 @@
     const demand = { read: 0, write: 0 };
     /** Visits at the gate are wanting for readers only if it is the readers that have no room. */
     const demandNow = () => ({
-      read: demand.read + (select.roomy('prefill', { weight: 1 }, '*turn') ? 0 : waitlist.weight()),
+      read: demand.read + (select.roomy('prefill', { weight: 1 }, '*turn') ? 0 : queue.weight()),
       write: demand.write,
     });
     const newest = Newest.make({ world, post, line, purge, shelf, self, known, slept: () => awake.slept() });
@@ -123,8 +123,8 @@
       );
     };
     const door = { site: ident.site, charter: sheet.charter, open: shut, young: watch.young };
-    const gate = Gate.make({ ...door, waitlist, select, loads });
-    const pump = Pump.make({ clock, waitlist, hands, gate, select, loads, serving });
+    const gate = Gate.make({ ...door, queue, select, loads });
+    const pump = Pump.make({ clock, queue, hands, gate, select, loads, serving });
     const duty = Duty.make(world, line, self, crew, () => awake.look());
     const sights = Sights.make({ world, shelf, sheet, shuns, purge, town: watch, self: ident.id });
     const shared = { world, sheet, town: watch, hails, duty, purge, back, self: (): string => ident.id };
@@ -137,7 +137,7 @@
       awake.look();
       return certain;
     };
-    const lists = { waitlist, hands, select, loads };
+    const lists = { queue, hands, select, loads };
     const tools = { ...shared, ...lists, gate, witness, bucket, sighted: sights.saw, pump, demand };
     const visit = Run.make({ ...tools, version: sheet.version, sure });
     const seeing = { look: () => awake.look(), load: () => checkin.load(), roster: crew, version: sheet.version, sure };
@@ -148,7 +148,7 @@
       post,
       line,
       shelf,
-      waiting: waitlist.weight,
+      waiting: queue.weight,
       serving,
     });
     const stops: (() => void)[] = [];
@@ -196,7 +196,7 @@
         ).map((r) => `${r.id}/${r.born}`),
       /** The charter's version; null while this daemon can't tell. */
       version: (): number | null => (sure() ? sheet.version() : null),
-      waiting: waitlist.total,
+      waiting: queue.total,
       under: gate.under,
       level: bucket.level,
       start(): void {
@@ -223,7 +223,7 @@
       async leave(ms: number): Promise<void> {
         life.send('leave');
         log.say('Leaving: no more visits are let in.');
-        waitlist.clear();
+        queue.clear();
         const end = clock.mono() + ms;
         await lending.leave(Math.min(end, clock.mono() + ms / 2));
         await line.leave(duty.names());
--- a/packages/counter/src/gate.ts
+++ b/packages/counter/src/gate.ts
@@ -2,14 +2,14 @@
 import type { Loads } from './loads.js';
 import type { Selecting } from './selecting.js';
 import type { Visit } from './visit.js';
-import type { Waitlist } from './waitlist.js';
+import type { Queue } from './queue.js';
 
 type Tools = {
   site: string;
   charter: () => Charter | null;
   open: () => Verdict | null;
   young: () => boolean;
-  waitlist: ReturnType<typeof Waitlist.make>;
+  queue: ReturnType<typeof Queue.make>;
   select: Selecting;
   loads: ReturnType<typeof Loads.make>;
 };
@@ -42,18 +42,15 @@
         if (!t.young()) return Err(Verdicts.not('oldlist', "The platform's list is too old to send by.", 1));
         if (t.select.usable('prefill').length === 0 || t.select.usable('decode').length === 0)
           return Err(Verdicts.not('noserver', 'No server can take this now.', 1));
-        if (t.waitlist.length(rule.name) >= rule.waitlist)
+        if (t.queue.length(rule.name) >= rule.waitlist)
           return Err(
             Verdicts.not(
               'full',
-              `The waitlist of ${rule.name} is full.`,
-              Math.min(
-                15,
-                Math.max(1, Math.ceil(Math.max(rule.deadline / 2, t.waitlist.foresee(rule.urgency)) / 1000)),
-              ),
+              `The queue of ${rule.name} is full.`,
+              Math.min(15, Math.max(1, Math.ceil(Math.max(rule.deadline / 2, t.queue.foresee(rule.urgency)) / 1000))),
             ),
           );
-        const wait = t.waitlist.foresee(rule.urgency);
+        const wait = t.queue.foresee(rule.urgency);
         if (wait > rule.deadline)
           return Err(
             Verdicts.not(
--- a/packages/counter/src/lentrun.ts
+++ b/packages/counter/src/lentrun.ts
@@ -6,7 +6,7 @@
 import { Pump } from './pump.js';
 import { Run } from './run.js';
 import type { RunTools } from './runtools.js';
-import { Waitlist } from './waitlist.js';
+import { Queue } from './queue.js';
 
 type Tools = Pick<
   RunTools,
@@ -22,18 +22,18 @@
 };
 
 /**
- * The path of borrowed visits: that of live ones, with a gate, waitlists and loads of its own. Invariants: live work
+ * The path of borrowed visits: that of live ones, with a gate, queues and loads of its own. Invariants: live work
  * shares none of these, so it never waits for what is borrowed; every send is bound by its server's lease, and of the
  * lowest urgency there; there are no extra tries, what finds a fault goes back to its burst.
  */
 export const LentRun = {
   make(t: Tools) {
     const { clock } = t.world;
-    const waitlist = Waitlist.make(clock),
-      hands = Waitlist.make(clock);
+    const queue = Queue.make(clock),
+      hands = Queue.make(clock);
     const select = LentSelect.make({ live: t.select, loads: t.loads, borrower: t.borrower });
-    const gate = Gate.make({ ...t, waitlist, select });
-    const pump = Pump.make({ clock, waitlist, hands, gate, select, loads: t.loads, serving: t.serving });
+    const gate = Gate.make({ ...t, queue, select });
+    const pump = Pump.make({ clock, queue, hands, gate, select, loads: t.loads, serving: t.serving });
     const hails = {
       ...t.hails,
       bound: (s: Parameters<typeof t.hails.bound>[0], until: number) => {
@@ -43,7 +43,7 @@
     };
     const bucket = { visit: (): void => undefined, take: (): boolean => false, level: (): number => 0 };
     const demand = { read: 0, write: 0 };
-    const lists = { waitlist, hands, select, loads: t.loads };
+    const lists = { queue, hands, select, loads: t.loads };
     const visit = Run.make({ ...t, ...lists, hails, gate, pump, bucket, demand, urgency: 0 });
     return {
       visit,
@@ -57,7 +57,7 @@
       },
       /** All that waits is given up, as not run. */
       clear(): void {
-        waitlist.clear();
+        queue.clear();
         hands.clear();
       },
     };
--- a/packages/counter/src/pump.ts
+++ b/packages/counter/src/pump.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@pumicebarrow/forms';
 import type { RunTools } from './runtools.js';
 
-type Tools = Pick<RunTools, 'gate' | 'waitlist' | 'hands' | 'select' | 'loads'> & {
+type Tools = Pick<RunTools, 'gate' | 'queue' | 'hands' | 'select' | 'loads'> & {
   clock: Clock;
   serving: () => boolean;
 };
@@ -14,7 +14,7 @@
   make(t: Tools): () => void {
     return () => {
       const turns: (() => void)[] = [];
-      t.waitlist.pump((rule) => {
+      t.queue.pump((rule) => {
         if (!t.serving() || !t.gate.room(rule)) return false;
         turns.push(t.loads.take('*turn', rule.weight));
         return true;
--- a/packages/counter/src/run.ts
+++ b/packages/counter/src/run.ts
@@ -29,7 +29,7 @@
     const tries = Tries.make(t);
     const read = Reading.make(t, tries),
       write = Writing.make(t, tries);
-    const late = (rule: Rule): Verdict => tooOld(t.waitlist.foresee(rule.urgency));
+    const late = (rule: Rule): Verdict => tooOld(t.queue.foresee(rule.urgency));
 
     /** A marked visit is read and written, again and again where that is safe, until it is whole or given up. */
     const go = async (v: Visit, rule: Rule, sink: CallerSink, due: number, settled: () => void): Promise<Done> => {
@@ -75,7 +75,7 @@
       t.bucket.visit();
       world.tell({ what: 'gated', key: v.key, attempt: v.attempt, rule: rule.val.name });
       const due = now() + rule.val.deadline;
-      const spot = t.waitlist.enter(rule.val, due);
+      const spot = t.queue.enter(rule.val, due);
       const book = await witness.open(v);
       if (book.bad) {
         spot.leave();
--- a/packages/counter/src/runtools.ts
+++ b/packages/counter/src/runtools.ts
@@ -7,15 +7,15 @@
 import type { LoadBook } from './loadbook.js';
 import type { Selecting } from './selecting.js';
 import type { TownView } from './townview.js';
-import type { Waitlist } from './waitlist.js';
+import type { Queue } from './queue.js';
 import type { Witnessing } from './witnessing.js';
 
 /** What the run of a visit works with. */
 export type RunTools = {
   world: World;
   gate: Gating;
-  waitlist: ReturnType<typeof Waitlist.make>;
-  hands: ReturnType<typeof Waitlist.make>;
+  queue: ReturnType<typeof Queue.make>;
+  hands: ReturnType<typeof Queue.make>;
   select: Selecting;
   loads: LoadBook;
   town: TownView;
