bounce is refuse: methods, states, comments and prose

Cause: the field's word is to refuse, a refusal. Meanings kept apart: the stand-in callers of sim and yard had 'refused' for a connection that was not to be had; that is 'unreached' now, as in routesim, and 'refused' is a visit that was turned away. Nothing that goes over HTTP, between daemons or to disk had the word.

--- a/packages/counter/src/run.ts
+++ b/packages/counter/src/run.ts
@@ -54,7 +54,7 @@
     const end = (v: Visit, sink: CallerSink, verdict: Verdict): Verdict => {
       told(v, verdict);
       if (verdict.code === 'cut') sink.cut(verdict);
-      else sink.bounce(verdict);
+      else sink.refuse(verdict);
       return verdict;
     };
     /** Its turn never came, or it could not be marked in time: the try is closed before the caller is told. */
@@ -69,7 +69,7 @@
     return async (v: Visit, sink: CallerSink): Promise<Verdict> => {
       const rule = t.gate.check(v);
       if (rule.err) {
-        await witness.bounced(v);
+        await witness.refused(v);
         return end(v, sink, rule.val);
       }
       t.bucket.visit();
--- a/packages/counter/src/visitmeter.test.ts
+++ b/packages/counter/src/visitmeter.test.ts
@@ -36,7 +36,7 @@
       ],
     ],
     [
-      'a visit that was bounced at the gate, without a rule',
+      'a visit that was refused at the gate, without a rule',
       [[0, of('visit', { ran: 'no', code: 'full' })]],
       ['pumicebarrow_visits_total{rule="none",ran="no",code="full"} 1'],
     ],
--- a/packages/counter/src/visitmeter.ts
+++ b/packages/counter/src/visitmeter.ts
@@ -3,7 +3,7 @@
 
 type Under = { rule: string; at: number; sent: boolean };
 const MOST = 8192;
-/** Of a visit that was bounced before its rule was known. */
+/** Of a visit that was refused before its rule was known. */
 const NONE = 'none';
 
 /**
--- a/packages/counter/src/writing.test.ts
+++ b/packages/counter/src/writing.test.ts
@@ -38,7 +38,7 @@
       piece: () => undefined,
       end: () => undefined,
       cut: () => undefined,
-      bounce: () => undefined,
+      refuse: () => undefined,
       gone: () => false,
     },
     settled: () => undefined,
--- a/packages/registry/src/apply.test.ts
+++ b/packages/registry/src/apply.test.ts
@@ -69,7 +69,7 @@
     });
     expect(fences).to.deep.equal([1, 2, 3]);
   });
-  it('writes nothing for what it bounces', () => {
+  it('writes nothing for what it refuses', () => {
     const s = Apply.one(Apply.empty, plan('a', 0)).state;
     expect(Apply.one(s, plan('b', 3)).state).to.equal(s);
     expect(Apply.one(s, drop('x')).state).to.equal(s);
--- a/packages/sim/src/callers.ts
+++ b/packages/sim/src/callers.ts
@@ -5,9 +5,9 @@
 
 type Out =
   | { kind: 'end' }
-  | { kind: 'cut' | 'bounce'; verdict: Verdict }
+  | { kind: 'cut' | 'refused'; verdict: Verdict }
   | { kind: 'torn'; pieces: number }
-  | { kind: 'refused' };
+  | { kind: 'unreached' };
 const SIZES: Record<string, { prefix: number; part: number }> = {
   review: { prefix: 6000, part: 1500 },
   changelog: { prefix: 2500, part: 500 },
@@ -42,7 +42,7 @@
         const c = f.counters.get(id),
           box = f.boxes.get(id)!;
         if (!c || !box.up()) {
-          motor.at(at() + 1, () => done({ kind: 'refused' }));
+          motor.at(at() + 1, () => done({ kind: 'unreached' }));
           return;
         }
         const expect = Text.digest(v.prefix, v.part);
@@ -90,7 +90,7 @@
               finish({ kind: 'end' });
             }),
           cut: (verdict) => late(() => finish({ kind: 'cut', verdict })),
-          bounce: (verdict) => late(() => finish({ kind: 'bounce', verdict })),
+          refuse: (verdict) => late(() => finish({ kind: 'refused', verdict })),
           gone: () => !open,
         };
         tell({ what: 'called', who: id, at: at(), key: v.key, attempt: v.attempt, rule: v.rule });
@@ -159,7 +159,7 @@
         const near = f.edgeIds.filter((id) => f.boxes.get(id)!.site === site && f.boxes.get(id)!.up());
         const id = Dice.one(motor.chance, near.length > 0 ? near : f.edgeIds)!;
         const out = await once(id, { key, attempt, ...body });
-        if (out.kind === 'refused') {
+        if (out.kind === 'unreached') {
           if (++dead > 8) break;
           await nap(300);
           continue;
@@ -176,7 +176,7 @@
           ran: verdict?.ran ?? (out.kind === 'end' ? 'yes' : 'maybe'),
           code: verdict?.code ?? out.kind,
         });
-        const again = (out.kind === 'bounce' && out.verdict.ran === 'no') || (out.kind === 'torn' && out.pieces === 0);
+        const again = (out.kind === 'refused' && out.verdict.ran === 'no') || (out.kind === 'torn' && out.pieces === 0);
         if (!again) break;
         attempt++;
         await nap((verdict?.after ?? 1) * 1000 * (0.9 + motor.chance.real() * 0.4));
--- a/packages/yard/src/crowd.ts
+++ b/packages/yard/src/crowd.ts
@@ -46,15 +46,15 @@
           { ...v, attempt },
           d.charter.rules.find((x) => x.name === rule)!.pieces,
         );
-        if (out.kind === 'refused') {
+        if (out.kind === 'unreached') {
           if (++shut > 10) {
-            bump('refused');
+            bump('unreached');
             return;
           }
           await nap(300);
           continue;
         }
-        bump(out.kind === 'bounce' ? `bounce ${out.verdict?.ran} ${out.verdict?.code}` : out.kind);
+        bump(out.kind === 'refused' ? `refused ${out.verdict?.ran} ${out.verdict?.code}` : out.kind);
         if (out.kind === 'whole') {
           tell('whole', to.id, { attempt, good: true });
           firsts.push(out.ms);
@@ -69,7 +69,8 @@
           code: out.verdict?.code ?? out.kind,
         });
         keys.set(key, out.kind);
-        if (!(out.kind === 'bounce' && out.verdict?.ran === 'no') && !(out.kind === 'torn' && out.pieces === 0)) return;
+        if (!(out.kind === 'refused' && out.verdict?.ran === 'no') && !(out.kind === 'torn' && out.pieces === 0))
+          return;
         attempt++;
         await nap((out.verdict?.after ?? 1) * 1000);
       }
