--- a/packages/registry/src/warnings.test.ts
+++ b/packages/registry/src/warnings.test.ts
@@ -43,7 +43,7 @@
         'm2 seems to be renamed to m9: the platform must list it under that name',
       ],
     ],
-    ['a rule that goes', { rules: [rule('review', 10)] }, ['visits of the rule verdict will be refused: it goes']],
+    ['a rule that goes', { rules: [rule('review', 10)] }, ['visits of the rule verdict will be bounced: it goes']],
     [
       'a rule that shrinks',
       { rules: [rule('review', 1), rule('verdict', 10)] },
--- a/packages/registry/src/warnings.ts
+++ b/packages/registry/src/warnings.ts
@@ -11,7 +11,7 @@
   if (b < a * HALF) out.push(`it takes away ${share(a, b)} of the fleet's slots (${a} to ${b})`);
   for (const r of was.rules) {
     const next = will.rules.find((x) => x.name === r.name);
-    if (!next) out.push(`visits of the rule ${r.name} will be refused: it goes`);
+    if (!next) out.push(`visits of the rule ${r.name} will be bounced: it goes`);
     else if (next.limit < r.limit * HALF)
       out.push(`the rule ${r.name} lets in ${share(r.limit, next.limit)} fewer visits at once`);
   }
