gate is admission: Admission, its files, variables and prose

Cause: the field's word is admission. Gate is Admission, Gating is Admitting; the house check forbids the old word in all packages. 'gated' stays as what a diary tells of a visit that was let in: daemons give it over HTTP and clerk of the release before reads it (docs/clashes.md has it among the keys that stay); a property may be named so, a variable may not.

--- a/packages/counter/src/gate.ts
+++ b/packages/counter/src/admission.ts
@@ -19,7 +19,7 @@
  * Who may come in. Invariants: a rule never has more than `limit` visits under way nor more than `waitlist` waiting;
  * a turn is given only against room at the readers that no other turn has been promised.
  */
-export const Gate = {
+export const Admission = {
   make(t: Tools) {
     const index = Indices.make();
     const under: number[] = [];
--- a/packages/counter/src/bounds.test.ts
+++ b/packages/counter/src/bounds.test.ts
@@ -61,7 +61,7 @@
     },
   ],
   [
-    'a queue counts those that wait, for the gate to refuse the rest',
+    'a queue counts those that wait, for admission to refuse the rest',
     500,
     500,
     (n) => {
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -10,7 +10,7 @@
 import type { CounterStartup } from './counterstartup.js';
 import { DaemonLife } from './daemonlife.js';
 import { Duty } from './duty.js';
-import { Gate } from './gate.js';
+import { Admission } from './admission.js';
 import { Hails } from './hails.js';
 import { Hearing } from './hearing.js';
 import { Ledger } from './ledger.js';
@@ -94,7 +94,7 @@
     );
     const select = Select.make({ hails, sheet, town: watch, loads, shuns, roster: crew });
     const demand = { read: 0, write: 0 };
-    /** Visits at the gate are wanting for readers only if it is the readers that have no room. */
+    /** Visits at admission are wanting for readers only if it is the readers that have no room. */
     const demandNow = () => ({
       read: demand.read + (select.roomy('prefill', { weight: 1 }, '*turn') ? 0 : queue.weight()),
       write: demand.write,
@@ -123,8 +123,8 @@
       );
     };
     const door = { site: ident.site, charter: sheet.charter, open: shut, young: watch.young };
-    const gate = Gate.make({ ...door, queue, select, loads });
-    const pump = Pump.make({ clock, queue, hands, gate, select, loads, serving });
+    const admission = Admission.make({ ...door, queue, select, loads });
+    const pump = Pump.make({ clock, queue, hands, admission, select, loads, serving });
     const duty = Duty.make(world, line, self, crew, () => awake.look());
     const sights = Sights.make({ world, shelf, sheet, shuns, purge, town: watch, self: ident.id });
     const shared = { world, sheet, town: watch, hails, duty, purge, back, self: (): string => ident.id };
@@ -138,7 +138,7 @@
       return certain;
     };
     const lists = { queue, hands, select, loads };
-    const tools = { ...shared, ...lists, gate, witness, bucket, sighted: sights.saw, pump, demand };
+    const tools = { ...shared, ...lists, admission, witness, bucket, sighted: sights.saw, pump, demand };
     const visit = Run.make({ ...tools, version: sheet.version, sure });
     const seeing = { look: () => awake.look(), load: () => checkin.load(), roster: crew, version: sheet.version, sure };
     const lending = Lending.make({
@@ -179,7 +179,7 @@
     };
     TraceDesk.make(post, self, purge, shelf, sure);
     VisitDesk.make(post, diary, ledger);
-    const parts = { ident, gate, post, line, purge, shelf, sheet, watch, ledger, duty, shuns, lending };
+    const parts = { ident, admission, post, line, purge, shelf, sheet, watch, ledger, duty, shuns, lending };
     return {
       ...parts,
       ...{ roster: crew, met: met.all, life: is },
@@ -197,7 +197,7 @@
       /** The charter's version; null while this daemon can't tell. */
       version: (): number | null => (sure() ? sheet.version() : null),
       waiting: queue.total,
-      under: gate.under,
+      under: admission.under,
       level: bucket.level,
       start(): void {
         life.send('begin');
@@ -228,7 +228,7 @@
         await lending.leave(Math.min(end, clock.mono() + ms / 2));
         await line.leave(duty.names());
         duty.drop();
-        while (gate.under() > 0 && clock.mono() < end) await Timer.nap(clock, 50);
+        while (admission.under() > 0 && clock.mono() < end) await Timer.nap(clock, 50);
         life.send('empty');
       },
       stop(): void {
--- a/packages/counter/src/index.ts
+++ b/packages/counter/src/index.ts
@@ -1,3 +1,5 @@
+export { Admission } from './admission.js';
+export { type Admitting } from './admitting.js';
 export { type Back } from './back.js';
 export { type BackFault } from './backfault.js';
 export { BackState } from './backstate.js';
@@ -17,8 +19,6 @@
 export { Duty } from './duty.js';
 export { type Entry } from './entry.js';
 export { Front } from './front.js';
-export { Gate } from './gate.js';
-export { type Gating } from './gating.js';
 export { Gauges } from './gauges.js';
 export { type Hailing } from './hailing.js';
 export { Hails } from './hails.js';
--- a/packages/counter/src/ledger.test.ts
+++ b/packages/counter/src/ledger.test.ts
@@ -75,14 +75,14 @@
     ],
   ],
   [
-    'a first try refused at the gate proves the second',
+    'a first try refused at admission proves the second',
     [
       ['closed', 1, 'x', true],
       ['open', 2, 'y', 'ok'],
     ],
   ],
   [
-    'a second try refused at the gate proves nothing by itself',
+    'a second try refused at admission proves nothing by itself',
     [
       ['closed', 2, 'x', false],
       ['open', 3, 'y', 'unknown'],
--- a/packages/counter/src/lentrun.ts
+++ b/packages/counter/src/lentrun.ts
@@ -1,5 +1,5 @@
 import type { Charter, Rule, Verdict } from '@pumicebarrow/forms';
-import { Gate } from './gate.js';
+import { Admission } from './admission.js';
 import type { Borrower } from './lending/borrower.js';
 import { LentSelect } from './lending/lentselect.js';
 import type { Loads } from './loads.js';
@@ -22,7 +22,7 @@
 };
 
 /**
- * The path of borrowed visits: that of live ones, with a gate, queues and loads of its own. Invariants: live work
+ * The path of borrowed visits: that of live ones, with admission, queues and loads of its own. Invariants: live work
  * shares none of these, so it never waits for what is borrowed; every send is bound by its server's lease, and of the
  * lowest urgency there; there are no extra tries, what finds a fault goes back to its burst.
  */
@@ -32,8 +32,8 @@
     const queue = Queue.make(clock),
       hands = Queue.make(clock);
     const select = LentSelect.make({ live: t.select, loads: t.loads, borrower: t.borrower });
-    const gate = Gate.make({ ...t, queue, select });
-    const pump = Pump.make({ clock, queue, hands, gate, select, loads: t.loads, serving: t.serving });
+    const admission = Admission.make({ ...t, queue, select });
+    const pump = Pump.make({ clock, queue, hands, admission, select, loads: t.loads, serving: t.serving });
     const hails = {
       ...t.hails,
       bound: (s: Parameters<typeof t.hails.bound>[0], until: number) => {
@@ -44,11 +44,11 @@
     const bucket = { visit: (): void => undefined, take: (): boolean => false, level: (): number => 0 };
     const demand = { read: 0, write: 0 };
     const lists = { queue, hands, select, loads: t.loads };
-    const visit = Run.make({ ...t, ...lists, hails, gate, pump, bucket, demand, urgency: 0 });
+    const visit = Run.make({ ...t, ...lists, hails, admission, pump, bucket, demand, urgency: 0 });
     return {
       visit,
       pump,
-      under: gate.under,
+      under: admission.under,
       /** How much of a rule may be in hand at once: what is lent at decode servers, while readers are lent too. */
       room: (rule: Rule): number => {
         const slots = (part: 'prefill' | 'decode'): number =>
--- a/packages/counter/src/pump.ts
+++ b/packages/counter/src/pump.ts
@@ -1,13 +1,13 @@
 import type { Clock } from '@pumicebarrow/forms';
 import type { RunTools } from './runtools.js';
 
-type Tools = Pick<RunTools, 'gate' | 'queue' | 'hands' | 'select' | 'loads'> & {
+type Tools = Pick<RunTools, 'admission' | 'queue' | 'hands' | 'select' | 'loads'> & {
   clock: Clock;
   serving: () => boolean;
 };
 
 /**
- * Gives turns to visits that wait: at the gate, and with a handle for a decode server. Invariant: room that a turn was
+ * Gives turns to visits that wait: at admission, and with a handle for a decode server. Invariant: room that a turn was
  * given for counts as taken until that visit has had its chance to take it.
  */
 export const Pump = {
@@ -15,7 +15,7 @@
     return () => {
       const turns: (() => void)[] = [];
       t.queue.pump((rule) => {
-        if (!t.serving() || !t.gate.room(rule)) return false;
+        if (!t.serving() || !t.admission.room(rule)) return false;
         turns.push(t.loads.take('*turn', rule.weight));
         return true;
       });
--- a/packages/counter/src/run.ts
+++ b/packages/counter/src/run.ts
@@ -17,7 +17,7 @@
   Verdicts.not('late', 'No server had room in time.', Math.min(MOST, Math.max(1, Math.ceil(wait / 1000))));
 
 /**
- * One visit, from the gate to its outcome, written straight down.
+ * One visit, from admission to its outcome, written straight down.
  * Invariants: nothing is sent while this daemon isn't sure of its charter; every send is preceded, in the same turn, by
  * a look at a young list, and bound by that list's age so that it can't take hold later; a visit is sent again only on
  * proof that it has not run, and each time from the bucket; the sink hears one outcome.
@@ -67,7 +67,7 @@
     };
 
     return async (v: Visit, sink: CallerSink): Promise<Verdict> => {
-      const rule = t.gate.check(v);
+      const rule = t.admission.check(v);
       if (rule.err) {
         await witness.refused(v);
         return end(v, sink, rule.val);
@@ -85,7 +85,7 @@
       world.tell({ what: 'recorded', key: v.key, attempt: v.attempt, owners: owners.map((o) => o.id) });
       t.pump();
       const turn = await spot.turn;
-      const mine = turn ? t.gate.begin(rule.val) : null;
+      const mine = turn ? t.admission.begin(rule.val) : null;
       const marked = mine && !sink.gone() ? await witness.sent(v, owners, digest) : false;
       if (!mine || !marked || now() >= due) return end(v, sink, await unmarked(v, rule.val, book, mine, marked));
       const out = await go(v, rule.val, sink, due, mine.settled);
--- a/packages/counter/src/runtools.ts
+++ b/packages/counter/src/runtools.ts
@@ -2,7 +2,7 @@
 import type { Back } from './back.js';
 import type { Bucket } from './bucket.js';
 import type { Hailing } from './hailing.js';
-import type { Gating } from './gating.js';
+import type { Admitting } from './admitting.js';
 import type { Listed } from './listed.js';
 import type { LoadBook } from './loadbook.js';
 import type { Selecting } from './selecting.js';
@@ -13,7 +13,7 @@
 /** What the run of a visit works with. */
 export type RunTools = {
   world: World;
-  gate: Gating;
+  admission: Admitting;
   queue: ReturnType<typeof Queue.make>;
   hands: ReturnType<typeof Queue.make>;
   select: Selecting;
--- a/tools/house.mjs
+++ b/tools/house.mjs
@@ -9,11 +9,11 @@
   /^(packages\/(?:router|routesim|clerk\/src\/fleet|yard\/src\/routed|(?:registry|counter|sim|clerk)\/src\/lending)|platform)\//;
 // The product's routes by host and path are the field's; the older rules that callers name are another thing.
 const FORMS = /^packages\/forms\/src\/(route|routing)\.ts$/;
-const TURNED = { visit: 'request', visits: 'requests', gated: 'admitted' };
+const TURNED = { visit: 'request', visits: 'requests' };
 // Turned round everywhere. A key that others see keeps the old word (docs/clashes.md), so a property may be named so.
-const GONE = { bounce: 'refuse', bounces: 'refuses', bounced: 'refused', waitlist: 'queue' };
-const KEPT = new Set(['waitlist']);
-const NOT = { request: 'visit', requests: 'visits', route: 'rule', admit: 'gate', admitted: 'gated', zone: 'site', zones: 'sites', forward: 'proxy', configuration: 'charter', config: 'charter', answer: 'outcome', answers: 'outcomes', choose: 'select', chosen: 'selected', settings: 'startup', setting: 'startup', lease: 'claim', leases: 'claims' };
+const GONE = { bounce: 'refuse', bounces: 'refuses', bounced: 'refused', waitlist: 'queue', gate: 'admission', gated: 'admitted', gating: 'admitting' };
+const KEPT = new Set(['waitlist', 'gated']);
+const NOT = { request: 'visit', requests: 'visits', route: 'rule', zone: 'site', zones: 'sites', forward: 'proxy', configuration: 'charter', config: 'charter', answer: 'outcome', answers: 'outcomes', choose: 'select', chosen: 'selected', settings: 'startup', setting: 'startup', lease: 'claim', leases: 'claims' };
 const faults = [];
 let files = 0, lines = 0, proofs = 0, tables = 0;
 const words = (s) => s.replace(/([a-z0-9])([A-Z])/g, '$1 $2').split(/[ _-]+/).map((w) => w.toLowerCase());
