select is choice: Choice, Choosing, LentChoice, their files and variables

Select is Choice, Selecting is Choosing, LentSelect is LentChoice, and sim's Props.select is Props.choice; the house check forbids the old word in all packages. Nothing that others see had it, so nothing is kept.

--- a/packages/counter/src/admission.ts
+++ b/packages/counter/src/admission.ts
@@ -1,6 +1,6 @@
 import { Indices, Verdicts, type Charter, type Result, type Rule, type Verdict, Err, Ok } from '@pumicebarrow/forms';
 import type { Loads } from './loads.js';
-import type { Selecting } from './selecting.js';
+import type { Choosing } from './choosing.js';
 import type { Visit } from './visit.js';
 import type { Queue } from './queue.js';
 
@@ -10,7 +10,7 @@
   open: () => Verdict | null;
   young: () => boolean;
   queue: ReturnType<typeof Queue.make>;
-  select: Selecting;
+  choice: Choosing;
   loads: ReturnType<typeof Loads.make>;
 };
 const HELD = '*turn';
@@ -24,7 +24,7 @@
     const index = Indices.make();
     const under: number[] = [];
     const room = (rule: Rule): boolean =>
-      (under[index.of(rule.name)] ?? 0) < rule.limit && t.select.roomy('prefill', rule, HELD);
+      (under[index.of(rule.name)] ?? 0) < rule.limit && t.choice.roomy('prefill', rule, HELD);
     return {
       /** What the charter says of this visit, or why it may not come in. */
       check(v: Visit): Result<Rule, Verdict> {
@@ -40,7 +40,7 @@
         if (Buffer.byteLength(v.prefix) + Buffer.byteLength(v.part) > rule.bytes)
           return Err(Verdicts.not('toolarge', `Rule ${rule.name} takes ${rule.bytes} bytes at the most.`));
         if (!t.young()) return Err(Verdicts.not('oldlist', "The platform's list is too old to send by.", 1));
-        if (t.select.usable('prefill').length === 0 || t.select.usable('decode').length === 0)
+        if (t.choice.usable('prefill').length === 0 || t.choice.usable('decode').length === 0)
           return Err(Verdicts.not('noserver', 'No server can take this now.', 1));
         if (t.queue.length(rule.name) >= rule.waitlist)
           return Err(
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -22,7 +22,7 @@
 import { Newest } from './newest.js';
 import { Pump } from './pump.js';
 import { Run } from './run.js';
-import { Select } from './select.js';
+import { Choice } from './choice.js';
 import { Sheet } from './sheet.js';
 import { Shuns } from './shuns.js';
 import { Sights } from './sights.js';
@@ -92,11 +92,11 @@
       () => watch.all(),
       () => awake.look(),
     );
-    const select = Select.make({ hails, sheet, town: watch, loads, shuns, roster: crew });
+    const choice = Choice.make({ hails, sheet, town: watch, loads, shuns, roster: crew });
     const demand = { read: 0, write: 0 };
     /** Visits at admission are wanting for readers only if it is the readers that have no room. */
     const demandNow = () => ({
-      read: demand.read + (select.roomy('prefill', { weight: 1 }, '*turn') ? 0 : queue.weight()),
+      read: demand.read + (choice.roomy('prefill', { weight: 1 }, '*turn') ? 0 : queue.weight()),
       write: demand.write,
     });
     const newest = Newest.make({ world, post, line, purge, shelf, self, known, slept: () => awake.slept() });
@@ -123,8 +123,8 @@
       );
     };
     const door = { site: ident.site, charter: sheet.charter, open: shut, young: watch.young };
-    const admission = Admission.make({ ...door, queue, select, loads });
-    const pump = Pump.make({ clock, queue, hands, admission, select, loads, serving });
+    const admission = Admission.make({ ...door, queue, choice, loads });
+    const pump = Pump.make({ clock, queue, hands, admission, choice, loads, serving });
     const duty = Duty.make(world, line, self, crew, () => awake.look());
     const sights = Sights.make({ world, shelf, sheet, shuns, purge, town: watch, self: ident.id });
     const shared = { world, sheet, town: watch, hails, duty, purge, back, self: (): string => ident.id };
@@ -137,7 +137,7 @@
       awake.look();
       return certain;
     };
-    const lists = { queue, hands, select, loads };
+    const lists = { queue, hands, choice, loads };
     const tools = { ...shared, ...lists, admission, witness, bucket, sighted: sights.saw, pump, demand };
     const visit = Run.make({ ...tools, version: sheet.version, sure });
     const seeing = { look: () => awake.look(), load: () => checkin.load(), roster: crew, version: sheet.version, sure };
--- a/packages/counter/src/lending/lending.ts
+++ b/packages/counter/src/lending/lending.ts
@@ -16,7 +16,7 @@
 
 type Shared = Pick<
   RunTools,
-  'world' | 'select' | 'town' | 'hails' | 'witness' | 'back' | 'sighted' | 'version' | 'sure'
+  'world' | 'choice' | 'town' | 'hails' | 'witness' | 'back' | 'sighted' | 'version' | 'sure'
 >;
 type Tools = Shared & {
   post: PostBox;
@@ -62,7 +62,7 @@
       },
     });
     const watch = LiveWatch.make({
-      ...{ clock: world.clock, post: t.post, select: t.select, loads: t.loads, loans, roster: t.roster },
+      ...{ clock: world.clock, post: t.post, choice: t.choice, loads: t.loads, loans, roster: t.roster },
       slots: (server) => sheet.charter()?.servers.find((s) => s.id === server)?.slots ?? 0,
       waiting: t.waiting,
       lender: (server) => Holder.of(`row:${server}`, t.roster()),
--- a/packages/counter/src/lending/livewatch.test.ts
+++ b/packages/counter/src/lending/livewatch.test.ts
@@ -31,7 +31,7 @@
         return Promise.resolve(Ok({ ok: true, running: 0 }));
       },
     } as unknown as PostBox,
-    select: { usable: (part: string) => (part === 'decode' ? [{ id: 'm1' }] : []) } as never,
+    choice: { usable: (part: string) => (part === 'decode' ? [{ id: 'm1' }] : []) } as never,
     loads: { at: (id: string) => (id === 'm1' ? is.load : 0) } as never,
     loans: () => [loan],
     slots: () => 8,
--- a/packages/counter/src/lentrun.ts
+++ b/packages/counter/src/lentrun.ts
@@ -1,7 +1,7 @@
 import type { Charter, Rule, Verdict } from '@pumicebarrow/forms';
 import { Admission } from './admission.js';
 import type { Borrower } from './lending/borrower.js';
-import { LentSelect } from './lending/lentselect.js';
+import { LentChoice } from './lending/lentchoice.js';
 import type { Loads } from './loads.js';
 import { Pump } from './pump.js';
 import { Run } from './run.js';
@@ -10,7 +10,7 @@
 
 type Tools = Pick<
   RunTools,
-  'world' | 'select' | 'town' | 'hails' | 'witness' | 'back' | 'sighted' | 'version' | 'sure'
+  'world' | 'choice' | 'town' | 'hails' | 'witness' | 'back' | 'sighted' | 'version' | 'sure'
 > & {
   site: string;
   charter: () => Charter | null;
@@ -31,9 +31,9 @@
     const { clock } = t.world;
     const queue = Queue.make(clock),
       hands = Queue.make(clock);
-    const select = LentSelect.make({ live: t.select, loads: t.loads, borrower: t.borrower });
-    const admission = Admission.make({ ...t, queue, select });
-    const pump = Pump.make({ clock, queue, hands, admission, select, loads: t.loads, serving: t.serving });
+    const choice = LentChoice.make({ live: t.choice, loads: t.loads, borrower: t.borrower });
+    const admission = Admission.make({ ...t, queue, choice });
+    const pump = Pump.make({ clock, queue, hands, admission, choice, loads: t.loads, serving: t.serving });
     const hails = {
       ...t.hails,
       bound: (s: Parameters<typeof t.hails.bound>[0], until: number) => {
@@ -43,7 +43,7 @@
     };
     const bucket = { visit: (): void => undefined, take: (): boolean => false, level: (): number => 0 };
     const demand = { read: 0, write: 0 };
-    const lists = { queue, hands, select, loads: t.loads };
+    const lists = { queue, hands, choice, loads: t.loads };
     const visit = Run.make({ ...t, ...lists, hails, admission, pump, bucket, demand, urgency: 0 });
     return {
       visit,
@@ -52,7 +52,7 @@
       /** How much of a rule may be in hand at once: what is lent at decode servers, while readers are lent too. */
       room: (rule: Rule): number => {
         const slots = (part: 'prefill' | 'decode'): number =>
-          select.usable(part).reduce((n, s) => n + t.borrower.slots(s.id, s.born), 0);
+          choice.usable(part).reduce((n, s) => n + t.borrower.slots(s.id, s.born), 0);
         return slots('prefill') >= rule.weight ? slots('decode') : 0;
       },
       /** All that waits is given up, as not run. */
--- a/packages/counter/src/pump.ts
+++ b/packages/counter/src/pump.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@pumicebarrow/forms';
 import type { RunTools } from './runtools.js';
 
-type Tools = Pick<RunTools, 'admission' | 'queue' | 'hands' | 'select' | 'loads'> & {
+type Tools = Pick<RunTools, 'admission' | 'queue' | 'hands' | 'choice' | 'loads'> & {
   clock: Clock;
   serving: () => boolean;
 };
@@ -20,7 +20,7 @@
         return true;
       });
       t.hands.pump((rule) => {
-        if (!t.select.roomy('decode', rule, '*hand')) return false;
+        if (!t.choice.roomy('decode', rule, '*hand')) return false;
         turns.push(t.loads.take('*hand', rule.weight));
         return true;
       });
--- a/packages/counter/src/runtools.ts
+++ b/packages/counter/src/runtools.ts
@@ -5,7 +5,7 @@
 import type { Admitting } from './admitting.js';
 import type { Listed } from './listed.js';
 import type { LoadBook } from './loadbook.js';
-import type { Selecting } from './selecting.js';
+import type { Choosing } from './choosing.js';
 import type { TownView } from './townview.js';
 import type { Queue } from './queue.js';
 import type { Witnessing } from './witnessing.js';
@@ -16,7 +16,7 @@
   admission: Admitting;
   queue: ReturnType<typeof Queue.make>;
   hands: ReturnType<typeof Queue.make>;
-  select: Selecting;
+  choice: Choosing;
   loads: LoadBook;
   town: TownView;
   hails: Hailing;
--- a/packages/sim/src/capacity/props.ts
+++ b/packages/sim/src/capacity/props.ts
@@ -1,4 +1,4 @@
-import { Hails, Loads, Select, Sheet, Shuns, TownWatch, type Back, type Listed } from '@pumicebarrow/counter';
+import { Hails, Loads, Choice, Sheet, Shuns, TownWatch, type Back, type Listed } from '@pumicebarrow/counter';
 import { Err, Ok, type Charter, type Clock, type Doc, type Ident, type PostBox, type World } from '@pumicebarrow/forms';
 import { Shelf } from '@pumicebarrow/purge';
 import { Design } from './design.js';
@@ -56,7 +56,7 @@
     return shelf;
   },
   /** The real choice of servers over a whole list, as one daemon of `roster` has it. Each server was hailed. */
-  async select(servers: number, roster: readonly Ident[]) {
+  async choice(servers: number, roster: readonly Ident[]) {
     const clock = Props.clock(),
       list = Props.listed(servers);
     const docs = new Map<string, Doc>(list.map((_, i) => [`row:m${i + 1}`, Props.row(i)]));
@@ -88,7 +88,7 @@
     await Promise.resolve();
     await Promise.all(list.map((s) => hails.ask(s, 100)));
     const loads = Loads.make();
-    const select = Select.make({ hails, sheet, town, loads, shuns: Shuns.make(clock), roster: () => roster });
-    return { select, loads, list, town, sheet };
+    const choice = Choice.make({ hails, sheet, town, loads, shuns: Shuns.make(clock), roster: () => roster });
+    return { choice, loads, list, town, sheet };
   },
 };
--- a/packages/sim/src/capacity/works.ts
+++ b/packages/sim/src/capacity/works.ts
@@ -98,7 +98,7 @@
   /** Over the list of servers, with as many daemons to the server as at the design size. */
   async servers(n: number): Promise<Figure[]> {
     const roster = Props.idents(Math.max(1, Math.round((n * Design.daemons) / Design.servers)));
-    const { select, loads, list, sheet } = await Props.select(n, roster);
+    const { choice, loads, list, sheet } = await Props.choice(n, roster);
     const charter = Props.charter(n),
       live = [...sheet.rows().values()].map(({ row }) => ({ id: row.server, part: row.part }));
     const text = JSON.stringify({ servers: list }),
@@ -112,12 +112,12 @@
       one(
         'choosing who reads',
         'us',
-        Timed.us(() => select.prefill(rule, `p${turn++}`, none)),
+        Timed.us(() => choice.prefill(rule, `p${turn++}`, none)),
       ),
       one(
         'choosing who writes',
         'us',
-        Timed.us(() => select.decode(rule, list[turn++ % n]!, none)),
+        Timed.us(() => choice.decode(rule, list[turn++ % n]!, none)),
       ),
       one(
         'the part of one row',
--- a/tools/house.mjs
+++ b/tools/house.mjs
@@ -11,9 +11,9 @@
 const FORMS = /^packages\/forms\/src\/(route|routing)\.ts$/;
 const TURNED = { visit: 'request', visits: 'requests' };
 // Turned round everywhere. A key that others see keeps the old word (docs/clashes.md), so a property may be named so.
-const GONE = { bounce: 'refuse', bounces: 'refuses', bounced: 'refused', waitlist: 'queue', gate: 'admission', gated: 'admitted', gating: 'admitting', proxy: 'forward', proxies: 'forwards', proxied: 'forwarded' };
+const GONE = { bounce: 'refuse', bounces: 'refuses', bounced: 'refused', waitlist: 'queue', gate: 'admission', gated: 'admitted', gating: 'admitting', proxy: 'forward', proxies: 'forwards', proxied: 'forwarded', select: 'choice', selecting: 'choosing', selected: 'chosen' };
 const KEPT = new Set(['waitlist', 'gated']);
-const NOT = { request: 'visit', requests: 'visits', route: 'rule', zone: 'site', zones: 'sites', configuration: 'charter', config: 'charter', answer: 'outcome', answers: 'outcomes', choose: 'select', chosen: 'selected', settings: 'startup', setting: 'startup', lease: 'claim', leases: 'claims' };
+const NOT = { request: 'visit', requests: 'visits', route: 'rule', zone: 'site', zones: 'sites', configuration: 'charter', config: 'charter', answer: 'outcome', answers: 'outcomes', settings: 'startup', setting: 'startup', lease: 'claim', leases: 'claims' };
 const faults = [];
 let files = 0, lines = 0, proofs = 0, tables = 0;
 const words = (s) => s.replace(/([a-z0-9])([A-Z])/g, '$1 $2').split(/[ _-]+/).map((w) => w.toLowerCase());
