startup is settings: the daemons' schemas, CounterSettings, SettingsReader

Cause: the field's word is settings. StartupFile of forms is SettingsReader: platform/ has a SettingsFile of its own, which uses it, so the two meanings stay apart. Program.startup is Program.settings.

--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -7,7 +7,7 @@
 import type { CallerSink } from './callersink.js';
 import { Casting } from './casting.js';
 import { Checkin } from './checkin.js';
-import type { CounterStartup } from './counterstartup.js';
+import type { CounterSettings } from './countersettings.js';
 import { DaemonLife } from './daemonlife.js';
 import { Duty } from './duty.js';
 import { Admission } from './admission.js';
@@ -40,16 +40,16 @@
 
 /** A counter daemon put together: purge, ledger, casting and the visits' path. */
 export const Counter = {
-  make(outer: World, startup: CounterStartup, back: Back, town: Town) {
+  make(outer: World, settings: CounterSettings, back: Back, town: Town) {
     const { clock } = outer;
     const diary = VisitDiary.make(clock),
       world = diary.listen(outer);
     const log = world.log('counter');
     const ident: Ident = {
-      id: startup.id,
+      id: settings.id,
       born: Dice.word(world.chance),
-      addr: startup.addr,
-      site: startup.site,
+      addr: settings.addr,
+      site: settings.site,
       role: 'counter',
     };
     const self = (): Ident => ident;
@@ -58,8 +58,8 @@
       serving = (): boolean => is() === 'serving';
     const post = Post.make(world, self);
     const shelf = Shelf.make(Sound.doc);
-    const seeds = (): readonly string[] => startup.seeds;
-    const purge = Purge.make(world, post, self, shelf, startup.tunes, seeds, (): readonly Ident[] => [
+    const seeds = (): readonly string[] => settings.seeds;
+    const purge = Purge.make(world, post, self, shelf, settings.tunes, seeds, (): readonly Ident[] => [
       ...Views.idents(line.view()),
       ...checkin.roster(),
     ]);
--- a/packages/counter/src/index.ts
+++ b/packages/counter/src/index.ts
@@ -13,7 +13,7 @@
 export { type Choosing } from './choosing.js';
 export { Control } from './control.js';
 export { Counter } from './counter.js';
-export { type CounterStartup } from './counterstartup.js';
+export { type CounterSettings } from './countersettings.js';
 export { type Counting } from './counting.js';
 export { DaemonLife } from './daemonlife.js';
 export { Dialer } from './dialer.js';
--- a/packages/counterd/src/main.ts
+++ b/packages/counterd/src/main.ts
@@ -2,7 +2,7 @@
 import type { CallerSink, Visit } from '@pumicebarrow/counter';
 import { Machine, Meters, Program } from '@pumicebarrow/forms';
 import { Tuned } from '@pumicebarrow/purge';
-import { Startup } from './startup.js';
+import { Settings } from './settings.js';
 
 const LIST = [
   { name: 'id', help: "the daemon's name", kind: 'text' },
@@ -19,7 +19,7 @@
 /** counterd: the counter library on a real machine. */
 export const Main = {
   async run(argv: readonly string[]): Promise<void> {
-    const s = await Program.startup('counterd', 'a counter daemon of pumicebarrow', LIST, Startup, argv);
+    const s = await Program.settings('counterd', 'a counter daemon of pumicebarrow', LIST, Settings, argv);
     try {
       const world = await Machine.make(s.id, s.hear ?? s.addr, s.level ?? 'info', null);
       const back = HttpBack.make(),
--- a/packages/registryd/src/main.ts
+++ b/packages/registryd/src/main.ts
@@ -1,8 +1,8 @@
-import { FileDisk, Machine, Meters, Program, StartupFile } from '@pumicebarrow/forms';
+import { FileDisk, Machine, Meters, Program, SettingsReader } from '@pumicebarrow/forms';
 import { Tuned } from '@pumicebarrow/purge';
 import { CoreMeter, Registrar } from '@pumicebarrow/registry';
 import { CoreFront } from './corefront.js';
-import { Startup } from './startup.js';
+import { Settings } from './settings.js';
 
 const LIST = [
   { name: 'id', help: "the daemon's name", kind: 'text' },
@@ -18,8 +18,8 @@
 /** registryd: the registry library on a real machine. */
 export const Main = {
   async run(argv: readonly string[]): Promise<void> {
-    const s = await Program.startup('registryd', 'a core daemon of pumicebarrow', LIST, Startup, argv);
-    const folder = await StartupFile.folder(s.data);
+    const s = await Program.settings('registryd', 'a core daemon of pumicebarrow', LIST, Settings, argv);
+    const folder = await SettingsReader.folder(s.data);
     if (folder.err) Program.wrong('registryd', folder.val);
     try {
       const world = await Machine.make(s.id, s.hear ?? s.addr, s.level ?? 'info', await FileDisk.make(s.data));
--- a/packages/registryd/src/startup.ts
+++ b/packages/registryd/src/settings.ts
@@ -3,7 +3,7 @@
 import { Type, type Static } from 'typebox';
 
 /** What registryd is started with. */
-export const Startup = Type.Object(
+export const Settings = Type.Object(
   {
     id: Type.String({ pattern: '^[\\w.-]{1,60}$' }),
     addr: Addr,
@@ -19,4 +19,4 @@
   },
   { additionalProperties: false },
 );
-export type Startup = Static<typeof Startup>;
+export type Settings = Static<typeof Settings>;
