--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -219,7 +219,7 @@
         );
         stops.push(Timer.every(clock, 50, pump));
       },
-      /** Stops letting visits in, lets those under way end, gives up its claims. */
+      /** Stops letting visits in, lets those under way end, gives up its leases. */
       async leave(ms: number): Promise<void> {
         life.send('leave');
         log.say('Leaving: no more visits are let in.');
--- a/packages/registry/src/chain.ts
+++ b/packages/registry/src/chain.ts
@@ -80,7 +80,7 @@
     const able = (): string | null => {
       const v = hooks.view();
       if (!isHead(v)) return 'This daemon is not the head.';
-      if (!hooks.live()) return 'The core has no live claim on its view.';
+      if (!hooks.live()) return 'The core has no live lease on its view.';
       if (ready !== v.epoch) return 'The chain is being mended.';
       if (v.chain.length < Views.most(v)) return 'The chain has too few copies.';
       return null;
--- a/packages/sim/src/capacity/works.ts
+++ b/packages/sim/src/capacity/works.ts
@@ -102,7 +102,7 @@
     const charter = Props.charter(n),
       live = [...sheet.rows().values()].map(({ row }) => ({ id: row.server, part: row.part }));
     const text = JSON.stringify({ servers: list }),
-      claims = Object.fromEntries(list.map((s) => [`row:${s.id}`, { id: 'e100', born: s.born.slice(-12), fence: 1 }]));
+      leases = Object.fromEntries(list.map((s) => [`row:${s.id}`, { id: 'e100', born: s.born.slice(-12), fence: 1 }]));
     const held = JSON.stringify({ version: 1, plan: 'p', body: charter }).length;
     let turn = 0;
     for (const s of list.slice(0, 420)) loads.take(s.id, 1);
@@ -131,7 +131,7 @@
       ),
       one('the list', 'B', text.length),
       one('the charter', 'B', held),
-      one('the claims', 'B', JSON.stringify(claims).length),
+      one('the claims', 'B', JSON.stringify(leases).length),
       one('the list in memory', 'heap', Timed.heap(() => JSON.parse(text) as unknown) / n),
     ];
   },
