site is zone: the schema Zone, variables, parameters, functions, sim's own fields and prose

Cause: the field's word is zone. What others see stays (docs/clashes.md): `site` and `sites` of charters, settings, lists, identities and rows, and the fields of types that mirror them; the flag `--site`; the code `othersite`; the titles of capacity's measures, by which kept data are read.

--- a/packages/counterd/src/main.ts
+++ b/packages/counterd/src/main.ts
@@ -9,7 +9,7 @@
   { name: 'addr', help: 'IP:PORT at which other daemons find it', kind: 'text' },
   { name: 'hear', help: 'IP:PORT to listen at, where that is not addr', kind: 'text' },
   { name: 'http', help: 'IP:PORT towards callers and operators', kind: 'text' },
-  { name: 'site', help: 'the site it stands in', kind: 'text' },
+  { name: 'site', help: 'the zone it stands in', kind: 'text' },
   { name: 'seeds', help: 'IP:PORT of another daemon; three are needed', kind: 'list' },
   { name: 'town', help: "IP:PORT of the platform's list", kind: 'text' },
   { name: 'control', help: 'serve operators too', kind: 'yes' },
--- a/packages/counterd/src/settings.ts
+++ b/packages/counterd/src/settings.ts
@@ -1,4 +1,4 @@
-import { Addr, Site } from '@pumicebarrow/forms';
+import { Addr, Zone } from '@pumicebarrow/forms';
 import { Tunes } from '@pumicebarrow/purge';
 import { Type, type Static } from 'typebox';
 
@@ -9,7 +9,7 @@
     addr: Addr,
     hear: Type.Optional(Addr),
     http: Addr,
-    site: Site,
+    site: Zone,
     seeds: Type.Array(Addr, { minItems: 3, maxItems: 16, uniqueItems: true }),
     town: Addr,
     control: Type.Optional(Type.Boolean()),
--- a/packages/registryd/src/main.ts
+++ b/packages/registryd/src/main.ts
@@ -9,7 +9,7 @@
   { name: 'addr', help: 'IP:PORT at which other daemons find it', kind: 'text' },
   { name: 'hear', help: 'IP:PORT to listen at, where that is not addr', kind: 'text' },
   { name: 'http', help: 'IP:PORT for /health and /metrics; neither is served without it', kind: 'text' },
-  { name: 'site', help: 'the site it stands in', kind: 'text' },
+  { name: 'site', help: 'the zone it stands in', kind: 'text' },
   { name: 'seeds', help: 'IP:PORT of another daemon, the other cores among them; three are needed', kind: 'list' },
   { name: 'data', help: 'the data folder', kind: 'text' },
   { name: 'level', help: 'debug, info or warn', kind: 'text' },
--- a/packages/registryd/src/settings.ts
+++ b/packages/registryd/src/settings.ts
@@ -1,4 +1,4 @@
-import { Addr, Site } from '@pumicebarrow/forms';
+import { Addr, Zone } from '@pumicebarrow/forms';
 import { Tunes } from '@pumicebarrow/purge';
 import { Type, type Static } from 'typebox';
 
@@ -9,7 +9,7 @@
     addr: Addr,
     hear: Type.Optional(Addr),
     http: Type.Optional(Addr),
-    site: Site,
+    site: Zone,
     seeds: Type.Array(Addr, { minItems: 3, maxItems: 16, uniqueItems: true }),
     losses: Type.Optional(Type.Integer({ minimum: 1, maximum: 3, description: 'machines that may be lost at once' })),
     first: Type.Optional(Type.Boolean({ description: 'false: with an empty folder it only ever joins' })),
--- a/packages/sim/src/callers.ts
+++ b/packages/sim/src/callers.ts
@@ -118,7 +118,7 @@
       });
 
     /** A new visit's key and body. */
-    const wish = (rule: string, site: string) => {
+    const wish = (rule: string, zone: string) => {
       const size = SIZES[rule]!,
         key = `v${++serial}`;
       const group = Dice.int(motor.chance, 4);
@@ -127,7 +127,7 @@
         prefix: `${rule}${group} `.repeat(Math.ceil((size.prefix * long) / 8)),
         part: `${key} `.repeat(Math.ceil(size.part / 6)),
       };
-      tell({ what: 'wish', who: site, at: at(), key, rule, digest: Text.digest(body.prefix, body.part) });
+      tell({ what: 'wish', who: zone, at: at(), key, rule, digest: Text.digest(body.prefix, body.part) });
       return { key, body };
     };
     /** One attempt, sent to each of several daemons at its own time; each call's outcome speaks of that call alone. */
@@ -135,7 +135,7 @@
       calls: readonly { id: string; after: number }[],
       owners: string[] | undefined,
     ): Promise<void> => {
-      const { key, body } = wish('verdict', d.sites[0]!);
+      const { key, body } = wish('verdict', d.zones[0]!);
       await Promise.all(
         calls.map(async ({ id, after }) => {
           await nap(after);
@@ -151,12 +151,12 @@
         }),
       );
     };
-    const visit = async (rule: string, site: string): Promise<void> => {
-      const { key, body } = wish(rule, site);
+    const visit = async (rule: string, zone: string): Promise<void> => {
+      const { key, body } = wish(rule, zone);
       let attempt = 1;
       let dead = 0;
       while (attempt <= TRIES) {
-        const near = f.edgeIds.filter((id) => f.boxes.get(id)!.site === site && f.boxes.get(id)!.up());
+        const near = f.edgeIds.filter((id) => f.boxes.get(id)!.site === zone && f.boxes.get(id)!.up());
         const id = Dice.one(motor.chance, near.length > 0 ? near : f.edgeIds)!;
         const out = await once(id, { key, attempt, ...body });
         if (out.kind === 'unreached') {
@@ -187,7 +187,7 @@
       const total = mix.reduce((a, [, w]) => a + w, 0);
       let r = motor.chance.real() * total;
       const kind = mix.find(([, w]) => (r -= w) < 0)?.[0] ?? mix[0]![0];
-      void visit(kind, Dice.one(motor.chance, d.sites)!);
+      void visit(kind, Dice.one(motor.chance, d.zones)!);
       motor.at(at() + (-Math.log(1 - motor.chance.real()) * 1000) / rate, flow);
     };
     return {
@@ -199,7 +199,7 @@
         for (let i = 0; i < n; i++)
           void visit(
             Dice.one(motor.chance, ['changelog', 'changelog', 'verdict', 'review'])!,
-            Dice.one(motor.chance, d.sites)!,
+            Dice.one(motor.chance, d.zones)!,
           );
       },
       mix(next: Record<string, number>, times = 1): void {
--- a/packages/sim/src/capacity/handover.ts
+++ b/packages/sim/src/capacity/handover.ts
@@ -10,7 +10,7 @@
 const rule = Props.charter(1).rules[2]!;
 
 /**
- * Where visits go when many daemons choose, each knowing its own only: links within a site, and how even it comes out.
+ * Where visits go when many daemons choose, each knowing its own only: links within a zone, and how even it comes out.
  * Invariant: a daemon's visits to the number of servers are as at the design size.
  */
 export const Handover = {
--- a/packages/sim/src/capacity/props.ts
+++ b/packages/sim/src/capacity/props.ts
@@ -8,12 +8,12 @@
 
 /** What the timed work is done on: as many servers, rows and daemons as are asked for, told by the real parts. */
 export const Props = {
-  site: (i: number): string => `s${i % Design.sites}`,
+  zone: (i: number): string => `s${i % Design.zones}`,
   ident: (i: number): Ident => ({
     id: `e${i + 1}`,
     born: word(i),
     addr: `10.1.${Math.floor(i / 250)}.${(i % 250) + 1}:7000`,
-    site: Props.site(i),
+    site: Props.zone(i),
     role: 'counter',
   }),
   idents: (n: number): Ident[] => Array.from({ length: n }, (_, i) => Props.ident(i)),
@@ -21,13 +21,13 @@
     Array.from({ length: n }, (_, i) => ({
       id: `m${i + 1}`,
       addr: `10.2.${Math.floor(i / 250)}.${(i % 250) + 1}:80`,
-      site: Props.site(i),
+      site: Props.zone(i),
       born: `m${i + 1}-${word(i)}`,
       mark: 'serving',
     })),
   charter(n: number): Charter {
     const { charter } = Hollow.deployment(1, n);
-    return { ...charter, servers: charter.servers.map((s, i) => ({ ...s, site: Props.site(i), slots: 256 })) };
+    return { ...charter, servers: charter.servers.map((s, i) => ({ ...s, site: Props.zone(i), slots: 256 })) };
   },
   /** The row of server i; 34 of 100 read. */
   row: (i: number, step = 0): Doc => ({
--- a/packages/yard/src/crowd.ts
+++ b/packages/yard/src/crowd.ts
@@ -31,14 +31,14 @@
         prefix: `${rule}${serial % 4} `.repeat(rule === 'review' ? 700 : 250),
         part: `${key} `.repeat(40),
       };
-      const site = d.sites[serial % d.sites.length];
+      const zone = d.zones[serial % d.zones.length];
       bump('visits');
       const tell = (what: string, who: string, more: object): void =>
         plant.tale.tell({ what, who, key, rule, ...more });
-      tell('wish', site ?? '', { digest: Text.digest(v.prefix, v.part) });
+      tell('wish', zone ?? '', { digest: Text.digest(v.prefix, v.part) });
       let shut = 0;
       for (let attempt = 1; attempt <= TRIES;) {
-        const near = plant.edges.filter((e) => e.site === site && plant.alive(e.id));
+        const near = plant.edges.filter((e) => e.site === zone && plant.alive(e.id));
         const list = near.length > 0 ? near : plant.edges;
         const to = list[Math.floor(Math.random() * list.length)]!;
         const out = await caller.visit(
--- a/tools/house.mjs
+++ b/tools/house.mjs
@@ -11,12 +11,12 @@
 const FORMS = /^packages\/forms\/src\/(route|routing)\.ts$/;
 const TURNED = { visit: 'request', visits: 'requests' };
 // Turned round everywhere. A key that others see keeps the old word (docs/clashes.md), so a property may be named so.
-const GONE = { bounce: 'refuse', bounces: 'refuses', bounced: 'refused', waitlist: 'queue', gate: 'admission', gated: 'admitted', gating: 'admitting', proxy: 'forward', proxies: 'forwards', proxied: 'forwarded', select: 'choice', selecting: 'choosing', selected: 'chosen', claim: 'lease', claims: 'leases' };
+const GONE = { bounce: 'refuse', bounces: 'refuses', bounced: 'refused', waitlist: 'queue', gate: 'admission', gated: 'admitted', gating: 'admitting', proxy: 'forward', proxies: 'forwards', proxied: 'forwarded', select: 'choice', selecting: 'choosing', selected: 'chosen', claim: 'lease', claims: 'leases', site: 'zone', sites: 'zones' };
 // Turned round in the older packages; the routed ones have them still.
 const ROUTED = /^packages\/(router|routesim)\//;
 const OLDER = { startup: 'settings' };
-const KEPT = new Set(['waitlist', 'gated', 'startup', 'claim', 'claims']);
-const NOT = { request: 'visit', requests: 'visits', route: 'rule', zone: 'site', zones: 'sites', configuration: 'charter', config: 'charter', answer: 'outcome', answers: 'outcomes' };
+const KEPT = new Set(['waitlist', 'gated', 'startup', 'claim', 'claims', 'site', 'sites']);
+const NOT = { request: 'visit', requests: 'visits', route: 'rule', configuration: 'charter', config: 'charter', answer: 'outcome', answers: 'outcomes' };
 const faults = [];
 let files = 0, lines = 0, proofs = 0, tables = 0;
 const words = (s) => s.replace(/([a-z0-9])([A-Z])/g, '$1 $2').split(/[ _-]+/).map((w) => w.toLowerCase());
