The head keeps its clock, needs and changes of stages over its own next fence

While a core daemon is replaced the head's view changes three times in three seconds (24.9, 26.4, 27.5 s); each new epoch began the wait for another holder's lease anew and forgot the needs seen, so the one reader left at 27.2 s got its second only at 32.9 s, a second before the closing fault. Fences rise by one and each has one holder: where the one before was ours there was no other, and nothing is waited for.

--- a/packages/router/src/stageduty.ts
+++ b/packages/router/src/stageduty.ts
@@ -39,8 +39,9 @@
 /**
  * Which servers of a service read and which decode: looked after by one daemon, under a fence.
  * Invariants: an order leaves only under a fence that is live at that instant, and not before the lease of another
- * holder's last order has surely passed; the sheet's row says what was ordered before the order leaves, so no router
- * sends there by the old stage; one change of a service at a time, but where a stage is bare.
+ * holder's last order has surely passed: fences rise by one, so where the one before was ours there was no other; the
+ * sheet's row says what was ordered before the order leaves, so no router sends there by the old stage; one change of
+ * a service at a time, but where a stage is bare.
  */
 export const StageDuty = {
   make(t: Tools) {
@@ -48,6 +49,8 @@
     const changes = new Map<string, Change>();
     let mean: Load = { read: 0, beside: 0, run: 0 };
     let held: number | null = null;
+    /** The last fence that was ours. */
+    let ours: number | null = null;
     let since = Infinity;
     let moved = -Infinity;
     let stop: () => void = () => undefined;
@@ -110,21 +113,24 @@
       if (!s) return;
       t.log.say(
         `${service}: ${count.prefill} read, ${count.decode} decode; ${Math.round(load.read)} ms wait to be read, ` +
-          `${Math.round(load.run)} run at each.`,
+          `${Math.round(load.run)} run at each; ${Math.round(mean.beside / PACE)} ms wait beside runs.`,
       );
       mix.reset();
       begin(fence, s, lean > 0 ? 'prefill' : 'decode');
     };
+    /** Whether no other daemon can have held the duty since we last did. */
+    const follows = (fence: number): boolean => ours !== null && (fence === ours || fence === ours + 1);
     const tick = (): void => {
       const fence = t.fence();
-      if (fence !== held) {
-        held = fence;
+      held = fence;
+      if (fence === null) return;
+      if (!follows(fence)) {
         since = now();
         changes.clear();
         mixes.clear();
         mean = { read: 0, beside: 0, run: 0 };
       }
-      if (fence === null) return;
+      ours = fence;
       // What is needed is seen from the start; nothing is ordered before the lease has passed.
       const early = now() - since < t.lease + SPARE;
       const load = t.load();
