A lone server of a stage does not wait for a change ordered for more servers

Now it may be ordered at once, where one server has all of a stage and servers have left since the last order. Larger services are not touched. A test was seen to fail first.

--- a/packages/router/src/stageduty.ts
+++ b/packages/router/src/stageduty.ts
@@ -41,7 +41,8 @@
  * Invariants: an order leaves only under a fence that is live at that instant, and not before the lease of another
  * holder's last order has surely passed: fences rise by one, so where the one before was ours there was no other; the
  * sheet's row says what was ordered before the order leaves, so no router sends there by the old stage; one change of
- * a service at a time, but where a stage is bare.
+ * a service at a time, but where a stage is bare, or has one server and
+ * servers have left since the last was ordered.
  */
 export const StageDuty = {
   make(t: Tools) {
@@ -53,6 +54,8 @@
     let ours: number | null = null;
     let since = Infinity;
     let moved = -Infinity;
+    /** How many servers each service had when one of it was last ordered. */
+    const had = new Map<string, number>();
     let stop: () => void = () => undefined;
     const now = (): number => t.clock.mono();
     const write = (fence: number, s: Server, part: Stage, stage: SheetRow['stage']): void => {
@@ -107,7 +110,10 @@
       };
       const lean = mix.look(load, count, Math.ceil((t.away(service) * EMPTIED) / LOOK));
       const bare = count.prefill < 1 || count.decode < 1;
-      if (lean === 0 || early || (!bare && (changes.size > 0 || now() - moved < CALM))) return;
+      // Where one server has all of a stage, what was ordered for more servers than are left is no reason to wait.
+      const lone = (lean > 0 ? count.prefill : count.decode) === 1;
+      const urgent = bare || (lone && mine.length < (had.get(service) ?? 0));
+      if (lean === 0 || early || (!urgent && (changes.size > 0 || now() - moved < CALM))) return;
       const from: Stage = lean > 0 ? 'decode' : 'prefill';
       const s = pick(of(from).filter((x) => !changes.has(x.id)));
       if (!s) return;
@@ -116,6 +122,7 @@
           `${Math.round(load.run)} run at each; ${Math.round(mean.beside / PACE)} ms wait beside runs.`,
       );
       mix.reset();
+      had.set(service, mine.length);
       begin(fence, s, lean > 0 ? 'prefill' : 'decode');
     };
     /** Whether no other daemon can have held the duty since we last did. */
--- a/packages/router/src/stages.test.ts
+++ b/packages/router/src/stages.test.ts
@@ -200,6 +200,19 @@
     await d.pass(800);
     expect(d.orders).to.deep.equal(['d1 prefill 4 prefill draining']);
   });
+  it('does not wait for a change ordered for more servers than are left where one has all of a stage', async () => {
+    const readers = ['p1', 'p2'].map((id) => server(id, 'prefill'));
+    const decoders = ['d1', 'd2', 'd3'].map((id) => server(id, 'decode'));
+    const d = make([...readers, ...decoders]);
+    d.state.load = { read: 80_000, beside: 0, run: 42 };
+    await d.pass(4400);
+    expect(d.orders).to.deep.equal(['d1 prefill 4 prefill draining']);
+    await d.pass(1200);
+    expect(d.orders).to.have.length(1);
+    d.state.servers = [...readers, ...decoders.slice(0, 2)];
+    await d.pass(2800);
+    expect(d.orders.filter((o) => !o.startsWith('d1 '))).to.deep.equal(['p1 decode 4 decode draining']);
+  });
   it('gives up on a server that never changes, and lets it be used as the list shows it', async () => {
     const d = make(bare);
     await d.pass(4400);
