What is read beside runs counts as waiting where one server reads

Where one server reads, that is counted as waiting. A test was seen to fail first. Other counts are not touched.

--- a/packages/router/src/stageduty.ts
+++ b/packages/router/src/stageduty.ts
@@ -103,8 +103,10 @@
       const count = { prefill: of('prefill').length, decode: of('decode').length };
       const mix = mixes.get(service) ?? StageMix.make();
       mixes.set(service, mix);
+      // What is read beside runs is, where one server reads, what that one has no time for.
+      const waiting = mean.read + (count.prefill === 1 ? mean.beside : 0);
       const load = {
-        read: mean.read / PACE / Math.max(1, count.prefill),
+        read: waiting / PACE / Math.max(1, count.prefill),
         run: mean.run / Math.max(1, count.decode),
         room: Math.max(1, ...mine.map((s) => s.slots)) * Placement.FULL,
       };
--- a/packages/router/src/stages.test.ts
+++ b/packages/router/src/stages.test.ts
@@ -213,6 +213,18 @@
     await d.pass(2800);
     expect(d.orders.filter((o) => !o.startsWith('d1 '))).to.deep.equal(['p1 decode 4 decode draining']);
   });
+  it('counts what is read beside runs as waiting where one server reads, and not where several do', async () => {
+    const decoders = ['d1', 'd2', 'd3'].map((id) => server(id, 'decode'));
+    const load = { read: 15_000, beside: 15_000, run: 36 };
+    const one = make([server('p1', 'prefill'), ...decoders]);
+    one.state.load = load;
+    await one.pass(9200);
+    expect(one.orders[0]).to.equal('d1 prefill 4 prefill draining');
+    const two = make([server('p1', 'prefill'), server('p2', 'prefill'), ...decoders]);
+    two.state.load = { ...load, read: 30_000 };
+    await two.pass(9200);
+    expect(two.orders).to.deep.equal([]);
+  });
   it('gives up on a server that never changes, and lets it be used as the list shows it', async () => {
     const d = make(bare);
     await d.pass(4400);
