--- a/packages/router/src/stageduty.ts
+++ b/packages/router/src/stageduty.ts
@@ -39,8 +39,10 @@
 /**
  * Which servers of a service read and which decode: looked after by one daemon, under a fence.
  * Invariants: an order leaves only under a fence that is live at that instant, and not before the lease of another
- * holder's last order has surely passed; the sheet's row says what was ordered before the order leaves, so no router
- * sends there by the old stage; one change of a service at a time, but where a stage is bare.
+ * holder's last order has surely passed: fences rise by one, so where the one before was ours there was no other; the
+ * sheet's row says what was ordered before the order leaves, so no router sends there by the old stage; one change of
+ * a service at a time, but where a stage is bare, or has one server and
+ * servers have left since the last was ordered.
  */
 export const StageDuty = {
   make(t: Tools) {
@@ -48,8 +50,12 @@
     const changes = new Map<string, Change>();
     let mean: Load = { read: 0, beside: 0, run: 0 };
     let held: number | null = null;
+    /** The last fence that was ours. */
+    let ours: number | null = null;
     let since = Infinity;
     let moved = -Infinity;
+    /** How many servers each service had when one of it was last ordered. */
+    const had = new Map<string, number>();
     let stop: () => void = () => undefined;
     const now = (): number => t.clock.mono();
     const write = (fence: number, s: Server, part: Stage, stage: SheetRow['stage']): void => {
@@ -97,34 +103,43 @@
       const count = { prefill: of('prefill').length, decode: of('decode').length };
       const mix = mixes.get(service) ?? StageMix.make();
       mixes.set(service, mix);
+      // What is read beside runs is, where one server reads, what that one has no time for.
+      const waiting = mean.read + (count.prefill === 1 ? mean.beside : 0);
       const load = {
-        read: mean.read / PACE / Math.max(1, count.prefill),
+        read: waiting / PACE / Math.max(1, count.prefill),
         run: mean.run / Math.max(1, count.decode),
         room: Math.max(1, ...mine.map((s) => s.slots)) * Placement.FULL,
       };
       const lean = mix.look(load, count, Math.ceil((t.away(service) * EMPTIED) / LOOK));
       const bare = count.prefill < 1 || count.decode < 1;
-      if (lean === 0 || early || (!bare && (changes.size > 0 || now() - moved < CALM))) return;
+      // Where one server has all of a stage, what was ordered for more servers than are left is no reason to wait.
+      const lone = (lean > 0 ? count.prefill : count.decode) === 1;
+      const urgent = bare || (lone && mine.length < (had.get(service) ?? 0));
+      if (lean === 0 || early || (!urgent && (changes.size > 0 || now() - moved < CALM))) return;
       const from: Stage = lean > 0 ? 'decode' : 'prefill';
       const s = pick(of(from).filter((x) => !changes.has(x.id)));
       if (!s) return;
       t.log.say(
         `${service}: ${count.prefill} read, ${count.decode} decode; ${Math.round(load.read)} ms wait to be read, ` +
-          `${Math.round(load.run)} run at each.`,
+          `${Math.round(load.run)} run at each; ${Math.round(mean.beside / PACE)} ms wait beside runs.`,
       );
       mix.reset();
+      had.set(service, mine.length);
       begin(fence, s, lean > 0 ? 'prefill' : 'decode');
     };
+    /** Whether no other daemon can have held the duty since we last did. */
+    const follows = (fence: number): boolean => ours !== null && (fence === ours || fence === ours + 1);
     const tick = (): void => {
       const fence = t.fence();
-      if (fence !== held) {
-        held = fence;
+      held = fence;
+      if (fence === null) return;
+      if (!follows(fence)) {
         since = now();
         changes.clear();
         mixes.clear();
         mean = { read: 0, beside: 0, run: 0 };
       }
-      if (fence === null) return;
+      ours = fence;
       // What is needed is seen from the start; nothing is ordered before the lease has passed.
       const early = now() - since < t.lease + SPARE;
       const load = t.load();
