--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -10,6 +10,8 @@
 
 const LOOK = 100;
 const FAILED = 500;
+/** What clients take for the promise that a request has not run: unless the server's words say so, it may have. */
+const PROMISES: ReadonlySet<number> = new Set([408, 429, 503]);
 /** ms without a byte from a server, while one is due, after which it is under suspicion. */
 const SILENT = 900;
 /** ms after which a request that may run again goes elsewhere: before its first event, and between events. */
@@ -24,7 +26,8 @@
 
 /**
  * A request is run by a server. Invariants: the list is looked at in the turn of the send; bytes go out only as whole
- * events, in the server's order; a second run goes on after the last event that went out, under the first head.
+ * events, in the server's order; a second run goes on after the last event that went out, under the first head; a
+ * status that promises what the server did not say of a request that may not run twice is never passed on.
  */
 export const Runner = {
   make(t: ServeTools) {
@@ -62,6 +65,7 @@
       head(status, headers) {
         // A failure that the server tells of is an answer, but one that may run again goes elsewhere before it is told.
         if (status >= FAILED && again(job) && job.arrivals < job.route.tries) return false;
+        if (PROMISES.has(status) && !again(job)) return false;
         if (job.begun) return status === job.status;
         job.begun = true;
         job.status = status;
--- a/packages/router/src/serve.test.ts
+++ b/packages/router/src/serve.test.ts
@@ -132,6 +132,16 @@
       },
       { calls: ['run d', 'run d'], log: ['1;', 'end'], suspects: 1 },
     ],
+    [
+      "a server's own 503 without a word that it did not run is told as no promise",
+      { ...DIRECT, script: [{ run: 'ok', events: 1, status: 503 }], route: { resumable: false } },
+      { calls: ['run d'], code: 'broken', ran: 'maybe', suspects: 1 },
+    ],
+    [
+      'nor is its 429, its 408',
+      { ...DIRECT, script: [{ run: 'ok', events: 1, status: 429 }], route: { kind: 'once', resumable: false } },
+      { calls: ['run d'], code: 'broken', ran: 'maybe', suspects: 1 },
+    ],
     ['no route is said as such', { script: [], request: { path: '/other/' } }, { calls: [], code: 'unknownroute' }],
     [
       'a request waits a little for a young list',
