Drill lendlate brings a late borrowed send about: its link holds it past the lapse

Ruled out: the list's bound (no 'late' at all), the length of the stand-still, the lease (renewed by the lender, which does not stand still).

Now the borrower is cut off from the lender, and its link to a decode server it writes at holds what is sent, until the lender tells of the lapse (2.6 s at the most, less than a send by the newest list may take); three such rounds, then one stand-still as before. The judge also counts a loan that was called back as lapsed once its lender tells of it. 'late' has to be of the decode part.

--- a/packages/sim/src/index.ts
+++ b/packages/sim/src/index.ts
@@ -103,6 +103,7 @@
 export { type Size } from './size.js';
 export { Spread } from './spread.js';
 export { Stage } from './stage.js';
+export { type Stall } from './stall.js';
 export { type Stand } from './stand.js';
 export { Text } from './text.js';
 export { Tide } from './tide.js';
--- a/packages/sim/src/lending/lentdrills.ts
+++ b/packages/sim/src/lending/lentdrills.ts
@@ -5,6 +5,8 @@
 
 type Training = ReturnType<typeof Trainers.make>;
 const LONG = 90_000;
+/** Longer than a loan lasts at its lender, and shorter than a send by the newest list may take. */
+const LAPSE = 2600;
 /** A key that falls to the same runner. */
 const beside = (key: string): string =>
   Array.from({ length: 200 }, (_, i) => `burst-b${i}`).find((k) => Shards.of(k) === Shards.of(key))!;
@@ -16,6 +18,20 @@
   await s.nap(300 + s.real() * 600);
   return t.runner() ?? s.f.edgeIds[0]!;
 };
+/**
+ * The borrower is cut off from the lender, and its link to the server holds what it sends until the lender has told of
+ * the lapse, which is before the lists it was sent by are too old. Whether it held any.
+ */
+const outlasts = async (s: Scene, t: Training, w: NonNullable<ReturnType<Training['written']>>): Promise<boolean> => {
+  const stall = s.park.stall(w.holder, w.server),
+    lapsed = t.lapses(w.server);
+  s.note('cut', { ids: [w.holder, w.server], until: s.now() + LAPSE });
+  s.cut([w.holder], [w.by], LAPSE);
+  await t.until(lapsed, LAPSE);
+  stall.lift();
+  await s.nap(1500);
+  return stall.lying() > 0 && lapsed();
+};
 
 /** Troubles in the midst of lending and of giving back. */
 export const LentDrills: readonly LentDrill[] = [
@@ -163,18 +179,21 @@
   },
   {
     name: 'lendlate',
-    about: 'lent servers stand still with borrowed work in their buffers, and go on once their loans have lapsed',
+    about: 'a link holds borrowed requests until their loan has lapsed; then lent servers stand still with them',
     meets: ['lent', 'late', 'lapsed'],
     async run(s, t) {
       await begin(s, t, 20);
-      for (let i = 0; i < 3; i++) {
-        await t.until(() => t.streaming() !== null, 3000);
-        const ids = s.park.ids();
-        for (const id of ids) s.park.dark(id, true);
-        await s.nap(2600 + s.real() * 300);
-        for (const id of ids) s.park.dark(id, false);
-        await s.nap(2500);
+      for (let i = 0, held = 0; i < 12 && held < 3; i++) {
+        await t.until(() => t.written() !== null, 5000);
+        const w = t.written();
+        if (w && (await outlasts(s, t, w))) held++;
       }
+      await t.until(() => t.streaming() !== null, 3000);
+      const ids = s.park.ids();
+      for (const id of ids) s.park.dark(id, true);
+      await s.nap(2600 + s.real() * 300);
+      for (const id of ids) s.park.dark(id, false);
+      await s.nap(2500);
       await t.finish(LONG);
     },
   },
--- a/packages/sim/src/lending/lentwork.ts
+++ b/packages/sim/src/lending/lentwork.ts
@@ -18,7 +18,7 @@
   unsure: (d) => d.what === 'generation' && d['to'] === 'unsure',
   lapsed: (d) => d.what === 'lapsed',
   killed: (d) => d.what === 'killed',
-  late: (d) => d.what === 'late',
+  late: (d) => d.what === 'late' && d['part'] === 'decode',
   again: (d) => d.what === 'taken' && Number(d['mark']) > 0,
   frozen: (d) => d.what === 'frozen',
   fell: (d) => d.what === 'fell',
--- a/packages/sim/src/lending/sendbounds.ts
+++ b/packages/sim/src/lending/sendbounds.ts
@@ -15,15 +15,24 @@
     const ended = new Map(h.of('visit').flatMap((d) => (d['ran'] === 'yes' ? [[name(d), d.at] as const] : [])));
     const runs = new Set(h.of('ran').map(name));
     const loans = new Map<string, Deed[]>();
+    const lapses = new Map<string, Deed>();
+    /** When a loan that is over lapsed, by what its lender has told; one that was called back lapses too, later. */
+    const lapsed = (l: Deed): number | null => {
+      if (l['why'] === 'lapsed') return l.at;
+      const told = lapses.get(String(l['server']));
+      return told && told.who === l.who && told.at >= l.at ? told.at : null;
+    };
     const open = new Map<string, { key: string; until: number }[]>();
     for (const d of h.all) {
       const server = String(d['server']),
         past = loans.get(server) ?? [];
+      if (d.what === 'lapsed') lapses.set(server, d);
       if (d.what === 'loan') loans.set(server, [...past, d]);
       if (d.what === 'ran' && lent(d)) {
-        const last = loans.get(d.who)?.at(-1);
-        if (last?.['why'] === 'lapsed' && Number(last['slots']) === 0 && last.at < d.at)
-          out.push(`${d.who} took ${name(d)} ${Math.round(d.at - last.at)} ms after its loan had lapsed`);
+        const last = loans.get(d.who)?.at(-1),
+          at = last && Number(last['slots']) === 0 ? lapsed(last) : null;
+        if (at !== null && at < d.at)
+          out.push(`${d.who} took ${name(d)} ${Math.round(d.at - at)} ms after its loan had lapsed`);
       }
       if (d.what !== 'send' || d['part'] !== 'decode' || !lent(d)) continue;
       const at = `${d.who} ${server}`;
--- a/packages/sim/src/lending/trainers.ts
+++ b/packages/sim/src/lending/trainers.ts
@@ -66,6 +66,26 @@
         up()
           .flatMap((c) => c.lending.streaming())
           .find((id) => s.park.get(id).open.size > 0) ?? null,
+      /** A decode server that a daemon writes at, and has borrowed from another; null while there is none. */
+      written(): { server: string; holder: string; by: string } | null {
+        const near = (id: string): boolean => s.f.boxes.get(id)?.up() === true;
+        for (const c of up()) {
+          const at = c.lending.streaming();
+          const l = c.lending.loans().find((x) => at.includes(x.server) && x.holder === c.ident.id && x.slots > 0);
+          if (l && l.by !== l.holder && near(l.by)) return { server: l.server, holder: l.holder, by: l.by };
+        }
+        return null;
+      },
+      /** Whether a lender has told of a lapse of this server's loan since this was asked for. */
+      lapses(server: string): () => boolean {
+        let next = s.deeds().length;
+        let told = false;
+        return () => {
+          for (const all = s.deeds(); !told && next < all.length; next++)
+            told = all[next]!.what === 'lapsed' && all[next]!['server'] === server;
+          return told;
+        };
+      },
       async until(fits: () => boolean, ms: number): Promise<boolean> {
         const end = s.now() + ms;
         while (!fits() && s.now() < end) await s.nap(10);
--- a/packages/sim/src/park.ts
+++ b/packages/sim/src/park.ts
@@ -5,6 +5,7 @@
 import type { Motor } from './motor.js';
 import { ParkLine } from './parkline.js';
 import type { Server } from './server.js';
+import type { Stall } from './stall.js';
 import type { Trick } from './trick.js';
 
 type Startup = { id: string; addr: string; site: string; slots: number };
@@ -26,6 +27,7 @@
     seen: Seen = () => undefined,
   ) {
     const servers = new Map<string, Server>();
+    const stalls = new Set<Stall>();
     let down = false;
     const say = (what: string, who: string, more: Record<string, unknown>): void =>
       tell({ what, who, at: motor.now(), ...more });
@@ -139,7 +141,7 @@
       town,
       fall,
       mark,
-      back: (me: Box): Back => ParkLine.make({ motor, servers, lag, mute, seen }, me),
+      back: (me: Box): Back => ParkLine.make({ motor, servers, stalls, lag, mute, seen }, me),
       ids: (): string[] => [...servers.keys()],
       get: (id: string): Server => servers.get(id)!,
       rise: (id: string): void => rise(list.find((s) => s.id === id)!),
@@ -157,6 +159,12 @@
         s.buffers = [];
         for (const f of lay) f();
       },
+      /** What a daemon sends to a server is taken by the link, and lies in it until this is lifted. */
+      stall(from: string, to: string): { lying: () => number; lift: () => void } {
+        const stall: Stall = { from, to, lying: 0 };
+        stalls.add(stall);
+        return { lying: () => stall.lying, lift: () => void stalls.delete(stall) };
+      },
       slow(id: string, ms: number): void {
         servers.get(id)!.slow = ms;
       },
--- a/packages/sim/src/parkline.ts
+++ b/packages/sim/src/parkline.ts
@@ -3,10 +3,12 @@
 import type { Box } from './box.js';
 import type { Motor } from './motor.js';
 import type { Server } from './server.js';
+import type { Stall } from './stall.js';
 
 type Tools = {
   motor: Motor;
   servers: ReadonlyMap<string, Server>;
+  stalls: ReadonlySet<Stall>;
   lag: () => number;
   mute: (from: string, to: string) => boolean;
   seen: (kind: string, from: string, to: string, sent: unknown, back: unknown) => void;
@@ -35,12 +37,13 @@
     const noted = (kind: string, addr: string, sent: unknown, back: unknown): void =>
       t.seen(kind, me.id, find(addr)?.id ?? '', sent, back);
     const find = (addr: string): Server | undefined => [...t.servers.values()].find((s) => s.addr === addr);
+    const stalled = (s: Server): Stall | undefined => [...t.stalls].find((x) => x.from === me.id && x.to === s.id);
     /** Runs fn at the server, once what was sent has come there and the server reads it. */
     const bring = (s: Server, fn: () => void): void => {
       const { life } = s;
       const arrive = (): void => {
         if (!s.up || s.life !== life) return;
-        if (mute(me.id, s.id)) {
+        if (mute(me.id, s.id) || stalled(s)) {
           motor.at(motor.now() + LOOK, arrive);
           return;
         }
@@ -118,7 +121,10 @@
       ms: number,
       take: (p: Piece) => boolean,
     ): Promise<Told<null>> => {
-      const life = me.life();
+      const life = me.life(),
+        there = find(addr),
+        stall = there && stalled(there);
+      if (stall) stall.lying++;
       let on = true;
       let last = motor.now();
       /** A daemon that gave up is heard of at the server only over a link that works. */
--- a/packages/sim/src/scene.ts
+++ b/packages/sim/src/scene.ts
@@ -1,3 +1,4 @@
+import type { Deed } from '@pumicebarrow/forms';
 import type { Callers } from './callers.js';
 import type { Fleeting } from './fleeting.js';
 import type { Operators } from './operators.js';
@@ -13,6 +14,8 @@
   now(): number;
   real(): number;
   note(what: string, more: Record<string, unknown>): void;
+  /** What has been told so far. */
+  deeds(): readonly Deed[];
   /**
    * Cuts the links between two groups for ms; only from the first to the second if one way. Servers, 'town' and
    * 'callers' too.
--- a/packages/sim/src/stage.ts
+++ b/packages/sim/src/stage.ts
@@ -40,6 +40,7 @@
       nap,
       park: f.park,
       note,
+      deeds: () => deeds,
       real: () => motor.chance.real(),
       cut(a, b, ms, oneway = false) {
         const lift = f.net.cut(a, b, oneway),
