Lending: loans are called back only where the fleet's live work is short

Now decode counts what is under way and waits there, looked at again once the visit was read; and beside the share the fleet's live work, as it last checked in, with all that is under way here as new, must have no room beside the loans. A crowd is still seen at once by its own daemon: the own part needs no check-in.

--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -139,7 +139,11 @@
     };
     const lists = { waitlist, hands, select, loads };
     const tools = { ...shared, ...lists, gate, witness, bucket, sighted: sights.saw, pump, demand };
-    const visit = Run.make({ ...tools, version: sheet.version, sure });
+    const wanted: typeof hands.enter = (rule, due) => {
+      lending.handed(rule);
+      return hands.enter(rule, due);
+    };
+    const visit = Run.make({ ...tools, hands: { ...hands, enter: wanted }, version: sheet.version, sure });
     const seeing = { look: () => awake.look(), load: () => checkin.load(), roster: crew, version: sheet.version, sure };
     const lending = Lending.make({
       ...tools,
@@ -148,7 +152,7 @@
       post,
       line,
       shelf,
-      waiting: waitlist.weight,
+      waiting: (part) => (part === 'prefill' ? waitlist : hands).weight(),
       serving,
     });
     const stops: (() => void)[] = [];
--- a/packages/counter/src/lending/lending.ts
+++ b/packages/counter/src/lending/lending.ts
@@ -26,7 +26,8 @@
   purge: Purging;
   duty: Duties;
   loads: ReturnType<typeof Loads.make>;
-  waiting: () => number;
+  /** The weight of live requests that wait for a turn at the gate, and with a handle for a decode server. */
+  waiting: (part: 'prefill' | 'decode') => number;
   site: string;
   open: () => Verdict | null;
   young: () => boolean;
@@ -65,6 +66,7 @@
       ...{ clock: world.clock, post: t.post, select: t.select, loads: t.loads, loans, roster: t.roster },
       slots: (server) => sheet.charter()?.servers.find((s) => s.id === server)?.slots ?? 0,
       waiting: t.waiting,
+      load: t.load,
       lender: (server) => Holder.of(`row:${server}`, t.roster()),
       tell: (part, servers) => world.tell({ what: 'wouldwait', part, servers }),
     });
@@ -94,6 +96,10 @@
         const rule: Rule | undefined = c.rules.find((r) => r.name === (name ?? c.fallback));
         if (rule) watch.arrived(rule);
       },
+      /** A live request has been read, and wants a decode server. */
+      handed(rule: Rule): void {
+        if (sheet.charter()?.lending) watch.handed(rule);
+      },
       start(): void {
         stops.push(
           Timer.every(world.clock, PUMP, () => {
