--- a/examples/counter.mjs
+++ b/examples/counter.mjs
@@ -1,6 +1,6 @@
-// Embeds parts of the data plane by themselves: the visit ledger, the stream check and the waitlist.
+// Embeds parts of the data plane by themselves: the visit ledger, the stream check and the queue.
 import { RealClock } from '@pumicebarrow/forms';
-import { Ledger, StreamCheck, Waitlist } from '@pumicebarrow/counter';
+import { Ledger, StreamCheck, Queue } from '@pumicebarrow/counter';
 
 const clock = RealClock.make();
 const ledger = Ledger.make(clock);
@@ -13,6 +13,6 @@
 console.log('piece 1 again:', check.look({ key: 'k', attempt: 1, born: 'life-1', n: 1, text: 'yes' }));
 
 const rule = (name, urgency) => ({ name, urgency, weight: 1, limit: 9, waitlist: 9, deadline: 1000, pieces: 1, bytes: 1 });
-const list = Waitlist.make(clock);
+const list = Queue.make(clock);
 for (const r of [rule('review', 1), rule('verdict', 9)]) void list.enter(r, clock.mono() + 60_000).turn.then(() => console.log('turn:', r.name));
 list.pump(() => true);
--- a/packages/clerk/src/commands/visit.ts
+++ b/packages/clerk/src/commands/visit.ts
@@ -7,7 +7,7 @@
 
 /** clerk visit */
 export class VisitCommand extends Command {
-  static override description = 'Follow one visit: the gate, its record, the servers it was sent to, its outcome.';
+  static override description = 'Follow one visit: its admission, its record, the servers it was sent to, its outcome.';
   static override args = { key: Args.string({ description: "the visit's key", required: true }) };
   static override flags = Common;
 
--- a/packages/clerk/src/where.ts
+++ b/packages/clerk/src/where.ts
@@ -1,4 +1,4 @@
-import { StartupFile, Verdicts } from '@pumicebarrow/forms';
+import { SettingsReader, Verdicts } from '@pumicebarrow/forms';
 import { Fleet } from './fleet/fleet.js';
 
 type Body = Record<string, unknown> | null;
@@ -27,7 +27,7 @@
     if (!wire)
       return { verdict: Verdicts.bad([{ path: '--at', why: 'is needed: routers and keepers do not know this' }]) };
     const faults = wires
-      .filter((a) => !IP.test(a) || StartupFile.ports(a).length > 0)
+      .filter((a) => !IP.test(a) || SettingsReader.ports(a).length > 0)
       .map((a) => ({ path: a, why: 'is no IP number and port' }));
     return faults.length > 0 ? { verdict: Verdicts.bad(faults) } : Fleet.with(wires, wire);
   },
--- a/packages/client/src/client.test.ts
+++ b/packages/client/src/client.test.ts
@@ -20,7 +20,7 @@
   line(res, { end: true, count: 2, digest: digest(['a', 'b']) });
   res.end();
 };
-const bounce =
+const refuse =
   (ran: string, status: number): Act =>
   (res) => {
     res.writeHead(status);
@@ -30,10 +30,10 @@
   ['a whole outcome', [whole], { whole: true, attempts: [1], naps: [] }],
   [
     'not run, then whole: the next number, after the time told',
-    [bounce('no', 503), whole],
+    [refuse('no', 503), whole],
     { whole: true, attempts: [1, 2], naps: [2000] },
   ],
-  ['may have run: no more tries', [bounce('maybe', 502), whole], { whole: false, attempts: [1], naps: [] }],
+  ['may have run: no more tries', [refuse('maybe', 502), whole], { whole: false, attempts: [1], naps: [] }],
   [
     'torn before a piece: asks again with the next number',
     [(res) => res.destroy(), whole],
@@ -175,7 +175,7 @@
     const named: (string[] | undefined)[] = [];
     const addr = await listen((v, res, n) => {
       named.push(v.owners);
-      if (n === 1) bounce('no', 503)(res);
+      if (n === 1) refuse('no', 503)(res);
       else whole(res);
     });
     await Client.make([addr], { nap, pin: true }).visit(body);
@@ -186,7 +186,7 @@
   });
   it('gives up at its deadline, and does not ask again for a time beyond it', async () => {
     const addr = await listen((_v, res, n) => {
-      if (n === 1) bounce('no', 503)(res);
+      if (n === 1) refuse('no', 503)(res);
     });
     const got = await Client.make([addr], { deadline: 1500 }).visit(body);
     expect(got.whole).to.equal(false);
--- a/packages/counter/src/gate.ts
+++ b/packages/counter/src/admission.ts
@@ -1,16 +1,16 @@
 import { Indices, Verdicts, type Charter, type Result, type Rule, type Verdict, Err, Ok } from '@pumicebarrow/forms';
 import type { Loads } from './loads.js';
-import type { Selecting } from './selecting.js';
+import type { Choosing } from './choosing.js';
 import type { Visit } from './visit.js';
-import type { Waitlist } from './waitlist.js';
+import type { Queue } from './queue.js';
 
 type Tools = {
   site: string;
   charter: () => Charter | null;
   open: () => Verdict | null;
   young: () => boolean;
-  waitlist: ReturnType<typeof Waitlist.make>;
-  select: Selecting;
+  queue: ReturnType<typeof Queue.make>;
+  choice: Choosing;
   loads: ReturnType<typeof Loads.make>;
 };
 const HELD = '*turn';
@@ -19,12 +19,12 @@
  * Who may come in. Invariants: a rule never has more than `limit` visits under way nor more than `waitlist` waiting;
  * a turn is given only against room at the readers that no other turn has been promised.
  */
-export const Gate = {
+export const Admission = {
   make(t: Tools) {
     const index = Indices.make();
     const under: number[] = [];
     const room = (rule: Rule): boolean =>
-      (under[index.of(rule.name)] ?? 0) < rule.limit && t.select.roomy('prefill', rule, HELD);
+      (under[index.of(rule.name)] ?? 0) < rule.limit && t.choice.roomy('prefill', rule, HELD);
     return {
       /** What the charter says of this visit, or why it may not come in. */
       check(v: Visit): Result<Rule, Verdict> {
@@ -40,20 +40,17 @@
         if (Buffer.byteLength(v.prefix) + Buffer.byteLength(v.part) > rule.bytes)
           return Err(Verdicts.not('toolarge', `Rule ${rule.name} takes ${rule.bytes} bytes at the most.`));
         if (!t.young()) return Err(Verdicts.not('oldlist', "The platform's list is too old to send by.", 1));
-        if (t.select.usable('prefill').length === 0 || t.select.usable('decode').length === 0)
+        if (t.choice.usable('prefill').length === 0 || t.choice.usable('decode').length === 0)
           return Err(Verdicts.not('noserver', 'No server can take this now.', 1));
-        if (t.waitlist.length(rule.name) >= rule.waitlist)
+        if (t.queue.length(rule.name) >= rule.waitlist)
           return Err(
             Verdicts.not(
               'full',
-              `The waitlist of ${rule.name} is full.`,
-              Math.min(
-                15,
-                Math.max(1, Math.ceil(Math.max(rule.deadline / 2, t.waitlist.foresee(rule.urgency)) / 1000)),
-              ),
+              `The queue of ${rule.name} is full.`,
+              Math.min(15, Math.max(1, Math.ceil(Math.max(rule.deadline / 2, t.queue.foresee(rule.urgency)) / 1000))),
             ),
           );
-        const wait = t.waitlist.foresee(rule.urgency);
+        const wait = t.queue.foresee(rule.urgency);
         if (wait > rule.deadline)
           return Err(
             Verdicts.not(
--- a/packages/counter/src/bounds.test.ts
+++ b/packages/counter/src/bounds.test.ts
@@ -3,7 +3,7 @@
 import { Ledger } from './ledger.js';
 import { Shuns } from './shuns.js';
 import { VisitDiary } from './visitdiary.js';
-import { Waitlist } from './waitlist.js';
+import { Queue } from './queue.js';
 
 let now = 0;
 const clock = { mono: () => now, wall: () => now, after: () => () => undefined };
@@ -61,11 +61,11 @@
     },
   ],
   [
-    'a waitlist counts those that wait, for the gate to bounce the rest',
+    'a queue counts those that wait, for admission to refuse the rest',
     500,
     500,
     (n) => {
-      const w = Waitlist.make(clock);
+      const w = Queue.make(clock);
       for (let i = 0; i < n; i++) w.enter(rule, now + 100);
       const held = w.length('verdict');
       w.clear();
--- a/packages/counter/src/callersink.ts
+++ b/packages/counter/src/callersink.ts
@@ -2,12 +2,12 @@
 
 /**
  * Where a visit's outcome goes. Invariant: pieces come numbered from 1 without a gap, and at most one of
- * `end`, `cut` and `bounce` is called, once; `bounce` only before the first piece.
+ * `end`, `cut` and `refuse` is called, once; `refuse` only before the first piece.
  */
 export type CallerSink = {
   piece(n: number, text: string): void;
   end(count: number, digest: string): void;
   cut(v: Verdict): void;
-  bounce(v: Verdict): void;
+  refuse(v: Verdict): void;
   gone(): boolean;
 };
--- a/packages/counter/src/casting.ts
+++ b/packages/counter/src/casting.ts
@@ -26,7 +26,7 @@
 
 /**
  * Orders servers to their parts. Invariants: an order leaves only under a fence that is live at that instant, and can't
- * take hold once the claim is over, or later than we wait for its outcome;
+ * take hold once the lease is over, or later than we wait for its outcome;
  * every row written carries that fence and a step above the last; a server is emptied before it swaps.
  * The holder of a row looks at its server about once a second, and twice more quickly once it did not reply.
  */
--- a/packages/counter/src/select.ts
+++ b/packages/counter/src/choice.ts
@@ -18,7 +18,7 @@
 };
 
 /** Which server a visit goes to. */
-export const Select = {
+export const Choice = {
   make(t: Tools) {
     const share = (id: string): number => {
       const slots = t.sheet.charter()?.servers.find((s) => s.id === id)?.slots ?? 1;
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -7,10 +7,10 @@
 import type { CallerSink } from './callersink.js';
 import { Casting } from './casting.js';
 import { Checkin } from './checkin.js';
-import type { CounterStartup } from './counterstartup.js';
+import type { CounterSettings } from './countersettings.js';
 import { DaemonLife } from './daemonlife.js';
 import { Duty } from './duty.js';
-import { Gate } from './gate.js';
+import { Admission } from './admission.js';
 import { Hails } from './hails.js';
 import { Hearing } from './hearing.js';
 import { Ledger } from './ledger.js';
@@ -22,7 +22,7 @@
 import { Newest } from './newest.js';
 import { Pump } from './pump.js';
 import { Run } from './run.js';
-import { Select } from './select.js';
+import { Choice } from './choice.js';
 import { Sheet } from './sheet.js';
 import { Shuns } from './shuns.js';
 import { Sights } from './sights.js';
@@ -31,7 +31,7 @@
 import type { Visit } from './visit.js';
 import { VisitDesk } from './visitdesk.js';
 import { VisitDiary } from './visitdiary.js';
-import { Waitlist } from './waitlist.js';
+import { Queue } from './queue.js';
 import { Witness } from './witness.js';
 
 /** Extra tries: so many a visit, and so many saved at the most. */
@@ -40,16 +40,16 @@
 
 /** A counter daemon put together: purge, ledger, casting and the visits' path. */
 export const Counter = {
-  make(outer: World, startup: CounterStartup, back: Back, town: Town) {
+  make(outer: World, settings: CounterSettings, back: Back, town: Town) {
     const { clock } = outer;
     const diary = VisitDiary.make(clock),
       world = diary.listen(outer);
     const log = world.log('counter');
     const ident: Ident = {
-      id: startup.id,
+      id: settings.id,
       born: Dice.word(world.chance),
-      addr: startup.addr,
-      site: startup.site,
+      addr: settings.addr,
+      site: settings.site,
       role: 'counter',
     };
     const self = (): Ident => ident;
@@ -58,8 +58,8 @@
       serving = (): boolean => is() === 'serving';
     const post = Post.make(world, self);
     const shelf = Shelf.make(Sound.doc);
-    const seeds = (): readonly string[] => startup.seeds;
-    const purge = Purge.make(world, post, self, shelf, startup.tunes, seeds, (): readonly Ident[] => [
+    const seeds = (): readonly string[] => settings.seeds;
+    const purge = Purge.make(world, post, self, shelf, settings.tunes, seeds, (): readonly Ident[] => [
       ...Views.idents(line.view()),
       ...checkin.roster(),
     ]);
@@ -84,19 +84,19 @@
     LedgerDesk.make(post, ledger, self);
     const loads = Loads.make(),
       shuns = Shuns.make(clock),
-      waitlist = Waitlist.make(clock),
-      hands = Waitlist.make(clock);
+      queue = Queue.make(clock),
+      hands = Queue.make(clock);
     const hails = Hails.make(
       clock,
       back,
       () => watch.all(),
       () => awake.look(),
     );
-    const select = Select.make({ hails, sheet, town: watch, loads, shuns, roster: crew });
+    const choice = Choice.make({ hails, sheet, town: watch, loads, shuns, roster: crew });
     const demand = { read: 0, write: 0 };
-    /** Visits at the gate are wanting for readers only if it is the readers that have no room. */
+    /** Visits at admission are wanting for readers only if it is the readers that have no room. */
     const demandNow = () => ({
-      read: demand.read + (select.roomy('prefill', { weight: 1 }, '*turn') ? 0 : waitlist.weight()),
+      read: demand.read + (choice.roomy('prefill', { weight: 1 }, '*turn') ? 0 : queue.weight()),
       write: demand.write,
     });
     const newest = Newest.make({ world, post, line, purge, shelf, self, known, slept: () => awake.slept() });
@@ -123,8 +123,8 @@
       );
     };
     const door = { site: ident.site, charter: sheet.charter, open: shut, young: watch.young };
-    const gate = Gate.make({ ...door, waitlist, select, loads });
-    const pump = Pump.make({ clock, waitlist, hands, gate, select, loads, serving });
+    const admission = Admission.make({ ...door, queue, choice, loads });
+    const pump = Pump.make({ clock, queue, hands, admission, choice, loads, serving });
     const duty = Duty.make(world, line, self, crew, () => awake.look());
     const sights = Sights.make({ world, shelf, sheet, shuns, purge, town: watch, self: ident.id });
     const shared = { world, sheet, town: watch, hails, duty, purge, back, self: (): string => ident.id };
@@ -137,8 +137,8 @@
       awake.look();
       return certain;
     };
-    const lists = { waitlist, hands, select, loads };
-    const tools = { ...shared, ...lists, gate, witness, bucket, sighted: sights.saw, pump, demand };
+    const lists = { queue, hands, choice, loads };
+    const tools = { ...shared, ...lists, admission, witness, bucket, sighted: sights.saw, pump, demand };
     const wanted: typeof hands.enter = (rule, due) => {
       lending.handed(rule);
       return hands.enter(rule, due);
@@ -152,7 +152,7 @@
       post,
       line,
       shelf,
-      waiting: (part) => (part === 'prefill' ? waitlist : hands).weight(),
+      waiting: (part) => (part === 'prefill' ? queue : hands).weight(),
       serving,
     });
     const stops: (() => void)[] = [];
@@ -183,7 +183,7 @@
     };
     TraceDesk.make(post, self, purge, shelf, sure);
     VisitDesk.make(post, diary, ledger);
-    const parts = { ident, gate, post, line, purge, shelf, sheet, watch, ledger, duty, shuns, lending };
+    const parts = { ident, admission, post, line, purge, shelf, sheet, watch, ledger, duty, shuns, lending };
     return {
       ...parts,
       ...{ roster: crew, met: met.all, life: is },
@@ -200,8 +200,8 @@
         ).map((r) => `${r.id}/${r.born}`),
       /** The charter's version; null while this daemon can't tell. */
       version: (): number | null => (sure() ? sheet.version() : null),
-      waiting: waitlist.total,
-      under: gate.under,
+      waiting: queue.total,
+      under: admission.under,
       level: bucket.level,
       start(): void {
         life.send('begin');
@@ -223,16 +223,16 @@
         );
         stops.push(Timer.every(clock, 50, pump));
       },
-      /** Stops letting visits in, lets those under way end, gives up its claims. */
+      /** Stops letting visits in, lets those under way end, gives up its leases. */
       async leave(ms: number): Promise<void> {
         life.send('leave');
         log.say('Leaving: no more visits are let in.');
-        waitlist.clear();
+        queue.clear();
         const end = clock.mono() + ms;
         await lending.leave(Math.min(end, clock.mono() + ms / 2));
         await line.leave(duty.names());
         duty.drop();
-        while (gate.under() > 0 && clock.mono() < end) await Timer.nap(clock, 50);
+        while (admission.under() > 0 && clock.mono() < end) await Timer.nap(clock, 50);
         life.send('empty');
       },
       stop(): void {
--- a/packages/counter/src/counterstartup.ts
+++ b/packages/counter/src/countersettings.ts
@@ -1,7 +1,7 @@
 import type { Tunes } from '@pumicebarrow/purge';
 
 /** What a counter daemon is started with. */
-export type CounterStartup = {
+export type CounterSettings = {
   id: string;
   addr: string;
   site: string;
--- a/packages/counter/src/duty.test.ts
+++ b/packages/counter/src/duty.test.ts
@@ -7,14 +7,14 @@
 type Step = ['given', number] | ['held'] | ['unsure'] | ['wait', number] | ['drop'] | ['fence', number | null];
 const cases: [string, Step[]][] = [
   [
-    'the first claim ever acts at once',
+    'the first lease ever acts at once',
     [
       ['given', 1],
       ['fence', 1],
     ],
   ],
   [
-    'a claim taken over waits out the quiet time',
+    'a lease taken over waits out the quiet time',
     [
       ['given', 2],
       ['fence', null],
@@ -28,7 +28,7 @@
     ],
   ],
   [
-    'a claim runs out unless renewed',
+    'a lease runs out unless renewed',
     [
       ['given', 1],
       ['wait', 1999],
@@ -37,8 +37,8 @@
       ['fence', null],
     ],
   ],
-  ['a claim held by another gives nothing', [['held'], ['fence', null]]],
-  ['an uncertain claim gives nothing', [['unsure'], ['fence', null]]],
+  ['a lease held by another gives nothing', [['held'], ['fence', null]]],
+  ['an uncertain lease gives nothing', [['unsure'], ['fence', null]]],
   [
     'a renewal under the same fence waits no quiet time',
     [
@@ -58,7 +58,7 @@
     ],
   ],
   [
-    'a daemon that slept drops its claims, and waits as for a new one',
+    'a daemon that slept drops its leases, and waits as for a new one',
     [
       ['given', 2],
       ['wait', 1900],
--- a/packages/counter/src/duty.ts
+++ b/packages/counter/src/duty.ts
@@ -5,8 +5,8 @@
 type Held = { fence: number; until: number; ready: number };
 
 /**
- * The claims this daemon holds. Invariants: a claim counts from before it was asked for; a fence never held here
- * before waits out the quiet time, unless it is the first ever given for that name; without a live claim, no order.
+ * The leases this daemon holds. Invariants: a lease counts from before it was asked for; a fence never held here
+ * before waits out the quiet time, unless it is the first ever given for that name; without a live lease, no order.
  */
 export const Duty = {
   make(
@@ -40,7 +40,7 @@
       tick(names: readonly string[]): void {
         for (const name of names) {
           const h = held.get(name);
-          if (mine(name) && (!h || h.until - now() < Paces.claim * 0.7)) void renew(name);
+          if (mine(name) && (!h || h.until - now() < Paces.lease * 0.7)) void renew(name);
         }
       },
       /** The fence to act under, at this instant; null when there is none. */
@@ -49,7 +49,7 @@
         const h = held.get(name);
         return h && h.until > now() && h.ready <= now() && mine(name) ? h.fence : null;
       },
-      /** Until when the claim on a name lasts. */
+      /** Until when the lease on a name lasts. */
       until: (name: string): number => held.get(name)?.until ?? -Infinity,
       names: (): string[] => [...held].filter(([, h]) => h.until > now()).map(([n]) => n),
       drop(): void {
--- a/packages/counter/src/front.ts
+++ b/packages/counter/src/front.ts
@@ -65,7 +65,7 @@
         line({ cut: true, verdict });
         res.end();
       },
-      bounce(verdict) {
+      refuse(verdict) {
         Front.say(res, { verdict });
       },
       gone: () => res.destroyed || res.socket?.destroyed === true,
--- a/packages/counter/src/ledger.test.ts
+++ b/packages/counter/src/ledger.test.ts
@@ -75,21 +75,21 @@
     ],
   ],
   [
-    'a first try bounced at the gate proves the second',
+    'a first try refused at admission proves the second',
     [
       ['closed', 1, 'x', true],
       ['open', 2, 'y', 'ok'],
     ],
   ],
   [
-    'a second try bounced at the gate proves nothing by itself',
+    'a second try refused at admission proves nothing by itself',
     [
       ['closed', 2, 'x', false],
       ['open', 3, 'y', 'unknown'],
     ],
   ],
   [
-    'bounce after bounce keeps the proof',
+    'refusal after refusal keeps the proof',
     [
       ['closed', 1, 'x', true],
       ['closed', 2, 'y', true],
--- a/packages/counter/src/lending/lending.ts
+++ b/packages/counter/src/lending/lending.ts
@@ -16,7 +16,7 @@
 
 type Shared = Pick<
   RunTools,
-  'world' | 'select' | 'town' | 'hails' | 'witness' | 'back' | 'sighted' | 'version' | 'sure'
+  'world' | 'choice' | 'town' | 'hails' | 'witness' | 'back' | 'sighted' | 'version' | 'sure'
 >;
 type Tools = Shared & {
   post: PostBox;
@@ -26,7 +26,7 @@
   purge: Purging;
   duty: Duties;
   loads: ReturnType<typeof Loads.make>;
-  /** The weight of live requests that wait for a turn at the gate, and with a handle for a decode server. */
+  /** The weight of live requests that wait for a turn at admission, and with a handle for a decode server. */
   waiting: (part: 'prefill' | 'decode') => number;
   site: string;
   open: () => Verdict | null;
@@ -63,7 +63,7 @@
       },
     });
     const watch = LiveWatch.make({
-      ...{ clock: world.clock, post: t.post, select: t.select, loads: t.loads, loans, roster: t.roster },
+      ...{ clock: world.clock, post: t.post, choice: t.choice, loads: t.loads, loans, roster: t.roster },
       slots: (server) => sheet.charter()?.servers.find((s) => s.id === server)?.slots ?? 0,
       waiting: t.waiting,
       load: t.load,
--- a/packages/counter/src/lending/lentselect.ts
+++ b/packages/counter/src/lending/lentchoice.ts
@@ -1,18 +1,18 @@
 import type { Rule } from '@pumicebarrow/forms';
 import type { Listed } from '../listed.js';
 import type { LoadBook } from '../loadbook.js';
-import type { Selecting } from '../selecting.js';
+import type { Choosing } from '../choosing.js';
 import type { Borrower } from './borrower.js';
 
 type Part = 'prefill' | 'decode';
-type Tools = { live: Selecting; loads: LoadBook; borrower: ReturnType<typeof Borrower.make> };
+type Tools = { live: Choosing; loads: LoadBook; borrower: ReturnType<typeof Borrower.make> };
 
 /**
  * The choice of servers for borrowed work. Invariants: only a server that is usable for live work and under a live
- * lease here is selected; no more is begun at it than was lent.
+ * lease here is chosen; no more is begun at it than was lent.
  */
-export const LentSelect = {
-  make(t: Tools): Selecting {
+export const LentChoice = {
+  make(t: Tools): Choosing {
     const slots = (s: Listed): number => t.borrower.slots(s.id, s.born);
     const usable = (part: Part): Listed[] => t.live.usable(part).filter((s) => slots(s) > 0);
     const free = (s: Listed): number => slots(s) - t.loads.at(s.id);
--- a/packages/counter/src/lending/livewatch.test.ts
+++ b/packages/counter/src/lending/livewatch.test.ts
@@ -7,7 +7,7 @@
 /** Two daemons, one decode server of 8 slots: the share of each is 6, and 3 while 4 are lent. */
 const rig = (lent: number) => {
   let now = 0;
-  const is = { load: 0, waiting: 0, gate: 0, fleet: 8 };
+  const is = { load: 0, waiting: 0, admission: 0, fleet: 8 };
   const mails: string[] = [],
     told: string[] = [];
   const loan: Loan = {
@@ -31,11 +31,11 @@
         return Promise.resolve(Ok({ ok: true, running: 0 }));
       },
     } as unknown as PostBox,
-    select: { usable: (part: string) => (part === 'decode' ? [{ id: 'm1' }] : []) } as never,
+    choice: { usable: (part: string) => (part === 'decode' ? [{ id: 'm1' }] : []) } as never,
     loads: { at: (id: string) => (id === 'm1' ? is.load : 0) } as never,
     loans: () => [loan],
     slots: () => 8,
-    waiting: (part) => (part === 'decode' ? is.waiting : is.gate),
+    waiting: (part) => (part === 'decode' ? is.waiting : is.admission),
     load: () => ({ read: is.fleet, write: is.fleet }),
     roster: () => [who('e1'), who('e2')],
     lender: () => who('e1'),
@@ -50,12 +50,18 @@
     },
   };
 };
-const cases: [string, number, { load: number; waiting: number; gate?: number; fleet?: number }, number, boolean][] = [
+const cases: [
+  string,
+  number,
+  { load: number; waiting: number; admission?: number; fleet?: number },
+  number,
+  boolean,
+][] = [
   ['the first live request of an idle daemon, however heavy', 4, { load: 0, waiting: 0 }, 9, false],
   ['one that has room beside what is lent', 4, { load: 2, waiting: 0 }, 1, false],
   ['one that would wait', 4, { load: 3, waiting: 0 }, 1, true],
   ['one that would wait behind others', 4, { load: 2, waiting: 1 }, 1, true],
-  ['one behind others that wait for prefill servers alone', 4, { load: 1, waiting: 0, gate: 9 }, 1, false],
+  ['one behind others that wait for prefill servers alone', 4, { load: 1, waiting: 0, admission: 9 }, 1, false],
   [
     'one beyond the share here, while the fleet has room beside what is lent',
     4,
--- a/packages/counter/src/lending/livewatch.ts
+++ b/packages/counter/src/lending/livewatch.ts
@@ -1,7 +1,7 @@
 import type { Clock, Ident, PostBox, Rule } from '@pumicebarrow/forms';
 import type { Loan } from '@pumicebarrow/registry';
 import type { LoadBook } from '../loadbook.js';
-import type { Selecting } from '../selecting.js';
+import type { Choosing } from '../choosing.js';
 import { Share } from '../share.js';
 import { LoanWords } from './loanwords.js';
 
@@ -9,7 +9,7 @@
 type Tools = {
   clock: Clock;
   post: PostBox;
-  select: Selecting;
+  choice: Choosing;
   loads: LoadBook;
   loans: () => readonly Loan[];
   slots: (server: string) => number;
@@ -35,7 +35,7 @@
   make(t: Tools) {
     const told = new Map<string, number>();
     const would = (part: Part, weight: number, loans: readonly Loan[]): boolean => {
-      const list = t.select.usable(part);
+      const list = t.choice.usable(part);
       const n = t.roster().filter((r) => r.role === 'counter').length;
       const lent = new Map(loans.map((l) => [l.server, l.slots]));
       const share = (id: string): number => Share.of(Math.max(0, t.slots(id) - (lent.get(id) ?? 0)), n);
--- a/packages/counter/src/lending/runner.test.ts
+++ b/packages/counter/src/lending/runner.test.ts
@@ -22,10 +22,10 @@
   };
   const begin = (key: string): Verdict =>
     write({ do: 'begin', spec: { key, rule: 'rollout', prompts: [{ prefix: 'p', part: key }], samples, repeats: 0 } });
-  const claim = (by: string): void => {
+  const lease = (by: string): void => {
     for (const name of Shards.names) write({ do: 'claim', name, id: by, born: 'x' });
   };
-  claim('e1');
+  lease('e1');
   const is = { room: 2, fence: 1 as number | null, bent: null as Verdict | null, mute: false, unread: false };
   const going: Going[] = [];
   const timers: (() => void)[] = [];
@@ -59,7 +59,7 @@
   });
   const calm = (): Promise<void> => new Promise((done) => void setTimeout(done, 0));
   return {
-    ...{ runner, begin, claim, is, going, write },
+    ...{ runner, begin, lease, is, going, write },
     keys: (): string[] => going.map((g) => `${g.request.key}/${g.request.attempt}`),
     states: (key = 'a'): string =>
       state
@@ -152,7 +152,7 @@
   it('sends nothing for a mark that was turned away', async () => {
     const r = rig();
     r.begin('a');
-    r.claim('e2');
+    r.lease('e2');
     for (let i = 0; i < 3; i++) {
       await r.read();
       r.wait(400);
--- a/packages/counter/src/waitlist.test.ts
+++ b/packages/counter/src/queue.test.ts
@@ -1,7 +1,7 @@
 import type { Rule } from '@pumicebarrow/forms';
 import { expect } from 'chai';
 import { Bucket } from './bucket.js';
-import { Waitlist } from './waitlist.js';
+import { Queue } from './queue.js';
 
 const rule = (name: string, urgency: number): Rule => ({
   name,
@@ -16,10 +16,10 @@
 const review = rule('review', 1),
   verdict = rule('verdict', 9);
 
-describe('Waitlist', () => {
+describe('Queue', () => {
   const make = () => {
     const timers: { at: number; fn: () => void }[] = [];
-    const list = Waitlist.make({
+    const list = Queue.make({
       mono: () => 0,
       wall: () => 0,
       after: (at, fn) => {
--- a/packages/counter/src/waitlist.ts
+++ b/packages/counter/src/queue.ts
@@ -7,7 +7,7 @@
 const LEAST = 300;
 
 /** The most urgent first, then the one due soonest, then the one that came first. */
-export const Waitlist = {
+export const Queue = {
   make(clock: Clock) {
     const heap = new Heap<Waiter>((a, b) => b.rule.urgency - a.rule.urgency || a.due - b.due || a.order - b.order);
     const index = Indices.make();
--- a/packages/counter/src/reading.ts
+++ b/packages/counter/src/reading.ts
@@ -34,7 +34,7 @@
     const { world, loads } = t;
     const now = (): number => world.clock.mono();
     const room = async (trip: Trip): Promise<Taken | null> => {
-      const from = (not: ReadonlySet<string>): Listed | null => t.select.prefill(trip.rule, trip.prefix, not);
+      const from = (not: ReadonlySet<string>): Listed | null => t.choice.prefill(trip.rule, trip.prefix, not);
       for (;;) {
         const s = tries.pick(trip, from);
         if (s) return { s, free: loads.take(s.id, trip.rule.weight) };
--- a/packages/counter/src/run.ts
+++ b/packages/counter/src/run.ts
@@ -17,7 +17,7 @@
   Verdicts.not('late', 'No server had room in time.', Math.min(MOST, Math.max(1, Math.ceil(wait / 1000))));
 
 /**
- * One visit, from the gate to its outcome, written straight down.
+ * One visit, from admission to its outcome, written straight down.
  * Invariants: nothing is sent while this daemon isn't sure of its charter; every send is preceded, in the same turn, by
  * a look at a young list, and bound by that list's age so that it can't take hold later; a visit is sent again only on
  * proof that it has not run, and each time from the bucket; the sink hears one outcome.
@@ -29,7 +29,7 @@
     const tries = Tries.make(t);
     const read = Reading.make(t, tries),
       write = Writing.make(t, tries);
-    const late = (rule: Rule): Verdict => tooOld(t.waitlist.foresee(rule.urgency));
+    const late = (rule: Rule): Verdict => tooOld(t.queue.foresee(rule.urgency));
 
     /** A marked visit is read and written, again and again where that is safe, until it is whole or given up. */
     const go = async (v: Visit, rule: Rule, sink: CallerSink, due: number, settled: () => void): Promise<Done> => {
@@ -54,7 +54,7 @@
     const end = (v: Visit, sink: CallerSink, verdict: Verdict): Verdict => {
       told(v, verdict);
       if (verdict.code === 'cut') sink.cut(verdict);
-      else sink.bounce(verdict);
+      else sink.refuse(verdict);
       return verdict;
     };
     /** Its turn never came, or it could not be marked in time: the try is closed before the caller is told. */
@@ -67,15 +67,15 @@
     };
 
     return async (v: Visit, sink: CallerSink): Promise<Verdict> => {
-      const rule = t.gate.check(v);
+      const rule = t.admission.check(v);
       if (rule.err) {
-        await witness.bounced(v);
+        await witness.refused(v);
         return end(v, sink, rule.val);
       }
       t.bucket.visit();
       world.tell({ what: 'gated', key: v.key, attempt: v.attempt, rule: rule.val.name });
       const due = now() + rule.val.deadline;
-      const spot = t.waitlist.enter(rule.val, due);
+      const spot = t.queue.enter(rule.val, due);
       const book = await witness.open(v);
       if (book.bad) {
         spot.leave();
@@ -85,7 +85,7 @@
       world.tell({ what: 'recorded', key: v.key, attempt: v.attempt, owners: owners.map((o) => o.id) });
       t.pump();
       const turn = await spot.turn;
-      const mine = turn ? t.gate.begin(rule.val) : null;
+      const mine = turn ? t.admission.begin(rule.val) : null;
       const marked = mine && !sink.gone() ? await witness.sent(v, owners, digest) : false;
       if (!mine || !marked || now() >= due) return end(v, sink, await unmarked(v, rule.val, book, mine, marked));
       const out = await go(v, rule.val, sink, due, mine.settled);
--- a/packages/counter/src/runtools.ts
+++ b/packages/counter/src/runtools.ts
@@ -2,21 +2,21 @@
 import type { Back } from './back.js';
 import type { Bucket } from './bucket.js';
 import type { Hailing } from './hailing.js';
-import type { Gating } from './gating.js';
+import type { Admitting } from './admitting.js';
 import type { Listed } from './listed.js';
 import type { LoadBook } from './loadbook.js';
-import type { Selecting } from './selecting.js';
+import type { Choosing } from './choosing.js';
 import type { TownView } from './townview.js';
-import type { Waitlist } from './waitlist.js';
+import type { Queue } from './queue.js';
 import type { Witnessing } from './witnessing.js';
 
 /** What the run of a visit works with. */
 export type RunTools = {
   world: World;
-  gate: Gating;
-  waitlist: ReturnType<typeof Waitlist.make>;
-  hands: ReturnType<typeof Waitlist.make>;
-  select: Selecting;
+  admission: Admitting;
+  queue: ReturnType<typeof Queue.make>;
+  hands: ReturnType<typeof Queue.make>;
+  choice: Choosing;
   loads: LoadBook;
   town: TownView;
   hails: Hailing;
--- a/packages/counter/src/takes.ts
+++ b/packages/counter/src/takes.ts
@@ -21,7 +21,7 @@
           t.whole = { count, digest };
         },
         cut: () => undefined,
-        bounce: () => undefined,
+        refuse: () => undefined,
         gone: () => false,
       },
     };
--- a/packages/counter/src/trip.ts
+++ b/packages/counter/src/trip.ts
@@ -15,7 +15,7 @@
   rule: Rule;
   sink: CallerSink;
   due: number;
-  /** The visit has a server, or never will: its turn at the gate is over. */
+  /** The visit has a server, or never will: its turn at admission is over. */
   settled: () => void;
   life: Service<typeof VisitLife>;
   prefix: string;
--- a/packages/counter/src/visitlife.ts
+++ b/packages/counter/src/visitlife.ts
@@ -5,10 +5,10 @@
  * 'streamed' has given its caller a piece, so from there on it can only end whole or be cut.
  */
 export const VisitLife = createMachine('waiting', {
-  waiting: state(transition('turn', 'marking'), transition('give', 'bounced')),
-  marking: state(transition('marked', 'reading'), transition('give', 'bounced')),
-  reading: state(transition('read', 'handing'), transition('again', 'reading'), transition('give', 'bounced')),
-  handing: state(transition('send', 'writing'), transition('again', 'reading'), transition('give', 'bounced')),
+  waiting: state(transition('turn', 'marking'), transition('give', 'refused')),
+  marking: state(transition('marked', 'reading'), transition('give', 'refused')),
+  reading: state(transition('read', 'handing'), transition('again', 'reading'), transition('give', 'refused')),
+  handing: state(transition('send', 'writing'), transition('again', 'reading'), transition('give', 'refused')),
   writing: state(
     transition('piece', 'streamed'),
     transition('unrun', 'handing'),
@@ -17,7 +17,7 @@
     transition('give', 'unsure'),
   ),
   streamed: state(transition('piece', 'streamed'), transition('whole', 'ended'), transition('give', 'cut')),
-  bounced: state(),
+  refused: state(),
   unsure: state(),
   cut: state(),
   ended: state(),
--- a/packages/counter/src/visitmeter.test.ts
+++ b/packages/counter/src/visitmeter.test.ts
@@ -5,7 +5,7 @@
 type Deed = Parameters<World['tell']>[0];
 type Step = [ms: number, d: Deed];
 const of = (what: string, more: object = {}): Deed => ({ what, key: 'k', attempt: 1, ...more });
-const gated = of('gated', { rule: 'verdict' });
+const admitted = of('gated', { rule: 'verdict' });
 
 /** What the meter shows after some deeds, each so many ms after the one before. */
 const shown = async (steps: readonly Step[]): Promise<string> => {
@@ -27,7 +27,7 @@
     [
       'a visit by rule and verdict',
       [
-        [0, gated],
+        [0, admitted],
         [900, of('visit', { ran: 'yes', code: 'ran' })],
       ],
       [
@@ -36,14 +36,14 @@
       ],
     ],
     [
-      'a visit that was bounced at the gate, without a rule',
+      'a visit that was refused at admission, without a rule',
       [[0, of('visit', { ran: 'no', code: 'full' })]],
       ['pumicebarrow_visits_total{rule="none",ran="no",code="full"} 1'],
     ],
     [
       'the wait once, up to the first send',
       [
-        [0, gated],
+        [0, admitted],
         [250, of('send', { part: 'prefill' })],
         [250, of('send', { part: 'decode' })],
       ],
@@ -52,7 +52,7 @@
     [
       'the first piece',
       [
-        [0, gated],
+        [0, admitted],
         [500, of('streams')],
       ],
       ['pumicebarrow_first_piece_seconds_sum{rule="verdict"} 0.5'],
@@ -80,7 +80,7 @@
   it('remembers no more visits than its bound, and counts one that it forgot', () => {
     const meter = VisitMeter.make(Meters.make(), () => 0);
     const world = meter.listen({ tell: () => undefined } as unknown as World);
-    for (let i = 0; i < 10_000; i++) world.tell({ ...gated, key: `k${i}` });
+    for (let i = 0; i < 10_000; i++) world.tell({ ...admitted, key: `k${i}` });
     expect(meter.under()).to.equal(8192);
     world.tell({ ...of('visit', { ran: 'yes', code: 'ran' }), key: 'k0' });
     expect(meter.under()).to.equal(8192);
@@ -89,7 +89,7 @@
     let now = 0;
     const meters = Meters.make();
     const meter = VisitMeter.make(meters, () => now);
-    meter.listen({ tell: () => undefined } as unknown as World).tell(gated);
+    meter.listen({ tell: () => undefined } as unknown as World).tell(admitted);
     const sink = meter.timed({ key: 'k', attempt: 1 }, { piece: () => undefined } as never);
     for (const at of [10, 30, 70]) {
       now = at;
--- a/packages/counter/src/visitmeter.ts
+++ b/packages/counter/src/visitmeter.ts
@@ -3,22 +3,22 @@
 
 type Under = { rule: string; at: number; sent: boolean };
 const MOST = 8192;
-/** Of a visit that was bounced before its rule was known. */
+/** Of a visit that was refused before its rule was known. */
 const NONE = 'none';
 
 /**
  * Counts visits by what this daemon does for them. Invariants: a visit under way is known by key and attempt, from the
- * gate to its outcome; no more than MOST are remembered, and one that was forgotten is counted without its rule.
+ * admission to its outcome; no more than MOST are remembered, and one that was forgotten is counted without its rule.
  */
 export const VisitMeter = {
   make(meters: Metering, mono: () => number) {
     const open = new Map<string, Under>();
     const visits = meters.count('visits_total', 'visits that ended here, by rule and verdict', ['rule', 'ran', 'code']);
     const extra = meters.count('extra_tries_total', 'hand-overs tried again, by what the first met', ['code']);
-    const wait = meters.time('wait_seconds', 'from the gate to the first send', ['rule']);
-    const first = meters.time('first_piece_seconds', 'from the gate to the first piece', ['rule']);
+    const wait = meters.time('wait_seconds', 'from admission to the first send', ['rule']);
+    const first = meters.time('first_piece_seconds', 'from admission to the first piece', ['rule']);
     const between = meters.time('between_pieces_seconds', 'from one piece to the next', ['rule']);
-    const whole = meters.time('visit_seconds', 'from the gate to the outcome', ['rule']);
+    const whole = meters.time('visit_seconds', 'from admission to the outcome', ['rule']);
     const held = meters.count('docs_held_total', 'versions taken in, by how they came', ['via']);
     const orders = meters.count('orders_total', 'orders sent to servers');
     const slept = meters.count('sleeps_total', 'times that this daemon found that it had slept');
--- a/packages/counter/src/witness.ts
+++ b/packages/counter/src/witness.ts
@@ -113,8 +113,8 @@
       sent: (v: Visit, owners: readonly Ident[], digest: string): Promise<boolean> => all(owners, v, digest, 'sent'),
       ran: (v: Visit, owners: readonly Ident[], digest: string): Promise<boolean> => all(owners, v, digest, 'ran'),
       close: (v: Visit, owners: readonly Ident[], digest: string): Promise<boolean> => all(owners, v, digest, 'closed'),
-      /** For a visit bounced at the gate: lets its next try be proven. Never holds the outcome back for long. */
-      async bounced(v: Visit): Promise<void> {
+      /** For a visit refused at admission: lets its next try be proven. Never holds the outcome back for long. */
+      async refused(v: Visit): Promise<void> {
         await Timer.within(clock, 150, all(ranked(v).slice(0, 2), v, digestOf(v), 'closed'), () => false);
       },
     };
--- a/packages/counter/src/writing.test.ts
+++ b/packages/counter/src/writing.test.ts
@@ -25,7 +25,7 @@
   };
   const t = {
     world: { clock: { mono: () => 0, after: () => () => undefined }, tell: () => undefined } as unknown as World,
-    select: { decode: least, prefill: least, usable: () => servers, roomy: () => true },
+    choice: { decode: least, prefill: least, usable: () => servers, roomy: () => true },
     ...{ loads, town: { good: () => ({}), until: () => 900 }, demand: { read: 0, write: 0 }, pump: () => undefined },
     hands: { enter: () => ({ turn: Promise.resolve(true), leave: () => undefined }) },
     hails: { bound: () => ({ born: 'x', by: 900 }) },
@@ -38,7 +38,7 @@
       piece: () => undefined,
       end: () => undefined,
       cut: () => undefined,
-      bounce: () => undefined,
+      refuse: () => undefined,
       gone: () => false,
     },
     settled: () => undefined,
--- a/packages/counter/src/writing.ts
+++ b/packages/counter/src/writing.ts
@@ -29,7 +29,7 @@
     const now = (): number => world.clock.mono();
     /** Waits among those with a handle, the most urgent first. */
     const hand = async (trip: Trip): Promise<Taken | null> => {
-      const from = (not: ReadonlySet<string>): Listed | null => t.select.decode(trip.rule, trip.reader!, not);
+      const from = (not: ReadonlySet<string>): Listed | null => t.choice.decode(trip.rule, trip.reader!, not);
       for (;;) {
         const spot = t.hands.enter(trip.rule, trip.due);
         t.pump();
--- a/packages/counterd/src/index.ts
+++ b/packages/counterd/src/index.ts
@@ -1,2 +1,2 @@
 export { Main } from './main.js';
-export { Startup } from './startup.js';
+export { Settings } from './settings.js';
--- a/packages/counterd/src/main.ts
+++ b/packages/counterd/src/main.ts
@@ -2,14 +2,14 @@
 import type { CallerSink, Visit } from '@pumicebarrow/counter';
 import { Machine, Meters, Program } from '@pumicebarrow/forms';
 import { Tuned } from '@pumicebarrow/purge';
-import { Startup } from './startup.js';
+import { Settings } from './settings.js';
 
 const LIST = [
   { name: 'id', help: "the daemon's name", kind: 'text' },
   { name: 'addr', help: 'IP:PORT at which other daemons find it', kind: 'text' },
   { name: 'hear', help: 'IP:PORT to listen at, where that is not addr', kind: 'text' },
   { name: 'http', help: 'IP:PORT towards callers and operators', kind: 'text' },
-  { name: 'site', help: 'the site it stands in', kind: 'text' },
+  { name: 'site', help: 'the zone it stands in', kind: 'text' },
   { name: 'seeds', help: 'IP:PORT of another daemon; three are needed', kind: 'list' },
   { name: 'town', help: "IP:PORT of the platform's list", kind: 'text' },
   { name: 'control', help: 'serve operators too', kind: 'yes' },
@@ -19,7 +19,7 @@
 /** counterd: the counter library on a real machine. */
 export const Main = {
   async run(argv: readonly string[]): Promise<void> {
-    const s = await Program.startup('counterd', 'a counter daemon of pumicebarrow', LIST, Startup, argv);
+    const s = await Program.settings('counterd', 'a counter daemon of pumicebarrow', LIST, Settings, argv);
     try {
       const world = await Machine.make(s.id, s.hear ?? s.addr, s.level ?? 'info', null);
       const back = HttpBack.make(),
--- a/packages/counterd/src/startup.test.ts
+++ b/packages/counterd/src/settings.test.ts
@@ -1,13 +1,13 @@
-import { StartupFile } from '@pumicebarrow/forms';
+import { SettingsReader } from '@pumicebarrow/forms';
 import { expect } from 'chai';
-import { Startup } from './startup.js';
+import { Settings } from './settings.js';
 
 const sound = {
   ...{ id: 'e1', addr: '127.0.0.1:7', http: '127.0.0.1:8', site: 's1', town: '127.0.0.1:9' },
   seeds: ['127.0.0.1:1', '127.0.0.1:2', '[::1]:3'],
 };
 const cases: [string, Record<string, unknown>, string[]][] = [
-  ['a sound startup', {}, []],
+  ['sound settings', {}, []],
   ['another place to listen at', { hear: '127.0.0.1:17' }, []],
   ['a host name for it', { hear: 'host:17' }, ['/hear']],
   ['a seed named twice', { seeds: ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:1'] }, ['/seeds']],
@@ -20,7 +20,7 @@
 describe('counterd', () => {
   for (const [name, change, want] of cases) {
     it(`reads ${name}`, async () => {
-      const got = await StartupFile.read(Startup, undefined, { ...sound, ...change });
+      const got = await SettingsReader.read(Settings, undefined, { ...sound, ...change });
       expect(got.ok ? [] : [...new Set(got.val.map((f) => f.path))].sort()).to.deep.equal(want);
     });
   }
--- a/packages/counterd/src/startup.ts
+++ b/packages/counterd/src/settings.ts
@@ -1,15 +1,15 @@
-import { Addr, Site } from '@pumicebarrow/forms';
+import { Addr, Zone } from '@pumicebarrow/forms';
 import { Tunes } from '@pumicebarrow/purge';
 import { Type, type Static } from 'typebox';
 
 /** What counterd is started with. */
-export const Startup = Type.Object(
+export const Settings = Type.Object(
   {
     id: Type.String({ pattern: '^[\\w.-]{1,60}$' }),
     addr: Addr,
     hear: Type.Optional(Addr),
     http: Addr,
-    site: Site,
+    site: Zone,
     seeds: Type.Array(Addr, { minItems: 3, maxItems: 16, uniqueItems: true }),
     town: Addr,
     control: Type.Optional(Type.Boolean()),
@@ -19,4 +19,4 @@
   },
   { additionalProperties: false },
 );
-export type Startup = Static<typeof Startup>;
+export type Settings = Static<typeof Settings>;
--- a/packages/forms/src/clauses.test.ts
+++ b/packages/forms/src/clauses.test.ts
@@ -29,14 +29,14 @@
     ['/rules/0/limit'],
   ],
   [
-    'an unknown site at a server',
+    'an unknown zone at a server',
     (c) => {
       c.servers[1]!.site = 's9';
     },
     ['/servers/1/site'],
   ],
   [
-    'an unknown site in a rule',
+    'an unknown zone in a rule',
     (c) => {
       (c.rules[0] as Record<string, unknown>)['sites'] = ['s1', 's9'];
     },
--- a/packages/forms/src/clauses.ts
+++ b/packages/forms/src/clauses.ts
@@ -38,11 +38,11 @@
     ];
     c.rules.forEach((r, i) =>
       r.sites?.forEach((s, j) => {
-        if (!c.sites.includes(s)) out.push({ path: `/rules/${i}/sites/${j}`, why: `names the unknown site ${s}` });
+        if (!c.sites.includes(s)) out.push({ path: `/rules/${i}/sites/${j}`, why: `names the unknown zone ${s}` });
       }),
     );
     c.servers.forEach((s, i) => {
-      if (!c.sites.includes(s.site)) out.push({ path: `/servers/${i}/site`, why: `names the unknown site ${s.site}` });
+      if (!c.sites.includes(s.site)) out.push({ path: `/servers/${i}/site`, why: `names the unknown zone ${s.site}` });
     });
     if (c.fallback !== undefined && !c.rules.some((r) => r.name === c.fallback)) {
       out.push({ path: '/fallback', why: `names the unknown rule ${c.fallback}` });
--- a/packages/forms/src/flags.ts
+++ b/packages/forms/src/flags.ts
@@ -2,7 +2,7 @@
 
 type Flag = { name: string; help: string; kind: 'text' | 'list' | 'yes' };
 
-/** A daemon's flags: the same names as the keys of its startup file. */
+/** A daemon's flags: the same names as the keys of its settings file. */
 export const Flags = {
   read(
     program: string,
@@ -19,7 +19,7 @@
       ...list.map((f) => `  --${f.name.padEnd(14)} ${f.help}${f.kind === 'list' ? ' (may be given again)' : ''}`),
       '  --help           this text',
       '',
-      'exit codes: 0 stopped cleanly, 1 failed while running, 2 wrong startup',
+      'exit codes: 0 stopped cleanly, 1 failed while running, 2 wrong settings',
     ].join('\n');
     try {
       const { values } = parseArgs({
@@ -41,9 +41,9 @@
           ),
         },
       });
-      const { startup, help: asked, ...flags } = values as Record<string, unknown>;
+      const { startup: file, help: asked, ...flags } = values as Record<string, unknown>;
       if (asked) return { say: help, code: 0 };
-      return { flags, file: startup as string | undefined };
+      return { flags, file: file as string | undefined };
     } catch (e) {
       return { say: `${program}: ${e instanceof Error ? e.message : String(e)}`, code: 2 };
     }
--- a/packages/forms/src/ident.ts
+++ b/packages/forms/src/ident.ts
@@ -1,6 +1,6 @@
 import { Type, type Static } from 'typebox';
 import { Addr } from './addr.js';
-import { Site } from './site.js';
+import { Zone } from './zone.js';
 
 /**
  * Who a daemon is. `id` and `born` together are the identity; `addr` is only where it was last met.
@@ -11,7 +11,7 @@
     id: Type.String({ minLength: 1, maxLength: 60 }),
     born: Type.String({ minLength: 1, maxLength: 60 }),
     addr: Addr,
-    site: Site,
+    site: Zone,
     role: Type.Union([Type.Literal('counter'), Type.Literal('registry')]),
   },
   { additionalProperties: false },
--- a/packages/forms/src/program.ts
+++ b/packages/forms/src/program.ts
@@ -1,7 +1,7 @@
 import type { Static, TSchema } from 'typebox';
 import type { Fault } from './fault.js';
 import { Flags } from './flags.js';
-import { StartupFile } from './startupfile.js';
+import { SettingsReader } from './settingsreader.js';
 
 type Flag = Parameters<typeof Flags.read>[2][number];
 
@@ -12,8 +12,8 @@
     for (const f of faults) process.stderr.write(`${program}: ${f.path || '/'} ${f.why}\n`);
     process.exit(2);
   },
-  /** A daemon's startup from file and flags; ends the program when it is wrong, or when only help was asked for. */
-  async startup<S extends TSchema>(
+  /** A daemon's settings from file and flags; ends the program when they are wrong, or when only help was asked for. */
+  async settings<S extends TSchema>(
     program: string,
     about: string,
     list: readonly Flag[],
@@ -25,7 +25,7 @@
       (got.code === 0 ? process.stdout : process.stderr).write(`${got.say}\n`);
       process.exit(got.code);
     }
-    const read = await StartupFile.read(form, got.file, got.flags);
+    const read = await SettingsReader.read(form, got.file, got.flags);
     return read.ok ? read.val : Program.wrong(program, read.val);
   },
   /** One line, and exit code 1. */
--- a/packages/forms/src/rule.ts
+++ b/packages/forms/src/rule.ts
@@ -9,7 +9,7 @@
       maximum: 1000,
       description: 'how much of a server one visit takes, against the others',
     }),
-    urgency: Type.Integer({ minimum: 0, maximum: 9, description: '9 is taken from the waitlist first' }),
+    urgency: Type.Integer({ minimum: 0, maximum: 9, description: '9 is taken from the queue first' }),
     limit: Type.Integer({ minimum: 1, maximum: 10000, description: 'visits under way at once, per daemon' }),
     waitlist: Type.Integer({ minimum: 0, maximum: 10000, description: 'visits that may wait, per daemon' }),
     deadline: Type.Integer({
--- a/packages/forms/src/startupfile.test.ts
+++ b/packages/forms/src/settingsreader.test.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path';
 import { Type } from 'typebox';
 import { Addr } from './addr.js';
-import { StartupFile } from './startupfile.js';
+import { SettingsReader } from './settingsreader.js';
 
 const form = Type.Object(
   { id: Type.String(), addr: Addr, seeds: Type.Array(Addr, { minItems: 3, uniqueItems: true }) },
@@ -27,7 +27,7 @@
   ['two missing keys', JSON.stringify({ seeds }), {}, ['/id', '/addr']],
 ];
 
-describe('StartupFile', () => {
+describe('SettingsReader', () => {
   let dir = '';
   before(async () => {
     dir = await mkdtemp(join(tmpdir(), 'pb-'));
@@ -35,16 +35,16 @@
   after(() => rm(dir, { recursive: true }));
   for (const [name, text, flags, paths] of cases) {
     it(`reads ${name}`, async () => {
-      const file = join(dir, 'startup.json');
+      const file = join(dir, 'settings.json');
       await writeFile(file, text);
-      const got = await StartupFile.read(form, file, flags);
+      const got = await SettingsReader.read(form, file, flags);
       expect(got.ok ? [] : got.val.map((f) => f.path).sort()).to.deep.equal([...paths].sort());
     });
   }
   it('says which file is not JSON', async () => {
     const file = join(dir, 'bad.json');
     await writeFile(file, '{');
-    const got = await StartupFile.read(form, file, {});
+    const got = await SettingsReader.read(form, file, {});
     expect(got.err && got.val[0]!.path).to.equal(file);
   });
 });
--- a/packages/forms/src/startupfile.ts
+++ b/packages/forms/src/settingsreader.ts
@@ -6,8 +6,8 @@
 import { Ok } from './ok.js';
 import type { Result } from './result.js';
 
-/** Reads a daemon's startup from a file with flags laid over it, and checks it before any port is opened. */
-export const StartupFile = {
+/** Reads a daemon's settings from a file with flags laid over it, and checks it before any port is opened. */
+export const SettingsReader = {
   async read<S extends TSchema>(
     form: S,
     path: string | undefined,
@@ -29,7 +29,7 @@
     };
     const got = Check.parse(form, all);
     if (got.err) return got;
-    const ports = StartupFile.ports(got.val);
+    const ports = SettingsReader.ports(got.val);
     return ports.length > 0 ? Err(ports) : got;
   },
   /** A port is a number up to 65535, an IPv4 number's parts go up to 255: more than a pattern tells. */
@@ -41,7 +41,7 @@
       return good ? [] : [{ path: at, why: 'is no IP number and port' }];
     }
     if (typeof v !== 'object' || v === null) return [];
-    return Object.entries(v).flatMap(([k, x]) => StartupFile.ports(x, `${at}/${k}`));
+    return Object.entries(v).flatMap(([k, x]) => SettingsReader.ports(x, `${at}/${k}`));
   },
   async folder(dir: string): Promise<Result<void, Fault[]>> {
     try {
--- a/packages/registry/src/apply.test.ts
+++ b/packages/registry/src/apply.test.ts
@@ -16,7 +16,7 @@
 const plan = (id: string, base: number): Command => ({ do: 'plan', id, base, charter: charter(base + 1) });
 const confirm = (id: string): Command => ({ do: 'confirm', id });
 const drop = (id: string): Command => ({ do: 'drop', id });
-const claim = (id: string): Command => ({ do: 'claim', name: 'row:m1', id, born: 'b' });
+const lease = (id: string): Command => ({ do: 'claim', name: 'row:m1', id, born: 'b' });
 const cases: [string, Command[], string[], number, string | null][] = [
   ['plan and confirm', [plan('a', 0), confirm('a')], ['planned', 'confirmed'], 1, 'a'],
   [
@@ -44,7 +44,7 @@
   ['dropping what has won', [plan('a', 0), confirm('a'), drop('a')], ['planned', 'confirmed', 'won'], 1, 'a'],
   ['a plan sent twice', [plan('a', 0), plan('a', 0)], ['planned', 'planned'], 0, null],
   ['a plan nobody made', [confirm('x'), drop('x')], ['unknown', 'unknown'], 0, null],
-  ['claims', [claim('e1'), claim('e2')], ['claimed', 'claimed'], 0, null],
+  ['leases', [lease('e1'), lease('e2')], ['claimed', 'claimed'], 0, null],
 ];
 
 describe('Apply', () => {
@@ -60,16 +60,16 @@
       expect([s.charter?.version ?? 0, s.charter?.plan ?? null]).to.deep.equal([version, who]);
     });
   }
-  it('raises the fence with each claim', () => {
+  it('raises the fence with each lease', () => {
     let s = Apply.empty;
     const fences = ['e1', 'e2', 'e1'].map((id) => {
-      const d = Apply.one(s, claim(id));
+      const d = Apply.one(s, lease(id));
       s = d.state;
       return d.ruling.fence;
     });
     expect(fences).to.deep.equal([1, 2, 3]);
   });
-  it('writes nothing for what it bounces', () => {
+  it('writes nothing for what it refuses', () => {
     const s = Apply.one(Apply.empty, plan('a', 0)).state;
     expect(Apply.one(s, plan('b', 3)).state).to.equal(s);
     expect(Apply.one(s, drop('x')).state).to.equal(s);
--- a/packages/registry/src/apply.ts
+++ b/packages/registry/src/apply.ts
@@ -130,9 +130,9 @@
       case 'claim': {
         const old = state.claims[c.name];
         const fence = (old?.fence ?? 0) + 1;
-        const claims = { ...state.claims, [c.name]: { id: c.id, born: c.born, fence } };
+        const leases = { ...state.claims, [c.name]: { id: c.id, born: c.born, fence } };
         return {
-          state: { ...state, claims },
+          state: { ...state, claims: leases },
           ruling: { verdict: Verdicts.ran('claimed', `${c.id} holds ${c.name}.`), fence },
         };
       }
--- a/packages/registry/src/batch.ts
+++ b/packages/registry/src/batch.ts
@@ -33,8 +33,8 @@
   tell(out: readonly Ruled[], passed: boolean): void {
     for (const r of out) r.wait.done(passed ? r.ruling : broken(r));
   },
-  /** Bounced before anything was begun. */
-  bounce(batch: readonly Wait[], why: string): void {
+  /** Refused before anything was begun. */
+  refuse(batch: readonly Wait[], why: string): void {
     for (const w of batch) w.done({ verdict: Verdicts.not('unready', why, 1) });
   },
 };
--- a/packages/registry/src/bounds.test.ts
+++ b/packages/registry/src/bounds.test.ts
@@ -6,7 +6,7 @@
 const plan = (i: number, base: number) => ({ ...{ do: 'plan' as const, id: `p${i}`, base, charter } });
 
 describe('What the core holds is bounded:', () => {
-  it('so many plans may be open, the next is bounced as not done, and dropping one makes room', () => {
+  it('so many plans may be open, the next is refused as not done, and dropping one makes room', () => {
     let state = Apply.empty;
     const codes = Array.from({ length: 33 }, (_, i) => {
       const done = Apply.one(state, plan(i, 0));
--- a/packages/registry/src/chain.ts
+++ b/packages/registry/src/chain.ts
@@ -23,7 +23,7 @@
  * The chain: entered at the head, each version synced before it is passed on, answered at the tail.
  * Invariants: what a member holds, every member before it in the chain held first; `passed` is known to be held by all
  * of the view in force, and is nothing until the head has handed its version down in that view;
- * a command is bounced with 'no' only if no version that carries its effect was ever begun.
+ * a command is refused with 'no' only if no version that carries its effect was ever begun.
  */
 export const Chain = {
   make(world: World, post: PostBox, store: Storing, kept: CoreState, hooks: Hooks) {
@@ -80,7 +80,7 @@
     const able = (): string | null => {
       const v = hooks.view();
       if (!isHead(v)) return 'This daemon is not the head.';
-      if (!hooks.live()) return 'The core has no live claim on its view.';
+      if (!hooks.live()) return 'The core has no live lease on its view.';
       if (ready !== v.epoch) return 'The chain is being mended.';
       if (v.chain.length < Views.most(v)) return 'The chain has too few copies.';
       return null;
@@ -97,7 +97,7 @@
       const why = able(),
         view = hooks.view();
       if (why !== null || !view) {
-        Batch.bounce(batch, why ?? 'No view.');
+        Batch.refuse(batch, why ?? 'No view.');
         return;
       }
       const { next, out } = Batch.rule(state, batch);
--- a/packages/registry/src/core.ts
+++ b/packages/registry/src/core.ts
@@ -114,13 +114,13 @@
     post.on('core.beat', CoreWords.beat, (body) => {
       spots.note(body.me);
       watch.seen(body.me, { sick: body.sick, fresh: body.fresh, epoch: body.epoch });
-      const claim =
+      const lease =
         !!view &&
         body.epoch === view.epoch &&
         Views.place(view, body.me) >= 0 &&
         Views.votes(view, me()) &&
         voter.grant(view.epoch, Paces.hold, body.me);
-      return { me: me(), view, claim, sick: sick(), fresh: chain.fresh() };
+      return { me: me(), view, claim: lease, sick: sick(), fresh: chain.fresh() };
     });
     const fits = (epoch: number): boolean =>
       epoch === (view?.epoch ?? 0) + 1 && (view ? Views.votes(view, me()) : stands());
--- a/packages/registry/src/coredesk.ts
+++ b/packages/registry/src/coredesk.ts
@@ -1,5 +1,5 @@
 import { Clauses, Verdicts, type PostBox, type World } from '@pumicebarrow/forms';
-import { Claims } from './claims.js';
+import { Leases } from './leases.js';
 import { CoreWords } from './corewords.js';
 import { BurstDesk } from './lending/burstdesk.js';
 import { BurstRule } from './lending/burstrule.js';
@@ -20,7 +20,7 @@
 export const CoreDesk = {
   make(world: World, post: PostBox, h: Hooks) {
     const roll = Roll.make(world.clock);
-    const claims = Claims.make(world.clock, h.chain, h.live);
+    const leases = Leases.make(world.clock, h.chain, h.live);
     let head = false;
 
     post.on('core.write', CoreWords.write, async (body) => {
@@ -32,8 +32,8 @@
       if (!head || !h.live()) return { ruling: null, term: 0, view: h.view() };
       if (c.do === 'begin' && h.chain.ready() && !BurstRule.may(h.chain.passed(), c.spec))
         return { ruling: { verdict: BurstRule.no(c.spec.rule) }, term: 0, view: h.view() };
-      const ruling = c.do === 'claim' ? await claims.take(c.name, c.id, c.born) : await h.chain.write(c);
-      return { ruling, term: c.do === 'claim' && ruling.fence !== undefined ? Paces.claim : 0, view: h.view() };
+      const ruling = c.do === 'claim' ? await leases.take(c.name, c.id, c.born) : await h.chain.write(c);
+      return { ruling, term: c.do === 'claim' && ruling.fence !== undefined ? Paces.lease : 0, view: h.view() };
     });
     post.on('core.read', CoreWords.read, (body) => {
       const s = h.chain.passed();
@@ -54,7 +54,7 @@
       };
     });
     post.on('core.leave', CoreWords.leave, (body, from) => {
-      for (const n of body.names) claims.yield(n, from.id, from.born);
+      for (const n of body.names) leases.yield(n, from.id, from.born);
       roll.leave(from.id);
       return { ok: true };
     });
@@ -66,7 +66,7 @@
         const mine = h.isHead();
         if (!head || !mine) roll.reset();
         head = mine;
-        claims.moved();
+        leases.moved();
       },
     };
   },
--- a/packages/registry/src/corestate.ts
+++ b/packages/registry/src/corestate.ts
@@ -6,7 +6,7 @@
 /**
  * All that the core keeps, one immutable version a write.
  * Invariants: `seq` rises by one a write; `charter.version` rises by one a confirm or a
- * replacement; a routing's revision only rises; a claim's fence only rises.
+ * replacement; a routing's revision only rises; a lease's fence only rises.
  */
 export const CoreState = Type.Object(
   {
--- a/packages/registry/src/claims.ts
+++ b/packages/registry/src/leases.ts
@@ -4,11 +4,11 @@
 import type { Ruling } from './ruling.js';
 
 /**
- * Claims, as the head gives them. The holder and its fence are in the chain; how long it may go on is only here.
+ * Leases, as the head gives them. The holder and its fence are in the chain; how long it may go on is only here.
  * Invariant: no name goes to a new holder while the old one may still think it holds it; a new head, which can't
  * know, waits one whole term first.
  */
-export const Claims = {
+export const Leases = {
   make(clock: Clock, chain: Links, live: () => boolean) {
     const until = new Map<string, number>();
     const asked = new Set<string>();
@@ -16,7 +16,7 @@
     return {
       moved(): void {
         until.clear();
-        calm = clock.mono() + Paces.claim;
+        calm = clock.mono() + Paces.lease;
       },
       yield(name: string, id: string, born: string): void {
         const held = chain.passed()?.claims[name];
@@ -27,8 +27,8 @@
           now = clock.mono();
         if (!live() || !chain.ready()) return { verdict: Verdicts.not('unready', 'The core is not ready.', 1) };
         if (held && held.id === id && held.born === born) {
-          if (asked.has(name)) return { verdict: Verdicts.not('busy', 'The claim is changing hands.', 1) };
-          until.set(name, now + Paces.claim);
+          if (asked.has(name)) return { verdict: Verdicts.not('busy', 'The lease is changing hands.', 1) };
+          until.set(name, now + Paces.lease);
           return { verdict: Verdicts.ran('claimed', `${id} holds ${name}.`), fence: held.fence };
         }
         const wait = held ? (until.get(name) ?? calm) - now : 0;
@@ -37,7 +37,7 @@
         asked.add(name);
         const ruling = await chain.write({ do: 'claim', name, id, born });
         asked.delete(name);
-        until.set(name, clock.mono() + Paces.claim);
+        until.set(name, clock.mono() + Paces.lease);
         return ruling;
       },
     };
--- a/packages/registry/src/lending/burstdesk.ts
+++ b/packages/registry/src/lending/burstdesk.ts
@@ -12,7 +12,7 @@
   generations: b.generations.map(({ text: _text, ...g }) => g),
 });
 
-/** Where bursts are read, at the tail under its claim alone, as the charter is. */
+/** Where bursts are read, at the tail under its lease alone, as the charter is. */
 export const BurstDesk = {
   make(post: PostBox, h: Hooks): void {
     post.on('core.burst', BurstWords.read, (body) => {
--- a/packages/registry/src/lending/bursts.test.ts
+++ b/packages/registry/src/lending/bursts.test.ts
@@ -22,20 +22,20 @@
   ...{ do: 'settle', id: 'b', index, mark: m, turn, to, ...(to === 'ran' ? { text: 'x', count: 1 } : {}) },
 });
 const end: Command = { do: 'end', id: 'b' };
-const claim = (id: string) => ({ do: 'claim' as const, name: Shards.of('b'), id, born: 'x' });
+const lease = (id: string) => ({ do: 'claim' as const, name: Shards.of('b'), id, born: 'x' });
 
-type Step = Command | ReturnType<typeof claim>;
+type Step = Command | ReturnType<typeof lease>;
 const cases: [string, Step[], string[], string][] = [
   ['one that runs whole', [begin(), mark(0), settle(0, 'ran')], ['begun', 'marked', 'settled'], 'ran waiting'],
   ['one begun twice', [begin(), begin()], ['begun', 'begun'], 'waiting waiting'],
   ['a key used for another body', [begin(), begin('b', 3)], ['begun', 'otherbody'], 'waiting waiting'],
   ['two bursts', [begin(), begin('c')], ['begun', 'begun'], 'waiting waiting'],
-  ['a mark under an old fence', [begin(), claim('e2'), mark(0)], ['begun', 'claimed', 'fenced'], 'waiting waiting'],
+  ['a mark under an old fence', [begin(), lease('e2'), mark(0)], ['begun', 'claimed', 'fenced'], 'waiting waiting'],
   ['a mark said twice', [begin(), mark(0), mark(0)], ['begun', 'marked', 'marked'], 'begun waiting'],
   ['a mark that was passed over', [begin(), mark(0, 2)], ['begun', 'stale'], 'waiting waiting'],
   [
     'a mark taken up by the next runner',
-    [begin(), mark(0), claim('e2'), mark(0, 1, 1, 2), mark(0, 1, 2, 2), mark(0, 1, 2)],
+    [begin(), mark(0), lease('e2'), mark(0, 1, 1, 2), mark(0, 1, 2, 2), mark(0, 1, 2)],
     ['begun', 'marked', 'claimed', 'stale', 'marked', 'fenced'],
     'begun waiting',
   ],
@@ -88,7 +88,7 @@
 describe('The record of a burst', () => {
   for (const [name, list, codes, states] of cases) {
     it(`rules on ${name}`, () => {
-      let s = Apply.one(Apply.empty, claim('e1')).state;
+      let s = Apply.one(Apply.empty, lease('e1')).state;
       const got = list.map((c) => {
         const d = Apply.one(s, c);
         s = d.state;
@@ -101,7 +101,7 @@
     });
   }
   it('keeps the outcome that was told, and counts', () => {
-    let s = Apply.one(Apply.empty, claim('e1')).state;
+    let s = Apply.one(Apply.empty, lease('e1')).state;
     for (const c of [begin(), mark(0), settle(0, 'ran')]) s = Apply.one(s, c).state;
     expect(s.bursts![0]!.generations[0]).to.deep.equal({
       ...{ state: 'ran', mark: 1, turn: 1, repeated: 0, text: 'x', count: 1 },
@@ -130,14 +130,14 @@
     expect(s.bursts!.map((b) => b.order)).to.deep.equal([1, 2, 3, 4]);
   });
   it('is over only when each has its outcome', () => {
-    let s = Apply.one(Apply.empty, claim('e1')).state;
+    let s = Apply.one(Apply.empty, lease('e1')).state;
     for (const c of [begin('b', 1), mark(0)]) s = Apply.one(s, c).state;
     expect(Bursts.over(s.bursts![0]!)).to.equal(false);
     s = Apply.one(s, settle(0, 'unsure')).state;
     expect(Bursts.over(s.bursts![0]!)).to.equal(true);
   });
   it('may be said again also where the charter lets its rule borrow no more', () => {
-    const held = Apply.one(Apply.one(Apply.empty, claim('e1')).state, begin()).state;
+    const held = Apply.one(Apply.one(Apply.empty, lease('e1')).state, begin()).state;
     expect(BurstRule.may(held, spec())).to.equal(true);
     expect(BurstRule.may(held, spec('other'))).to.equal(false);
     expect(BurstRule.may(Apply.empty, spec())).to.equal(false);
--- a/packages/registry/src/lending/bursts.ts
+++ b/packages/registry/src/lending/bursts.ts
@@ -8,7 +8,7 @@
 
 type Command = Static<typeof BurstCommand>;
 type Of<D extends Command['do']> = Extract<Command, { do: D }>;
-type Claims = Readonly<Record<string, { fence: number }>>;
+type Leases = Readonly<Record<string, { fence: number }>>;
 type Done = { bursts: readonly Burst[]; verdict: Verdict };
 
 const MOST = { each: 256, all: 1024, body: 32_768, open: 16, gone: 64 };
@@ -18,7 +18,7 @@
 /** What each command does to the bursts that the core keeps. Pure, as all of the core's rulings. */
 export const Bursts = {
   over,
-  apply(bursts: readonly Burst[], claims: Claims, c: Command): Done {
+  apply(bursts: readonly Burst[], leases: Leases, c: Command): Done {
     const no = (code: string, why: string): Done => ({ bursts, verdict: Verdicts.not(code, why) });
     const yes = (code: string, why: string): Done => ({ bursts, verdict: Verdicts.ran(code, why) });
     const id = c.do === 'begin' ? c.spec.key : c.id;
@@ -74,7 +74,7 @@
     const swap = (b: Burst, index: number, g: Generation, code: string): Done =>
       put({ ...b, generations: b.generations.map((x, i) => (i === index ? g : x)) }, code, `${id} ${index}: ${code}.`);
     const mark = (b: Burst, g: Generation, m: Of<'mark'>): Done => {
-      if (claims[Shards.of(id)]?.fence !== m.fence) return no('fenced', 'Another daemon runs this burst.');
+      if (leases[Shards.of(id)]?.fence !== m.fence) return no('fenced', 'Another daemon runs this burst.');
       const same = g.state === 'begun' && g.mark === m.mark;
       if (same && g.turn === m.turn && g.fence === m.fence) return yes('marked', `${id} ${m.index} is marked.`);
       const first = g.state === 'waiting' && m.mark === g.mark + 1 && m.turn === 1;
--- a/packages/registry/src/lending/loan.ts
+++ b/packages/registry/src/lending/loan.ts
@@ -2,7 +2,7 @@
 
 /**
  * What of one server is lent: the body of the shared doc `loan:<server>`, under the fence of that server's row.
- * Invariants: written only by the holder of the row's claim; `slots` is 0 once it is given back, revoked or lapsed. It
+ * Invariants: written only by the holder of the row's lease; `slots` is 0 once it is given back, revoked or lapsed. It
  * tells of a loan; the loan itself is the lease that its holder was given, and ends with that.
  */
 export const Loan = Type.Object(
--- a/packages/registry/src/lending/shards.ts
+++ b/packages/registry/src/lending/shards.ts
@@ -2,7 +2,7 @@
 
 const COUNT = 8;
 
-/** Bursts are cut by key into a few shards; who holds a shard's claim runs them. So claims don't grow with keys. */
+/** Bursts are cut by key into a few shards; who holds a shard's lease runs them. So leases don't grow with keys. */
 export const Shards = {
   names: Array.from({ length: COUNT }, (_, i) => `lend:${i}`),
   of: (key: string): string => `lend:${Hash.num(key) % COUNT}`,
--- a/packages/registry/src/minder.test.ts
+++ b/packages/registry/src/minder.test.ts
@@ -10,9 +10,9 @@
 
 describe('the minder', () => {
   const cases: [string, { live: (at: number) => boolean; me: string; ms: number }, number | null][] = [
-    ['proposes nothing while claims are granted', { live: () => true, me: 'k1', ms: 20_000 }, null],
-    ['waits a while for claims', { live: (at) => at > 1500, me: 'k1', ms: 20_000 }, null],
-    ['makes the view anew where all are heard and none grants a claim', { live: () => false, me: 'k1', ms: 2500 }, 4],
+    ['proposes nothing while leases are granted', { live: () => true, me: 'k1', ms: 20_000 }, null],
+    ['waits a while for leases', { live: (at) => at > 1500, me: 'k1', ms: 20_000 }, null],
+    ['makes the view anew where all are heard and none grants a lease', { live: () => false, me: 'k1', ms: 2500 }, 4],
     ['leaves that to the voters before it first', { live: () => false, me: 'k3', ms: 2500 }, null],
     ['makes it anew if those do not', { live: () => false, me: 'k3', ms: 3500 }, 4],
   ];
--- a/packages/registry/src/minder.ts
+++ b/packages/registry/src/minder.ts
@@ -6,7 +6,7 @@
 import type { View } from './view.js';
 import { Views } from './views.js';
 
-/** ms without a claim, though all are heard, after which the view is made anew. */
+/** ms without a lease, though all are heard, after which the view is made anew. */
 const LAME = 2 * Paces.suspect;
 /** ms for which a member that is heard may leave our beats without a reply: what is sent to it is lost. */
 const DEAF = 2 * Paces.suspect;
@@ -15,7 +15,7 @@
  * What a member of the chain that votes does about the others: those that are silent, deaf or sick go out of the
  * chain, and a vote goes to a member that has caught up. Invariants: the vote of a daemon goes to its heir of the
  * same id, if that stands in the chain, and else only once its owner is out of the chain and silent, or leaves. A
- * change that was promised and then given up bars every claim for good; so whoever goes long without makes the view
+ * change that was promised and then given up bars every lease for good; so whoever goes long without makes the view
  * anew.
  */
 export const Minder = {
@@ -67,7 +67,7 @@
       else since ??= mono();
       if (since === null || mono() - since <= LAME + turn) return;
       since = null;
-      void helm.propose(v.voters, Views.without(v, []), 'No claim was granted, though all are heard.');
+      void helm.propose(v.voters, Views.without(v, []), 'No lease was granted, though all are heard.');
     };
     return {
       mind(v: View): void {
--- a/packages/registry/src/paces.ts
+++ b/packages/registry/src/paces.ts
@@ -1,5 +1,5 @@
 /**
- * The core's terms, in ms. Invariant: `suspect` is longer than `hold`, so a live claim is not outlived by suspicion
+ * The core's terms, in ms. Invariant: `suspect` is longer than `hold`, so a live lease is not outlived by suspicion
  * alone.
  */
 export const Paces = {
@@ -9,7 +9,7 @@
   ask: 600,
   push: 2500,
   stall: 1500,
-  claim: 2000,
+  lease: 2000,
   quiet: 3000,
   gone: 2000,
   met: 2000,
--- a/packages/registry/src/registrar.ts
+++ b/packages/registry/src/registrar.ts
@@ -10,7 +10,7 @@
 
 /** Addresses to begin with; those that may change while the daemon lives are asked for. */
 type Seeds = readonly string[] | (() => readonly string[]);
-type Startup = { id: string; addr: string; site: string; seeds: Seeds; tunes: Tunes } & {
+type Settings = { id: string; addr: string; site: string; seeds: Seeds; tunes: Tunes } & {
   /** How many machines may be lost at once: the first view has twice as many members and one more. */
   losses?: number;
   /** Whether this daemon, with an empty folder, may have a part in making the first view; else it only joins. */
@@ -23,7 +23,7 @@
 
 /** A core daemon put together: disk, core and purge. */
 export const Registrar = {
-  async make(world: World, startup: Startup) {
+  async make(world: World, settings: Settings) {
     if (!world.disk) return Err('a core daemon needs a data folder') as Result<never, string>;
     const store = Store.make(world, world.disk);
     const log = world.log('core');
@@ -32,19 +32,25 @@
     if (kept.val.bad) log.warn('A damaged file was found; all were set aside. Rejoining as a newcomer.');
     const born = await Self.born(world, store, kept.val.born);
     if (born.err) return Err(born.val) as Result<never, string>;
-    const ident: Ident = { id: startup.id, born: born.val, addr: startup.addr, site: startup.site, role: 'registry' };
+    const ident: Ident = {
+      id: settings.id,
+      born: born.val,
+      addr: settings.addr,
+      site: settings.site,
+      role: 'registry',
+    };
     const post = Post.make(world, () => ident);
-    const shelf = Shelf.make(startup.sound ?? Sound.doc);
-    const given = startup.seeds;
+    const shelf = Shelf.make(settings.sound ?? Sound.doc);
+    const given = settings.seeds;
     const seeds = (): readonly string[] => (typeof given === 'function' ? given() : given);
     const purge = Purge.make(
       world,
       post,
       () => ident,
       shelf,
-      startup.tunes,
+      settings.tunes,
       seeds,
-      (): readonly Ident[] => [...Views.idents(core.view()), ...core.desk.live(), ...(startup.known?.() ?? [])],
+      (): readonly Ident[] => [...Views.idents(core.view()), ...core.desk.live(), ...(settings.known?.() ?? [])],
     );
     const cores = (): string[] => [
       ...new Set([
@@ -57,8 +63,8 @@
     ];
     const core = Core.make(world, post, () => ident, store, kept.val, {
       cores,
-      losses: startup.losses ?? 1,
-      first: startup.first ?? true,
+      losses: settings.losses ?? 1,
+      first: settings.first ?? true,
       passed: (s) => {
         if (!s.charter || s.charter.version <= (shelf.mark('charter')?.[0] ?? 0)) return;
         world.tell({ what: 'confirmed', version: s.charter.version, plan: s.charter.plan });
--- a/packages/registry/src/rest.ts
+++ b/packages/registry/src/rest.ts
@@ -9,9 +9,9 @@
 import type { Voting } from './voting.js';
 
 /**
- * How claims end before their term once a next view is under way: a voter asks those that hold its claims to lay them
- * down, and need not wait for the term of one that did. Invariants: a holder speaks no more, and takes up no claim that
- * it asked for before, once it has said so; a voter asks only while it grants nothing, and forgets a claim only on its
+ * How leases end before their term once a next view is under way: a voter asks those that hold its leases to lay them
+ * down, and need not wait for the term of one that did. Invariants: a holder speaks no more, and takes up no lease that
+ * it asked for before, once it has said so; a voter asks only while it grants nothing, and forgets a lease only on its
  * holder's reply to that very question.
  */
 export const Rest = {
--- a/packages/registry/src/sheetrow.ts
+++ b/packages/registry/src/sheetrow.ts
@@ -2,7 +2,7 @@
 
 /**
  * One server's row of the casting sheet: the body of the shared doc `row:<server>`. Its mark is (fence, step).
- * Invariant: written only by the holder of that row's claim, whose fence the mark carries.
+ * Invariant: written only by the holder of that row's lease, whose fence the mark carries.
  */
 export const SheetRow = Type.Object(
   {
--- a/packages/registry/src/voter.test.ts
+++ b/packages/registry/src/voter.test.ts
@@ -43,7 +43,7 @@
     ],
   ],
   [
-    'a live claim holds the next view off',
+    'a live lease holds the next view off',
     [
       ['grant', 1, true],
       ['prepare', 2, 8, false],
@@ -52,7 +52,7 @@
     ],
   ],
   [
-    'no claim once the next view is promised',
+    'no lease once the next view is promised',
     [
       ['prepare', 2, 8, true],
       ['wait', 5000],
@@ -60,7 +60,7 @@
     ],
   ],
   [
-    'an attempt that waits holds claims off, for a while',
+    'an attempt that waits holds leases off, for a while',
     [
       ['grant', 1, true],
       ['prepare', 2, 8, false],
--- a/packages/registry/src/voter.ts
+++ b/packages/registry/src/voter.ts
@@ -10,9 +10,9 @@
 
 /**
  * One voter's part in choosing the next view: one single-decree agreement an epoch.
- * Invariants: a promise or an acceptance is synced before it is said; while a claim granted on the present
- * view may still be live, nothing is promised for the next; once something is, no claim on the present view is granted.
- * `until` is when the last claim ends that its life before this one may have granted.
+ * Invariants: a promise or an acceptance is synced before it is said; while a lease granted on the present
+ * view may still be live, nothing is promised for the next; once something is, no lease on the present view is granted.
+ * `until` is when the last lease ends that its life before this one may have granted.
  */
 export const Voter = {
   make(store: Storing, mono: () => number, kept: Vote | null, until = 0) {
@@ -42,7 +42,7 @@
     });
     return {
       took: (): View | null => vote?.took?.view ?? null,
-      /** Grants a claim on the view of `epoch`, unless the next view is under way. */
+      /** Grants a lease on the view of `epoch`, unless the next view is under way. */
       grant(epoch: number, ms: number, who?: Who): boolean {
         if (mono() < moving || at(epoch + 1).promised > 0) return false;
         held.set(key(who), mono() + ms);
@@ -66,7 +66,7 @@
           const done = await save({ epoch, promised: ballot, took: { ballot, view } });
           return { ok: done.ok, promised: ballot };
         }),
-      /** One that held a claim on the view of `epoch` has laid it down. */
+      /** One that held a lease on the view of `epoch` has laid it down. */
       rested(epoch: number, who: Who): void {
         if (epoch === present && mono() < moving) held.delete(key(who));
       },
--- a/packages/registry/src/watch.ts
+++ b/packages/registry/src/watch.ts
@@ -13,8 +13,8 @@
 type Heard = { at: number; sick: boolean; fresh: boolean; epoch: number; me: Member };
 
 /**
- * Beats between core daemons: who is there, and the claim that lets a chain member speak for the view.
- * Invariant: `live()` is true only while a majority of voters each granted a claim, counted from before it was
+ * Beats between core daemons: who is there, and the lease that lets a chain member speak for the view.
+ * Invariant: `live()` is true only while a majority of voters each granted a lease, counted from before it was
  * asked for.
  */
 export const Watch = {
@@ -49,7 +49,7 @@
       deaf: (m: Member): number => now() - (vain.get(key(m)) ?? now()),
       /** Whether its place was found taken by one of the same id and another life: so it is no more. */
       emptied: (m: Member): boolean => empty.get(key(m)) === true,
-      /** Lays down all claims, those still on their way too. */
+      /** Lays down all leases, those still on their way too. */
       rest(): void {
         grants.clear();
         eras++;
--- a/packages/routesim/src/capacity/hollowfleet.ts
+++ b/packages/routesim/src/capacity/hollowfleet.ts
@@ -39,7 +39,7 @@
     } as unknown as Engine;
     const routers = new Map<string, Routed>();
     const keepers = new Map<string, Keeping>();
-    const zone = (i: number): string => `zone-${i % Design.sites}`;
+    const zone = (i: number): string => `zone-${i % Design.zones}`;
     const keeperIds = Array.from({ length: a.keepers }, (_, i) => `k${i + 1}`);
     const routerIds = Array.from({ length: a.routers }, (_, i) => `r${i + 1}`);
     const address = (kind: number, i: number): string => `10.${kind}.${Math.floor(i / 250)}.${(i % 250) + 1}:7000`;
--- a/packages/routesim/src/capacity/hollowlist.ts
+++ b/packages/routesim/src/capacity/hollowlist.ts
@@ -14,7 +14,7 @@
     id: `i-${(i * 7919 + life * 104_729 + 268_435_456).toString(16)}`,
     service: `model-${i % HollowList.services(n)}`,
     addr: `10.2${Math.floor(i / 65_536)}.${Math.floor(i / 256) % 256}.${i % 256}:8080`,
-    zone: `zone-${i % Design.sites}`,
+    zone: `zone-${i % Design.zones}`,
     state: 'ready',
     stage: Math.floor(i / HollowList.services(n)) % 3 === 0 ? 'prefill' : 'decode',
     slots: 64,
--- a/packages/routesim/src/capacity/routedworks.ts
+++ b/packages/routesim/src/capacity/routedworks.ts
@@ -51,7 +51,7 @@
       born: Hash.text(String(i)).slice(0, 12),
       addr: `10.1.${Math.floor(i / 250)}.${i % 250}:7000`,
     },
-    ...{ site: `zone-${i % Design.sites}`, role: 'counter' },
+    ...{ site: `zone-${i % Design.zones}`, role: 'counter' },
   }),
   /** What the head does for one check-in, by how many routers there are. */
   desk(n: number): Figure[] {
--- a/packages/sim/src/act.ts
+++ b/packages/sim/src/act.ts
@@ -23,6 +23,6 @@
     | 'confirm'
     | 'race'
     | 'read'
-    | 'claim'
+    | 'lease'
     | 'handover';
 };
--- a/packages/sim/src/callers.ts
+++ b/packages/sim/src/callers.ts
@@ -5,9 +5,9 @@
 
 type Out =
   | { kind: 'end' }
-  | { kind: 'cut' | 'bounce'; verdict: Verdict }
+  | { kind: 'cut' | 'refused'; verdict: Verdict }
   | { kind: 'torn'; pieces: number }
-  | { kind: 'refused' };
+  | { kind: 'unreached' };
 const SIZES: Record<string, { prefix: number; part: number }> = {
   review: { prefix: 6000, part: 1500 },
   changelog: { prefix: 2500, part: 500 },
@@ -42,7 +42,7 @@
         const c = f.counters.get(id),
           box = f.boxes.get(id)!;
         if (!c || !box.up()) {
-          motor.at(at() + 1, () => done({ kind: 'refused' }));
+          motor.at(at() + 1, () => done({ kind: 'unreached' }));
           return;
         }
         const expect = Text.digest(v.prefix, v.part);
@@ -90,7 +90,7 @@
               finish({ kind: 'end' });
             }),
           cut: (verdict) => late(() => finish({ kind: 'cut', verdict })),
-          bounce: (verdict) => late(() => finish({ kind: 'bounce', verdict })),
+          refuse: (verdict) => late(() => finish({ kind: 'refused', verdict })),
           gone: () => !open,
         };
         tell({ what: 'called', who: id, at: at(), key: v.key, attempt: v.attempt, rule: v.rule });
@@ -118,7 +118,7 @@
       });
 
     /** A new visit's key and body. */
-    const wish = (rule: string, site: string) => {
+    const wish = (rule: string, zone: string) => {
       const size = SIZES[rule]!,
         key = `v${++serial}`;
       const group = Dice.int(motor.chance, 4);
@@ -127,7 +127,7 @@
         prefix: `${rule}${group} `.repeat(Math.ceil((size.prefix * long) / 8)),
         part: `${key} `.repeat(Math.ceil(size.part / 6)),
       };
-      tell({ what: 'wish', who: site, at: at(), key, rule, digest: Text.digest(body.prefix, body.part) });
+      tell({ what: 'wish', who: zone, at: at(), key, rule, digest: Text.digest(body.prefix, body.part) });
       return { key, body };
     };
     /** One attempt, sent to each of several daemons at its own time; each call's outcome speaks of that call alone. */
@@ -135,7 +135,7 @@
       calls: readonly { id: string; after: number }[],
       owners: string[] | undefined,
     ): Promise<void> => {
-      const { key, body } = wish('verdict', d.sites[0]!);
+      const { key, body } = wish('verdict', d.zones[0]!);
       await Promise.all(
         calls.map(async ({ id, after }) => {
           await nap(after);
@@ -151,15 +151,15 @@
         }),
       );
     };
-    const visit = async (rule: string, site: string): Promise<void> => {
-      const { key, body } = wish(rule, site);
+    const visit = async (rule: string, zone: string): Promise<void> => {
+      const { key, body } = wish(rule, zone);
       let attempt = 1;
       let dead = 0;
       while (attempt <= TRIES) {
-        const near = f.edgeIds.filter((id) => f.boxes.get(id)!.site === site && f.boxes.get(id)!.up());
+        const near = f.edgeIds.filter((id) => f.boxes.get(id)!.site === zone && f.boxes.get(id)!.up());
         const id = Dice.one(motor.chance, near.length > 0 ? near : f.edgeIds)!;
         const out = await once(id, { key, attempt, ...body });
-        if (out.kind === 'refused') {
+        if (out.kind === 'unreached') {
           if (++dead > 8) break;
           await nap(300);
           continue;
@@ -176,7 +176,7 @@
           ran: verdict?.ran ?? (out.kind === 'end' ? 'yes' : 'maybe'),
           code: verdict?.code ?? out.kind,
         });
-        const again = (out.kind === 'bounce' && out.verdict.ran === 'no') || (out.kind === 'torn' && out.pieces === 0);
+        const again = (out.kind === 'refused' && out.verdict.ran === 'no') || (out.kind === 'torn' && out.pieces === 0);
         if (!again) break;
         attempt++;
         await nap((verdict?.after ?? 1) * 1000 * (0.9 + motor.chance.real() * 0.4));
@@ -187,7 +187,7 @@
       const total = mix.reduce((a, [, w]) => a + w, 0);
       let r = motor.chance.real() * total;
       const kind = mix.find(([, w]) => (r -= w) < 0)?.[0] ?? mix[0]![0];
-      void visit(kind, Dice.one(motor.chance, d.sites)!);
+      void visit(kind, Dice.one(motor.chance, d.zones)!);
       motor.at(at() + (-Math.log(1 - motor.chance.real()) * 1000) / rate, flow);
     };
     return {
@@ -199,7 +199,7 @@
         for (let i = 0; i < n; i++)
           void visit(
             Dice.one(motor.chance, ['changelog', 'changelog', 'verdict', 'review'])!,
-            Dice.one(motor.chance, d.sites)!,
+            Dice.one(motor.chance, d.zones)!,
           );
       },
       mix(next: Record<string, number>, times = 1): void {
--- a/packages/sim/src/capacity/anchor.ts
+++ b/packages/sim/src/capacity/anchor.ts
@@ -67,8 +67,8 @@
     const town: Town = { poll: () => Promise.resolve(Ok(list)) };
     const dead = { ran: 'no', code: 'unreached', dark: true, why: 'none' } as const;
     const back = { state: () => Promise.resolve(Err(dead)) } as unknown as Back;
-    const site = (i: number): string => d.sites[i % d.sites.length]!;
-    const startup = { site: 's1', control: true, tunes: Tuned };
+    const zone = (i: number): string => d.zones[i % d.zones.length]!;
+    const settings = { site: 's1', control: true, tunes: Tuned };
     const seedsOf = (own: string): string[] =>
       [...cores.map((c) => c.addr), ...edges.slice(0, 2).map((e) => e.addr)].filter((a) => a !== own).slice(0, 4);
     const flags = (x: { id: string; addr: string }): string[] => [
@@ -97,7 +97,7 @@
         if (e.id === real) continue;
         const c = Counter.make(
           await world(e.addr, null),
-          { ...startup, ...e, site: site(i), seeds: seedsOf(e.addr) },
+          { ...settings, ...e, site: zone(i), seeds: seedsOf(e.addr) },
           back,
           town,
         );
--- a/packages/sim/src/capacity/design.ts
+++ b/packages/sim/src/capacity/design.ts
@@ -2,7 +2,7 @@
 export const Design = {
   daemons: 2900,
   servers: 10_000,
-  sites: 40,
+  zones: 40,
   /** Changes of the charter a second, of 40,000 a day. */
   changes: 40_000 / 86_400,
   /** Changes of the list of servers a second: 150 failures and 1,900 restarts a day, two each, and 1,700 of a stage. */
--- a/packages/sim/src/capacity/handover.ts
+++ b/packages/sim/src/capacity/handover.ts
@@ -10,7 +10,7 @@
 const rule = Props.charter(1).rules[2]!;
 
 /**
- * Where visits go when many daemons choose, each knowing its own only: links within a site, and how even it comes out.
+ * Where visits go when many daemons choose, each knowing its own only: links within a zone, and how even it comes out.
  * Invariant: a daemon's visits to the number of servers are as at the design size.
  */
 export const Handover = {
@@ -20,7 +20,7 @@
       chance = Dice.seeded(seed);
     const reads = new Map<string, number>(),
       writes = new Map<string, number>();
-    const { select, loads, list } = await Props.select(servers, roster);
+    const { choice, loads, list } = await Props.choice(servers, roster);
     let all = 0,
       near = 0,
       own = 0,
@@ -29,8 +29,8 @@
     for (const me of roster.slice(0, MOST)) {
       const ends: (() => void)[] = [];
       for (let i = 0; i < (HELD * servers) / Design.servers; i++) {
-        const from = select.prefill(rule, `p${Dice.int(chance, 1e6)}`, nobody),
-          to = from && select.decode(rule, from, nobody);
+        const from = choice.prefill(rule, `p${Dice.int(chance, 1e6)}`, nobody),
+          to = from && choice.decode(rule, from, nobody);
         if (!from || !to) {
           none++;
           continue;
--- a/packages/sim/src/capacity/losses.ts
+++ b/packages/sim/src/capacity/losses.ts
@@ -6,11 +6,11 @@
 
 const SETTLE = 9000;
 const CUT = 60_000;
-const SITES = 40;
+const ZONES = 40;
 const REGIONS = 11;
 const LOOK = 50;
 
-/** What the loss of a site, and of a region's links for a minute, does to the others; one core is in no lost part. */
+/** What the loss of a zone, and of a region's links for a minute, does to the others; one core is in no lost part. */
 export const Losses = {
   async run(n: number, seed: number): Promise<Figure[]> {
     const d = Hollow.deployment(n, 4),
@@ -41,7 +41,7 @@
     f.startAll();
     motor.at(3000, () => void change());
     await motor.run(SETTLE);
-    const lost = f.edgeIds.slice(-Math.max(1, Math.round(n / SITES))),
+    const lost = f.edgeIds.slice(-Math.max(1, Math.round(n / ZONES))),
       rest = f.edgeIds.slice(0, -lost.length);
     tally.reset();
     await motor.run(motor.now() + 3000);
--- a/packages/sim/src/capacity/props.ts
+++ b/packages/sim/src/capacity/props.ts
@@ -1,4 +1,4 @@
-import { Hails, Loads, Select, Sheet, Shuns, TownWatch, type Back, type Listed } from '@pumicebarrow/counter';
+import { Hails, Loads, Choice, Sheet, Shuns, TownWatch, type Back, type Listed } from '@pumicebarrow/counter';
 import { Err, Ok, type Charter, type Clock, type Doc, type Ident, type PostBox, type World } from '@pumicebarrow/forms';
 import { Shelf } from '@pumicebarrow/purge';
 import { Design } from './design.js';
@@ -8,12 +8,12 @@
 
 /** What the timed work is done on: as many servers, rows and daemons as are asked for, told by the real parts. */
 export const Props = {
-  site: (i: number): string => `s${i % Design.sites}`,
+  zone: (i: number): string => `s${i % Design.zones}`,
   ident: (i: number): Ident => ({
     id: `e${i + 1}`,
     born: word(i),
     addr: `10.1.${Math.floor(i / 250)}.${(i % 250) + 1}:7000`,
-    site: Props.site(i),
+    site: Props.zone(i),
     role: 'counter',
   }),
   idents: (n: number): Ident[] => Array.from({ length: n }, (_, i) => Props.ident(i)),
@@ -21,13 +21,13 @@
     Array.from({ length: n }, (_, i) => ({
       id: `m${i + 1}`,
       addr: `10.2.${Math.floor(i / 250)}.${(i % 250) + 1}:80`,
-      site: Props.site(i),
+      site: Props.zone(i),
       born: `m${i + 1}-${word(i)}`,
       mark: 'serving',
     })),
   charter(n: number): Charter {
     const { charter } = Hollow.deployment(1, n);
-    return { ...charter, servers: charter.servers.map((s, i) => ({ ...s, site: Props.site(i), slots: 256 })) };
+    return { ...charter, servers: charter.servers.map((s, i) => ({ ...s, site: Props.zone(i), slots: 256 })) };
   },
   /** The row of server i; 34 of 100 read. */
   row: (i: number, step = 0): Doc => ({
@@ -56,7 +56,7 @@
     return shelf;
   },
   /** The real choice of servers over a whole list, as one daemon of `roster` has it. Each server was hailed. */
-  async select(servers: number, roster: readonly Ident[]) {
+  async choice(servers: number, roster: readonly Ident[]) {
     const clock = Props.clock(),
       list = Props.listed(servers);
     const docs = new Map<string, Doc>(list.map((_, i) => [`row:m${i + 1}`, Props.row(i)]));
@@ -88,7 +88,7 @@
     await Promise.resolve();
     await Promise.all(list.map((s) => hails.ask(s, 100)));
     const loads = Loads.make();
-    const select = Select.make({ hails, sheet, town, loads, shuns: Shuns.make(clock), roster: () => roster });
-    return { select, loads, list, town, sheet };
+    const choice = Choice.make({ hails, sheet, town, loads, shuns: Shuns.make(clock), roster: () => roster });
+    return { choice, loads, list, town, sheet };
   },
 };
--- a/packages/sim/src/capacity/runs.ts
+++ b/packages/sim/src/capacity/runs.ts
@@ -29,7 +29,7 @@
   far: { about: 'the same, 35 ms away', sizes: sizes.slice(0, 4), job: (n, seed) => Newcomer.run(n, seed, 35) },
   wholelist: { about: 'the list as one doc, 50 daemons', sizes: [25, 100, 400, 1600, 10_000], job: WholeList.run },
   handover: { about: 'where many daemons send', sizes: [200, 400, 800, 1600], job: Handover.run },
-  losses: { about: 'a site and a region lost', sizes: sizes.slice(0, 4), job: Losses.run },
+  losses: { about: 'a zone and a region lost', sizes: sizes.slice(0, 4), job: Losses.run },
   swap: { about: 'time to swap, at three seeds', sizes: [1, 2, 3], job: Swaps.run },
   rows: { about: 'timed work over rows', sizes: tables, job: (n) => Works.rows(n) },
   roster: { about: 'timed work over live daemons', sizes: [...sizes, 1600, 2900], job: (n) => Works.daemons(n) },
--- a/packages/sim/src/capacity/works.ts
+++ b/packages/sim/src/capacity/works.ts
@@ -98,11 +98,11 @@
   /** Over the list of servers, with as many daemons to the server as at the design size. */
   async servers(n: number): Promise<Figure[]> {
     const roster = Props.idents(Math.max(1, Math.round((n * Design.daemons) / Design.servers)));
-    const { select, loads, list, sheet } = await Props.select(n, roster);
+    const { choice, loads, list, sheet } = await Props.choice(n, roster);
     const charter = Props.charter(n),
       live = [...sheet.rows().values()].map(({ row }) => ({ id: row.server, part: row.part }));
     const text = JSON.stringify({ servers: list }),
-      claims = Object.fromEntries(list.map((s) => [`row:${s.id}`, { id: 'e100', born: s.born.slice(-12), fence: 1 }]));
+      leases = Object.fromEntries(list.map((s) => [`row:${s.id}`, { id: 'e100', born: s.born.slice(-12), fence: 1 }]));
     const held = JSON.stringify({ version: 1, plan: 'p', body: charter }).length;
     let turn = 0;
     for (const s of list.slice(0, 420)) loads.take(s.id, 1);
@@ -112,12 +112,12 @@
       one(
         'choosing who reads',
         'us',
-        Timed.us(() => select.prefill(rule, `p${turn++}`, none)),
+        Timed.us(() => choice.prefill(rule, `p${turn++}`, none)),
       ),
       one(
         'choosing who writes',
         'us',
-        Timed.us(() => select.decode(rule, list[turn++ % n]!, none)),
+        Timed.us(() => choice.decode(rule, list[turn++ % n]!, none)),
       ),
       one(
         'the part of one row',
@@ -131,7 +131,7 @@
       ),
       one('the list', 'B', text.length),
       one('the charter', 'B', held),
-      one('the claims', 'B', JSON.stringify(claims).length),
+      one('the claims', 'B', JSON.stringify(leases).length),
       one('the list in memory', 'heap', Timed.heap(() => JSON.parse(text) as unknown) / n),
     ];
   },
--- a/packages/sim/src/corejudge.ts
+++ b/packages/sim/src/corejudge.ts
@@ -28,7 +28,7 @@
     });
   },
   /** No name is held by two at one instant, and each new holder has a fence above all before. */
-  claims(h: Past): string[] {
+  leases(h: Past): string[] {
     const all = h.of('granted');
     return all.flatMap((d) =>
       all.flatMap((x) => {
@@ -65,7 +65,7 @@
         (d) => JSON.stringify(d['chain']),
       ),
       ...CoreJudge.reads(h),
-      ...CoreJudge.claims(h),
+      ...CoreJudge.leases(h),
       ...Lost.judge(h).broken.map((b) => b.why),
       ...Loser.judge(h).broken.map((b) => b.why),
     ];
--- a/packages/sim/src/corerun.ts
+++ b/packages/sim/src/corerun.ts
@@ -73,7 +73,7 @@
           got = await b.reader.read(undefined, 2000);
         if (got) note('read', { from, version: got.charter?.version ?? 0 });
       },
-      async claim(name, by) {
+      async lease(name, by) {
         const got = await b.line.write({ do: 'claim', name, id: by, born: 'x' }, 0),
           { fence } = got.ruling;
         if (got.ruling.verdict.ran !== 'yes' || fence === undefined) return;
--- a/packages/sim/src/deployment.ts
+++ b/packages/sim/src/deployment.ts
@@ -5,7 +5,7 @@
   name: string;
   edges: number;
   cores: number;
-  sites: readonly string[];
+  zones: readonly string[];
   servers: number;
   slots: number;
   rate: number;
--- a/packages/sim/src/deployments.ts
+++ b/packages/sim/src/deployments.ts
@@ -7,23 +7,23 @@
   { name: 'verdict', weight: 1, urgency: 9, limit: 60, waitlist: 60, deadline: 2500, pieces: 2, bytes: 65536 },
 ];
 const names = (stem: string, n: number): string[] => Array.from({ length: n }, (_, i) => `${stem}${i + 1}`);
-const charter = (sites: string[], servers: number, slots: number): Charter => ({
-  sites,
+const charter = (zones: string[], servers: number, slots: number): Charter => ({
+  sites: zones,
   rules,
   fallback: 'changelog',
-  servers: names('m', servers).map((id, i) => ({ id, site: sites[i % sites.length]!, part: 'either' as const, slots })),
+  servers: names('m', servers).map((id, i) => ({ id, site: zones[i % zones.length]!, part: 'either' as const, slots })),
   casting: { prefill: Math.max(2, Math.round(servers / 3)), floor: { prefill: 1, decode: 2 }, swing: true, calm: 5000 },
 });
 const make = (
   name: string,
   edges: number,
-  sites: number,
+  zones: number,
   servers: number,
   rate: number,
   diskPace: number,
 ): Deployment => {
-  const list = names('s', sites);
-  return { name, edges, cores: 3, sites: list, servers, slots: 8, rate, diskPace, charter: charter(list, servers, 8) };
+  const list = names('s', zones);
+  return { name, edges, cores: 3, zones: list, servers, slots: 8, rate, diskPace, charter: charter(list, servers, 8) };
 };
 
 /** The two deployments of the brief. */
--- a/packages/sim/src/drills/alone.ts
+++ b/packages/sim/src/drills/alone.ts
@@ -114,15 +114,15 @@
   },
   {
     name: 'sickhead',
-    about: 'a head gives a claim, its disk fails at once, and another daemon asks the next head for the name',
+    about: 'a head gives a lease, its disk fails at once, and another daemon asks the next head for the name',
     async run(s) {
       const head = s.b.chain()[0]!;
       const n = views(s).length;
-      await s.claim(NAME, 'x');
+      await s.lease(NAME, 'x');
       const from = s.now();
       s.b.disks.get(head)!.fail(0);
       void s.change(1);
-      await s.spray(4000, 20, () => void s.claim(NAME, 'y'));
+      await s.spray(4000, 20, () => void s.lease(NAME, 'y'));
       s.b.disks.get(head)!.fail(null);
       const next = without(s, n, head);
       return next !== undefined && next.at - from < 2000;
@@ -151,7 +151,7 @@
   {
     name: 'liveclaim',
     about:
-      'head and tail lose sight of each other; as a view without the tail is agreed, it is read under its old claim',
+      'head and tail lose sight of each other; as a view without the tail is agreed, it is read under its old lease',
     async run(s) {
       const chain = s.b.chain(),
         tail = chain.at(-1)!;
@@ -175,7 +175,7 @@
     name: 'promisedtail',
     about:
       'the middle accepts a view without the tail and hears late that it is agreed; the tail, which asks it for ' +
-      'claims all the while, is read',
+      'leases all the while, is read',
     async run(s) {
       for (let i = 0; i < 5; i++) {
         if (await accepted(s)) return true;
@@ -213,7 +213,7 @@
       await s.nap(2500);
       const plan = await s.plan();
       s.b.disks.get(b)!.fail(0);
-      void s.claim(NAME, 'x');
+      void s.lease(NAME, 'x');
       await s.nap(500);
       s.b.disks.get(b)!.fail(null);
       const alone = (): boolean =>
--- a/packages/sim/src/explore.ts
+++ b/packages/sim/src/explore.ts
@@ -7,9 +7,9 @@
 type Run = { deeds: readonly Deed[]; broken: readonly string[]; met: Readonly<Record<string, number>>; events: number };
 const WAYS = [
   'kill kill freeze pause cut curt oneway stall fail wipe wipe tear lose snare snare move',
-  'confirm confirm confirm race race read read claim claim handover handover',
+  'confirm confirm confirm race race read read lease lease handover handover',
 ].flatMap((l) => l.split(' ') as Act['does'][]);
-const SOFT = new Set<Act['does']>(['confirm', 'race', 'read', 'claim']);
+const SOFT = new Set<Act['does']>(['confirm', 'race', 'read', 'lease']);
 const NAMES = ['row:m1', 'row:m2'];
 const KINDS = ['self', 'vote', 'view', 'state'];
 const others = (id: string): string[] => Bench.ids.filter((x) => x !== id);
@@ -26,12 +26,12 @@
 
 /** One claims a name, the head goes, and another claims it again and again at whoever is the head then. */
 const handover = async (s: Scripter, a: Act): Promise<void> => {
-  await s.claim(NAMES[0]!, 'x');
+  await s.lease(NAMES[0]!, 'x');
   if (a.size < 0.5) s.down(a.who, 900);
   else s.b.boxes.get(a.who)!.freeze(1800);
   for (let i = 0; i < 30; i++) {
     await s.nap(100);
-    void s.claim(NAMES[0]!, 'y');
+    void s.lease(NAMES[0]!, 'y');
   }
 };
 
@@ -68,7 +68,7 @@
     confirm: () => void s.change(1),
     race: () => void s.change(3),
     read: () => void s.read(),
-    claim: (a) => void s.claim(NAMES[a.size < 0.5 ? 0 : 1]!, a.who),
+    lease: (a) => void s.lease(NAMES[a.size < 0.5 ? 0 : 1]!, a.who),
     handover: (a) => void handover(s, a),
   };
 };
--- a/packages/sim/src/fleet.ts
+++ b/packages/sim/src/fleet.ts
@@ -42,11 +42,11 @@
     coreIds.forEach((id, i) => {
       const disk = SimDisk.make(motor, d.diskPace, (how) => tell({ what: 'disk', who: id, at: motor.now(), how }));
       disks.set(id, disk);
-      boxes.set(id, Host.make(motor, id, `10.0.0.${i + 1}:7000`, d.sites[i % d.sites.length]!, disk.disk, tell));
+      boxes.set(id, Host.make(motor, id, `10.0.0.${i + 1}:7000`, d.zones[i % d.zones.length]!, disk.disk, tell));
     });
     const edgeAddr = (i: number): string => `10.1.${Math.floor(i / 250)}.${(i % 250) + 1}:7000`;
     edgeIds.forEach((id, i) =>
-      boxes.set(id, Host.make(motor, id, edgeAddr(i), d.sites[i % d.sites.length]!, null, noted)),
+      boxes.set(id, Host.make(motor, id, edgeAddr(i), d.zones[i % d.zones.length]!, null, noted)),
     );
     for (const b of boxes.values()) net.add(b);
     const coreAddrs = coreIds.map((_, i) => `10.0.0.${i + 1}:7000`);
--- a/packages/sim/src/host.ts
+++ b/packages/sim/src/host.ts
@@ -9,7 +9,7 @@
  * but stands still through a pause.
  */
 export const Host = {
-  make(motor: Motor, id: string, addr: string, site: string, disk: Disk | null, tell: (d: Deed) => void) {
+  make(motor: Motor, id: string, addr: string, zone: string, disk: Disk | null, tell: (d: Deed) => void) {
     const chance: Chance = Dice.seeded(Dice.int(motor.chance, 2 ** 31));
     let life = 0;
     let up = false;
@@ -38,7 +38,7 @@
     });
     return {
       id,
-      site,
+      site: zone,
       chance,
       disk,
       addr: (): string => addr,
--- a/packages/sim/src/model.ts
+++ b/packages/sim/src/model.ts
@@ -7,7 +7,7 @@
 
 type Kept = { handle: Handle; until: number };
 type Memory = { key: string; attempt: number; digest: string };
-type Startup = { id: string; born: string; addr: string; slots: number; hold: number; pace: number };
+type Settings = { id: string; born: string; addr: string; slots: number; hold: number; pace: number };
 type Hooks = {
   /** Fetches prompt memory from the server that read it; null when it has lapsed or can't be had. */
   fetch: (h: Handle) => Promise<Memory | null>;
@@ -29,7 +29,7 @@
  * a decode that is turned away has not run and will not.
  */
 export const Model = {
-  make(clock: Clock, chance: Chance, s: Startup, h: Hooks) {
+  make(clock: Clock, chance: Chance, s: Settings, h: Hooks) {
     let state: BackState = {
       id: s.id,
       born: s.born,
--- a/packages/sim/src/park.ts
+++ b/packages/sim/src/park.ts
@@ -8,7 +8,7 @@
 import type { Stall } from './stall.js';
 import type { Trick } from './trick.js';
 
-type Startup = { id: string; addr: string; site: string; slots: number };
+type Settings = { id: string; addr: string; site: string; slots: number };
 type Seen = (kind: string, from: string, to: string, sent: unknown, back: unknown) => void;
 const PACE = 12;
 const HOLD = 6000;
@@ -21,7 +21,7 @@
 export const Park = {
   make(
     motor: Motor,
-    list: readonly Startup[],
+    list: readonly Settings[],
     tell: (d: Deed) => void,
     mute: (from: string, to: string) => boolean,
     seen: Seen = () => undefined,
@@ -67,7 +67,7 @@
             done(there ? from.stand.kv(h.id) : null);
           });
         });
-    const rise = (s: Startup): void => {
+    const rise = (s: Settings): void => {
       const old = servers.get(s.id),
         born = `${s.id}-${Dice.word(motor.chance)}`,
         life = (old?.life ?? 0) + 1;
--- a/packages/sim/src/rules/again.ts
+++ b/packages/sim/src/rules/again.ts
@@ -3,7 +3,7 @@
 const MOST = 12_000;
 
 /**
- * Never 12: each site and each rule is served within 12 s of the last fault's end, and from then on nearly all
+ * Never 12: each zone and each rule is served within 12 s of the last fault's end, and from then on nearly all
  * visits are.
  */
 export const Again: NeverRule = {
--- a/packages/sim/src/rules/loser.ts
+++ b/packages/sim/src/rules/loser.ts
@@ -3,7 +3,7 @@
 /** Never 9: whoever is told no never comes in force, and of the plans against one version one at the most wins. */
 export const Loser: NeverRule = {
   name: 'loser',
-  never: 'a bounced charter, or the loser of a race, comes in force',
+  never: 'a refused charter, or the loser of a race, comes in force',
   judge(h) {
     const force = new Set([
       ...h.of('confirmed').map((d) => d['plan']),
--- a/packages/sim/src/rules/notrun.ts
+++ b/packages/sim/src/rules/notrun.ts
@@ -28,7 +28,7 @@
     );
     const twins = h
       .of('twin')
-      .filter((d) => d['ran'] === 'no' && d['out'] === 'bounce' && sends.has(`${d.who} ${String(d['key'])}`));
+      .filter((d) => d['ran'] === 'no' && d['out'] === 'refused' && sends.has(`${d.who} ${String(d['key'])}`));
     return {
       checked: told.length,
       broken: [
--- a/packages/yard/src/backhost.ts
+++ b/packages/yard/src/backhost.ts
@@ -4,12 +4,12 @@
 import polka from 'polka';
 import { request as call } from 'undici';
 
-type Startup = { id: string; addr: string; slots: number; pace: number };
+type Settings = { id: string; addr: string; slots: number; pace: number };
 type Memory = { key: string; attempt: number; digest: string };
 
 /** A stand-in model server as a process of its own, over HTTP/1.1 with JSON. */
 export const BackHost = {
-  async make(s: Startup): Promise<void> {
+  async make(s: Settings): Promise<void> {
     const chance = { real: () => Math.random() };
     const born = `${s.id}-${Dice.word(chance)}`;
     const ran: string[] = [];
--- a/packages/yard/src/crowd.ts
+++ b/packages/yard/src/crowd.ts
@@ -31,14 +31,14 @@
         prefix: `${rule}${serial % 4} `.repeat(rule === 'review' ? 700 : 250),
         part: `${key} `.repeat(40),
       };
-      const site = d.sites[serial % d.sites.length];
+      const zone = d.zones[serial % d.zones.length];
       bump('visits');
       const tell = (what: string, who: string, more: object): void =>
         plant.tale.tell({ what, who, key, rule, ...more });
-      tell('wish', site ?? '', { digest: Text.digest(v.prefix, v.part) });
+      tell('wish', zone ?? '', { digest: Text.digest(v.prefix, v.part) });
       let shut = 0;
       for (let attempt = 1; attempt <= TRIES;) {
-        const near = plant.edges.filter((e) => e.site === site && plant.alive(e.id));
+        const near = plant.edges.filter((e) => e.site === zone && plant.alive(e.id));
         const list = near.length > 0 ? near : plant.edges;
         const to = list[Math.floor(Math.random() * list.length)]!;
         const out = await caller.visit(
@@ -46,15 +46,15 @@
           { ...v, attempt },
           d.charter.rules.find((x) => x.name === rule)!.pieces,
         );
-        if (out.kind === 'refused') {
+        if (out.kind === 'unreached') {
           if (++shut > 10) {
-            bump('refused');
+            bump('unreached');
             return;
           }
           await nap(300);
           continue;
         }
-        bump(out.kind === 'bounce' ? `bounce ${out.verdict?.ran} ${out.verdict?.code}` : out.kind);
+        bump(out.kind === 'refused' ? `refused ${out.verdict?.ran} ${out.verdict?.code}` : out.kind);
         if (out.kind === 'whole') {
           tell('whole', to.id, { attempt, good: true });
           firsts.push(out.ms);
@@ -69,7 +69,8 @@
           code: out.verdict?.code ?? out.kind,
         });
         keys.set(key, out.kind);
-        if (!(out.kind === 'bounce' && out.verdict?.ran === 'no') && !(out.kind === 'torn' && out.pieces === 0)) return;
+        if (!(out.kind === 'refused' && out.verdict?.ran === 'no') && !(out.kind === 'torn' && out.pieces === 0))
+          return;
         attempt++;
         await nap((out.verdict?.after ?? 1) * 1000);
       }
--- a/packages/yard/src/httpcaller.ts
+++ b/packages/yard/src/httpcaller.ts
@@ -4,7 +4,7 @@
 
 type Visit = { key: string; attempt: number; rule: string; prefix: string; part: string };
 type Out = {
-  kind: 'whole' | 'wrong' | 'cut' | 'bounce' | 'torn' | 'refused';
+  kind: 'whole' | 'wrong' | 'cut' | 'refused' | 'torn' | 'unreached';
   pieces: number;
   verdict: Verdict | null;
   ms: number;
@@ -35,7 +35,7 @@
             headersTimeout: 20_000,
             bodyTimeout: 20_000,
           });
-          if (r.statusCode !== 200) return out('bounce', ((await r.body.json()) as { verdict: Verdict }).verdict);
+          if (r.statusCode !== 200) return out('refused', ((await r.body.json()) as { verdict: Verdict }).verdict);
           const text = await r.body.text();
           for (const line of text.split('\n').filter((l) => l !== '')) {
             const p = JSON.parse(line) as {
@@ -54,7 +54,7 @@
           return out('torn');
         } catch (e) {
           const code = (e as { code?: string }).code ?? '';
-          return out(code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT' ? 'refused' : 'torn');
+          return out(code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT' ? 'unreached' : 'torn');
         }
       },
     };
--- a/packages/yard/src/plant.ts
+++ b/packages/yard/src/plant.ts
@@ -24,17 +24,17 @@
       const at = addr();
       return { addr: at, hear: apart ? addr() : at };
     };
-    const site = (i: number): string => d.sites[i % d.sites.length]!;
+    const zone = (i: number): string => d.zones[i % d.zones.length]!;
     const cores: Core[] = Array.from({ length: d.cores }, (_, i) => ({
       id: `c${i + 1}`,
-      site: site(i),
+      site: zone(i),
       ...place(),
       http: addr(),
       data: join(dir, `c${i + 1}`),
     }));
     const edges: Edge[] = Array.from({ length: d.edges }, (_, i) => ({
       id: `e${i + 1}`,
-      site: site(i),
+      site: zone(i),
       ...place(),
       http: addr(),
       inner: addr(),
