A leaving router weighs what it takes by those under way too, twice over

The longest whole answer lately was shorter than that; a crowd came, and answers under way that were longer already said so, but did not count. Now the oldest under way counts like a whole one, and twice the longest is asked for. Ruled out: refusing all from 2.6 s on (a zone whose routers leave together is still sent to). Test: leaving.test, with one under way for 2,200 ms: 800 ms were held to be enough before, 4,400 now.

--- a/packages/router/src/leaving.test.ts
+++ b/packages/router/src/leaving.test.ts
@@ -50,12 +50,29 @@
     }
     const time = testClock();
     const durations = Durations.make(time.clock);
-    expect(durations.longest('r', 8000)).to.equal(8000);
+    expect(durations.ample('r', 8000)).to.equal(8000);
     durations.note('r', 300);
-    durations.note('r', 2400);
+    durations.note('r', 1200);
     durations.note('r', 200);
-    expect(durations.longest('r', 8000)).to.equal(2400);
+    expect(durations.ample('r', 8000)).to.equal(2400);
+    expect(durations.ample('r', 2000)).to.equal(2000);
     await time.pass(60_000);
-    expect(durations.longest('r', 8000)).to.be.lessThan(400);
+    expect(durations.ample('r', 8000)).to.be.lessThan(400);
+  });
+  it('sees by those under way that answers have become longer', async () => {
+    const time = testClock();
+    const durations = Durations.make(time.clock);
+    durations.note('r', 800);
+    const first = durations.begin('r');
+    await time.pass(500);
+    const second = durations.begin('r');
+    expect(durations.ample('r', 8000)).to.be.lessThan(1600);
+    await time.pass(1700);
+    expect(durations.ample('r', 8000)).to.equal(4400);
+    first(false);
+    expect(durations.ample('r', 8000)).to.equal(3400);
+    second(true);
+    expect(durations.ample('r', 8000)).to.equal(3400);
+    expect(durations.ample('other', 8000)).to.equal(8000);
   });
 });
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -45,7 +45,7 @@
       const service = routes.pick(found, t.world.chance.real());
       if (!service) return refuse('noservice', `Route ${found.route.name} leads nowhere.`);
       const { name, timeout } = found.route;
-      if (t.left() < durations.longest(name, timeout)) return refuse('leaving', 'This daemon ends before it.');
+      if (t.left() < durations.ample(name, timeout)) return refuse('leaving', 'This daemon ends before it.');
       if (!t.list.young()) return refuse('oldlist', "The platform's list is too old to send by.");
       t.log.note(request.id, 'taken', {
         at: service.name,
@@ -119,15 +119,7 @@
       t.world.tell({ what: 'request', key: id, ran: verdict.ran, code: verdict.code, route: job.route.name });
       return verdict;
     };
-    /** Null once the sink has had its answer; else why there is none, for the client to be told at once. */
-    return async (request: Request, sink: AnswerSink): Promise<Verdict | null> => {
-      await settle(sink);
-      const job = start(request, sink);
-      if ('ran' in job) {
-        t.log.note(request.id, 'done', { at: job.ran, word: job.code, why: job.why });
-        return job;
-      }
-      const began = now();
+    const through = async (job: Job, sink: AnswerSink): Promise<Verdict | null> => {
       t.budget.request();
       const later = deferred(job);
       if (later !== null) return told(job, Verdicts.not('deferred', 'It would be late now.', later));
@@ -139,7 +131,6 @@
         const whole = job.fault === null && job.arrivals > 0;
         if (whole) sink.end();
         else sink.cut();
-        if (whole) durations.note(job.route.name, now() - began);
         told(job, whole ? Verdicts.ran('whole', 'Whole.') : Verdicts.maybe('cut', job.fault?.why ?? 'cut'));
         return null;
       }
@@ -147,5 +138,20 @@
       if (job.maybe) return told(job, Verdicts.maybe('broken', job.fault?.why ?? 'It may have run.'));
       return told(job, refuse('noserver', job.fault?.why ?? 'No server can take this now.'));
     };
+    /** Null once the sink has had its answer; else why there is none, for the client to be told at once. */
+    return async (request: Request, sink: AnswerSink): Promise<Verdict | null> => {
+      await settle(sink);
+      const job = start(request, sink);
+      if ('ran' in job) {
+        t.log.note(request.id, 'done', { at: job.ran, word: job.code, why: job.why });
+        return job;
+      }
+      const over = durations.begin(job.route.name);
+      try {
+        return await through(job, sink);
+      } finally {
+        over(job.begun);
+      }
+    };
   },
 };
