Retry budget: one for each service, as the users' rule counts them

Cause: a router had one budget, so that the requests of all services paid for the further tries at the one that fails.

--- a/packages/router/src/budget.test.ts
+++ b/packages/router/src/budget.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { Budget } from './budget.js';
+import { Budgets } from './budgets.js';
 
 const IDLE = 4 * 3_600_000;
 const WINDOW = 10_000;
@@ -115,3 +116,26 @@
       if (c.least !== undefined) expect(taken.length).to.be.at.least(c.least);
     });
 });
+
+describe('the budgets of services', () => {
+  const clock = { mono: () => IDLE, wall: () => IDLE, after: () => () => undefined };
+  const make = () =>
+    Budgets.make(
+      clock,
+      () => ({ ratio: RATIO, window: WINDOW, slack: 0 }),
+      () => 1,
+    );
+  it('give a service that fails no further tries for the requests of another', () => {
+    const all = make();
+    for (let i = 0; i < 1000; i++) all.of('a').request();
+    expect([all.of('b').take(), all.of('a').take()]).to.deep.equal([false, true]);
+  });
+  it('are as many as were used last, and begin with nothing', () => {
+    const all = make();
+    for (let i = 0; i < 1000; i++) all.of('a').request();
+    for (let i = 0; i < 255; i++) all.of(`s${i}`).request();
+    const saved = all.of('a').level();
+    for (let i = 0; i < 256; i++) all.of(`t${i}`).request();
+    expect([saved, all.of('a').level()]).to.deep.equal([1, 0]);
+  });
+});
--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -76,7 +76,17 @@
   const steps = RequestLog.make(time.clock);
   const serve = Serve.make({
     log: steps,
-    ...{ world, list, loads, health, kept, pace, speed, budget, engine: testEngine(s.script, calls) },
+    ...{
+      world,
+      list,
+      loads,
+      health,
+      kept,
+      pace,
+      speed,
+      budgets: { of: () => budget },
+      engine: testEngine(s.script, calls),
+    },
     ...{
       shut: () => s.shut ?? null,
       left: () => s.left ?? Infinity,
--- a/packages/router/src/reader.ts
+++ b/packages/router/src/reader.ts
@@ -26,7 +26,7 @@
       job.fault = { ...f, ran: 'no' };
       t.log.note(job.request.id, 'unread', { at: s.id, word: f.code, why: f.why });
       // One that was given up in a queue was never taken up, and counts as an arrival like any other.
-      if (f.code === 'late') t.budget.owe();
+      if (f.code === 'late') t.budgets.of(job.service.name).owe();
       if (f.code === 'gone') return;
       job.avoid.add(s.id);
       if (Blame.turned(f)) {
@@ -59,7 +59,7 @@
       }
       const { server: s, fresh } = found;
       if (job.reads > 0) {
-        if (!t.budget.take()) return;
+        if (!t.budgets.of(job.service.name).take()) return;
         job.arrivals++;
       }
       job.reads++;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -4,7 +4,7 @@
 import { Line, TraceDesk, Views, type CharterBody, type Sighting } from '@pumicebarrow/registry';
 import { interpret } from 'robot3';
 import type { AnswerSink } from './answersink.js';
-import { Budget } from './budget.js';
+import { Budgets } from './budgets.js';
 import { Changing } from './changing.js';
 import type { Engine } from './engine.js';
 import { HeadLine } from './headline.js';
@@ -101,7 +101,7 @@
       pace: pace.now,
       speed: speed.of,
     });
-    const budget = Budget.make(clock, () => startup.budget, head.routers);
+    const budgets = Budgets.make(clock, () => startup.budget, head.routers);
     const shut = (): Verdict | null => {
       awake.look();
       if (is() === 'serving' || (is() === 'draining' && certain)) return null;
@@ -132,7 +132,7 @@
       pace,
       speed,
       placement,
-      budget,
+      budgets,
       suspect,
       turned,
     };
@@ -183,7 +183,7 @@
       known: () => [...purge.peers(), ...head.peers()],
     });
     return {
-      ...{ ident, post, line, purge, shelf, list, loads, health, budget, head, watch, news, kept, pace },
+      ...{ ident, post, line, purge, shelf, list, loads, health, budgets, head, watch, news, kept, pace },
       life: is,
       routes: (): Routes | null => routes,
       heed(fn: (now: Routes) => void): void {
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -134,7 +134,7 @@
     return async (job: Job): Promise<boolean> => {
       const s = t.placement.decode(job.service, job.request.prompt, job.handle?.server ?? null, job.avoid);
       if (!s) return true;
-      if (job.arrivals > 0 && !t.budget.take()) return true;
+      if (job.arrivals > 0 && !t.budgets.of(job.service.name).take()) return true;
       job.arrivals++;
       const from = now();
       const giver = job.handle?.server ?? null;
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -128,7 +128,7 @@
         return job;
       }
       const began = now();
-      t.budget.request();
+      t.budgets.of(job.service.name).request();
       const later = deferred(job);
       if (later !== null) return told(job, Verdicts.not('deferred', 'It would be late now.', later));
       if (!t.placement.room(job.service, job.request.prompt) && !(await admit(job)))
--- a/packages/router/src/servetools.ts
+++ b/packages/router/src/servetools.ts
@@ -1,5 +1,5 @@
 import type { Verdict, World } from '@pumicebarrow/forms';
-import type { Budget } from './budget.js';
+import type { Budgets } from './budgets.js';
 import type { Engine } from './engine.js';
 import type { KeptParts } from './keptparts.js';
 import type { Pace } from './pace.js';
@@ -28,7 +28,7 @@
   pace: ReturnType<typeof Pace.make>;
   speed: ReturnType<typeof ServerSpeed.make>;
   placement: ReturnType<typeof Placement.make>;
-  budget: ReturnType<typeof Budget.make>;
+  budgets: ReturnType<typeof Budgets.make>;
   /** What was done with requests, step by step. */
   log: ReturnType<typeof RequestLog.make>;
   /** This daemon saw a server fail. */
--- a/packages/routesim/src/capacity/savedtries.ts
+++ b/packages/routesim/src/capacity/savedtries.ts
@@ -1,4 +1,4 @@
-import { Budget } from '@pumicebarrow/router';
+import { Budgets } from '@pumicebarrow/router';
 import { Design, Hollow, type Figure } from '@pumicebarrow/sim';
 import { Bounds } from '../bounds.js';
 
@@ -15,7 +15,7 @@
     let now = 0;
     const clock = { mono: () => now, wall: () => now, after: () => () => undefined };
     const all = Array.from({ length: routers }, () =>
-      Budget.make(
+      Budgets.make(
         clock,
         () => Bounds.budget,
         () => routers,
@@ -26,8 +26,9 @@
     for (let i = 0; i < each; i++) {
       now = IDLE + (window * i) / each;
       for (const b of all) {
-        b.request();
-        if (i % services === 0 && b.take()) taken++;
+        const budget = b.of(`model-${i % services}`);
+        budget.request();
+        if (i % services === 0 && budget.take()) taken++;
       }
     }
     return taken;
