A head that begins weighs a bounded part of the routers' names at a time

Cause: each of n routers that were new to a head was ranked against all at its first check-in, n*n/2 names within one wait; slower than GONE, the first counted as gone and all six of nearly everyone's peers were weighed anew. Now Nearest weighs 250 names a ms at most and goes on at the next check-in; until all are weighed for it a router that has peers keeps them. The desk run lets 450 ms pass between check-ins until all are weighed; its bound is as it was.

--- a/packages/router/src/keeperdesk.test.ts
+++ b/packages/router/src/keeperdesk.test.ts
@@ -22,13 +22,14 @@
     });
     const load = { read: 1, beside: 0, run: 1 };
     const posts = new Map<string, ReturnType<typeof town.post>>();
-    const checkin = async (id: string) => {
+    const checkin = async (id: string, held = '') => {
       const post = posts.get(id) ?? town.post(daemon(id));
       posts.set(id, post);
-      const body = { version: 1, list: null, epoch: 1, peers: '', load };
+      const body = { version: 1, list: null, epoch: 1, peers: held, load };
       const r = await post.ask(daemon('k1', 'registry').addr, 'k1', 'keeper.checkin', body, Words.checked, 500);
       if (r.err) throw new Error(r.val);
-      return { peers: r.val.peers?.map((p: Ident) => p.id) ?? [], routers: r.val.routers };
+      const peers = r.val.peers?.map((p: Ident) => p.id);
+      return { peers: peers ?? [], told: peers !== undefined, routers: r.val.routers };
     };
     return { time, count, checkin };
   };
@@ -72,4 +73,35 @@
     }
     expect(live.length).to.be.greaterThan(20);
   });
+  it('weigh a bounded part of many names at a time, and leave a router its peers until all are weighed', async () => {
+    const { time, checkin } = make();
+    const all = names(0, 900),
+      none = Hash.of([]);
+    const was = Hash.num;
+    let weighed = 0;
+    Hash.num = (s) => {
+      weighed++;
+      return was(s);
+    };
+    const turns: number[] = [];
+    const last = all.at(-1)!;
+    let told = true;
+    for (let more = true; more;) {
+      weighed = 0;
+      for (const id of all) await checkin(id);
+      turns.push(weighed);
+      more = weighed > 0;
+      if (turns.length === 1) {
+        told = (await checkin(last, 'those of another head')).told;
+        expect((await checkin(last, none)).peers).to.have.length(FEW);
+      }
+      await time.pass(450);
+    }
+    Hash.num = was;
+    expect(told).to.equal(false);
+    // 250 a ms, 200,000 at once, eight an asking and the six kept.
+    expect(Math.max(...turns)).to.be.below(200_000 + all.length * 32);
+    expect(turns.length).to.be.within(3, 9);
+    for (const id of all.slice(0, 50)) expect((await checkin(id)).peers).to.deep.equal(best(id, all));
+  });
 });
--- a/packages/router/src/keeperdesk.ts
+++ b/packages/router/src/keeperdesk.ts
@@ -18,6 +18,8 @@
 /** How many others a router tells of its loads: all of a small fleet, few of a larger one. */
 const PEERS = 16;
 const FEW = 6;
+/** What a router says that it holds while it has no peers. */
+const NONE = Hash.of([]);
 type Load = { read: number; beside: number; run: number };
 type Seen = { who: Ident; load: Load; until: number };
 
@@ -28,9 +30,7 @@
 export const KeeperDesk = {
   make(t: Tools) {
     const seen = new Map<string, Seen>();
-    const nearest = Nearest.make({
-      ...{ mono: t.clock.mono, lives: (id) => seen.has(id), all: () => seen.keys(), many: FEW, term: GONE },
-    });
+    const nearest = Nearest.make({ mono: t.clock.mono, many: FEW });
     const drop = (id: string): void => {
       seen.delete(id);
       nearest.left(id);
@@ -50,14 +50,17 @@
       tidy();
       return [...seen.values()];
     };
-    /** The same few for one router for as long as they live, and each router a peer of about as many others. */
-    const peers = (who: Ident): Ident[] => {
-      const few = seen.size - (seen.has(who.id) ? 1 : 0) > PEERS;
-      const ids = few ? [...nearest.of(who.id)] : [...seen.keys()].filter((id) => id !== who.id);
-      return ids.sort().map((id) => seen.get(id)!.who);
-    };
+    /**
+     * The same few for one router for as long as they live, and each router a peer of about as many others. Until all
+     * are weighed for it, one that has peers keeps them.
+     */
     const fresh = (who: Ident, held: string): Ident[] | null => {
-      const now = peers(who);
+      const few = seen.size - (seen.has(who.id) ? 1 : 0) > PEERS;
+      const { ids, whole } = few
+        ? nearest.of(who.id)
+        : { ids: [...seen.keys()].filter((id) => id !== who.id), whole: true };
+      if (!whole && held !== NONE) return null;
+      const now = [...ids].sort().map((id) => seen.get(id)!.who);
       return Hash.of(now) === held ? null : now;
     };
     t.post.on('keeper.checkin', Words.checkin, (body, from) => {
--- a/packages/router/src/nearest.ts
+++ b/packages/router/src/nearest.ts
@@ -1,53 +1,70 @@
 import { Lot } from '@pumicebarrow/forms';
 
+/** `upto` is the place in the order of coming up to which all were weighed. */
 type Kept = { ids: readonly string[]; upto: number };
-type Tools = {
-  mono: () => number;
-  /** Whether this name is of one that lives now, and the names of all that do. */
-  lives: (id: string) => boolean;
-  all: () => Iterable<string>;
-  many: number;
-  /** ms: one that lives asks at least as often as that. */
-  term: number;
-};
+type Few = { ids: readonly string[]; whole: boolean };
+type Tools = { mono: () => number; many: number };
+/** Names weighed in a ms at most over time, in one go, and by one asking at least. */
+const PACE = 250;
+const BURST = 200_000;
+const LEAST = 8;
+const SPARE = 64;
 
 /**
- * The few that go first for each member by rendezvous, kept from one asking to the next. Invariants: they are the ones
- * that a ranking of all that live would put first; only who came since the last asking is weighed, and all of them
- * only where one of the kept is gone; who came before all that live last asked is forgotten.
+ * The few that go first for each member by rendezvous, kept from one asking to the next. Invariants: once `whole`, they
+ * are the ones that a ranking of all that live would put first; nobody is weighed twice but those kept, and all only
+ * where one of the kept is gone; weighing takes a bounded part of the time, and goes on at the next asking.
  */
 export const Nearest = {
   make(t: Tools) {
+    /** In the order in which they came; a name counts where `at` says so. */
+    let came: string[] = [];
+    const at = new Map<string, number>();
     const kept = new Map<string, Kept>();
-    let came: { id: string; at: number }[] = [];
-    let first = 0;
-    const since = (k: Kept): string[] => came.slice(k.upto - first).map((c) => c.id);
-    const few = (who: string, some: Iterable<string>): string[] =>
-      Lot.few(who, some, (id) => id, t.many + 1)
-        .filter((id) => id !== who)
-        .slice(0, t.many);
+    let left = BURST,
+      since = t.mono();
+    const allowed = (many: number): number => {
+      const now = t.mono();
+      left = Math.min(BURST, left + PACE * (now - since));
+      since = now;
+      const n = Math.min(many, Math.max(LEAST, Math.floor(left)));
+      left = Math.max(0, left - n);
+      return n;
+    };
     const tidy = (): void => {
-      const old = t.mono() - t.term;
-      let n = 0;
-      while (n < came.length && came[n]!.at < old) n++;
-      if (n === 0) return;
-      came = came.slice(n);
-      first += n;
+      if (came.length < 2 * at.size + SPARE) return;
+      const before: number[] = [];
+      const live = came.filter((id, i) => {
+        before.push(before.length === 0 ? 0 : before.at(-1)! + (at.get(came[i - 1]!) === i - 1 ? 1 : 0));
+        return at.get(id) === i;
+      });
+      for (const k of kept.values()) k.upto = before[k.upto] ?? live.length;
+      came = live;
+      came.forEach((id, i) => at.set(id, i));
     };
     return {
       joined(id: string): void {
         tidy();
-        came.push({ id, at: t.mono() });
+        at.set(id, came.length);
+        came.push(id);
+      },
+      left(id: string): void {
+        at.delete(id);
+        kept.delete(id);
       },
-      left: (id: string): boolean => kept.delete(id),
-      of(who: string): readonly string[] {
-        const upto = first + came.length;
-        const had = kept.get(who);
-        if (had?.upto === upto && had.ids.every(t.lives)) return had.ids;
-        const whole = !had || had.upto < first || !had.ids.every(t.lives);
-        const ids = whole ? few(who, t.all()) : few(who, new Set([...had.ids, ...since(had).filter(t.lives)]));
-        kept.set(who, { ids, upto });
-        return ids;
+      of(who: string): Few {
+        const had = kept.get(who) ?? { ids: [], upto: 0 };
+        const ids = had.ids.filter((id) => at.has(id));
+        const from = ids.length < had.ids.length ? 0 : had.upto;
+        const upto = from + (from < came.length ? allowed(came.length - from) : 0);
+        const some = came.slice(from, upto).filter((id, i) => at.get(id) === from + i);
+        if (some.length > 0 || ids.length < had.ids.length)
+          had.ids = Lot.few(who, new Set([...ids, ...some]), (id) => id, t.many + 1)
+            .filter((id) => id !== who)
+            .slice(0, t.many);
+        had.upto = upto;
+        kept.set(who, had);
+        return { ids: had.ids, whole: upto === came.length };
       },
     };
   },
--- a/packages/routesim/src/capacity/routedworks.ts
+++ b/packages/routesim/src/capacity/routedworks.ts
@@ -67,7 +67,11 @@
     const checkin = (who: Ident): void => void hear('keeper.checkin', body, who);
     const begun = performance.now();
     const first = Weighings.of(() => all.forEach(checkin));
-    all.forEach(checkin);
+    // The head weighs a part of the names at a time.
+    for (let more = first; more > 0;) {
+      time.now += 450;
+      more = Weighings.of(() => all.forEach(checkin));
+    }
     const begin = performance.now() - begun;
     // One goes and another comes: the others check in twice meanwhile, as they do each 450 ms.
     const rest = [...all.slice(1), RoutedWorks.ident(n)];
