capacity: losses of a rack, a zone and a region, and hand-over by zones, as runs

routedlosses, routedhour and handing of routesim capacity: the counted wire can cut daemons off, the hollow fleet can end them.

--- a/packages/routesim/src/capacity/hollowfleet.ts
+++ b/packages/routesim/src/capacity/hollowfleet.ts
@@ -37,6 +37,7 @@
         return Promise.resolve(Err('lost' as const));
       },
     } as unknown as Engine;
+    const boxes = new Map<string, Box>();
     const routers = new Map<string, Routed>();
     const keepers = new Map<string, Keeping>();
     const zone = (i: number): string => `zone-${i % Design.sites}`;
@@ -51,6 +52,7 @@
         if (d.what === 'held') told.held(id, String(d['name']), d['mark'] as number[], String(d['via']));
       });
       net.add(box);
+      boxes.set(id, box);
       const base = box.begin();
       const clock: Clock = {
         ...base,
@@ -95,6 +97,15 @@
     });
     return {
       ...{ motor, routers, keepers, routerIds, keeperIds, list },
+      /** These end at once, as by a loss of power. */
+      kill(ids: readonly string[]): void {
+        for (const id of ids) {
+          boxes.get(id)!.kill();
+          routers.delete(id);
+          keepers.delete(id);
+        }
+      },
+      cut: net.cut,
       /** One more router, which knows nothing but the seeds. */
       join(): Routed {
         const made = router('late', a.routers);
--- a/packages/routesim/src/capacity/routedruns.ts
+++ b/packages/routesim/src/capacity/routedruns.ts
@@ -1,6 +1,8 @@
 import { Design, type Figure } from '@pumicebarrow/sim';
+import { Handing } from './handing.js';
 import { Mixes } from './mixes.js';
 import { NewHead } from './newhead.js';
+import { RoutedLosses } from './routedlosses.js';
 import { RoutedFleet } from './routedfleet.js';
 import { RoutedStart } from './routedstart.js';
 import { RoutedWorks } from './routedworks.js';
@@ -73,6 +75,25 @@
         listed: Design.listed,
       }),
   },
+  routedlosses: {
+    about: 'a rack, a zone, and a region cut off for a minute',
+    sizes: [25, 50, 100, 200, 400, 800],
+    job: async (n, seed) => [
+      ...(await RoutedLosses.power(n, seed, 'rack')),
+      ...(await RoutedLosses.power(n, seed, 'zone')),
+      ...(await RoutedLosses.region(n, seed, 60_000)),
+    ],
+  },
+  routedhour: {
+    about: 'a region cut off for an hour',
+    sizes: [25, 50],
+    job: (n, seed) => RoutedLosses.region(n, seed, 3_600_000),
+  },
+  handing: {
+    about: 'where prompts are read and decoded, before servers in 40 zones',
+    sizes: [1000, 2000, 4000, 10_000],
+    job: (n, seed) => Handing.run(n, seed),
+  },
   desk: { about: 'timed: check-ins at the head', sizes, job: (n) => RoutedWorks.desk(n) },
   budget: { about: 'further tries in ten seconds, of what was saved and earned', sizes, job: (n) => SavedTries.run(n) },
   newhead: {
