--- a/packages/routesim/src/capacity/countedwire.ts
+++ b/packages/routesim/src/capacity/countedwire.ts
@@ -8,8 +8,8 @@
 
 /**
  * A wire without faults, but for cuts, between many daemons in one process, which counts what goes over it. Invariants:
- * what crosses a cut is lost without a word, and counted as sent; mail is copied through JSON at both ends, as over a socket; a reply later than was waited for is lost; an address has one
- * daemon.
+ * what crosses a cut is lost without a word, and counted as sent; mail is copied through JSON at both ends, as over a
+ * socket; a reply later than was waited for is lost; an address has one daemon.
  */
 export const CountedWire = {
   make(motor: Metered, told: Told, slow: number) {
