--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -120,7 +120,7 @@
       return verdict;
     };
     const through = async (job: Job, sink: AnswerSink): Promise<Verdict | null> => {
-      t.budget.request();
+      t.budgets.of(job.service.name).request();
       const later = deferred(job);
       if (later !== null) return told(job, Verdicts.not('deferred', 'It would be late now.', later));
       if (!t.placement.room(job.service, job.request.prompt) && !(await admit(job)))
