A head that stays head waits out no lease of its own under the next epoch

StageDuty waited out the lease anew under each new fence, also where the fence before was its own and nobody can have ordered since. Now it waits where another may have been head between: a head that goes out of the chain comes back behind others, so two epochs on it can't be head again (Views.withTail, without). What the need was seen for still begins anew once the claim has lapsed. A test is replaced: 'waits out the lease anew under each new fence' held 4 to 5 for a change of holder, which it is not; in its place stand the same for 4 to 7, 8 and 40, one that 4, 5 and 6 go on, and one that what is left of the first lease is waited out. Ruled out: the platform's rule ONE counts holders that take turns within the lease; one holder with a rising fence takes none. Before: stages.test 'goes on under its own next fence' fails.

--- a/packages/router/src/stageduty.ts
+++ b/packages/router/src/stageduty.ts
@@ -33,14 +33,17 @@
 const AGAIN = 2000;
 const GIVE_UP = 20_000;
 const SPARE = 400;
+/** A head that goes out of the chain comes back behind others: so many epochs on it can't be head again. */
+const OWN = 2;
 /** What a change takes in all, in times of what the server is away for: it is emptied first. */
 const EMPTIED = 2;
 
 /**
  * Which servers of a service read and which decode: looked after by one daemon, under a fence.
  * Invariants: an order leaves only under a fence that is live at that instant, and not before the lease of another
- * holder's last order has surely passed; the sheet's row says what was ordered before the order leaves, so no router
- * sends there by the old stage; one change of a service at a time, but where a stage is bare.
+ * holder's last order has surely passed, which under its own next fence it has; the sheet's row says what was ordered
+ * before the order leaves, so no router sends there by the old stage; one change of a service at a time, but where a
+ * stage is bare.
  */
 export const StageDuty = {
   make(t: Tools) {
@@ -48,6 +51,7 @@
     const changes = new Map<string, Change>();
     let mean: Load = { read: 0, beside: 0, run: 0 };
     let held: number | null = null;
+    let last = -Infinity;
     let since = Infinity;
     let moved = -Infinity;
     let stop: () => void = () => undefined;
@@ -115,14 +119,22 @@
       mix.reset();
       begin(fence, s, lean > 0 ? 'prefill' : 'decode');
     };
+    /** What was seen before the claim lapsed is no need that lasts; nor is it known what another ordered. */
+    const renew = (fence: number, lapsed: boolean): void => {
+      const own = fence - last <= OWN;
+      last = fence;
+      if (lapsed || !own) mixes.clear();
+      if (own) return;
+      since = now();
+      changes.clear();
+      mean = { read: 0, beside: 0, run: 0 };
+    };
     const tick = (): void => {
       const fence = t.fence();
       if (fence !== held) {
+        const lapsed = held === null;
         held = fence;
-        since = now();
-        changes.clear();
-        mixes.clear();
-        mean = { read: 0, beside: 0, run: 0 };
+        if (fence !== null) renew(fence, lapsed);
       }
       if (fence === null) return;
       // What is needed is seen from the start; nothing is ordered before the lease has passed.
