--- a/packages/router/src/stages.test.ts
+++ b/packages/router/src/stages.test.ts
@@ -114,13 +114,22 @@
     expect(d.orders).to.have.length(1);
   });
   it('waits out the lease anew where another may have held a fence in between', async () => {
+    for (const next of [6, 7, 40]) {
+      const d = make(bare);
+      await d.pass(3000);
+      d.state.fence = next;
+      await d.pass(3000);
+      expect(d.orders).to.deep.equal([]);
+      await d.pass(1200);
+      expect(d.orders).to.deep.equal([`d1 prefill ${next} prefill draining`]);
+    }
+  });
+  it('waits out what is left of its first lease under its own next fence, and no less', async () => {
     const d = make(bare);
-    await d.pass(3000);
-    d.state.fence = 6;
-    await d.pass(3000);
+    await d.pass(400);
+    d.state.fence = 5;
+    await d.pass(2800);
     expect(d.orders).to.deep.equal([]);
-    await d.pass(1200);
-    expect(d.orders).to.deep.equal(['d1 prefill 6 prefill draining']);
   });
   it('goes on under the next fence where the one before was its own too, though it lapsed for a moment', async () => {
     const d = make(bare);
