Of a large service as many servers change their stage as bring the mix into balance

Now those that change together are one doc, told a second before the orders leave; a new head goes on with what another began; a service of under 24 is as before.

--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,6 +1,7 @@
 export { type AnswerSink } from './answersink.js';
 export { Blame } from './blame.js';
 export { Budget } from './budget.js';
+export { ChangesBody } from './changesbody.js';
 export { Changing } from './changing.js';
 export { DaemonStatus } from './daemonstatus.js';
 export { Deferral } from './deferral.js';
--- a/packages/router/src/sharedsound.ts
+++ b/packages/router/src/sharedsound.ts
@@ -1,8 +1,13 @@
 import { Check, type Doc } from '@pumicebarrow/forms';
 import { Sound } from '@pumicebarrow/registry';
+import { ChangesBody } from './changesbody.js';
 import { ListBody } from './listbody.js';
 
-/** Whether a shared doc is what its name says: the registry's own, and the platform's list. */
+/** Whether a shared doc is what its name says: the registry's own, the platform's list, and changes of many servers. */
 export const SharedSound = {
-  doc: (d: Doc): boolean => (d.name === 'list' ? Check.is(ListBody, d.body) : Sound.doc(d)),
+  doc(d: Doc): boolean {
+    if (d.name === 'list') return Check.is(ListBody, d.body);
+    if (d.name === 'changes') return Check.is(ChangesBody, d.body);
+    return Sound.doc(d);
+  },
 };
--- /dev/null
+++ b/packages/router/src/stagemany.test.ts
@@ -0,0 +1,58 @@
+import { expect } from 'chai';
+import { Changing } from './changing.js';
+import type { Server } from './server.js';
+import { server } from './stand.test.js';
+import { stageStand } from './stagestand.test.js';
+
+describe('the duty of stages in a large service', () => {
+  const many = Array.from({ length: 30 }, (_, i) => server(`s${10 + i}`, i < 10 ? 'prefill' : 'decode'));
+  it('changes many together: told in one doc, a second before the orders leave', async () => {
+    const d = stageStand(many);
+    await d.pass(4000);
+    d.state.load = { read: 400_000, beside: 0, run: 60 };
+    const told = () => many.filter((s) => Changing.of(d.shelf, s)).length;
+    let at = 0;
+    for (; told() === 0 && at < 8000; at += 400) await d.pass(400);
+    expect(told()).to.equal(7);
+    await d.pass(400);
+    expect(d.orders).to.have.length(0);
+    await d.pass(1200);
+    expect(d.orders).to.have.length(7);
+    expect([...d.shelf.table().keys()].filter((name) => name.startsWith('row:'))).to.deep.equal([]);
+  });
+  it('changes no more before most of those are done, and names them until all are', async () => {
+    const d = stageStand(many);
+    d.state.load = { read: 400_000, beside: 0, run: 60 };
+    await d.pass(10_000);
+    const first = [...Changing.together(d.shelf).keys()];
+    expect(first.length).to.be.within(6, 7);
+    const shown = (done: readonly string[]): Server[] =>
+      many.map((s) => (done.includes(s.id) ? { ...s, stage: 'prefill' as const } : s));
+    d.state.load = { read: 0, beside: 0, run: 60 };
+    await d.pass(4000);
+    d.state.servers = shown(first.slice(0, -1));
+    await d.pass(400);
+    expect([...Changing.together(d.shelf).keys()]).to.deep.equal(first);
+    expect(
+      Changing.of(
+        d.shelf,
+        many.find((s) => s.id === first[0])!,
+      ),
+    ).to.equal(true);
+    d.state.servers = shown(first);
+    await d.pass(800);
+    expect(Changing.together(d.shelf).size).to.equal(0);
+  });
+  it('goes on with the change of many that another holder told of', async () => {
+    const d = stageStand(many);
+    const rows = [
+      ['s20', 'prefill'],
+      ['s21', 'prefill'],
+    ];
+    d.shelf.offer({ name: 'changes', mark: [3, 0], body: { rows, by: 'k0' } });
+    await d.pass(3200);
+    expect(d.orders).to.deep.equal([]);
+    await d.pass(4000);
+    expect(new Set(d.orders)).to.deep.equal(new Set(['s20 prefill 4 no row ', 's21 prefill 4 no row ']));
+  });
+});
