Short prompts are read where they run, by what reads lately waited unforeseen

A router hears 6 of 70 others each 720 ms. Now it learns what its own reads waited beyond what was foreseen, and weighs that against reading where it decodes. Homes and deferral don't use it.

--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -27,6 +27,7 @@
 export { Placement } from './placement.js';
 export { type Prompt } from './prompt.js';
 export { Reader } from './reader.js';
+export { ReadWait } from './readwait.js';
 export { type Report } from './report.js';
 export { type Request } from './request.js';
 export { RequestDesk } from './requestdesk.js';
--- a/packages/router/src/placement.test.ts
+++ b/packages/router/src/placement.test.ts
@@ -28,6 +28,7 @@
     const changed = new Set<string>();
     const linked = new Set<string>();
     const slow = new Map<string, number>();
+    const wait = { ms: 0 };
     const place = Placement.make({
       ...{ chance: Dice.seeded(3), zone: 'z1', list, loads, health, kept: KeptParts.make(() => 400_000) },
       ...{
@@ -35,10 +36,11 @@
         speed: (id: string) => slow.get(id) ?? 1,
         changing: (s: { id: string }) => changed.has(s.id),
         linked: (s: { id: string }) => linked.has(s.id),
+        wait: () => wait.ms,
       },
     });
     const { services, routes } = routing();
-    return { time, list, loads, health, place, changed, linked, slow, service: services[0]!, route: routes[0]! };
+    return { time, list, loads, health, place, changed, linked, slow, wait, service: services[0]!, route: routes[0]! };
   };
   const none = new Set<string>();
   it('decodes where a connection stands, if that is hardly busier or farther', () => {
@@ -72,6 +74,16 @@
     loads.read('d2', 4000);
     expect(place.weigh(service, route, p, none).read?.server.stage).to.equal('prefill');
   });
+  it('reads where it runs what would wait at readers, as reads lately did, for work that is not heard of', () => {
+    const { place, wait, service, route } = make();
+    const p = prompt(1800, 500);
+    expect(place.weigh(service, route, p, none).read?.server.stage).to.equal('prefill');
+    const { ms } = place.weigh(service, route, p, none);
+    wait.ms = 250;
+    expect(place.weigh(service, route, p, none).read).to.equal(null);
+    expect(place.weigh(service, route, p, none).ms).to.be.at.most(ms);
+    expect(place.weigh(service, route, prompt(9000, 5000), none).read?.server.stage).to.equal('prefill');
+  });
   it('reads long prompts where they run once the readers are far behind', () => {
     const { place, loads, service, route } = make();
     const p = prompt(3000, 200);
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -23,6 +23,8 @@
   linked: (s: Server) => boolean;
   /** How much longer than foreseen a server takes. */
   speed: (id: string) => number;
+  /** ms that reads lately waited beyond what was foreseen. */
+  wait: () => number;
 };
 const NONE: ReadonlySet<string> = new Set();
 const UNWEIGHED: Weighed = { read: null, ms: 0, alone: 0 };
@@ -143,7 +145,9 @@
         if (!apart || !beside) return UNWEIGHED;
         const crowded = t.loads.at(beside.s.id).runs >= CROWDED;
         const short = t.kept.held(beside.s.id, p) + SHORT > p.tokens;
-        const bar = short ? apart.ms + HAND + SHORT / t.pace() : apart.ms + HAND;
+        // What a decode server has to read is better known than what waits at readers, of which others know the most.
+        const there = apart.ms + HAND + t.wait();
+        const bar = short ? there + SHORT / t.pace() : there;
         const read = { server: apart.s, fresh: apart.fresh, home: apart.home };
         const alone = apart.fresh / t.pace() + HAND + START;
         // What takes next to nothing is read before all that waits: the queue doesn't make it late.
--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -4,6 +4,7 @@
 import { Pace } from './pace.js';
 import { Placement } from './placement.js';
 import type { Request } from './request.js';
+import { ReadWait } from './readwait.js';
 import { RequestLog } from './requestlog.js';
 import { RouteTable } from './routetable.js';
 import { Serve } from './serve.js';
@@ -52,7 +53,8 @@
     health = ServerHealth.make(time.clock),
     kept = KeptParts.make(() => 400_000),
     pace = Pace.make(),
-    speed = ServerSpeed.make(time.clock);
+    speed = ServerSpeed.make(time.clock),
+    wait = ReadWait.make(time.clock);
   const terms = { ratio: 0.2, window: 10_000, slack: 0 };
   const budget = Budget.make(
     time.clock,
@@ -70,13 +72,14 @@
     kept,
     pace: pace.now,
     speed: speed.of,
+    wait: wait.now,
     changing: () => false,
     linked: () => false,
   };
   const steps = RequestLog.make(time.clock);
   const serve = Serve.make({
     log: steps,
-    ...{ world, list, loads, health, kept, pace, speed, budget, engine: testEngine(s.script, calls) },
+    ...{ world, list, loads, health, kept, pace, speed, wait, budget, engine: testEngine(s.script, calls) },
     ...{
       shut: () => s.shut ?? null,
       left: () => s.left ?? Infinity,
--- a/packages/router/src/reader.ts
+++ b/packages/router/src/reader.ts
@@ -45,7 +45,10 @@
       const got = await t.engine.prefill(s, job.request, terms);
       free();
       if (got.ok && alone) t.pace.learn(fresh, now() - from);
-      if (got.ok) t.speed.note(s.id, now() - from, foreseen + HAND);
+      if (got.ok) {
+        t.speed.note(s.id, now() - from, foreseen + HAND);
+        t.wait.note(now() - from - foreseen - HAND);
+      }
       return got;
     };
     /** Leaves a handle in the job, or a fault. */
--- /dev/null
+++ b/packages/router/src/readwait.ts
@@ -0,0 +1,25 @@
+import type { Clock } from '@pumicebarrow/forms';
+
+const NEW = 0.1;
+const MOST = 1000;
+/** ms over which what was learnt fades. */
+const FADE = 5000;
+
+/**
+ * ms that reads lately waited beyond what was foreseen: work of other routers that this one has not heard of.
+ * Invariant: without news it fades to none, so that readers are tried again.
+ */
+export const ReadWait = {
+  make(clock: Clock) {
+    let mean = 0;
+    let at = -Infinity;
+    const now = (): number => (mean === 0 ? 0 : mean * Math.exp(-(clock.mono() - at) / FADE));
+    return {
+      now,
+      note(ms: number): void {
+        mean = now() * (1 - NEW) + Math.min(MOST, Math.max(0, ms)) * NEW;
+        at = clock.mono();
+      },
+    };
+  },
+};
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -17,6 +17,7 @@
 import { Pace } from './pace.js';
 import { Placement } from './placement.js';
 import type { Request } from './request.js';
+import { ReadWait } from './readwait.js';
 import { RequestDesk } from './requestdesk.js';
 import { RequestLog } from './requestlog.js';
 import type { RouterStartup } from './routerstartup.js';
@@ -91,7 +92,8 @@
     });
     const health = ServerHealth.make(clock),
       pace = Pace.make(),
-      speed = ServerSpeed.make(clock);
+      speed = ServerSpeed.make(clock),
+      wait = ReadWait.make(clock);
     const memory = (): number => routes?.services().find((s) => (s.engine?.memory ?? 0) > 0)?.engine?.memory ?? MEMORY;
     const kept = KeptParts.make(memory);
     const placement = Placement.make({
@@ -100,6 +102,7 @@
       linked: engine.linked,
       pace: pace.now,
       speed: speed.of,
+      wait: wait.now,
     });
     const budget = Budget.make(clock, () => startup.budget, head.routers);
     const shut = (): Verdict | null => {
@@ -131,6 +134,7 @@
       kept,
       pace,
       speed,
+      wait,
       placement,
       budget,
       suspect,
--- a/packages/router/src/servetools.ts
+++ b/packages/router/src/servetools.ts
@@ -4,6 +4,7 @@
 import type { KeptParts } from './keptparts.js';
 import type { Pace } from './pace.js';
 import type { Placement } from './placement.js';
+import type { ReadWait } from './readwait.js';
 import type { RequestLog } from './requestlog.js';
 import type { Routes } from './routes.js';
 import type { Server } from './server.js';
@@ -27,6 +28,7 @@
   kept: ReturnType<typeof KeptParts.make>;
   pace: ReturnType<typeof Pace.make>;
   speed: ReturnType<typeof ServerSpeed.make>;
+  wait: ReturnType<typeof ReadWait.make>;
   placement: ReturnType<typeof Placement.make>;
   budget: ReturnType<typeof Budget.make>;
   /** What was done with requests, step by step. */
--- a/packages/routesim/src/capacity/routedworks.ts
+++ b/packages/routesim/src/capacity/routedworks.ts
@@ -127,6 +127,7 @@
       linked: () => false,
       pace: () => 40,
       speed: () => 1,
+      wait: () => 0,
     });
     const routing = HollowRouting.make(1, 8);
     let turn = 0;
