Unforeseen waits of reads count only where a router hears a part of the others

In a small fleet each router hears all others, so work that isn't heard of can't be the cause, and a small site is placed as before.

--- a/packages/router/src/loadnews.ts
+++ b/packages/router/src/loadnews.ts
@@ -28,6 +28,7 @@
  * changed; what was heard counts for no longer than KEEP; of a large fleet the part that was heard stands for all.
  */
 export const LoadNews = {
+  SEEN,
   make(t: Tools) {
     const heard = Fading.make<ReadonlyMap<string, Row>>(t.clock.mono, MOST);
     let told = '';
--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -54,7 +54,7 @@
     kept = KeptParts.make(() => 400_000),
     pace = Pace.make(),
     speed = ServerSpeed.make(time.clock),
-    wait = ReadWait.make(time.clock);
+    wait = ReadWait.make(time.clock, () => true);
   const terms = { ratio: 0.2, window: 10_000, slack: 0 };
   const budget = Budget.make(
     time.clock,
--- a/packages/router/src/readwait.ts
+++ b/packages/router/src/readwait.ts
@@ -7,13 +7,14 @@
 
 /**
  * ms that reads lately waited beyond what was foreseen: work of other routers that this one has not heard of.
- * Invariant: without news it fades to none, so that readers are tried again.
+ * Invariant: none in a fleet where each hears of all others, for there it is not unheard work that makes reads wait;
+ * without news it fades to none, so that readers are tried again.
  */
 export const ReadWait = {
-  make(clock: Clock) {
+  make(clock: Clock, apart: () => boolean) {
     let mean = 0;
     let at = -Infinity;
-    const now = (): number => (mean === 0 ? 0 : mean * Math.exp(-(clock.mono() - at) / FADE));
+    const now = (): number => (mean === 0 || !apart() ? 0 : mean * Math.exp(-(clock.mono() - at) / FADE));
     return {
       now,
       note(ms: number): void {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -93,7 +93,7 @@
     const health = ServerHealth.make(clock),
       pace = Pace.make(),
       speed = ServerSpeed.make(clock),
-      wait = ReadWait.make(clock);
+      wait = ReadWait.make(clock, () => (head.routers() ?? 0) > LoadNews.SEEN);
     const memory = (): number => routes?.services().find((s) => (s.engine?.memory ?? 0) > 0)?.engine?.memory ?? MEMORY;
     const kept = KeptParts.make(memory);
     const placement = Placement.make({
