--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -4,6 +4,7 @@
 import { Pace } from './pace.js';
 import { Placement } from './placement.js';
 import type { Request } from './request.js';
+import { ReadWait } from './readwait.js';
 import { RequestLog } from './requestlog.js';
 import { RouteTable } from './routetable.js';
 import { Serve } from './serve.js';
@@ -52,7 +53,8 @@
     health = ServerHealth.make(time.clock),
     kept = KeptParts.make(() => 400_000),
     pace = Pace.make(),
-    speed = ServerSpeed.make(time.clock);
+    speed = ServerSpeed.make(time.clock),
+    wait = ReadWait.make(time.clock, () => true);
   const terms = { ratio: 0.2, window: 10_000, slack: 0 };
   const budget = Budget.make(
     time.clock,
@@ -70,6 +72,7 @@
     kept,
     pace: pace.now,
     speed: speed.of,
+    wait: wait.now,
     changing: () => false,
     linked: () => false,
   };
@@ -84,6 +87,7 @@
       kept,
       pace,
       speed,
+      wait,
       budgets: { of: () => budget },
       engine: testEngine(s.script, calls),
     },
--- a/packages/routesim/src/capacity/handing.ts
+++ b/packages/routesim/src/capacity/handing.ts
@@ -35,7 +35,7 @@
     Array.from({ length: n }, (_, i) => ({
       ...HollowList.server(i, 0, n),
       ...{ service: `model-${i % SERVICES}`, slots: SLOTS },
-      zone: `zone-${Math.floor(i / SERVICES / STAGES) % Design.sites}`,
+      zone: `zone-${Math.floor(i / SERVICES / STAGES) % Design.zones}`,
       stage: Math.floor(i / SERVICES) % STAGES === 0 ? 'prefill' : 'decode',
     })),
   prompt(chance: Chance, turn: number): Prompt {
@@ -59,7 +59,7 @@
     const all = zones.map((zone) =>
       Placement.make({
         ...{ chance, zone, list, loads, health, kept },
-        ...{ changing: () => false, linked: () => true, pace: () => 40, speed: () => 1 },
+        ...{ changing: () => false, linked: () => true, pace: () => 40, speed: () => 1, wait: () => 0 },
       }),
     );
     const { services, routes } = HollowRouting.make(1, SERVICES);
--- a/packages/routesim/src/capacity/routedlosses.ts
+++ b/packages/routesim/src/capacity/routedlosses.ts
@@ -80,7 +80,7 @@
     const { f, motor } = w,
       head = f.head();
     const others = f.keeperIds.filter((id) => id !== head);
-    const many = what === 'rack' ? Math.min(RACK, Math.floor(n / 4)) : Math.max(1, Math.round(n / Design.sites));
+    const many = what === 'rack' ? Math.min(RACK, Math.floor(n / 4)) : Math.max(1, Math.round(n / Design.zones));
     const lost = f.routerIds.slice(-many),
       rest = f.routerIds.slice(0, -many);
     w.tally.reset();
--- a/packages/routesim/src/index.ts
+++ b/packages/routesim/src/index.ts
@@ -1,6 +1,7 @@
 export { type Bent } from './bent.js';
 export { Bounds } from './bounds.js';
 export { CountedWire } from './capacity/countedwire.js';
+export { Handing } from './capacity/handing.js';
 export { HollowFleet } from './capacity/hollowfleet.js';
 export { HollowList } from './capacity/hollowlist.js';
 export { HollowRouting } from './capacity/hollowrouting.js';
@@ -12,6 +13,7 @@
 export { RoutedBounds } from './capacity/routedbounds.js';
 export { RoutedFits } from './capacity/routedfits.js';
 export { RoutedFleet } from './capacity/routedfleet.js';
+export { RoutedLosses } from './capacity/routedlosses.js';
 export { RoutedPlots } from './capacity/routedplots.js';
 export { RoutedRuns } from './capacity/routedruns.js';
 export { RoutedStart } from './capacity/routedstart.js';
