--- a/packages/router/src/deferral.ts
+++ b/packages/router/src/deferral.ts
@@ -8,9 +8,6 @@
 const HEEDED = 0.32;
 const NEEDED = 1.2;
 
-/** A caller goes after a silence of so many aims, or so many ms: what would be silent for longer is work for nothing. */
-const PATIENCE = { aims: 4, least: 2000 };
-
 type Case = {
   /** ms until its first event if it is taken now, and if nothing else were waiting. */
   foreseen: number;
@@ -33,13 +30,5 @@
     const most = c.left * HEEDED;
     if (most < LEAST || c.left - Math.min(wait, most) < c.aim * NEEDED) return null;
     return Math.min(wait, most);
-  },  /**
-   * Whether its caller would be gone before its first event, and after how many ms it had better come, if at all.
-   * Invariant: one that would come in time if it were alone, and is foreseen in time, is never turned away.
-   */
-  hopeless(c: Case): number | null {
-    const most = Math.min(c.left, Math.max(PATIENCE.least, c.aim * PATIENCE.aims));
-    if (c.foreseen <= most) return null;
-    return Math.max(LEAST, (c.foreseen - c.aim * EASED) * SLOWER);
   },
 };
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -142,13 +142,7 @@
       weigh(service: Service, route: Route, p: Prompt, not: ReadonlySet<string>): Weighed {
         const apart = service.engine ? reader(service, route, p, not) : null;
         const beside = service.engine ? decoder(service, p, null, not) : null;
-        if (!beside) return UNWEIGHED;
-        if (!apart) {
-          const own = t.kept.held(beside.s.id, p);
-          const alone = Math.max(1, p.tokens - own) / (t.pace() * BESIDE) + START;
-          const soon = alone - START < Urgency.TINY;
-          return { read: null, ms: soon ? alone : Math.max(alone, beside.ms + START), alone };
-        }
+        if (!apart || !beside) return UNWEIGHED;
         const crowded = t.loads.at(beside.s.id).runs >= CROWDED;
         const short = t.kept.held(beside.s.id, p) + SHORT > p.tokens;
         // What a decode server has to read is better known than what waits at readers, of which others know the most.
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -80,17 +80,15 @@
       while (!sure() && now() < until && !sink.gone()) await Timer.nap(t.world.clock, LOOK);
       begun ||= sure();
     };
-    /** A refusal of one that had better come back, since it would miss its aim now or its caller would be gone. */
-    const deferred = (job: Job): Verdict | null => {
+    /** Seconds after which a request had better come back, because it would miss its aim now; null if it stays. */
+    const deferred = (job: Job): number | null => {
       const p = job.request.prompt;
       if (!p) return null;
       job.weighed = t.placement.weigh(job.service, job.route, p, job.avoid);
       const { ms, alone } = job.weighed;
       const c = { foreseen: ms, alone, aim: job.route.aim, left: job.due - now(), first: job.first };
       const wait = Deferral.of(c, t.world.chance.real());
-      if (wait !== null) return Verdicts.not('deferred', 'It would be late now.', wait / 1000);
-      const long = Deferral.hopeless(c);
-      return long === null ? null : Verdicts.not('hopeless', 'Its caller would be gone before it began.', long / 1000);
+      return wait === null ? null : wait / 1000;
     };
     /** Waits a little where every server is full; false if that did not help. */
     const admit = async (job: Job): Promise<boolean> => {
@@ -124,7 +122,7 @@
     const through = async (job: Job, sink: AnswerSink): Promise<Verdict | null> => {
       t.budgets.of(job.service.name).request();
       const later = deferred(job);
-      if (later) return told(job, later);
+      if (later !== null) return told(job, Verdicts.not('deferred', 'It would be late now.', later));
       if (!t.placement.room(job.service, job.request.prompt) && !(await admit(job)))
         return told(job, Verdicts.not('full', 'Every server is full.', LATER));
       await go(job);
