--- a/packages/router/src/stages.test.ts
+++ b/packages/router/src/stages.test.ts
@@ -45,7 +45,7 @@
   for (const [name, load, count, want] of cases) it(name, () => expect(StageMix.lean(load, count)).to.equal(want));
 
   it('never leans back and forth, however many servers there are', () => {
-    for (const total of [6, 23, 24, 60, 200, 1250])
+    for (const total of [6, 23, 24, 60, 61, 200, 1250])
       for (const read of [400, 700, 1400, 2800])
         for (const run of [6, 20, 30, 40]) {
           let now = { prefill: Math.round(total / 3), decode: total - Math.round(total / 3) };
