Purge: of a long doc only what changed is handed on, by content-defined chunks

Cause: each change of the configuration went to each router whole (47 times a daemon's bytes at the design size), and each change of the list (3.5 times). What is laid together counts only if the digest of the whole is the one told; else, or where a daemon of another release turns the asking away, the whole is asked for, once. A part goes only to who named what it holds. Docs under 128 KB (some 300 routes, 2,700 servers) go as ever: same mails, same bytes.

--- a/packages/purge/src/index.ts
+++ b/packages/purge/src/index.ts
@@ -1,9 +1,13 @@
 export { Ageing } from './ageing.js';
+export { Chunks } from './chunks.js';
 export { Diary } from './diary.js';
+export { DocPart } from './docpart.js';
+export { DocParts } from './docparts.js';
 export { type Holding } from './holding.js';
 export { IdCache } from './idcache.js';
 export { NoteCache } from './notecache.js';
 export { Pointer } from './pointer.js';
+export { Pulling } from './pulling.js';
 export { Purge } from './purge.js';
 export { type Purging } from './purging.js';
 export { Ranges } from './ranges.js';
--- a/packages/purge/src/purge.ts
+++ b/packages/purge/src/purge.ts
@@ -4,6 +4,7 @@
 import { IdCache } from './idcache.js';
 import { NoteCache } from './notecache.js';
 import type { Pointer } from './pointer.js';
+import { Pulling } from './pulling.js';
 import { Ranges } from './ranges.js';
 import { Slips } from './slips.js';
 import type { Step } from './step.js';
@@ -32,6 +33,7 @@
     const ids = IdCache.make(clock, chance, tunes.ids, self);
     const notes = NoteCache.make(clock, chance, tunes.notes, tunes.round);
     const diary = Diary.make(512);
+    const pulling = Pulling.make(post, shelf, Math.max(400, tunes.round * 2));
     const count = { rounds: 0, mails: 0, pulls: 0, fallbacks: 0, repairs: 0, repaired: 0, misses: 0 };
     let unlike = 0;
     let stop: () => void = () => undefined;
@@ -42,17 +44,9 @@
       world.tell({ what: 'held', name: doc.name, mark: doc.mark, via: step.via, from: step.from, hops: step.hops });
       return true;
     };
-    const pull = async (from: Place, name: string): Promise<Doc | null> => {
+    const pull = (from: Place, name: string): Promise<Doc | null> => {
       count.pulls++;
-      const got = await post.ask(
-        from.addr,
-        from.who?.id ?? '',
-        'purge.pull',
-        { name },
-        Slips.pulled,
-        Math.max(400, tunes.round * 2),
-      );
-      return got.ok ? got.val.doc : null;
+      return pulling.pull(from.addr, from.who?.id ?? '', name);
     };
     /** Step 5: fetch from the sender; when it is gone, from others of the view. */
     const fetch = async (note: Note, sender: Ident): Promise<boolean> => {
@@ -170,7 +164,6 @@
       void handle(body.notes, from, body.ids, sent);
       return { who: self(), ids: sent, notes: slips, sum: shelf.sum() };
     });
-    post.on('purge.pull', Slips.pull, (body) => ({ doc: shelf.get(body.name) }));
     post.on('purge.sums', Slips.sums, (body) => ({
       marks: Ranges.unlike(shelf.table(), body.sums),
       sums: Ranges.sums(shelf.table()),
@@ -206,7 +199,7 @@
       peers: (): readonly Ident[] => ids.all(),
       notes: (): readonly Note[] => notes.all(),
       diary: (name?: string): readonly Step[] => (name === undefined ? diary.all() : diary.of(name)),
-      count: () => ({ ...count, evicted: notes.evicted() }),
+      count: () => ({ ...count, ...pulling.count(), evicted: notes.evicted() }),
     };
   },
 };
--- a/packages/purge/src/slips.ts
+++ b/packages/purge/src/slips.ts
@@ -1,5 +1,6 @@
 import { Doc, Ident, Mark, Note } from '@pumicebarrow/forms';
 import { Type } from 'typebox';
+import { DocPart } from './docpart.js';
 import { Pointer } from './pointer.js';
 
 const shut = { additionalProperties: false } as const;
@@ -19,8 +20,8 @@
     { who: Ident, ids: News.properties.ids, notes: News.properties.notes, sum: News.properties.sum },
     shut,
   ),
-  pull: Type.Object({ name: Type.String() }, shut),
-  pulled: Type.Object({ doc: Type.Union([Doc, Type.Null()]) }, shut),
+  pull: Type.Object({ name: Type.String(), held: Type.Optional(Type.String()) }, shut),
+  pulled: Type.Object({ doc: Type.Union([Doc, Type.Null()]), part: Type.Optional(DocPart) }, shut),
   sums: Type.Object({ sums: Type.Array(Type.String(), { minItems: 8, maxItems: 8 }) }, shut),
   marks: Type.Object(
     {
--- a/packages/routesim/src/capacity/capacity.test.ts
+++ b/packages/routesim/src/capacity/capacity.test.ts
@@ -10,6 +10,8 @@
   routedlist: [16, 64, 256],
   routedruns: [8, 27],
   routedroutes: [8, 32, 128],
+  routedlongroutes: [400, 800],
+  routedlonglist: [4000, 8000],
   desk: [200, 400, 800],
 };
 /** ms measured of each fleet, fewer than for the page. */
--- a/packages/routesim/src/capacity/routedbounds.ts
+++ b/packages/routesim/src/capacity/routedbounds.ts
@@ -4,6 +4,8 @@
 const head = { ...routers, role: 'head' } as const;
 const lists = { run: 'routedlist', role: 'router', shape: 'line' } as const;
 const runs = { run: 'routedruns', role: 'router', shape: 'line' } as const;
+const long = { run: 'routedlongroutes', role: 'router', shape: 'line' } as const;
+const longlists = { run: 'routedlonglist', role: 'router', shape: 'line' } as const;
 const routes = { run: 'routedroutes', role: 'router', shape: 'line' } as const;
 
 /**
@@ -25,6 +27,8 @@
     { ...lists, what: 'router.list', unit: 'B/s', most: 20, why: 'rows go to who holds another list only' },
     { ...runs, what: 'router.loads', unit: 'B/s', most: 300, why: 'a row a server in use, each second, to six' },
     { ...routes, what: 'purge.pull', unit: 'B/s', most: 400, why: 'a change brings one line of each route' },
+    { ...long, what: 'purge.pull', unit: 'B/s', most: 4, why: 'of a long configuration digests and what changed' },
+    { ...longlists, what: 'purge.pull', unit: 'B/s', most: 0.5, why: 'of a long list digests and what changed' },
     { ...routes, role: 'head', what: 'core.push', unit: 'B/s', most: 260, why: 'the state goes down the chain once' },
     {
       ...{ run: 'work', role: 'head', what: 'names weighed a check-in after one went and one came', unit: 'count' },
--- a/packages/routesim/src/capacity/routedruns.ts
+++ b/packages/routesim/src/capacity/routedruns.ts
@@ -13,6 +13,8 @@
 type Run = { about: string; sizes: readonly number[]; job: Job };
 const fleet = (run: string, axis: string) => (at: number, seed: number) => ({ run, axis, at, seed });
 const routers = fleet('routers', 'routers'),
+  longlists = fleet('routedlonglist', 'servers'),
+  longroutes = fleet('routedlongroutes', 'routes'),
   servers = fleet('routedservers', 'servers'),
   lists = fleet('routedlist', 'servers'),
   runs = fleet('routedruns', 'requests under way'),
@@ -21,6 +23,8 @@
   whole = fleet('routedwhole', 'routers');
 const sizes = [25, 50, 100, 200, 400, 800, 1600, 2900];
 const tables = [4, 16, 64, 256, 1024, 4096, 10_000];
+/** Sizes from which on docs are handed on by parts (`DocParts`). */
+const LONG = { servers: 2730 };
 /** Requests under way at a router at the design size. */
 const UNDER_WAY = Math.round((Design.visits / Design.daemons / 1000) * UnderWay.STREAM);
 /** ms between regions, one way. */
@@ -41,7 +45,7 @@
   },
   routedlist: {
     about: '25 routers, one server exchanged each four seconds',
-    sizes: tables,
+    sizes: tables.filter((n) => n < LONG.servers),
     job: (n, seed, span) => RoutedFleet.run({ span, ...lists(n, seed), routers: 25, servers: n, listed: 0.25 }),
   },
   routedruns: {
@@ -51,9 +55,19 @@
   },
   routedroutes: {
     about: '25 routers, a configuration of more and more routes',
-    sizes: [8, 32, 128, 512, 2600],
+    sizes: [8, 32, 128, 256],
     job: (n, seed, span) => RoutedFleet.run({ span, ...routes(n, seed), routers: 25, servers: 16, routes: n }),
   },
+  routedlonglist: {
+    about: 'the same as routedlist, with lists that are handed on by parts',
+    sizes: [4096, 7000, 10_000],
+    job: (n, seed, span) => RoutedFleet.run({ span, ...longlists(n, seed), routers: 25, servers: n, listed: 0.25 }),
+  },
+  routedlongroutes: {
+    about: 'the same as routedroutes, with configurations that are handed on by parts',
+    sizes: [400, 800, 1600, 2600],
+    job: (n, seed, span) => RoutedFleet.run({ span, ...longroutes(n, seed), routers: 25, servers: 16, routes: n }),
+  },
   routersfar: {
     about: 'routers before 16 servers, 35 ms apart',
     sizes: [100, 200, 400, 800],
