Purge: docs go by parts from 64 KB on; capacity: long lists and routes, many changes at once

The plot showed the cost of whole docs rising to 95 KB/s at 256 routes before parts began at 128 KB.

--- a/packages/purge/src/docparts.ts
+++ b/packages/purge/src/docparts.ts
@@ -3,7 +3,7 @@
 import type { DocPart } from './docpart.js';
 
 /** Characters from which on a doc is handed on by parts; what is shorter goes whole, as it ever did. */
-const LEAST = 131_072;
+const LEAST = 65_536;
 /** What the text of an answer may be of the whole; beyond it the whole is as good. */
 const PART = 0.5;
 type Cut = { chunks: readonly string[]; sums: readonly string[]; length: number; sum: string };
--- a/packages/routesim/src/capacity/mixes.ts
+++ b/packages/routesim/src/capacity/mixes.ts
@@ -11,15 +11,17 @@
 ];
 
 /**
- * Whether the real `StageMix` moves a server of one service while reading is two, four and eight times as busy as it
- * should be, and decoding far less: by how many servers the service has.
+ * How many servers of one service the real `StageMix` has change at once while reading is two, four and eight times as
+ * busy as it should be, and decoding far less: by how many servers the service has. Below 0 they would decode.
  */
 export const Mixes = {
   moves(load: { read: number; run: number }, prefill: number, decode: number): number {
     const mix = StageMix.make();
-    let moved = 0;
-    for (let i = 0; i < LOOKS; i++) if (mix.look(load, { prefill, decode }) === 1) moved++;
-    return moved > 0 ? 1 : 0;
+    for (let i = 0; i < LOOKS; i++) {
+      const move = mix.look(load, { prefill, decode });
+      if (move !== 0) return move;
+    }
+    return 0;
   },
   run(n: number): Figure[] {
     const a = { run: 'mixes', axis: 'servers of a service', at: n };
@@ -28,7 +30,7 @@
       Hollow.figure(
         a,
         'head',
-        `moves one: ${load.read} ms wait to be read, ${load.run} run`,
+        `change at once: ${load.read} ms wait to be read, ${load.run} run`,
         'count',
         Mixes.moves(load, prefill, n - prefill),
       ),
--- a/packages/routesim/src/capacity/routedplots.ts
+++ b/packages/routesim/src/capacity/routedplots.ts
@@ -13,9 +13,19 @@
   },
   {
     ...{ name: 'routed-list-bytes', title: 'A router, control bytes by servers (25 routers, a change each 4 s)' },
-    ...{ file: ['routedlist'], role: 'router', what: ['purge.pull', 'router.list', 'keeper.checkin', 'all'], ...bytes },
+    ...{
+      file: ['routedlist', 'routedlonglist'],
+      role: 'router',
+      what: ['purge.pull', 'router.list', 'keeper.checkin', 'all'],
+      ...bytes,
+    },
     ...{ x: 'servers', to: servers },
   },
+  {
+    ...{ name: 'routed-route-bytes', title: 'A router, control bytes by routes (25 routers, 40,000 changes a day)' },
+    ...{ file: ['routedroutes', 'routedlongroutes'], role: 'router', what: ['purge.pull', 'all'], ...bytes },
+    ...{ x: 'routes', to: 2600 },
+  },
   {
     ...{ name: 'routed-loads-bytes', title: 'A router, control bytes by requests under way (100 routers)' },
     ...{ file: ['routedruns'], role: 'router', what: ['router.loads', 'purge.news', 'all'], ...bytes },
--- a/packages/routesim/src/capacity/routedruns.ts
+++ b/packages/routesim/src/capacity/routedruns.ts
@@ -24,7 +24,7 @@
 const sizes = [25, 50, 100, 200, 400, 800, 1600, 2900];
 const tables = [4, 16, 64, 256, 1024, 4096, 10_000];
 /** Sizes from which on docs are handed on by parts (`DocParts`). */
-const LONG = { servers: 2730 };
+const LONG = { servers: 1360 };
 /** Requests under way at a router at the design size. */
 const UNDER_WAY = Math.round((Design.visits / Design.daemons / 1000) * UnderWay.STREAM);
 /** ms between regions, one way. */
@@ -55,17 +55,17 @@
   },
   routedroutes: {
     about: '25 routers, a configuration of more and more routes',
-    sizes: [8, 32, 128, 256],
+    sizes: [8, 32, 128],
     job: (n, seed, span) => RoutedFleet.run({ span, ...routes(n, seed), routers: 25, servers: 16, routes: n }),
   },
   routedlonglist: {
     about: 'the same as routedlist, with lists that are handed on by parts',
-    sizes: [4096, 7000, 10_000],
+    sizes: [2000, 4096, 10_000],
     job: (n, seed, span) => RoutedFleet.run({ span, ...longlists(n, seed), routers: 25, servers: n, listed: 0.25 }),
   },
   routedlongroutes: {
     about: 'the same as routedroutes, with configurations that are handed on by parts',
-    sizes: [400, 800, 1600, 2600],
+    sizes: [200, 400, 800, 1600, 2600],
     job: (n, seed, span) => RoutedFleet.run({ span, ...longroutes(n, seed), routers: 25, servers: 16, routes: n }),
   },
   routersfar: {
@@ -118,7 +118,7 @@
   table: { about: 'timed: the list at a router and the head', sizes: tables, job: (n) => RoutedWorks.table(n) },
   loads: { about: 'timed: news of loads', sizes: [8, 27, 54, 108, 215, 430], job: (n) => RoutedWorks.loads(n) },
   mixes: {
-    about: 'whether a stage gains a server, by how many there are',
+    about: 'how many servers change their stage at once, by how many there are',
     sizes: Mixes.sizes,
     job: (n) => Mixes.run(n),
   },
--- a/packages/sim/src/capacity/plots.ts
+++ b/packages/sim/src/capacity/plots.ts
@@ -78,10 +78,13 @@
   ] as readonly Chart[],
   async dots(dir: string, c: Chart): Promise<Dot[]> {
     const out: Dot[] = [];
-    for (const file of c.file)
+    // One line of a figure that more than one run has: they have sizes of their own.
+    const groups = c.linear ? c.file.map((f) => [f]) : [c.file];
+    for (const files of groups)
       for (const name of c.what) {
-        const points = Slope.points(await Fits.read(dir, file), c.role, name, c.unit),
-          what = c.file.length > 1 && c.linear ? `${file}: ${name}` : name;
+        const read = files.map(async (file) => Slope.points(await Fits.read(dir, file), c.role, name, c.unit));
+        const points = (await Promise.all(read)).flat().sort((a, b) => a[0] - b[0]),
+          what = c.file.length > 1 && c.linear ? `${files[0]}: ${name}` : name;
         if (points.length < 2) continue;
         out.push(...points.map(([x, y]) => ({ x, y: c.linear ? y : Math.max(y, 0.1), what, kind: 'measured' })));
         const last = points.at(-1)!;
