--- a/packages/routesim/src/capacity/routedfits.ts
+++ b/packages/routesim/src/capacity/routedfits.ts
@@ -3,6 +3,8 @@
 const { daemons, servers } = Design;
 const UNDER_WAY = 430;
 const ROUTES = 2600;
+/** Up to these, docs go whole. */
+const WHOLE = { servers: 1024, routes: 128 };
 type Shape = Wanted['shape'];
 const of =
   (file: string, role: string, unit: string, shape: Shape, to: number) =>
@@ -31,20 +33,20 @@
   ...line('routedservers', 'head', 'core%', servers, 'processor'),
   ...line('routedservers', 'router', 'heap', servers, 'heap of the process by routers'),
   ...line('routedservers', 'router', 'B', servers, 'the list'),
-  ...line('routedlist', 'router', 'B/s', servers, 'purge.pull', 'router.list', 'all'),
-  ...line('routedlist', 'head', 'B/s', servers, 'purge.pull', 'all'),
-  ...line('routedlist', 'router', 'core%', servers, 'processor'),
+  ...line('routedlist', 'router', 'B/s', WHOLE.servers, 'purge.pull', 'router.list', 'all'),
+  ...line('routedlist', 'head', 'B/s', WHOLE.servers, 'purge.pull', 'all'),
+  ...line('routedlist', 'router', 'core%', WHOLE.servers, 'processor'),
   ...line('routedlonglist', 'router', 'B/s', servers, 'purge.pull', 'router.list', 'all'),
   ...line('routedlonglist', 'head', 'B/s', servers, 'purge.pull', 'all'),
   ...line('routedlonglist', 'router', 'core%', servers, 'processor'),
   ...line('routedruns', 'router', 'B/s', UNDER_WAY, 'router.loads', 'all'),
   ...line('routedruns', 'router', 'core%', UNDER_WAY, 'processor'),
-  ...line('routedroutes', 'router', 'B/s', ROUTES, 'purge.pull', 'all'),
-  ...line('routedroutes', 'head', 'B/s', ROUTES, 'core.push', 'all'),
-  ...line('routedroutes', 'keeper', 'B/s', ROUTES, 'core.push', 'core.read', 'all'),
-  ...line('routedroutes', 'router', 'core%', ROUTES, 'processor'),
-  ...line('routedroutes', 'router', 'B', ROUTES, 'the configuration'),
-  ...line('routedroutes', 'router', 'heap', ROUTES, 'heap of the process by routers'),
+  ...line('routedroutes', 'router', 'B/s', WHOLE.routes, 'purge.pull', 'all'),
+  ...line('routedroutes', 'head', 'B/s', WHOLE.routes, 'core.push', 'all'),
+  ...line('routedroutes', 'keeper', 'B/s', WHOLE.routes, 'core.push', 'core.read', 'all'),
+  ...line('routedroutes', 'router', 'core%', WHOLE.routes, 'processor'),
+  ...line('routedroutes', 'router', 'B', WHOLE.routes, 'the configuration'),
+  ...line('routedroutes', 'router', 'heap', WHOLE.routes, 'heap of the process by routers'),
   ...line('routedlongroutes', 'router', 'B/s', ROUTES, 'purge.pull', 'all'),
   ...line('routedlongroutes', 'head', 'B/s', ROUTES, 'core.push', 'all'),
   ...line('routedlongroutes', 'keeper', 'B/s', ROUTES, 'core.push', 'core.read', 'all'),
