--- a/packages/routesim/src/capacity/routedfits.ts
+++ b/packages/routesim/src/capacity/routedfits.ts
@@ -59,6 +59,7 @@
   ...line('routedstart', 'router', 'B', servers, 'until it is ready'),
   ...power('desk', 'head', 'us', daemons, 'a check-in at the head', 'all routers known to a new head'),
   ...power('desk', 'head', 'us', daemons, 'all routers weighed, as one of the peers is gone'),
+  ...line('deskheap', 'head', 'heap', daemons, 'the routers that it knows'),
   ...line(
     ...(['desk', 'head', 'count', daemons] as const),
     ...['names weighed a check-in, all of them new', 'names weighed a check-in after one went and one came'],
--- a/packages/routesim/src/capacity/routedruns.ts
+++ b/packages/routesim/src/capacity/routedruns.ts
@@ -1,4 +1,5 @@
 import { Design, type Figure } from '@pumicebarrow/sim';
+import { DeskWorks } from './deskworks.js';
 import { Handing } from './handing.js';
 import { Mixes } from './mixes.js';
 import { NewHead } from './newhead.js';
@@ -108,7 +109,12 @@
     sizes: [1000, 2000, 4000, 10_000],
     job: (n, seed) => Handing.run(n, seed),
   },
-  desk: { about: 'timed: check-ins at the head', sizes, job: (n) => RoutedWorks.desk(n) },
+  desk: { about: 'timed: check-ins at the head', sizes, job: (n) => DeskWorks.run(n) },
+  deskheap: {
+    about: 'memory of the routers that a head knows',
+    sizes: [200, 400, 800, 1600, 2900],
+    job: (n) => DeskWorks.kept(n),
+  },
   budget: { about: 'further tries in ten seconds, of what was saved and earned', sizes, job: (n) => SavedTries.run(n) },
   newhead: {
     about: 'timed: all routers check in at a head that begins, on this machine and one half as fast',
--- a/packages/routesim/src/capacity/routedworks.ts
+++ b/packages/routesim/src/capacity/routedworks.ts
@@ -1,7 +1,6 @@
-import { Check, Hash, Lot, Ok, type Chance, type Clock, type Ident, type PostBox } from '@pumicebarrow/forms';
+import { Check, Hash, Ok, type Chance, type Clock, type Ident, type PostBox } from '@pumicebarrow/forms';
 import { Shelf, type Purging } from '@pumicebarrow/purge';
 import {
-  KeeperDesk,
   KeptParts,
   ListBody,
   ListRows,
@@ -19,7 +18,6 @@
 import { Design, Hollow, Timed, type Figure } from '@pumicebarrow/sim';
 import { HollowList } from './hollowlist.js';
 import { HollowRouting } from './hollowrouting.js';
-import { Weighings } from './weighings.js';
 
 type Desk = (body: never, from: Ident) => unknown;
 type Work = (what: string, unit: string, value: number) => Figure;
@@ -53,51 +51,6 @@
     },
     ...{ site: `zone-${i % Design.zones}`, role: 'counter' },
   }),
-  /** What the head does for one check-in, by how many routers there are. */
-  desk(n: number): Figure[] {
-    const one = RoutedWorks.of('routers', n, 'head');
-    const { post, hear } = RoutedWorks.post();
-    const all = Array.from({ length: n }, (_, i) => RoutedWorks.ident(i));
-    const time = { now: 5000 };
-    const mono = (): number => time.now;
-    KeeperDesk.make({
-      ...{ clock: { ...clock, mono }, post, view: () => null, speaks: () => true, version: () => 1, list: () => null },
-    });
-    const body = { version: 1, list: null, epoch: 1, peers: '', load: { read: 1, beside: 1, run: 1 } };
-    const checkin = (who: Ident): void => void hear('keeper.checkin', body, who);
-    const begun = performance.now();
-    const first = Weighings.of(() => all.forEach(checkin));
-    // The head weighs a part of the names at a time.
-    for (let more = first; more > 0;) {
-      time.now += 450;
-      more = Weighings.of(() => all.forEach(checkin));
-    }
-    const begin = performance.now() - begun;
-    // One goes and another comes: the others check in twice meanwhile, as they do each 450 ms.
-    const rest = [...all.slice(1), RoutedWorks.ident(n)];
-    const turned = Weighings.of(() => {
-      for (const ms of [1500, 1000]) {
-        time.now += ms;
-        rest.forEach(checkin);
-      }
-    });
-    let turn = 0;
-    return [
-      one('names weighed a check-in, all of them new', 'count', first / n),
-      one('names weighed a check-in after one went and one came', 'count', turned / n),
-      one('all routers known to a new head', 'us', begin * 1000),
-      one(
-        'a check-in at the head',
-        'us',
-        Timed.us(() => checkin(rest[turn++ % n]!)),
-      ),
-      one(
-        'all routers weighed, as one of the peers is gone',
-        'us',
-        Timed.us(() => Lot.few(all[turn++ % n]!.id, all, (o) => o.id, FEW)),
-      ),
-    ];
-  },
   /** What is done with the whole list, at a router and at the head. */
   table(n: number): Figure[] {
     const servers = HollowList.servers(n),
--- a/packages/routesim/src/index.ts
+++ b/packages/routesim/src/index.ts
@@ -1,6 +1,7 @@
 export { type Bent } from './bent.js';
 export { Bounds } from './bounds.js';
 export { CountedWire } from './capacity/countedwire.js';
+export { DeskWorks } from './capacity/deskworks.js';
 export { Handing } from './capacity/handing.js';
 export { HollowFleet } from './capacity/hollowfleet.js';
 export { HollowList } from './capacity/hollowlist.js';
