--- a/packages/routesim/src/capacity/routedruns.ts
+++ b/packages/routesim/src/capacity/routedruns.ts
@@ -27,7 +27,7 @@
 /** Sizes from which on docs are handed on by parts (`DocParts`). */
 const LONG = { servers: 1360 };
 /** Requests under way at a router at the design size. */
-const UNDER_WAY = Math.round((Design.visits / Design.daemons / 1000) * UnderWay.STREAM);
+const UNDER_WAY = Math.round((Design.requests / Design.daemons / 1000) * UnderWay.STREAM);
 /** ms between regions, one way. */
 const FAR = 35;
 const SERVERS = Design.servers / Design.daemons;
