visit is request: Request, its job, life, diary, desk and meter, files, variables and prose

Cause: the field's word for what a client asks of the fleet is request. What others see stays (docs/clashes.md): the paths `/visit`, the command `visit`, the mail `visit.tell` and the deed `visit`, four gauges, the title and the keys of capacity's measure of the ledger, by which kept data are read, and the client's method `visit`, now the older name of `request`. The client's Visiting is RequestResult. clerk has a RequestCommand and a RequestStory of the routed fleet already, so those of the command `visit` are CounterRequestCommand and CounterRequestStory. The sentences of verdicts, logs, help and stories say request, and the tests that compare them too; the figures' column is two wider.

The house check forbids the word everywhere (GONE), seen with a method and a variable of that name; what stood for it in the newer packages alone (TURNED) is gone, and the older ones may say request. Ruled out: a second type beside the wire's in clerk (its two commands ask two kinds of daemon), and other lengths of the ledger measure's keys (its figures rest on them).

Before, after: build and whole house. The whole run of all tests is still to come.

--- a/packages/client/src/line.ts
+++ b/packages/client/src/line.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 import { request as call, Agent, buildConnector } from 'undici';
 import type { Socket } from 'node:net';
-import type { OutcomeLine, Verdict, Visit } from './generated.js';
+import type { OutcomeLine, Request, Verdict } from './generated.js';
 import type { Trying } from './trying.js';
 
 const LONGEST = 1024 * 1024;
@@ -64,7 +64,7 @@
     });
     return {
       close: (): Promise<void> => agent.destroy(),
-      /** The two lives that are to record a visit, as a daemon names them; null when it does not. */
+      /** The two lives that are to record a request, as a daemon names them; null when it does not. */
       async owners(addr: string, ms: number): Promise<string[] | null> {
         try {
           const r = await call(`http://${addr}/owners`, { dispatcher: agent, signal: AbortSignal.timeout(ms) });
@@ -74,7 +74,7 @@
           return null;
         }
       },
-      async visit(addr: string, v: Visit, ms: number, piece: (text: string) => void): Promise<Trying> {
+      async request(addr: string, v: Request, ms: number, piece: (text: string) => void): Promise<Trying> {
         const lines = reader(piece);
         try {
           const r = await call(`http://${addr}/visit`, {
--- a/packages/forms/src/lendingclauses.ts
+++ b/packages/forms/src/lendingclauses.ts
@@ -16,7 +16,7 @@
         rule = c.rules.find((r) => r.name === name);
       if (l.rules.indexOf(name) < i) return [{ path, why: `names ${name} again` }];
       if (!rule) return [{ path, why: `names the unknown rule ${name}` }];
-      if (name === c.fallback) return [{ path, why: `names ${name}, which visits that name none fall back to` }];
+      if (name === c.fallback) return [{ path, why: `names ${name}, which requests that name none fall back to` }];
       if (rule.urgency >= least) return [{ path, why: `${name} is not less urgent than every rule of live work` }];
       if (rule.pieces > LONGEST) return [{ path, why: `${name} has outcomes of more than ${LONGEST} pieces` }];
       return [];
--- a/packages/forms/src/rule.ts
+++ b/packages/forms/src/rule.ts
@@ -1,17 +1,17 @@
 import { Type, type Static } from 'typebox';
 
-/** How one kind of visit is served. */
+/** How one kind of request is served. */
 export const Rule = Type.Object(
   {
     name: Type.String({ minLength: 1, maxLength: 40 }),
     weight: Type.Number({
       exclusiveMinimum: 0,
       maximum: 1000,
-      description: 'how much of a server one visit takes, against the others',
+      description: 'how much of a server one request takes, against the others',
     }),
     urgency: Type.Integer({ minimum: 0, maximum: 9, description: '9 is taken from the queue first' }),
-    limit: Type.Integer({ minimum: 1, maximum: 10000, description: 'visits under way at once, per daemon' }),
-    waitlist: Type.Integer({ minimum: 0, maximum: 10000, description: 'visits that may wait, per daemon' }),
+    limit: Type.Integer({ minimum: 1, maximum: 10000, description: 'requests under way at once, per daemon' }),
+    waitlist: Type.Integer({ minimum: 0, maximum: 10000, description: 'requests that may wait, per daemon' }),
     deadline: Type.Integer({
       minimum: 50,
       maximum: 600000,
