What is streamed back is the answer; an outcome is what became of something

Cause: outcome was two things. As the result of a try, a generation or a command it is the field's own word, also in the newer packages, and stays (docs/clashes.md); as the text that a server writes it hid the answer, which the newer packages say. The house check no longer holds `answer` to be a foreign word in the older packages. No key, code, path or flag changes. `outcome` can't be forbidden by GONE, since its other meaning is in use.

--- a/packages/client/src/client.test.ts
+++ b/packages/client/src/client.test.ts
@@ -27,7 +27,7 @@
     res.end(JSON.stringify({ verdict: { ran, code: 'x', why: 'y', after: 2 } }));
   };
 const cases: [string, Act[], { whole: boolean; attempts: number[]; naps: number[] }][] = [
-  ['a whole outcome', [whole], { whole: true, attempts: [1], naps: [] }],
+  ['a whole answer', [whole], { whole: true, attempts: [1], naps: [] }],
   [
     'not run, then whole: the next number, after the time told',
     [refuse('no', 503), whole],
--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -7,7 +7,7 @@
 type Options = {
   /** Calls at the most. */
   tries?: number;
-  /** ms from the start in which the outcome must have come. */
+  /** ms from the start in which the answer must have come. */
   deadline?: number;
   /** Names the owners of each request, so that it runs once even if a call is doubled on its way. */
   pin?: boolean;
--- a/packages/client/src/generated.ts
+++ b/packages/client/src/generated.ts
@@ -14,7 +14,7 @@
   owners?: [string, string, ...string[]];
 }
 
-export type OutcomeLine =
+export type AnswerLine =
   | {
       n: number;
       text: string;
@@ -87,7 +87,7 @@
        */
       deadline: number;
       /**
-       * the longest outcome, in pieces
+       * the longest answer, in pieces
        */
       pieces: number;
       /**
@@ -122,7 +122,7 @@
        */
       deadline: number;
       /**
-       * the longest outcome, in pieces
+       * the longest answer, in pieces
        */
       pieces: number;
       /**
--- a/packages/counter/src/index.ts
+++ b/packages/counter/src/index.ts
@@ -1,5 +1,6 @@
 export { Admission } from './admission.js';
 export { type Admitting } from './admitting.js';
+export { AnswerLine } from './answerline.js';
 export { type Back } from './back.js';
 export { type BackFault } from './backfault.js';
 export { BackState } from './backstate.js';
@@ -50,7 +51,6 @@
 export { Mixer } from './mixer.js';
 export { Newest } from './newest.js';
 export { OrderSlip } from './orderslip.js';
-export { OutcomeLine } from './outcomeline.js';
 export { Piece } from './piece.js';
 export { Pump } from './pump.js';
 export { Queue } from './queue.js';
--- a/packages/counter/src/run.ts
+++ b/packages/counter/src/run.ts
@@ -46,7 +46,7 @@
       life.send('marked');
       while (is() === 'reading' || is() === 'handing') await (is() === 'reading' ? read(trip) : write(trip));
       settled();
-      if (is() === 'ended') return { verdict: Verdicts.ran('ran', 'The outcome is whole.'), ran: true };
+      if (is() === 'ended') return { verdict: Verdicts.ran('ran', 'The answer is whole.'), ran: true };
       return { verdict: trip.why, ran: false };
     };
     const told = (v: Request, verdict: Verdict): void =>
--- a/packages/counter/src/writing.ts
+++ b/packages/counter/src/writing.ts
@@ -18,7 +18,7 @@
 const broken = (why: string): BackFault => ({ ran: 'maybe', code: 'broken', dark: false, why });
 
 /**
- * A request's outcome is written by a decode server. Invariants: it is sent in the same turn as the list was looked at;
+ * A request's answer is written by a decode server. Invariants: it is sent in the same turn as the list was looked at;
  * the room it was given is taken in the instant in which it is found;
  * it is sent again only on proof that this try has not run, and never once a piece has come; no piece is handed on
  * that is not the next one of this request and this life.
@@ -79,7 +79,7 @@
       if (f.dark) t.sighted(s);
       trip.why =
         count > 0
-          ? Verdicts.maybe('cut', `The outcome was cut after ${count} pieces: ${f.why}`)
+          ? Verdicts.maybe('cut', `The answer was cut after ${count} pieces: ${f.why}`)
           : Verdicts.maybe('mayhaverun', `${s.id}: ${f.why}`);
       trip.life.send('give');
     };
--- a/packages/forms/src/rule.ts
+++ b/packages/forms/src/rule.ts
@@ -17,7 +17,7 @@
       maximum: 600000,
       description: 'ms from arrival to the first piece at the latest',
     }),
-    pieces: Type.Integer({ minimum: 1, maximum: 100000, description: 'the longest outcome, in pieces' }),
+    pieces: Type.Integer({ minimum: 1, maximum: 100000, description: 'the longest answer, in pieces' }),
     bytes: Type.Integer({ minimum: 1, maximum: 4194304, description: 'the largest prefix and part together' }),
     sites: Type.Optional(Type.Array(Type.String(), { description: 'where it is served; everywhere if left out' })),
   },
--- a/packages/yard/src/httpcaller.ts
+++ b/packages/yard/src/httpcaller.ts
@@ -10,7 +10,7 @@
   ms: number;
 };
 
-/** A stand-in caller over HTTP, which checks its outcome piece by piece. */
+/** A stand-in caller over HTTP, which checks its answer piece by piece. */
 export const HttpCaller = {
   make() {
     const agent = new Agent({ connections: 256, connect: { timeout: 500 } });
--- a/tools/house.mjs
+++ b/tools/house.mjs
@@ -15,7 +15,7 @@
 const ROUTED = /^packages\/(router|routesim)\//;
 const OLDER = { startup: 'settings' };
 const KEPT = new Set(['waitlist', 'gated', 'startup', 'claim', 'claims', 'site', 'sites', 'visit']);
-const NOT = { route: 'rule', configuration: 'charter', config: 'charter', answer: 'outcome', answers: 'outcomes' };
+const NOT = { route: 'rule', configuration: 'charter', config: 'charter' };
 const faults = [];
 let files = 0, lines = 0, proofs = 0, tables = 0;
 const words = (s) => s.replace(/([a-z0-9])([A-Z])/g, '$1 $2').split(/[ _-]+/).map((w) => w.toLowerCase());
