Programs start without V8 flags: what node keeps of its own modules is taken again

Cause: V8 takes kept code only under the flags it was made under. Any flag on the command line, even the heap's bound, made node compile its own modules (net, http, crypto, streams and some 60 more) anew in every process. The bound of the heap is now V8's own, by the memory that the machine shows.

--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -3,7 +3,6 @@
 import { spawnSync } from 'node:child_process';
 import { existsSync, mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import { resolve } from 'node:path';
-import { RunFlags } from './runflags.mjs';
 
 const folder = (name) => (name === 'platform' ? 'platform' : `packages/${name}`);
 const workspace = {
@@ -91,6 +90,12 @@
   footer: { js: '})' },
   outfile: `${target}/program.js`,
 });
+// V8 takes what was kept only under the flags that it was made under, and so it is with what node keeps of its own
+// modules. So the programs start without any, and these are set when all is loaded: the HTTP parser is compiled once
+// and not optimized in every process, and functions are optimized late, as most lives end before it pays. What node
+// itself loads only when it first listens or looks at the clock is loaded before.
+const late = ['node:cluster', 'node:dns', 'node:perf_hooks'];
+const flags = ['--liftoff-only', '--interrupt-budget=500000'];
 // One file of CommonJS loads fastest, and faster still as what V8 made of it once: that is kept beside it. Where V8
 // can't use it (another release, other flags), it says so and compiles anew.
 writeFileSync(
@@ -104,14 +109,14 @@
 const script = new Script(readFileSync(file, 'latin1'), { filename: file, cachedData });
 const program = { exports: {} };
 script.runInThisContext()(program.exports, require, program);
+for (const late of ${JSON.stringify(late)}) require(late);
+const { setFlagsFromString } = require('node:v8');
+for (const flag of ${JSON.stringify(flags)}) setFlagsFromString(flag);
 void program.exports.Main.run(process.argv.slice(2));
 `,
 );
 rmSync(`${target}/program.cache`, { force: true });
-// With the flags of deploy/system.toml, which are part of what V8 compares.
-const kept = spawnSync(process.execPath, [...RunFlags, 'tools/keepcode.cjs', target], {
-  stdio: ['ignore', 'ignore', 'pipe'],
-});
+const kept = spawnSync(process.execPath, ['tools/keepcode.cjs', target], { stdio: ['ignore', 'ignore', 'pipe'] });
 if (kept.status !== 0 || !existsSync(`${target}/program.cache`)) {
   process.stderr.write(kept.stderr);
   process.exit(1);
