Checks of schemas are put into the program at the build instead of written in every process

Cause: by eight profiles of a start, 42 of about 220 ms went into TypeBox writing and compiling the code of some 30 checks at their first use, and more into V8 compiling that code's functions lazily. Now the build goes through a life first, notes the code that TypeBox wrote, and bundles it; V8 keeps it with the rest.

--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,8 +1,9 @@
 // Puts the platform's program under target/, or the folder named, from the sources alone: nothing is built before.
 import { build } from 'esbuild';
 import { spawnSync } from 'node:child_process';
-import { existsSync, mkdirSync, rmSync, writeFileSync } from 'node:fs';
+import { existsSync, mkdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { resolve } from 'node:path';
+import { FormChecks } from './formchecks.mjs';
 
 const folder = (name) => (name === 'platform' ? 'platform' : `packages/${name}`);
 const workspace = {
@@ -38,6 +39,7 @@
     import createLogger from './node_modules/winston/lib/winston/create-logger.js';
     export default { createLogger, format: { combine, printf, timestamp }, transports: { Console } };`,
 };
+doors['typebox/compile'] = FormChecks.recorder;
 const absent = 'module.exports = () => () => false;';
 const narrow = {
   name: 'narrow',
@@ -71,25 +73,26 @@
 const target = process.argv[2] ?? 'target';
 mkdirSync(target, { recursive: true });
 writeFileSync(`${target}/package.json`, '{ "type": "commonjs" }\n');
-await build({
-  stdin: {
-    contents: "export { Main } from './platform/src/main.js';",
-    resolveDir: process.cwd(),
-    loader: 'ts',
-  },
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  minifySyntax: true,
-  minifyWhitespace: true,
-  legalComments: 'none',
-  logLevel: 'warning',
-  plugins: [workspace, narrow],
-  banner: { js: '(function (exports, require, module) {' },
-  footer: { js: '})' },
-  outfile: `${target}/program.js`,
-});
+const bundle = () =>
+  build({
+    stdin: {
+      contents: "export { Main } from './platform/src/main.js';",
+      resolveDir: process.cwd(),
+      loader: 'ts',
+    },
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    minifySyntax: true,
+    minifyWhitespace: true,
+    legalComments: 'none',
+    logLevel: 'warning',
+    plugins: [workspace, narrow],
+    banner: { js: '(function (exports, require, module) {' },
+    footer: { js: '})' },
+    outfile: `${target}/program.js`,
+  });
 // V8 takes what was kept only under the flags that it was made under, and so it is with what node keeps of its own
 // modules. So the programs start without any, and these are set when all is loaded: the HTTP parser is compiled once
 // and not optimized in every process, and functions are optimized late, as most lives end before it pays. What node
@@ -115,9 +118,17 @@
 void program.exports.Main.run(process.argv.slice(2));
 `,
 );
-rmSync(`${target}/program.cache`, { force: true });
-const kept = spawnSync(process.execPath, ['tools/keepcode.cjs', target], { stdio: ['ignore', 'ignore', 'pipe'] });
-if (kept.status !== 0 || !existsSync(`${target}/program.cache`)) {
+const keep = () => {
+  rmSync(`${target}/program.cache`, { force: true });
+  const kept = spawnSync(process.execPath, ['tools/keepcode.cjs', target], { stdio: ['ignore', 'ignore', 'pipe'] });
+  if (kept.status === 0 && existsSync(`${target}/program.cache`)) return;
   process.stderr.write(kept.stderr);
   process.exit(1);
-}
+};
+await bundle();
+keep();
+const checks = `${target}/checks.json`;
+doors['typebox/compile'] = FormChecks.door(JSON.parse(readFileSync(checks, 'utf8')));
+rmSync(checks);
+await bundle();
+keep();
--- a/tools/keepcode.cjs
+++ b/tools/keepcode.cjs
@@ -22,6 +22,7 @@
 process.on('exit', () => {
   if (why) process.stderr.write(`What was made up to here is kept: ${why}.\n`);
   writeFileSync(`${target}/program.cache`, script.createCachedData());
+  if (globalThis.formChecks) writeFileSync(`${target}/checks.json`, JSON.stringify([...globalThis.formChecks]));
   rmSync(dir, { recursive: true, force: true });
   process.exitCode = 0;
 });
