--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -39,19 +39,12 @@
     import createLogger from './node_modules/winston/lib/winston/create-logger.js';
     export default { createLogger, format: { combine, printf, timestamp }, transports: { Console } };`,
 };
-const types = 'Array, Boolean, Integer, Literal, Null, Number, Object, Optional, Record, String, Tuple, Union, Unknown';
-doors.typebox = `
-    import { ${types} } from './node_modules/typebox/build/typebox.mjs';
-    export const Type = { ${types} };`;
-doors['typebox/value'] = `
-    import { Clean, Clone } from './node_modules/typebox/build/value/index.mjs';
-    export const Value = { Clean, Clone };`;
 doors['typebox/compile'] = FormChecks.recorder;
 const absent = 'module.exports = () => () => false;';
 const narrow = {
   name: 'narrow',
   setup(b) {
-    b.onResolve({ filter: /^@dabh\/diagnostics$|^@colors\/colors\/safe$|^\.\/client-h2\.js$/ }, () => ({
+    b.onResolve({ filter: /^@dabh\/diagnostics$|^\.\/client-h2\.js$/ }, () => ({
       path: 'absent',
       namespace: 'absent',
     }));
@@ -71,10 +64,6 @@
         return found.errors.length > 0 || found.external ? null : { path: found.path, sideEffects: false };
       },
     );
-    // Of typebox, too, what isn't used is left out: its files only declare.
-    b.onResolve({ filter: /^\.\.?\// }, ({ path, importer, resolveDir }) =>
-      /\/node_modules\/typebox\/build\//.test(importer) ? { path: resolve(resolveDir, path), sideEffects: false } : null,
-    );
     b.onResolve({ filter: /^\.\/node_modules\//, namespace: 'narrow' }, ({ path }) => ({
       path: resolve(path),
       sideEffects: false,
