--- a/packages/forms/src/framer.ts
+++ b/packages/forms/src/framer.ts
@@ -27,9 +27,7 @@
     sock.on('data', (buf: Buffer) => {
       let rest = buf;
       for (let i = rest.indexOf(10); i >= 0 && !off; i = rest.indexOf(10)) {
-        // Most frames come whole in one piece, and need no copy.
-        const whole = held.length === 0 ? rest : Buffer.concat([...held, rest.subarray(0, i)]);
-        const text = whole.toString('utf8', 0, held.length === 0 ? i : whole.length);
+        const text = Buffer.concat([...held, rest.subarray(0, i)]).toString('utf8');
         held = [];
         size = 0;
         rest = rest.subarray(i + 1);
