--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,9 +1,9 @@
 // Puts the platform's program under target/, or the folder named, from the sources alone: nothing is built before.
 import { build } from 'esbuild';
 import { spawnSync } from 'node:child_process';
-import { existsSync, mkdirSync, rmSync, writeFileSync } from 'node:fs';
+import { existsSync, mkdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { resolve } from 'node:path';
-import { RunFlags } from './runflags.mjs';
+import { FormChecks } from './formchecks.mjs';
 
 const folder = (name) => (name === 'platform' ? 'platform' : `packages/${name}`);
 const workspace = {
@@ -39,6 +39,7 @@
     import createLogger from './node_modules/winston/lib/winston/create-logger.js';
     export default { createLogger, format: { combine, printf, timestamp }, transports: { Console } };`,
 };
+doors['typebox/compile'] = FormChecks.recorder;
 const absent = 'module.exports = () => () => false;';
 const narrow = {
   name: 'narrow',
@@ -72,25 +73,32 @@
 const target = process.argv[2] ?? 'target';
 mkdirSync(target, { recursive: true });
 writeFileSync(`${target}/package.json`, '{ "type": "commonjs" }\n');
-await build({
-  stdin: {
-    contents: "export { Main } from './platform/src/main.js';",
-    resolveDir: process.cwd(),
-    loader: 'ts',
-  },
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  minifySyntax: true,
-  minifyWhitespace: true,
-  legalComments: 'none',
-  logLevel: 'warning',
-  plugins: [workspace, narrow],
-  banner: { js: '(function (exports, require, module) {' },
-  footer: { js: '})' },
-  outfile: `${target}/program.js`,
-});
+const bundle = () =>
+  build({
+    stdin: {
+      contents: "export { Main } from './platform/src/main.js';",
+      resolveDir: process.cwd(),
+      loader: 'ts',
+    },
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    minifySyntax: true,
+    minifyWhitespace: true,
+    legalComments: 'none',
+    logLevel: 'warning',
+    plugins: [workspace, narrow],
+    banner: { js: '(function (exports, require, module) {' },
+    footer: { js: '})' },
+    outfile: `${target}/program.js`,
+  });
+// V8 takes what was kept only under the flags that it was made under, and so it is with what node keeps of its own
+// modules. So the programs start without any, and these are set when all is loaded: the HTTP parser is compiled once
+// and not optimized in every process, and functions are optimized late, as most lives end before it pays. What node
+// itself loads only when it first listens or looks at the clock is loaded before.
+const late = ['node:cluster', 'node:dns', 'node:perf_hooks'];
+const flags = ['--liftoff-only', '--interrupt-budget=500000'];
 // One file of CommonJS loads fastest, and faster still as what V8 made of it once: that is kept beside it. Where V8
 // can't use it (another release, other flags), it says so and compiles anew.
 writeFileSync(
@@ -104,15 +112,23 @@
 const script = new Script(readFileSync(file, 'latin1'), { filename: file, cachedData });
 const program = { exports: {} };
 script.runInThisContext()(program.exports, require, program);
+for (const late of ${JSON.stringify(late)}) require(late);
+const { setFlagsFromString } = require('node:v8');
+for (const flag of ${JSON.stringify(flags)}) setFlagsFromString(flag);
 void program.exports.Main.run(process.argv.slice(2));
 `,
 );
-rmSync(`${target}/program.cache`, { force: true });
-// With the flags of deploy/system.toml, which are part of what V8 compares.
-const kept = spawnSync(process.execPath, [...RunFlags, 'tools/keepcode.cjs', target], {
-  stdio: ['ignore', 'ignore', 'pipe'],
-});
-if (kept.status !== 0 || !existsSync(`${target}/program.cache`)) {
+const keep = () => {
+  rmSync(`${target}/program.cache`, { force: true });
+  const kept = spawnSync(process.execPath, ['tools/keepcode.cjs', target], { stdio: ['ignore', 'ignore', 'pipe'] });
+  if (kept.status === 0 && existsSync(`${target}/program.cache`)) return;
   process.stderr.write(kept.stderr);
   process.exit(1);
-}
+};
+await bundle();
+keep();
+const checks = `${target}/checks.json`;
+doors['typebox/compile'] = FormChecks.door(JSON.parse(readFileSync(checks, 'utf8')));
+rmSync(checks);
+await bundle();
+keep();
