Connections that rested longer than servers keep theirs are not used again

Each loss was also held against the server and told to all. Mend: where nothing comes back but the end, at once, on a connection that had rested, the send is 'stale': it speaks against no server, and for 10 s no connection is used at any server that rested for longer than a part of that. Before: serverconnections.test fails ('broken' in place of 'stale'). After: it passes.

--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -34,6 +34,7 @@
 export { RequestDesk } from './requestdesk.js';
 export { RequestLog } from './requestlog.js';
 export { RequestStep } from './requeststep.js';
+export { RestLimit } from './restlimit.js';
 export { Rounds } from './rounds.js';
 export { Router } from './router.js';
 export { type RouterStartup } from './routerstartup.js';
--- a/packages/router/src/sendfault.ts
+++ b/packages/router/src/sendfault.ts
@@ -8,8 +8,8 @@
    * unsent: no connection came up, so it never arrived; crowded: this daemon has as many there as it may, so neither
    * did this; refused: the server said that it did not run it;
    * misdirected: it was another server, or the wrong stage; broken: cut, or bytes that are no answer of this request;
-   * late: our own time was up; gone: the client went.
+   * stale: the connection had rested, and was gone at the other side; late: our own time was up; gone: the client went.
    */
-  code: 'unsent' | 'crowded' | 'refused' | 'misdirected' | 'broken' | 'late' | 'gone';
+  code: 'unsent' | 'crowded' | 'refused' | 'misdirected' | 'broken' | 'stale' | 'late' | 'gone';
   why: string;
 };
