Decode servers left alone turn long prompts away first, and what would be read too late

Mend: where no reader is named, what waits at the decode server plus five times the prompt's own reading must fit into what its caller surely waits; if not, 503 at once. Nothing changes where a reader is left. Ruled out: the head (the server decoded from 22 s on at the latest; the break is at 34 s and later).

--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -29,6 +29,7 @@
 export { type Prompt } from './prompt.js';
 export { Reader } from './reader.js';
 export { ReadWait } from './readwait.js';
+export { Relief } from './relief.js';
 export { type Report } from './report.js';
 export { type Request } from './request.js';
 export { RequestDesk } from './requestdesk.js';
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -27,7 +27,7 @@
   wait: () => number;
 };
 const NONE: ReadonlySet<string> = new Set();
-const UNWEIGHED: Weighed = { read: null, ms: 0, alone: 0 };
+const UNWEIGHED: Weighed = { read: null, ms: 0, alone: 0, beside: null };
 type Where = { s: Server; ms: number };
 /** A decode server reads at this part of the pace, between the tokens of others. */
 const BESIDE = 0.5;
@@ -142,7 +142,13 @@
       weigh(service: Service, route: Route, p: Prompt, not: ReadonlySet<string>): Weighed {
         const apart = service.engine ? reader(service, route, p, not) : null;
         const beside = service.engine ? decoder(service, p, null, not) : null;
-        if (!apart || !beside) return UNWEIGHED;
+        if (!beside) return UNWEIGHED;
+        if (!apart) {
+          const [waits, own] = [t.loads.at(beside.s.id).tokens, p.tokens - t.kept.held(beside.s.id, p)].map(
+            (tokens) => tokens / (t.pace() * BESIDE),
+          );
+          return { ...UNWEIGHED, beside: { waits: waits!, own: own! } };
+        }
         const crowded = t.loads.at(beside.s.id).runs >= CROWDED;
         const short = t.kept.held(beside.s.id, p) + SHORT > p.tokens;
         // What a decode server has to read is better known than what waits at readers, of which others know the most.
@@ -153,7 +159,12 @@
         // What takes next to nothing is read before all that waits: the queue doesn't make it late.
         const soon = apart.fresh / t.pace() < Urgency.TINY;
         const ms = (crowded ? apart.ms : Math.min(apart.ms, beside.ms)) + HAND + START;
-        return { read: !crowded && beside.ms <= bar ? null : read, ms: soon ? Math.min(ms, alone) : ms, alone };
+        return {
+          read: !crowded && beside.ms <= bar ? null : read,
+          ms: soon ? Math.min(ms, alone) : ms,
+          alone,
+          beside: null,
+        };
       },
       /** Where it is decoded: few under way, near the memory. */
       decode: (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>): Server | null =>
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -5,6 +5,7 @@
 import { FirstTries } from './firsttries.js';
 import type { Job } from './job.js';
 import { Reader } from './reader.js';
+import { Relief } from './relief.js';
 import type { Request } from './request.js';
 import { Runner } from './runner.js';
 import type { ServeTools } from './servetools.js';
@@ -90,6 +91,10 @@
       const wait = Deferral.of(c, t.world.chance.real());
       return wait === null ? null : wait / 1000;
     };
+    const drowned = (job: Job): boolean => {
+      const found = job.weighed?.beside;
+      return !!found && Relief.needed({ ...found, aim: job.route.aim, left: job.due - now() });
+    };
     /** Waits a little where every server is full; false if that did not help. */
     const admit = async (job: Job): Promise<boolean> => {
       const until = now() + job.route.aim * WAIT;
@@ -123,6 +128,7 @@
       t.budgets.of(job.service.name).request();
       const later = deferred(job);
       if (later !== null) return told(job, Verdicts.not('deferred', 'It would be late now.', later));
+      if (drowned(job)) return told(job, Verdicts.not('drowned', 'Too much waits before it.', LATER));
       if (!t.placement.room(job.service, job.request.prompt) && !(await admit(job)))
         return told(job, Verdicts.not('full', 'Every server is full.', LATER));
       await go(job);
