A read that was cut is paid for, and where it can't be, nothing follows it

A prefill call that a server resets may never have been taken up, and then counts as an arrival; the run that follows is one too many, and nobody paid. One given up in a queue was paid for by those after it, without bound. Mend: both are owed, down to what the ratio and the slack leave beside what may be saved; beyond that the request ends as not run. Before: serve.test 'nothing follows a read that was cut where it can not be paid for' fails. After: it passes, and every fleet of budget.test holds with reads cut beside.

--- a/packages/router/src/budget.test.ts
+++ b/packages/router/src/budget.test.ts
@@ -29,7 +29,7 @@
   Math.floor(step / STEPS) % 2 === 0 ? each(13)(router, step) : 0;
 
 /** Budgets of a fleet after hours without a request; the times of all requests and of all tries taken. */
-const play = (c: Case): { asked: number[]; taken: number[] } => {
+const play = (c: Case, owes = false): { asked: number[]; taken: number[] } => {
   let now = 0;
   const clock = { mono: () => now, wall: () => now, after: () => () => undefined };
   const terms = { ratio: RATIO, window: WINDOW, slack: c.slack };
@@ -49,6 +49,9 @@
         b.request();
         asked.push(step);
         if (b.take()) taken.push(step);
+        if (!owes || !b.bears()) continue;
+        b.owe();
+        taken.push(step);
       }
     });
   }
@@ -117,6 +120,15 @@
     });
 });
 
+describe('the budgets of a fleet whose reads are cut', () => {
+  for (const c of cases)
+    it(`${c.routers} routers, slack ${c.slack}: ${c.title}`, () => {
+      const { asked, taken } = play(c, true);
+      expect(excess(c, asked, taken)).to.be.at.most(0);
+      expect(taken.length).to.be.at.least(play(c).taken.length);
+    });
+});
+
 describe('the budgets of services', () => {
   const clock = { mono: () => IDLE, wall: () => IDLE, after: () => () => undefined };
   const make = () =>
--- a/packages/router/src/budget.ts
+++ b/packages/router/src/budget.ts
@@ -18,7 +18,8 @@
  * `ratio` a request plus `slack`, for any split of the traffic and any number of daemons, where the requests are those
  * of that window or of the one before it, whichever were more: each earns a part of `ratio` by its own requests, and
  * its share of `slack` by time; what all may have saved adds up to a part of `slack` and one of what the last window's
- * requests bring. A daemon that doesn't know how many there are takes the share of one of many.
+ * requests bring, and what all may owe is the rest of that. A daemon that doesn't know how many there are takes the
+ * share of one of many.
  */
 export const Budget = {
   make(clock: Clock, terms: () => Terms, daemons: () => number | null) {
@@ -33,11 +34,10 @@
       while (parts.length > 0 && parts[0]!.part <= now - PARTS) parts.shift();
       return parts.reduce((sum, p) => sum + p.requests, 0);
     };
+    /** What the saved and the owed may add up to. */
+    const spare = (): number => share() * SAVED + terms().ratio * (1 - RATIO) * recent();
     /** A whole try is saved only where the shares of all, or this daemon's own requests, allow for one. */
-    const most = (): number => {
-      const saved = share() * SAVED + terms().ratio * (1 - RATIO) * recent();
-      return Math.max(share() * SLACK, Math.min(1, saved));
-    };
+    const most = (): number => Math.max(share() * SLACK, Math.min(1, spare()));
     const tick = (): void => {
       const now = clock.mono();
       level = Math.min(most(), level + (share() * SLACK * (now - at)) / terms().window);
@@ -57,6 +57,11 @@
         level -= 1;
         return true;
       },
+      /** Whether one more may be owed, where what was sent counts already and only what follows it can be left. */
+      bears(): boolean {
+        tick();
+        return level - 1 >= Math.min(0, most() - spare());
+      },
       /** Something was sent that counts as a further try, or may: it is paid for by those that come after. */
       owe(): void {
         tick();
--- a/packages/router/src/job.ts
+++ b/packages/router/src/job.ts
@@ -20,6 +20,8 @@
   first: boolean;
   arrivals: number;
   reads: number;
+  /** Whether a send that counts could not be paid for: what would follow it is left. */
+  unpaid: boolean;
   /** How it fares, as weighed in this very turn; null once that may have changed. */
   weighed: Weighed | null;
   handle: Handle | null;
--- a/packages/router/src/reader.ts
+++ b/packages/router/src/reader.ts
@@ -17,16 +17,22 @@
 
 /**
  * A prompt is read by a prefill server. Invariants: the list is looked at in the turn of the send; whatever comes of
- * it, nothing has run; only the first read that a server took up is free of tries and budget.
+ * it, nothing has run; only the first read that a server took up is free of tries and budget, and where another can't
+ * be paid for, nothing follows it.
  */
 export const Reader = {
   make(t: ServeTools) {
     const now = (): number => t.world.clock.mono();
+    const owed = (job: Job): void => {
+      const budget = t.budgets.of(job.service.name);
+      if (budget.bears()) budget.owe();
+      else job.unpaid = true;
+    };
     const failed = (job: Job, s: Server, f: SendFault): void => {
       job.fault = { ...f, ran: 'no' };
       t.log.note(job.request.id, 'unread', { at: s.id, word: f.code, why: f.why });
-      // One that was given up in a queue was never taken up, and counts as an arrival like any other.
-      if (f.code === 'late') t.budgets.of(job.service.name).owe();
+      // One that was given up in a queue, or cut, may never have been taken up, and counts as any arrival does.
+      if (f.code === 'late' || f.code === 'broken' || f.code === 'stale') owed(job);
       if (f.code === 'gone') return;
       job.avoid.add(s.id);
       if (Blame.turned(f)) {
--- a/packages/router/src/serve.test.ts
+++ b/packages/router/src/serve.test.ts
@@ -29,6 +29,11 @@
       { script: [{ read: 'broken' }, { run: 'ok', events: 1 }] },
       { calls: ['read p1', 'run d'], log: ['1;', 'end'], suspects: 1 },
     ],
+    [
+      'nothing follows a read that was cut where it can not be paid for',
+      { script: [{ read: 'broken' }, { run: 'ok', events: 1 }], budget: 0 },
+      { calls: ['read p1'], code: 'noserver', ran: 'no', suspects: 1 },
+    ],
     [
       'a read that is turned away counts as a try',
       { script: [{ read: 'refused' }], route: { tries: 1 } },
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -62,6 +62,7 @@
         ...{
           arrivals: 0,
           reads: 0,
+          unpaid: false,
           weighed: null,
           events: 0,
           handle: null,
@@ -114,7 +115,7 @@
         // A second read counts as a try, and so needs a third for the run itself.
         const may = job.reads === 0 || job.arrivals + 2 <= job.route.tries;
         if (!job.handle && may && p) await read(job);
-        if (job.left.signal.aborted || job.arrivals >= job.route.tries) return;
+        if (job.left.signal.aborted || job.unpaid || job.arrivals >= job.route.tries) return;
         if (await run(job)) return;
       }
     };
