--- a/packages/counter/src/dialer.ts
+++ b/packages/counter/src/dialer.ts
@@ -11,7 +11,7 @@
 export const Dialer = {
   make(met: (s: Socket) => void, ms = CONNECT, mono: () => number = () => performance.now()) {
     const failed = new WeakSet<object>();
-    const dial = buildConnector({ timeout: ms, highWaterMark: undefined, readableHighWaterMark: 1 } as never);
+    const dial = buildConnector({ timeout: ms });
     const connect: buildConnector.connector = (o, done) => {
       const from = mono();
       const fail = (e: Error): void => {
--- a/packages/router/src/engine.ts
+++ b/packages/router/src/engine.ts
@@ -12,8 +12,6 @@
   /** 0 goes first, 9 last. */
   urgency: number;
   signal: AbortSignal;
-  /** ms over which pieces of a stream that follow each other closely may be gathered. */
-  gather?: number;
 };
 
 /**
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -23,9 +23,6 @@
 const GAP = 35;
 const EACH = 1.6;
 const ENOUGH = 3;
-/** ms over which events that follow each other closely are handed on together. */
-const GATHER = 60;
-const PART = 0.2;
 
 /**
  * A request is run by a server. Invariants: the list is looked at in the turn of the send; bytes go out only as whole
@@ -99,7 +96,7 @@
       t.log.note(job.request.id, 'run', { at: s.id, word: handle?.server.id ?? '', tokens: fresh, ahead: beside - 1 });
       job.handle = null;
       const ms = Math.max(1, job.due - now());
-      const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now(), job.first), signal: stop.signal, gather: Math.min(GATHER, job.route.gap * PART) };
+      const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now(), job.first), signal: stop.signal };
       const got = await t.engine.run(s, job.request, handle, job.after, terms, hearer(job, s, kept.stir, read));
       kept.stop();
       const more = job.events - before;
