lending: generations whose rule resumes are cut at a piece, and go on there

Cause: what was begun ran on under a recall, and a cut ended as unsure. A rule may now say resumes: its streams are cut at once, or with their first new piece, when their server is called back, lapses or is slept through; the core holds the pieces, and the next mark goes on from them by a handle that names count and digest of what was read with the prompt.

--- a/packages/counter/src/callersink.ts
+++ b/packages/counter/src/callersink.ts
@@ -10,4 +10,6 @@
   cut(v: Verdict): void;
   refuse(v: Verdict): void;
   gone(): boolean;
+  /** A line came that can't be of this visit: nothing may be gone on with from here. */
+  spoilt?(): void;
 };
--- a/packages/counter/src/lending/lending.ts
+++ b/packages/counter/src/lending/lending.ts
@@ -8,6 +8,7 @@
 import type { RunTools } from '../runtools.js';
 import type { SheetView } from '../sheetview.js';
 import { Borrower } from './borrower.js';
+import { Cuts } from './cuts.js';
 import { Lender } from './lender.js';
 import { LoanDiary } from './loandiary.js';
 import { LiveWatch } from './livewatch.js';
@@ -43,7 +44,8 @@
 export const Lending = {
   make(t: Tools) {
     const { world, sheet } = t;
-    const lent = Loads.make();
+    const lent = Loads.make(),
+      cuts = Cuts.make();
     const term = (): number => sheet.charter()?.lending?.length ?? 0;
     const loan = (server: string): Loan | null => (t.shelf.get(`loan:${server}`)?.body as Loan | undefined) ?? null;
     const loans = (): Loan[] => [...sheet.rows().keys()].flatMap((s) => loan(s) ?? []);
@@ -52,12 +54,13 @@
     const borrower = Borrower.make({
       ...{ world, post: t.post, sheet, town: t.town, roster: t.roster, look: t.look, running: lent.at },
       ended: () => run.clear(),
+      lost: cuts.cut,
     });
-    const run = LentRun.make({ ...t, charter: sheet.charter, loads: lent, borrower });
+    const run = LentRun.make({ ...t, charter: sheet.charter, loads: lent, borrower, cuts });
     const runner = Runner.make({
       ...{ world, line: t.line, duty: t.duty, charter: sheet.charter, room: run.room },
-      run: (request, sink) => {
-        const done = run.visit(request, sink);
+      run: (request, sink, begun) => {
+        const done = run.visit(request, sink, begun);
         run.pump();
         return done;
       },
@@ -73,8 +76,9 @@
     t.post.on('loan.recall', LoanWords.recall, (b) => {
       lender.recalled(b.server);
       const ok = borrower.recalled(b.server);
-      if (ok) world.tell({ what: 'recalled', server: b.server, running: lent.at(b.server) });
-      return { ok, running: lent.at(b.server) };
+      const running = Math.max(0, lent.at(b.server) - cuts.going(b.server));
+      if (ok) world.tell({ what: 'recalled', server: b.server, running });
+      return { ok, running };
     });
     const stops: (() => void)[] = [];
     return {
@@ -114,10 +118,11 @@
         borrower.tick(t.serving() ? runner.need() : null, term());
         await runner.read();
       },
-      /** Begins nothing more, gives back what is lent and what waits, and lets what runs come to its end. */
+      /** Begins nothing more, gives back what is lent and what waits; what runs is cut at a piece, or comes to its end. */
       async leave(until: number): Promise<void> {
         runner.stop();
         run.clear();
+        cuts.all();
         borrower.tick(null, term());
         while (runner.hand() > 0 && world.clock.mono() < until) await Timer.nap(world.clock, PUMP);
       },
--- a/packages/counter/src/lentrun.ts
+++ b/packages/counter/src/lentrun.ts
@@ -2,6 +2,7 @@
 import { Admission } from './admission.js';
 import type { Borrower } from './lending/borrower.js';
 import { LentChoice } from './lending/lentchoice.js';
+import type { Cuts } from './lending/cuts.js';
 import type { Loads } from './loads.js';
 import { Pump } from './pump.js';
 import { Run } from './run.js';
@@ -19,6 +20,7 @@
   serving: () => boolean;
   borrower: ReturnType<typeof Borrower.make>;
   loads: ReturnType<typeof Loads.make>;
+  cuts: ReturnType<typeof Cuts.make>;
 };
 
 /**
--- a/packages/counter/src/run.ts
+++ b/packages/counter/src/run.ts
@@ -32,11 +32,18 @@
     const late = (rule: Rule): Verdict => tooOld(t.queue.foresee(rule.urgency));
 
     /** A marked visit is read and written, again and again where that is safe, until it is whole or given up. */
-    const go = async (v: Visit, rule: Rule, sink: CallerSink, due: number, settled: () => void): Promise<Done> => {
+    const go = async (
+      v: Visit,
+      rule: Rule,
+      sink: CallerSink,
+      begun: readonly string[],
+      due: number,
+      settled: () => void,
+    ): Promise<Done> => {
       const life = interpret(VisitLife, () => undefined);
       const prefix = Hash.text(v.prefix);
       const trip: Trip = {
-        ...{ v, rule, sink, due, settled, life, prefix, why: late(rule) },
+        ...{ v, rule, sink, begun, due, settled, life, prefix, why: late(rule) },
         avoid: new Set(),
         handle: null,
         reader: null,
@@ -66,7 +73,7 @@
       return mine && !marked ? Verdicts.not('noledger', 'The visit could not be marked as sent.', 1) : late(rule);
     };
 
-    return async (v: Visit, sink: CallerSink): Promise<Verdict> => {
+    return async (v: Visit, sink: CallerSink, begun: readonly string[] = []): Promise<Verdict> => {
       const rule = t.admission.check(v);
       if (rule.err) {
         await witness.refused(v);
@@ -88,7 +95,7 @@
       const mine = turn ? t.admission.begin(rule.val) : null;
       const marked = mine && !sink.gone() ? await witness.sent(v, owners, digest) : false;
       if (!mine || !marked || now() >= due) return end(v, sink, await unmarked(v, rule.val, book, mine, marked));
-      const out = await go(v, rule.val, sink, due, mine.settled);
+      const out = await go(v, rule.val, sink, begun, due, mine.settled);
       mine.over();
       t.pump();
       if (out.ran) {
--- a/packages/counter/src/streamcheck.ts
+++ b/packages/counter/src/streamcheck.ts
@@ -1,5 +1,5 @@
-import { createHash } from 'node:crypto';
 import type { Piece } from './piece.js';
+import { PieceHash } from './piecehash.js';
 
 type Told = { key: string; attempt: number; born: string };
 type Look =
@@ -7,12 +7,14 @@
 
 /** Holds a stream to its word: this visit, this server's life, no gap, no piece twice, and an end that agrees. */
 export const StreamCheck = {
-  make(told: Told) {
-    const hash = createHash('sha256');
-    let n = 0;
+  /** `begun` are the pieces that an earlier stream brought: this one goes on after them, and its end counts them. */
+  make(told: Told, begun: readonly string[] = []) {
+    const hash = PieceHash.over(begun);
+    let n = begun.length;
     let over = false;
     return {
-      count: (): number => n,
+      /** How many pieces this stream brought. */
+      count: (): number => n - begun.length,
       over: (): boolean => over,
       look(p: Piece): Look {
         if (over) return { ok: false, why: 'a line came after the end' };
@@ -20,7 +22,7 @@
         if (p.born !== told.born) return { ok: false, why: 'a line of another life of the server' };
         if ('end' in p) {
           over = true;
-          const digest = hash.digest('hex').slice(0, 24);
+          const digest = PieceHash.short(hash);
           if (p.count !== n) return { ok: false, why: `the end counts ${p.count} pieces, ${n} came` };
           if (p.digest !== digest) return { ok: false, why: 'the end has another digest' };
           return { ok: true, end: { count: n, digest } };
--- a/packages/counter/src/takes.ts
+++ b/packages/counter/src/takes.ts
@@ -1,25 +1,43 @@
 import type { Verdict } from '@pumicebarrow/forms';
 import type { CallerSink } from './callersink.js';
 
-/** The longest text that the core keeps of an outcome. */
-const MOST = 4096;
-type Taken = { whole: { count: number; digest: string } | null; text: () => string; sink: CallerSink };
-type Outcome = { to: 'ran' | 'unrun' | 'unsure'; text?: string; count?: number; digest?: string; why?: string };
+/** The longest text that the core keeps of an outcome, and the most pieces of one that was cut. */
+const MOST = { chars: 4096, pieces: 256 };
+type Taken = {
+  whole: { count: number; digest: string } | null;
+  /** All pieces, also those that an earlier stream had brought. */
+  pieces: string[];
+  /** How many were there before this stream. */
+  begun: number;
+  spoilt: boolean;
+  sink: CallerSink;
+};
+type Outcome = {
+  to: 'ran' | 'unrun' | 'unsure' | 'cut';
+  text?: string;
+  count?: number;
+  digest?: string;
+  why?: string;
+  held?: string[];
+};
 
 /** Takes in one generation's outcome, and says what became of it. */
 export const Takes = {
-  make(): Taken {
-    const pieces: string[] = [];
+  /** Whether so much can be kept, to go on from. */
+  keeps: (pieces: number, chars: number): boolean => pieces <= MOST.pieces && chars <= MOST.chars,
+  make(begun: readonly string[] = []): Taken {
     const t: Taken = {
-      whole: null,
-      text: () => pieces.join(''),
+      ...{ whole: null, pieces: [...begun], begun: begun.length, spoilt: false },
       sink: {
         piece: (_n, text) => {
-          pieces.push(text);
+          t.pieces.push(text);
         },
         end(count, digest) {
           t.whole = { count, digest };
         },
+        spoilt() {
+          t.spoilt = true;
+        },
         cut: () => undefined,
         refuse: () => undefined,
         gone: () => false,
@@ -27,15 +45,20 @@
     };
     return t;
   },
-  /** Only a whole outcome is 'ran', and only a verdict of no is 'unrun'; of one too long, count and digest are kept. */
-  outcome(v: Verdict, t: Taken): Outcome {
-    const why = `${v.code}: ${v.why}`.slice(0, 200);
-    if (t.whole) {
-      const text = t.text();
-      return text.length > MOST
+  /**
+   * Only a whole outcome is 'ran', and only a verdict of no is 'unrun'; of one too long, count and digest are kept. One
+   * that may be resumed is 'cut' where its stream broke off after at least one more piece, all of them in order.
+   */
+  outcome(v: Verdict, t: Taken, resumes = false): Outcome {
+    const why = `${v.code}: ${v.why}`.slice(0, 200),
+      text = t.pieces.join('');
+    if (t.whole)
+      return text.length > MOST.chars
         ? { to: 'ran', ...t.whole, why: 'too long to be kept' }
         : { to: 'ran', ...t.whole, text };
-    }
-    return v.ran === 'no' ? { to: 'unrun' } : { to: 'unsure', why };
+    if (v.ran === 'no') return { to: 'unrun' };
+    const more = t.pieces.length > t.begun && !t.spoilt && v.code === 'cut';
+    if (resumes && more && Takes.keeps(t.pieces.length, text.length)) return { to: 'cut', held: t.pieces };
+    return { to: 'unsure', why };
   },
 };
--- a/packages/counter/src/trip.ts
+++ b/packages/counter/src/trip.ts
@@ -14,6 +14,8 @@
   v: Visit;
   rule: Rule;
   sink: CallerSink;
+  /** The pieces that an earlier stream brought, from the first; none for a visit that begins. */
+  begun: readonly string[];
   due: number;
   /** The visit has a server, or never will: its turn at admission is over. */
   settled: () => void;
--- a/packages/forms/src/lendingclauses.test.ts
+++ b/packages/forms/src/lendingclauses.test.ts
@@ -28,6 +28,8 @@
   ['no rule left for live work', (c) => (c.rules = [c.rules[2]!]), ['/fallback', '/lending/rules']],
   ['more kept than there is', (c) => (c.lending.keep.decode = 9), ['/lending/keep/decode']],
   ['a loan longer than the quiet time', (c) => (c.lending.length = 2501), ['/lending/length']],
+  ['a borrowing rule that resumes', (c) => Object.assign(c.rules[2]!, { resumes: true }), []],
+  ['a rule of live work that resumes', (c) => Object.assign(c.rules[1]!, { resumes: true }), ['/rules/1/resumes']],
   ['a share above all', (c) => (c.lending.most.prefill = 1.1), ['/lending/most/prefill']],
 ];
 
--- a/packages/forms/src/lendingclauses.ts
+++ b/packages/forms/src/lendingclauses.ts
@@ -8,7 +8,12 @@
 export const LendingClauses = {
   faults(c: Charter): Fault[] {
     const l = c.lending;
-    if (!l) return [];
+    const cut = c.rules.flatMap((r, i): Fault[] =>
+      r.resumes === true && l?.rules.includes(r.name) !== true
+        ? [{ path: `/rules/${i}/resumes`, why: `${r.name} may not borrow, and only what is borrowed is cut` }]
+        : [],
+    );
+    if (!l) return cut;
     const live = c.rules.filter((r) => !l.rules.includes(r.name));
     const least = Math.min(...live.map((r) => r.urgency));
     const out = l.rules.flatMap((name, i): Fault[] => {
@@ -27,6 +32,6 @@
       if (l.keep[p] > all)
         out.push({ path: `/lending/keep/${p}`, why: `keeps ${l.keep[p]} but servers that can ${p} have ${all} slots` });
     }
-    return out;
+    return [...cut, ...out];
   },
 };
