--- a/packages/sim/src/lending/lentdrill.ts
+++ b/packages/sim/src/lending/lentdrill.ts
@@ -6,7 +6,21 @@
   name: string;
   about: string;
   meets: readonly (
-    'lent' | 'recalled' | 'unrun' | 'killed' | 'frozen' | 'fell' | 'lapsed' | 'wouldwait' | 'unsure' | 'late' | 'again'
+    | 'lent'
+    | 'recalled'
+    | 'unrun'
+    | 'killed'
+    | 'frozen'
+    | 'fell'
+    | 'lapsed'
+    | 'wouldwait'
+    | 'unsure'
+    | 'late'
+    | 'again'
+    | 'cutat'
+    | 'resumed'
+    | 'resumedtwice'
+    | 'crashed'
   )[];
   run(s: Scene, t: ReturnType<typeof Trainers.make>): Promise<void>;
 };
--- a/packages/sim/src/lending/lentfleet.ts
+++ b/packages/sim/src/lending/lentfleet.ts
@@ -4,6 +4,8 @@
 
 const rule = Deployments.coop.charter.rules.find((r) => r.name === 'changelog')!;
 const rollout = { ...rule, ...{ name: 'rollout', urgency: 0, limit: 200, deadline: 4000, pieces: 24 } };
+/** The same, for generations that may be cut at a piece. */
+const rollon = { ...rollout, name: 'rollon', resumes: true };
 
 /** So few live visits that there are next to none. */
 const IDLE = 0.001;
@@ -15,9 +17,9 @@
     const d = Deployments[fleet];
     const charter: Charter = {
       ...d.charter,
-      rules: [...d.charter.rules, rollout],
+      rules: [...d.charter.rules, rollout, rollon],
       lending: {
-        rules: ['rollout'],
+        rules: ['rollout', 'rollon'],
         most: { prefill: 0.5, decode: 0.5 },
         keep: { prefill: 4, decode: 6 },
         length: LentFleet.term,
--- a/packages/sim/src/lending/lentwork.ts
+++ b/packages/sim/src/lending/lentwork.ts
@@ -7,10 +7,12 @@
 import { Stage } from '../stage.js';
 import { LentDrills } from './lentdrills.js';
 import { LentFleet } from './lentfleet.js';
+import { PieceDrills } from './piecedrills.js';
 import { Promises } from './promises.js';
 import { Trainers } from './trainers.js';
 
-const MEETS: Record<(typeof LentDrills)[number]['meets'][number], (d: Deed) => boolean> = {
+const DRILLS = [...LentDrills, ...PieceDrills];
+const MEETS: Record<(typeof DRILLS)[number]['meets'][number], (d: Deed) => boolean> = {
   lent: (d) => d.what === 'send' && d['part'] === 'decode' && Promises.lent(d),
   recalled: (d) => d.what === 'recalled',
   wouldwait: (d) => d.what === 'wouldwait',
@@ -20,15 +22,20 @@
   killed: (d) => d.what === 'killed',
   late: (d) => d.what === 'late' && d['part'] === 'decode',
   again: (d) => d.what === 'taken' && Number(d['mark']) > 0,
+  cutat: (d) => d.what === 'cutat',
+  resumed: (d) => d.what === 'ran' && Number(d['from']) > 0,
+  resumedtwice: (d) => d.what === 'rests' && Number(d['mark']) > 1,
+  /** Cut by a fault, not called back. */
+  crashed: (d) => d.what === 'visit' && d['code'] === 'cut' && Promises.lent(d),
   frozen: (d) => d.what === 'frozen',
   fell: (d) => d.what === 'fell',
 };
 
 /** Makes one run with bursts, and judges it by the nevers and by what lending promises. */
 export const LentWork = {
-  names: LentDrills.map((d) => d.name),
+  names: DRILLS.map((d) => d.name),
   async run(j: Job): Promise<Ran | null> {
-    const drill = LentDrills.find((d) => d.name === j.drill);
+    const drill = DRILLS.find((d) => d.name === j.drill);
     if (!drill) return null;
     const r = await Stage.run(LentFleet.of(j.fleet), j.seed, async (s) => {
       await drill.run(s, Trainers.make(s));
