--- a/packages/sim/src/lending/joins.ts
+++ b/packages/sim/src/lending/joins.ts
@@ -1,15 +1,15 @@
 import type { Deed } from '@pumicebarrow/forms';
 import type { History } from '../history.js';
+import { LentKeys } from './lentkeys.js';
 import { Text } from '../text.js';
 
 type Past = ReturnType<typeof History.make>;
 type Leg = { place: string; mark: number; d: Deed };
-const KEY = /^(burst-\w+)\.(\d+)\.(\d+)$/;
 /** How long after a recall a stream that may be cut is over, at the daemon that heard of it. */
 const AT_ONCE = 50;
 const leg = (d: Deed): Leg | null => {
-  const m = KEY.exec(String(d['key']));
-  return m ? { place: `${m[1]} ${m[2]}`, mark: Number(m[3]), d } : null;
+  const read = LentKeys.read(d);
+  return read && { place: read.place, mark: read.mark, d };
 };
 const told = (h: Past, what: string): Leg[] =>
   h.of(what).map((d) => ({ place: `${String(d['burst'])} ${String(d['index'])}`, mark: Number(d['mark']), d }));
@@ -55,7 +55,7 @@
     const sent = h
       .of('send')
       .filter(
-        (d) => d['part'] === 'decode' && resumes.has(leg(d)?.place.split(' ')[0] ?? '') && began.has(String(d['key'])),
+        (d) => d['part'] === 'decode' && resumes.has(LentKeys.read(d)?.burst ?? '') && began.has(String(d['key'])),
       );
     return h.of('recalled').flatMap((r) =>
       sent.flatMap((d) => {
--- a/packages/sim/src/lending/lentdrill.ts
+++ b/packages/sim/src/lending/lentdrill.ts
@@ -21,6 +21,9 @@
     | 'resumed'
     | 'resumedtwice'
     | 'crashed'
+    | 'flocked'
   )[];
+  /** Whether nothing fails in it, so that it can be judged whether what was called back was needed. */
+  calm?: true;
   run(s: Scene, t: ReturnType<typeof Trainers.make>): Promise<void>;
 };
--- a/packages/sim/src/lending/lentwork.ts
+++ b/packages/sim/src/lending/lentwork.ts
@@ -7,6 +7,7 @@
 import { Stage } from '../stage.js';
 import { LentDrills } from './lentdrills.js';
 import { LentFleet } from './lentfleet.js';
+import { Needless } from './needless.js';
 import { PieceDrills } from './piecedrills.js';
 import { Promises } from './promises.js';
 import { Trainers } from './trainers.js';
@@ -27,6 +28,7 @@
   resumedtwice: (d) => d.what === 'rests' && Number(d['mark']) > 1,
   /** Cut by a fault, not called back. */
   crashed: (d) => d.what === 'visit' && d['code'] === 'cut' && Promises.lent(d),
+  flocked: (d) => d.what === 'streams' && !Promises.lent(d),
   frozen: (d) => d.what === 'frozen',
   fell: (d) => d.what === 'fell',
 };
@@ -44,9 +46,10 @@
       told = History.make([...Promises.wishes(h), ...h.all]);
     const nevers = Nevers.flatMap((n) => n.judge(told).broken.map((b) => `${n.name}: ${b.why}`));
     const unmet = drill.meets.filter((m) => !h.all.some(MEETS[m]));
+    const needless = drill.calm ? Needless.broken(h, LentFleet.of(j.fleet).charter) : [];
     return {
       ...{ deeds: [], ended: r.ended, points: h.of('generation').length, unmet },
-      broken: [...nevers, ...Promises.broken(h, LentFleet.term)],
+      broken: [...nevers, ...Promises.broken(h, LentFleet.term), ...needless],
     };
   },
   /** One day of waves of live visits, of bursts that come one after another, or of both. */
--- a/packages/sim/src/lending/piecedrills.ts
+++ b/packages/sim/src/lending/piecedrills.ts
@@ -132,10 +132,11 @@
     meets: ['lent', 'cutat', 'resumed'],
     async run(s, t) {
       await begin(s, t);
-      for (const trick of ['torn', 'repeat', 'skip', 'other', 'old', 'swap'] as const) {
+      for (const trick of ['torn', 'repeat', 'skip', 'other', 'old', 'swap', 'mixed', 'mixed'] as const) {
         const ids = s.park.ids(),
           half = ids.filter((_, i) => i % 2 === 0);
         for (const id of half) s.park.trick(id, trick);
+        if (trick === 'mixed') await cut(s, t);
         await s.nap(400 + s.real() * 600);
         for (const id of half) s.park.trick(id, 'none');
         await cut(s, t);
--- a/packages/sim/src/lending/promises.ts
+++ b/packages/sim/src/lending/promises.ts
@@ -2,14 +2,11 @@
 import type { History } from '../history.js';
 import { Fairness } from './fairness.js';
 import { Joins } from './joins.js';
+import { LentKeys } from './lentkeys.js';
 import { SendBounds } from './sendbounds.js';
 
 type Past = ReturnType<typeof History.make>;
-const LENT = /^(burst-\w+)\.(\d+)\.\d+$/;
-const place = (d: Deed): string | null => {
-  const m = LENT.exec(String(d['key']));
-  return m ? `${m[1]} ${m[2]}` : null;
-};
+const place = LentKeys.place;
 
 /** Each generation runs once, or as often as its burst lets it be repeated; each has one outcome, and the right one. */
 const once = (h: Past): string[] => {
--- a/packages/sim/src/model.ts
+++ b/packages/sim/src/model.ts
@@ -86,7 +86,7 @@
           known = prefixes.includes(prefix);
         prefixes = [prefix, ...prefixes.filter((p) => p !== prefix)].slice(0, 12);
         const size = (known ? 0 : job.prefix.length) + job.part.length,
-          begun = job.begun ?? [];
+          begun = (job.begun ?? []).map((text) => (h.trick() === 'mixed' ? `not ${text}` : text));
         await Timer.nap(clock, fair(job) * (0.5 + size / 400));
         bump(-1, job);
         const handle: Handle = {
