--- a/packages/counter/src/lending/lending.ts
+++ b/packages/counter/src/lending/lending.ts
@@ -118,7 +118,7 @@
         borrower.tick(t.serving() ? runner.need() : null, term());
         await runner.read();
       },
-      /** Begins nothing more, gives back what is lent and what waits; what runs is cut at a piece, or comes to its end. */
+      /** Begins nothing more, and gives back what is lent and what waits; what runs is cut at a piece, or ends. */
       async leave(until: number): Promise<void> {
         runner.stop();
         run.clear();
--- a/packages/registry/src/lending/generation.ts
+++ b/packages/registry/src/lending/generation.ts
@@ -2,8 +2,10 @@
 
 /**
  * One generation of a burst. Invariants: `mark` only rises, and a request is sent for a mark only once the mark is
- * held by the core; 'waiting' means that no mark so far has run or will, or that it may be repeated; 'ran', 'unsure'
- * and 'dropped' never change. `held` only grows, and is there only while 'waiting' or 'begun'. `turn` counts the runners that took one mark up; `fence` is that of the last.
+ * held by the core; 'waiting' means that no mark so far has run or will, or that it may be repeated, or that
+ * it was cut after the pieces in `held`; 'ran', 'unsure'
+ * and 'dropped' never change. `held` only grows, and is there only while 'waiting' or 'begun'.
+ * `turn` counts the runners that took one mark up; `fence` is that of the last.
  */
 export const Generation = Type.Object(
   {
--- a/packages/sim/src/lending/needless.ts
+++ b/packages/sim/src/lending/needless.ts
@@ -3,7 +3,7 @@
 import { LentKeys } from './lentkeys.js';
 
 type Past = ReturnType<typeof History.make>;
-type Visit = { who: string; from: number; to: number; weight: number };
+type Span = { who: string; from: number; to: number; weight: number };
 /** What a daemon knows of the fleet, and of what is lent, is at most so old. */
 const OLD = 3000;
 const NEW = 5;
@@ -16,21 +16,18 @@
   broken(h: Past, c: Charter): string[] {
     const weight = (name: unknown): number => c.rules.find((r) => r.name === name)?.weight ?? 1;
     const ends = new Map(h.of('visit').map((d) => [`${String(d['key'])} ${String(d['attempt'])}`, d.at]));
-    const visits = h.of('gated').flatMap((d): Visit[] => {
+    const spans = h.of('gated').flatMap((d): Span[] => {
       if (LentKeys.place(d)) return [];
       const to = ends.get(`${String(d['key'])} ${String(d['attempt'])}`) ?? Infinity;
       return [{ who: d.who, from: d.at, to, weight: weight(d['rule']) }];
     });
     const sum = (at: number, who?: string): number =>
-      visits.reduce(
-        (n, v) => n + (v.from <= at && v.to > at && (who === undefined || v.who === who) ? v.weight : 0),
-        0,
-      );
+      spans.reduce((n, v) => n + (v.from <= at && v.to > at && (who === undefined || v.who === who) ? v.weight : 0), 0);
     /** The weight of whichever visit it was for: one in hand, or one that is let in at this instant. */
     const one = (at: number, who: string): number =>
-      Math.max(1, ...visits.filter((v) => v.who === who && v.from <= at + NEW && v.to > at).map((v) => v.weight));
+      Math.max(1, ...spans.filter((v) => v.who === who && v.from <= at + NEW && v.to > at).map((v) => v.weight));
     const most = (at: number): number =>
-      visits.reduce((n, v) => (v.from > at - OLD && v.from <= at ? Math.max(n, sum(v.from)) : n), sum(at - OLD));
+      spans.reduce((n, v) => (v.from > at - OLD && v.from <= at ? Math.max(n, sum(v.from)) : n), sum(at - OLD));
     const size = (id: string): number => c.servers.find((s) => s.id === id)?.slots ?? 0;
     const last = (list: readonly Deed[], at: number): Deed | undefined => list.findLast((d) => d.at <= at);
     const room = (part: unknown, at: number): number =>
