--- a/packages/client/src/generated.ts
+++ b/packages/client/src/generated.ts
@@ -94,6 +94,10 @@
        * the largest prefix and part together
        */
       bytes: number;
+      /**
+       * whether a borrowed outcome may be cut at a piece, and gone on with from there at another server
+       */
+      resumes?: boolean;
       /**
        * where it is served; everywhere if left out
        */
@@ -129,6 +133,10 @@
        * the largest prefix and part together
        */
       bytes: number;
+      /**
+       * whether a borrowed outcome may be cut at a piece, and gone on with from there at another server
+       */
+      resumes?: boolean;
       /**
        * where it is served; everywhere if left out
        */
