--- a/packages/counter/src/index.ts
+++ b/packages/counter/src/index.ts
@@ -43,6 +43,8 @@
 export { LoanWords } from './lending/loanwords.js';
 export { Runner } from './lending/runner.js';
 export { Spare } from './lending/spare.js';
+export { StageLoan } from './lending/stageloan.js';
+export { StageWishes } from './lending/stagewishes.js';
 export { LentRun } from './lentrun.js';
 export { type Listed } from './listed.js';
 export { type LoadBook } from './loadbook.js';
--- a/packages/counter/src/lending/lending.ts
+++ b/packages/counter/src/lending/lending.ts
@@ -14,6 +14,7 @@
 import { LiveWatch } from './livewatch.js';
 import { LoanWords } from './loanwords.js';
 import { Runner } from './runner.js';
+import { StageWishes } from './stagewishes.js';
 
 type Shared = Pick<
   RunTools,
@@ -39,6 +40,7 @@
   self: () => string;
 };
 const PUMP = 50;
+const WISH = 300;
 
 /** Lending in one daemon: as lender of the servers whose rows it holds, as borrower, and as runner of bursts. */
 export const Lending = {
@@ -80,9 +82,23 @@
       if (ok) world.tell({ what: 'recalled', server: b.server, running });
       return { ok, running };
     });
+    const wishes = StageWishes.make(world.clock);
+    t.post.on('loan.wish', LoanWords.wish, (b, from) => {
+      wishes.heard(from, b.part, b.order);
+      return { ok: true };
+    });
+    /** Says which part alone stands in the way of what has been lent. */
+    const wish = (): void => {
+      const need = t.serving() ? runner.need() : null,
+        part = need && sheet.charter()?.lending?.swaps ? run.short() : null,
+        who = Holder.of('mix', t.roster());
+      if (need && part && who)
+        void t.post.ask(who.addr, who.id, 'loan.wish', { part, order: need.order }, LoanWords.done, WISH);
+    };
     const stops: (() => void)[] = [];
     return {
       loans,
+      wished: wishes.part,
       story: diary.of,
       names: runner.names,
       drop: borrower.drop,
@@ -116,6 +132,7 @@
         lender.tick();
         if (!sheet.charter()?.lending && runner.hand() === 0 && borrower.count() === 0) return;
         borrower.tick(t.serving() ? runner.need() : null, term());
+        wish();
         await runner.read();
       },
       /** Begins nothing more, and gives back what is lent and what waits; what runs is cut at a piece, or ends. */
--- a/packages/counter/src/lending/loanwords.ts
+++ b/packages/counter/src/lending/loanwords.ts
@@ -15,6 +15,11 @@
   recall: Type.Object(server, shut),
   /** `running` is the weight that was begun and runs on. */
   recalled: Type.Object({ ok: Type.Boolean(), running: Type.Number({ minimum: 0 }) }, shut),
+  /** Said to the holder of the mix by a runner whose bursts are short of one part alone. */
+  wish: Type.Object(
+    { part: Type.Union([Type.Literal('prefill'), Type.Literal('decode')]), order: Type.Integer({ minimum: 1 }) },
+    shut,
+  ),
   give: Type.Object({ ...server, running: Type.Number({ minimum: 0 }) }, shut),
   done: Type.Object({ ok: Type.Boolean() }, shut),
 };
--- a/packages/counter/src/lentrun.ts
+++ b/packages/counter/src/lentrun.ts
@@ -57,6 +57,13 @@
           choice.usable(part).reduce((n, s) => n + t.borrower.slots(s.id, s.born), 0);
         return slots('prefill') >= rule.weight ? slots('decode') : 0;
       },
+      /** The part that all of what is lent of is taken, while the other has room; null where there is no such part. */
+      short: (): 'prefill' | 'decode' | null => {
+        const full = (part: 'prefill' | 'decode'): boolean =>
+          choice.usable(part).every((s) => t.loads.at(s.id) >= t.borrower.slots(s.id, s.born));
+        const [read, write] = [full('prefill'), full('decode')];
+        return read === write ? null : read ? 'prefill' : 'decode';
+      },
       /** All that waits is given up, as not run. */
       clear(): void {
         queue.clear();
--- a/packages/forms/src/lendingclauses.test.ts
+++ b/packages/forms/src/lendingclauses.test.ts
@@ -18,6 +18,11 @@
   },
 });
 type Draft = ReturnType<typeof good>;
+const swaps = (prefill: number) => ({ floor: { prefill, decode: 1 }, hour: 4 });
+const swapsBelow = (c: Draft): void => {
+  c.casting.floor.prefill = 2;
+  Object.assign(c.lending, { swaps: swaps(1) });
+};
 const cases: [string, (c: Draft) => void, string[]][] = [
   ['a sound clause', () => undefined, []],
   ['a rule not known', (c) => c.lending.rules.push('other'), ['/lending/rules/1']],
@@ -30,6 +35,8 @@
   ['a loan longer than the quiet time', (c) => (c.lending.length = 2501), ['/lending/length']],
   ['a borrowing rule that resumes', (c) => Object.assign(c.rules[2]!, { resumes: true }), []],
   ['a rule of live work that resumes', (c) => Object.assign(c.rules[1]!, { resumes: true }), ['/rules/1/resumes']],
+  ['swaps with floors', (c) => Object.assign(c.lending, { swaps: swaps(1) }), []],
+  ['a floor of swaps below that of the casting', swapsBelow, ['/lending/swaps/floor/prefill']],
   ['a share above all', (c) => (c.lending.most.prefill = 1.1), ['/lending/most/prefill']],
 ];
 
--- a/packages/forms/src/lendingclauses.ts
+++ b/packages/forms/src/lendingclauses.ts
@@ -32,6 +32,13 @@
       if (l.keep[p] > all)
         out.push({ path: `/lending/keep/${p}`, why: `keeps ${l.keep[p]} but servers that can ${p} have ${all} slots` });
     }
+    if (l.swaps)
+      for (const p of ['prefill', 'decode'] as const)
+        if (l.swaps.floor[p] < c.casting.floor[p])
+          out.push({
+            path: `/lending/swaps/floor/${p}`,
+            why: `is below the floor of the casting, ${c.casting.floor[p]}`,
+          });
     return [...cut, ...out];
   },
 };
--- a/packages/sim/src/index.ts
+++ b/packages/sim/src/index.ts
@@ -70,6 +70,8 @@
 export { PieceDrills } from './lending/piecedrills.js';
 export { Promises } from './lending/promises.js';
 export { SendBounds } from './lending/sendbounds.js';
+export { StageJudge } from './lending/stagejudge.js';
+export { SwapDrills } from './lending/swapdrills.js';
 export { Trainers } from './lending/trainers.js';
 export { Measure } from './measure.js';
 export { Meets } from './meets.js';
--- a/packages/sim/src/lending/lentdrill.ts
+++ b/packages/sim/src/lending/lentdrill.ts
@@ -22,8 +22,12 @@
     | 'resumedtwice'
     | 'crashed'
     | 'flocked'
+    | 'swapped'
+    | 'returned'
   )[];
   /** Whether nothing fails in it, so that it can be judged whether what was called back was needed. */
   calm?: true;
+  /** Whether a server may change its part for bursts. */
+  swaps?: true;
   run(s: Scene, t: ReturnType<typeof Trainers.make>): Promise<void>;
 };
--- a/packages/sim/src/lending/lentfleet.ts
+++ b/packages/sim/src/lending/lentfleet.ts
@@ -27,6 +27,13 @@
     };
     return { ...d, charter };
   },
+  /** The same, where a server may also change its part for bursts. */
+  swapping(fleet: 'coop' | 'registry'): Deployment {
+    const d = LentFleet.of(fleet),
+      lending = d.charter.lending!;
+    return { ...d, charter: { ...d.charter, lending: { ...lending, swaps: LentFleet.swaps } } };
+  },
+  swaps: { floor: { prefill: 1, decode: 2 }, hour: 3 },
   /** A fixed split: the first servers for live work alone, as many as the rest for bursts alone. */
   split(fleet: 'coop' | 'registry'): { live: Deployment; bursts: Deployment } {
     const d = LentFleet.of(fleet),
--- a/packages/sim/src/lending/lentwork.ts
+++ b/packages/sim/src/lending/lentwork.ts
@@ -10,9 +10,11 @@
 import { Needless } from './needless.js';
 import { PieceDrills } from './piecedrills.js';
 import { Promises } from './promises.js';
+import { StageJudge } from './stagejudge.js';
+import { SwapDrills } from './swapdrills.js';
 import { Trainers } from './trainers.js';
 
-const DRILLS = [...LentDrills, ...PieceDrills];
+const DRILLS = [...LentDrills, ...PieceDrills, ...SwapDrills];
 const MEETS: Record<(typeof DRILLS)[number]['meets'][number], (d: Deed) => boolean> = {
   lent: (d) => d.what === 'send' && d['part'] === 'decode' && Promises.lent(d),
   recalled: (d) => d.what === 'recalled',
@@ -29,6 +31,8 @@
   /** Cut by a fault, not called back. */
   crashed: (d) => d.what === 'visit' && d['code'] === 'cut' && Promises.lent(d),
   flocked: (d) => d.what === 'streams' && !Promises.lent(d),
+  swapped: (d) => d.what === 'mix' && Number(d['lent']) !== 0,
+  returned: (d) => d.what === 'mix' && d['back'] === true,
   frozen: (d) => d.what === 'frozen',
   fell: (d) => d.what === 'fell',
 };
@@ -39,17 +43,18 @@
   async run(j: Job): Promise<Ran | null> {
     const drill = DRILLS.find((d) => d.name === j.drill);
     if (!drill) return null;
-    const r = await Stage.run(LentFleet.of(j.fleet), j.seed, async (s) => {
+    const r = await Stage.run((drill.swaps ? LentFleet.swapping : LentFleet.of)(j.fleet), j.seed, async (s) => {
       await drill.run(s, Trainers.make(s));
     });
     const h = r.history,
       told = History.make([...Promises.wishes(h), ...h.all]);
     const nevers = Nevers.flatMap((n) => n.judge(told).broken.map((b) => `${n.name}: ${b.why}`));
     const unmet = drill.meets.filter((m) => !h.all.some(MEETS[m]));
+    const swaps = StageJudge.broken(h, LentFleet.swapping(j.fleet).charter);
     const needless = drill.calm ? Needless.broken(h, LentFleet.of(j.fleet).charter) : [];
     return {
       ...{ deeds: [], ended: r.ended, points: h.of('generation').length, unmet },
-      broken: [...nevers, ...Promises.broken(h, LentFleet.term), ...needless],
+      broken: [...nevers, ...Promises.broken(h, LentFleet.term), ...needless, ...swaps],
     };
   },
   /** One day of waves of live visits, of bursts that come one after another, or of both. */
