lending: a refusal before a try was recorded proves nothing of the turn before

Cause: a runner that took up a begun mark (turn 2) and was refused at admission (noserver) settled it as unrun, though turn 1 had run; the next mark ran it again. Ruled out: the ledger, which keeps turn 1 as sent, and a cut. Now such a mark stays begun and is asked for as the next turn; the ledger opens that only on proof. Unit test seen to fail first.

--- a/packages/counter/src/lending/lending.ts
+++ b/packages/counter/src/lending/lending.ts
@@ -87,10 +87,10 @@
       wishes.heard(from, b.part, b.order);
       return { ok: true };
     });
-    /** Says which part alone stands in the way of what has been lent. */
+    /** Says that something is to be borrowed, and which part alone stands in its way. */
     const wish = (): void => {
       const need = t.serving() ? runner.need() : null,
-        part = need && sheet.charter()?.lending?.swaps ? run.short() : null,
+        part = need && sheet.charter()?.lending?.swaps ? (run.short() ?? 'either') : null,
         who = Holder.of('mix', t.roster());
       if (need && part && who)
         void t.post.ask(who.addr, who.id, 'loan.wish', { part, order: need.order }, LoanWords.done, WISH);
--- a/packages/counter/src/lending/runner.test.ts
+++ b/packages/counter/src/lending/runner.test.ts
@@ -225,6 +225,20 @@
     expect(r.states()).to.equal('unsure');
     expect(r.runner.need()).to.equal(null);
   });
+  it('takes a refusal before the try was recorded for no proof that the turn before has not run', async () => {
+    const r = rig(1);
+    r.begin('a');
+    r.write({ do: 'mark', id: 'a', index: 0, mark: 1, turn: 1, fence: 1 });
+    await r.read();
+    await r.end(0, unrun);
+    expect(r.states()).to.equal('begun');
+    r.wait(400);
+    await r.read();
+    expect(r.keys()).to.deep.equal(['a.0.1/2', 'a.0.1/3']);
+    r.going[1]!.sink.opened!();
+    await r.end(1, unrun);
+    expect(r.states()).to.equal('waiting');
+  });
   it('takes nothing up that it has in hand, however often it reads', async () => {
     const r = rig(1);
     r.begin('a');
--- a/packages/counter/src/lending/runner.ts
+++ b/packages/counter/src/lending/runner.ts
@@ -80,6 +80,8 @@
         pause = now() + PAUSE;
         back.add(id(p));
       }
+      // Refused before it was recorded: that proves nothing of the turn before, which may run yet, or have run.
+      if (out.to === 'unrun' && step.turn > 1 && !take.opened) return;
       t.world.tell({
         what: 'generation',
         burst: spec.key,
--- a/packages/counter/src/lending/stagewishes.ts
+++ b/packages/counter/src/lending/stagewishes.ts
@@ -1,6 +1,6 @@
 import type { Clock, Ident } from '@pumicebarrow/forms';
 
-type Part = 'prefill' | 'decode';
+type Part = 'prefill' | 'decode' | 'either';
 const FRESH = 1200;
 
 /** Which part bursts are short of, by what their runners say. Invariant: the burst begun first is heard. */
--- a/packages/counter/src/mixer.ts
+++ b/packages/counter/src/mixer.ts
@@ -26,8 +26,8 @@
     duty: Duties;
     purge: Purging;
     load: () => Load;
-    /** Which part bursts are short of. */
-    wished: () => 'prefill' | 'decode' | null;
+    /** Which part bursts are short of; null where there are none. */
+    wished: () => 'prefill' | 'decode' | 'either' | null;
     self: () => string;
   }) {
     let wish: ReturnType<typeof t.wished> = null;
@@ -72,7 +72,7 @@
         lean = now === 0 ? 0 : Math.sign(lean) === now ? lean + now : now;
         const mix: Omit<Mix, 'by'> = t.sheet.mix() ?? { prefill: c.casting.prefill };
         const asked = t.wished();
-        looks = asked !== null && asked === wish ? looks + 1 : 0;
+        looks = asked === wish ? looks + 1 : 0;
         wish = asked;
         const seen = { charter: c, mix, wish, looks, lean: now, worst, servers: rows.length };
         const times = { since: t.world.clock.mono() - Math.max(moved, rested), wall: t.world.clock.wall() };
--- a/packages/counter/src/run.ts
+++ b/packages/counter/src/run.ts
@@ -89,6 +89,7 @@
         return end(v, sink, book.bad);
       }
       const { owners, digest } = book;
+      sink.opened?.();
       world.tell({ what: 'recorded', key: v.key, attempt: v.attempt, owners: owners.map((o) => o.id) });
       t.pump();
       const turn = await spot.turn;
--- a/packages/counter/src/takes.ts
+++ b/packages/counter/src/takes.ts
@@ -10,6 +10,8 @@
   /** How many were there before this stream. */
   begun: number;
   spoilt: boolean;
+  /** The try was recorded. */
+  opened: boolean;
   sink: CallerSink;
 };
 type Outcome = {
@@ -27,7 +29,7 @@
   keeps: (pieces: number, chars: number): boolean => pieces <= MOST.pieces && chars <= MOST.chars,
   make(begun: readonly string[] = []): Taken {
     const t: Taken = {
-      ...{ whole: null, pieces: [...begun], begun: begun.length, spoilt: false },
+      ...{ whole: null, pieces: [...begun], begun: begun.length, spoilt: false, opened: false },
       sink: {
         piece: (_n, text) => {
           t.pieces.push(text);
@@ -35,6 +37,9 @@
         end(count, digest) {
           t.whole = { count, digest };
         },
+        opened() {
+          t.opened = true;
+        },
         spoilt() {
           t.spoilt = true;
         },
--- a/packages/sim/src/lending/lentdrills.ts
+++ b/packages/sim/src/lending/lentdrills.ts
@@ -63,6 +63,7 @@
         for (let k = 0; k < s.f.d.servers - 1; k++) void s.callers.visit('changelog', s.f.d.zones[0]!, id);
         await s.nap(300 + s.real() * 300);
       }
+      s.callers.mix({ review: 1, changelog: 6, verdict: 3 });
       await t.finish(LONG);
     },
   },
