--- a/packages/sim/src/lending/joins.test.ts
+++ b/packages/sim/src/lending/joins.test.ts
@@ -36,18 +36,19 @@
     });
   it('must have been cut at once when its server was called back', () => {
     const at = (what: string, who: string, ms: number, more: object): Deed => ({ what, who, at: ms, ...more });
-    const key = 'burst-a.0.1';
+    const key = 'burst-a.0.1',
+      attempt = 1;
     const run = (over: number): string[] =>
       Joins.late(
         History.make([
           at('burst', '-', 0, { key: 'burst-a', resumes: true }),
-          at('send', 'e1', 10, { part: 'decode', server: 'm1', key }),
-          at('streams', 'e1', 20, { key, server: 'm1' }),
+          at('send', 'e1', 10, { part: 'decode', server: 'm1', key, attempt }),
+          at('streams', 'e1', 20, { key, attempt, server: 'm1' }),
           at('recalled', 'e1', 30, { server: 'm1' }),
-          at('visit', 'e1', over, { key, ran: 'maybe', code: 'cut' }),
+          at('visit', 'e1', over, { key, attempt, ran: 'maybe', code: 'cut' }),
         ]),
       );
     expect(run(40)).to.deep.equal([]);
-    expect(run(200)).to.deep.equal([`${key} ran on at m1 after it was called back`]);
+    expect(run(200)).to.deep.equal([`${key} 1 ran on at m1 after it was called back`]);
   });
 });
--- a/packages/sim/src/lending/joins.ts
+++ b/packages/sim/src/lending/joins.ts
@@ -13,6 +13,7 @@
 };
 const told = (h: Past, what: string): Leg[] =>
   h.of(what).map((d) => ({ place: `${String(d['burst'])} ${String(d['index'])}`, mark: Number(d['mark']), d }));
+const attempt = (d: Deed): string => `${String(d['key'])} ${String(d['attempt'])}`;
 const cutsOf = (h: Past): Leg[] => told(h, 'generation').filter((x) => x.d['to'] === 'cut');
 
 /**
@@ -49,17 +50,15 @@
   /** Streams that may be cut, and were not at once when their server was called back. */
   late(h: Past): string[] {
     const resumes = new Set(h.of('burst').flatMap((b) => (b['resumes'] === true ? [String(b['key'])] : [])));
-    const over = new Map(h.of('visit').map((d) => [String(d['key']), d.at]));
-    const began = new Map(h.of('streams').map((d) => [String(d['key']), d]));
+    const over = new Map(h.of('visit').map((d) => [attempt(d), d.at]));
+    const began = new Map(h.of('streams').map((d) => [attempt(d), d]));
     const away = h.all.filter((d) => d.what === 'killed' || d.what === 'frozen');
     const sent = h
       .of('send')
-      .filter(
-        (d) => d['part'] === 'decode' && resumes.has(LentKeys.read(d)?.burst ?? '') && began.has(String(d['key'])),
-      );
+      .filter((d) => d['part'] === 'decode' && resumes.has(LentKeys.read(d)?.burst ?? '') && began.has(attempt(d)));
     return h.of('recalled').flatMap((r) =>
       sent.flatMap((d) => {
-        const key = String(d['key']);
+        const key = attempt(d);
         const on = d.who === r.who && d['server'] === r['server'] && began.get(key)!.at < r.at;
         const end = over.get(key) ?? Infinity;
         if (!on || end < r.at || end <= r.at + AT_ONCE) return [];
