--- a/packages/client/src/generated.ts
+++ b/packages/client/src/generated.ts
@@ -209,6 +209,25 @@
        */
       decode: number;
     };
+    /**
+     * whether a server may change its part for bursts; not if left out
+     */
+    swaps?: {
+      floor: {
+        /**
+         * servers that stay in the part, whatever bursts need
+         */
+        prefill: number;
+        /**
+         * servers that stay in the part, whatever bursts need
+         */
+        decode: number;
+      };
+      /**
+       * swaps for bursts in an hour at the most
+       */
+      hour: number;
+    };
     /**
      * ms after which a loan must have been asked for again
      */
--- a/packages/registry/src/mix.ts
+++ b/packages/registry/src/mix.ts
@@ -1,8 +1,8 @@
 import { Type, type Static } from 'typebox';
 
 /**
- * How many servers should read: the body of the shared doc `mix`, written under its lease. Invariants: `lent` is what of
- * `prefill` is there for bursts, 1, 0 or -1; `swaps` is by the wall clock, of the last hour.
+ * How many servers should read: the body of the shared doc `mix`, written under its lease. Invariants: `lent` is what
+ * of `prefill` is there for bursts, 1, 0 or -1; `swaps` is by the wall clock, of the last hour.
  */
 export const Mix = Type.Object(
   {
