--- a/packages/counter/src/callersink.ts
+++ b/packages/counter/src/callersink.ts
@@ -1,7 +1,7 @@
 import type { Verdict } from '@pumicebarrow/forms';
 
 /**
- * Where a visit's outcome goes. Invariant: pieces come numbered from 1 without a gap, and at most one of
+ * Where a request's answer goes. Invariant: pieces come numbered from 1 without a gap, and at most one of
  * `end`, `cut` and `refuse` is called, once; `refuse` only before the first piece.
  */
 export type CallerSink = {
@@ -12,6 +12,6 @@
   gone(): boolean;
   /** The try is recorded: so none before it has run or will. */
   opened?(): void;
-  /** A line came that can't be of this visit: nothing may be gone on with from here. */
+  /** A line came that can't be of this request: nothing may be gone on with from here. */
   spoilt?(): void;
 };
--- a/packages/counter/src/lending/lending.ts
+++ b/packages/counter/src/lending/lending.ts
@@ -62,7 +62,7 @@
     const runner = Runner.make({
       ...{ world, line: t.line, duty: t.duty, charter: sheet.charter, room: run.room },
       run: (request, sink, begun) => {
-        const done = run.visit(request, sink, begun);
+        const done = run.request(request, sink, begun);
         run.pump();
         return done;
       },
--- a/packages/counter/src/lending/runner.ts
+++ b/packages/counter/src/lending/runner.ts
@@ -2,7 +2,7 @@
 import { Shards, type Burst, type CoreLine, type Generation } from '@pumicebarrow/registry';
 import type { CallerSink } from '../callersink.js';
 import type { Duties } from '../duties.js';
-import type { Visit } from '../visit.js';
+import type { Request } from '../request.js';
 import { Takes } from '../takes.js';
 
 type Tools = {
@@ -13,7 +13,7 @@
   /** How many more may be begun, for a rule. */
   room: (rule: Rule) => number;
   /** `begun` are the pieces that it goes on from. */
-  run: (request: Visit, sink: CallerSink, begun: readonly string[]) => Promise<Verdict>;
+  run: (request: Request, sink: CallerSink, begun: readonly string[]) => Promise<Verdict>;
 };
 type Place = { burst: Burst; index: number; generation: Generation };
 type Step = { mark: number; turn: number; fence: number };
@@ -74,7 +74,7 @@
         prompt = spec.prompts[Math.floor(p.index / spec.samples)]!;
       const begun = p.generation.held ?? [],
         take = Takes.make(begun);
-      const request: Visit = { key: `${id(p)}.${step.mark}`, attempt: step.turn, rule: rule.name, ...prompt };
+      const request: Request = { key: `${id(p)}.${step.mark}`, attempt: step.turn, rule: rule.name, ...prompt };
       const out = Takes.outcome(await t.run(request, take.sink, begun), take, rule.resumes);
       if (out.to === 'unrun' || out.to === 'cut') {
         pause = now() + PAUSE;
--- a/packages/counter/src/reading.ts
+++ b/packages/counter/src/reading.ts
@@ -13,14 +13,14 @@
 const PATIENCE = 4000;
 const LEAST = 200;
 const LOOK = 20;
-const MISFIT: BackFault = { ran: 'no', code: 'bad', dark: false, why: 'gave a handle that does not fit the visit' };
+const MISFIT: BackFault = { ran: 'no', code: 'bad', dark: false, why: 'gave a handle that does not fit the request' };
 
 /** Whether a handle is of just these pieces; of none where nothing was written yet. */
 const goesOn = (h: Handle, begun: readonly string[]): boolean =>
   begun.length === 0
     ? h.after === undefined
     : h.after?.count === begun.length && h.after.digest === PieceHash.short(PieceHash.over(begun));
-/** Whether a handle is of this visit, this life of the server, this prompt and these pieces. */
+/** Whether a handle is of this request, this life of the server, this prompt and these pieces. */
 const fits = (h: Handle | null, { v, begun }: Trip, s: Listed): boolean =>
   h !== null &&
   h.key === v.key &&
@@ -31,9 +31,9 @@
   goesOn(h, begun);
 
 /**
- * A visit's prompt is read by a prefill server. Invariants: it is sent in the same turn as the list was looked at; the
- * room it was given is taken in the instant in which it is found;
- * whatever comes of it, the visit has not run.
+ * A request's prompt is read by a prefill server. Invariants: it is sent in the same turn as the list was looked at;
+ * the room it was given is taken in the instant in which it is found;
+ * whatever comes of it, the request has not run.
  */
 export const Reading = {
   make(t: RunTools, tries: ReturnType<typeof Tries.make>) {
--- a/packages/counter/src/takes.ts
+++ b/packages/counter/src/takes.ts
@@ -1,7 +1,7 @@
 import type { Verdict } from '@pumicebarrow/forms';
 import type { CallerSink } from './callersink.js';
 
-/** The longest text that the core keeps of an outcome, and the most pieces of one that was cut. */
+/** The longest text that the core keeps of an answer, and the most pieces of one that was cut. */
 const MOST = { chars: 4096, pieces: 256 };
 type Taken = {
   whole: { count: number; digest: string } | null;
@@ -23,7 +23,7 @@
   held?: string[];
 };
 
-/** Takes in one generation's outcome, and says what became of it. */
+/** Takes in one generation's answer, and says what became of it. */
 export const Takes = {
   /** Whether so much can be kept, to go on from. */
   keeps: (pieces: number, chars: number): boolean => pieces <= MOST.pieces && chars <= MOST.chars,
@@ -51,7 +51,7 @@
     return t;
   },
   /**
-   * Only a whole outcome is 'ran', and only a verdict of no is 'unrun'; of one too long, count and digest are kept. One
+   * Only a whole answer is 'ran', and only a verdict of no is 'unrun'; of one too long, count and digest are kept. One
    * that may be resumed is 'cut' where its stream broke off after at least one more piece, all of them in order.
    */
   outcome(v: Verdict, t: Taken, resumes = false): Outcome {
--- a/packages/sim/src/lending/lentdrills.ts
+++ b/packages/sim/src/lending/lentdrills.ts
@@ -37,7 +37,7 @@
 export const LentDrills: readonly LentDrill[] = [
   {
     name: 'lendcrowd',
-    about: 'crowds of live visits come while two bursts run',
+    about: 'crowds of live requests come while two bursts run',
     meets: ['lent', 'wouldwait', 'recalled', 'unrun'],
     async run(s, t) {
       await begin(s, t);
@@ -51,7 +51,7 @@
   },
   {
     name: 'lendroom',
-    about: 'live visits come to one daemon in small flocks, for which the fleet has room beside what is lent',
+    about: 'live requests come to one daemon in small flocks, for which the fleet has room beside what is lent',
     meets: ['lent', 'flocked'],
     calm: true,
     async run(s, t) {
@@ -60,7 +60,7 @@
       await begin(s, t, 20);
       for (let i = 0; i < 20; i++) {
         const id = s.f.edgeIds[i % s.f.edgeIds.length]!;
-        for (let k = 0; k < s.f.d.servers - 1; k++) void s.callers.visit('changelog', s.f.d.zones[0]!, id);
+        for (let k = 0; k < s.f.d.servers - 1; k++) void s.callers.request('changelog', s.f.d.zones[0]!, id);
         await s.nap(300 + s.real() * 300);
       }
       s.callers.mix({ review: 1, changelog: 6, verdict: 3 });
@@ -181,7 +181,7 @@
   },
   {
     name: 'lendowed',
-    about: 'one daemon runs two bursts, and gives generations of the first back to crowds of live visits',
+    about: 'one daemon runs two bursts, and gives generations of the first back to crowds of live requests',
     meets: ['lent', 'unrun', 'again'],
     async run(s, t) {
       await t.begin('burst-a', 12, 16);
--- a/packages/sim/src/lending/lentfleet.ts
+++ b/packages/sim/src/lending/lentfleet.ts
@@ -7,7 +7,7 @@
 /** The same, for generations that may be cut at a piece. */
 const rollon = { ...rollout, name: 'rollon', resumes: true };
 
-/** So few live visits that there are next to none. */
+/** So few live requests that there are next to none. */
 const IDLE = 0.001;
 
 /** The two deployments with a charter that lends. */
--- a/packages/sim/src/lending/needless.ts
+++ b/packages/sim/src/lending/needless.ts
@@ -23,7 +23,7 @@
     });
     const sum = (at: number, who?: string): number =>
       spans.reduce((n, v) => n + (v.from <= at && v.to > at && (who === undefined || v.who === who) ? v.weight : 0), 0);
-    /** The weight of whichever visit it was for: one in hand, or one that is let in at this instant. */
+    /** The weight of whichever request it was for: one in hand, or one that is let in at this instant. */
     const one = (at: number, who: string): number =>
       Math.max(1, ...spans.filter((v) => v.who === who && v.from <= at + NEW && v.to > at).map((v) => v.weight));
     const most = (at: number): number =>
--- a/packages/sim/src/lending/piecedrills.ts
+++ b/packages/sim/src/lending/piecedrills.ts
@@ -27,7 +27,7 @@
 export const PieceDrills: readonly LentDrill[] = [
   {
     name: 'piececrowd',
-    about: 'crowds of live visits come while two bursts run that may be cut',
+    about: 'crowds of live requests come while two bursts run that may be cut',
     meets: ['lent', 'recalled', 'cutat', 'resumed'],
     async run(s, t) {
       await begin(s, t);
--- a/packages/yard/src/lentday.ts
+++ b/packages/yard/src/lentday.ts
@@ -101,7 +101,7 @@
       ...LentDay.judge(lists[1]!, ran, pieces, CUT, Joins.cuts(h)),
       ...Joins.broken(h),
     ];
-    if ((crowd.tally['wrong'] ?? 0) > 0) broken.push(`${crowd.tally['wrong']} live outcomes were wrong`);
+    if ((crowd.tally['wrong'] ?? 0) > 0) broken.push(`${crowd.tally['wrong']} live answers were wrong`);
     const unmet = ['loan', 'wouldwait', 'recalled', 'cutat'].filter((what) => h.of(what).length === 0);
     const lines = [
       `loans ${h.of('loan').length}, live requests that would wait ${h.of('wouldwait').length}, recalls ` +
