A prompt that is late in any case is read beside runs, not before others at a reader

Cause: a reader reads one prompt after the other and interrupts none (printed steps: 557 tokens behind one of 20,251 took 602 ms, and order by urgency holds only among those that wait). Now a decode server reads them in pieces between the tokens of its runs (about 19 tokens a ms), up to 32 runs there, and while its client still waits. Pauses stay under 300 ms: a piece adds 11 ms to a step, an event has 12.

--- a/packages/router/src/placement.test.ts
+++ b/packages/router/src/placement.test.ts
@@ -92,6 +92,24 @@
     loads.read('p2', 40_000);
     expect(place.weigh(service, route, p, none).read).to.equal(null);
   });
+  it('reads aside what is late in any case, while its client waits and few run there', () => {
+    const long = prompt(36_000, 34_500);
+    for (const [waits, runs, stage] of [
+      [0, 0, undefined],
+      [0, 25, undefined],
+      [0, 40, 'prefill'],
+      [8000, 0, 'prefill'],
+    ] as const) {
+      const { place, loads, service, route } = make();
+      for (const id of ['d1', 'd2']) {
+        loads.read(id, waits);
+        for (let i = 0; i < runs; i++) loads.run(id);
+      }
+      expect(place.weigh(service, route, long, none).read?.server.stage, `${waits}, ${runs}`).to.equal(stage);
+    }
+    const { place, service, route } = make();
+    expect(place.weigh(service, route, prompt(20_000, 18_000), none).read?.server.stage).to.equal('prefill');
+  });
   it('foresees no queue for what is read before all that waits', () => {
     const { place, loads, service, route } = make();
     for (const id of ['p1', 'p2', 'd1', 'd2']) loads.read(id, 60_000);
