--- a/packages/router/src/stagemix.ts
+++ b/packages/router/src/stagemix.ts
@@ -13,6 +13,8 @@
  * readers are given what decode servers can spare.
  */
 const SPARED: Terms = { read: 130, run: 40, most: 40 };
+/** A reader is given up for runs only where little would wait at the others. */
+const ROOMY: Terms = { read: 130, run: 32, most: Infinity };
 /** Decode servers that are kept then: where one of two fails, the other has too much to do. */
 const KEPT = 3;
 /** Runs from which on a decode server alone gets a second where more than two read: if it fails, nothing runs. */
@@ -50,8 +52,8 @@
   /** What is held to be busy, if a change leads to `next`. */
   terms(now: Count, next: Count): Terms {
     if (StageMix.most(next) > 1) return FEWER;
-    const kept = now.prefill > 1 ? KEPT : 2;
-    return next.decode < now.decode && next.decode >= kept ? SPARED : TERMS;
+    if (next.decode > now.decode) return ROOMY;
+    return next.decode >= (now.prefill > 1 ? KEPT : 2) ? SPARED : TERMS;
   },
   /** How busy the busier stage is; work goes round, so what one server gives up the others take. */
   pressure(load: Load, now: Count, next: Count, terms: Terms): number {
