--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -25,6 +25,8 @@
   speed: (id: string) => number;
   /** ms that reads lately waited beyond what was foreseen. */
   wait: () => number;
+  /** Whether there are routers whose work this one doesn't hear of. */
+  unheard: () => boolean;
 };
 const NONE: ReadonlySet<string> = new Set();
 const UNWEIGHED: Weighed = { read: null, ms: 0, alone: 0 };
@@ -161,7 +163,8 @@
         const soon = apart.fresh / t.pace() < Urgency.TINY;
         const ms = (crowded ? apart.ms : Math.min(apart.ms, beside.ms)) + HAND + START;
         // A reader reads one prompt after the other: one that is late in any case would make those behind it late.
-        const aside = alone > route.aim && route.aim > 0 && patient(beside.s, p, route);
+        // Where not all hear of it, what others send there would wait for longer instead.
+        const aside = alone > route.aim && route.aim > 0 && !t.unheard() && patient(beside.s, p, route);
         const run = (aside && t.loads.at(beside.s.id).runs < THRONGED) || (!crowded && beside.ms <= bar);
         return { read: run ? null : read, ms: soon ? Math.min(ms, alone) : ms, alone };
       },
--- a/packages/routesim/src/capacity/routedworks.ts
+++ b/packages/routesim/src/capacity/routedworks.ts
@@ -132,6 +132,7 @@
       pace: () => 40,
       speed: () => 1,
       wait: () => 0,
+      unheard: () => false,
     });
     const routing = HollowRouting.make(1, 8);
     let turn = 0;
