--- a/examples/counter.mjs
+++ b/examples/counter.mjs
@@ -1,4 +1,4 @@
-// Embeds parts of the data plane by themselves: the visit ledger, the stream check and the queue.
+// Embeds parts of the data plane by themselves: the request ledger, the stream check and the queue.
 import { RealClock } from '@pumicebarrow/forms';
 import { Ledger, StreamCheck, Queue } from '@pumicebarrow/counter';
 
--- a/packages/clerk/src/commands/index.ts
+++ b/packages/clerk/src/commands/index.ts
@@ -11,7 +11,7 @@
 import { FleetCommands } from '../fleet/commands/index.js';
 import { StatusCommand } from './status.js';
 import { TraceCommand } from './trace.js';
-import { VisitCommand } from './visit.js';
+import { CounterRequestCommand } from './counterrequest.js';
 
 /** clerk's commands, by name. */
 export const COMMANDS = {
@@ -21,7 +21,7 @@
   read: ReadCommand,
   status: StatusCommand,
   trace: TraceCommand,
-  visit: VisitCommand,
+  visit: CounterRequestCommand,
   ...FleetCommands,
   bursts: BurstsCommand,
   'burst:begin': BurstBeginCommand,
--- a/packages/clerk/src/visitstory.ts
+++ b/packages/clerk/src/counterrequeststory.ts
@@ -17,13 +17,13 @@
   visit: (m) => `ended it: ran ${text(m['ran'])}, ${text(m['code'])}`,
 };
 
-/** A visit told so that a newcomer can follow it. */
-export const VisitStory = {
+/** A request told so that a newcomer can follow it. */
+export const CounterRequestStory = {
   lines(t: { key: string; daemons: Row[] }): string[] {
     const steps = t.daemons.flatMap((d) => d.steps.map((s) => ({ d, s }))).sort((a, b) => a.s.wall - b.s.wall);
     const first = steps[0]?.s.wall ?? 0;
     return [
-      `Visit ${t.key}:`,
+      `Request ${t.key}:`,
       ...steps.map(
         ({ d, s }) =>
           `  +${String(s.wall - first).padStart(5)} ms  ${d.id.padEnd(6)} try ${s.attempt}: ` +
--- a/packages/clerk/src/index.ts
+++ b/packages/clerk/src/index.ts
@@ -1,4 +1,5 @@
 export { Common } from './common.js';
+export { CounterRequestStory } from './counterrequeststory.js';
 export { Desk } from './desk.js';
 export { ExitCode } from './exitcode.js';
 export { Caller } from './fleet/caller.js';
@@ -13,5 +14,4 @@
 export { LoanStory } from './lending/loanstory.js';
 export { Printer } from './printer.js';
 export { Story } from './story.js';
-export { VisitStory } from './visitstory.js';
 export { Where } from './where.js';
--- a/packages/clerk/src/lending/loanstory.ts
+++ b/packages/clerk/src/lending/loanstory.ts
@@ -4,7 +4,7 @@
 
 const WHY: Record<string, (l: Loan) => string> = {
   lent: (l) => `${l.by} lent ${l.slots} slots that ${l.part} to ${l.holder}, for burst ${l.burst}`,
-  live: (l) => `${l.by} called it back from ${l.holder}: a live visit would have had to wait`,
+  live: (l) => `${l.by} called it back from ${l.holder}: a live request would have had to wait`,
   load: (l) => `${l.by} called it back from ${l.holder}: live work and what is kept leave nothing`,
   given: (l) => `${l.holder} gave it back`,
   lapsed: (l) => `the loan to ${l.holder} ran out, and was not asked for again`,
--- a/packages/clerk/src/lending/stories.test.ts
+++ b/packages/clerk/src/lending/stories.test.ts
@@ -34,7 +34,7 @@
     expect(got).to.deep.equal([
       'Loans of m1:',
       '  +     0 ms  2.0     e2 lent 4 slots that decode to e1, for burst b.',
-      '  +     1 ms  2.1     e2 called it back from e1: a live visit would have had to wait.',
+      '  +     1 ms  2.1     e2 called it back from e1: a live request would have had to wait.',
       '  +     2 ms  2.2     e2 called it back from e1: live work and what is kept leave nothing.',
       '  +     3 ms  2.3     e1 gave it back.',
       '  +     4 ms  2.4     the loan to e1 ran out, and was not asked for again.',
--- a/packages/client/src/client.test.ts
+++ b/packages/client/src/client.test.ts
@@ -3,7 +3,7 @@
 import { createServer, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { Client } from './client.js';
-import type { Visit } from './generated.js';
+import type { Request } from './generated.js';
 
 const digest = (list: string[]): string => {
   const h = createHash('sha256');
@@ -27,7 +27,7 @@
     res.end(JSON.stringify({ verdict: { ran, code: 'x', why: 'y', after: 2 } }));
   };
 const cases: [string, Act[], { whole: boolean; attempts: number[]; naps: number[] }][] = [
-  ['a whole outcome', [whole], { whole: true, attempts: [1], naps: [] }],
+  ['a whole answer', [whole], { whole: true, attempts: [1], naps: [] }],
   [
     'not run, then whole: the next number, after the time told',
     [refuse('no', 503), whole],
@@ -112,7 +112,7 @@
           text += b.toString('utf8');
         });
         req.on('end', () => {
-          attempts.push((JSON.parse(text) as Visit).attempt);
+          attempts.push((JSON.parse(text) as Request).attempt);
           acts[i++]!(res);
         });
       });
@@ -124,11 +124,11 @@
         naps.push(ms);
         return Promise.resolve();
       };
-      const got = await Client.make([addr], { nap }).visit({ key: 'k', prefix: 'p', part: 'q' });
+      const got = await Client.make([addr], { nap }).request({ key: 'k', prefix: 'p', part: 'q' });
       expect({ whole: got.whole, attempts, naps }).to.deep.equal(want);
     });
   }
-  const listen = async (deal: (v: Visit, res: ServerResponse, n: number) => void): Promise<string> => {
+  const listen = async (deal: (v: Request, res: ServerResponse, n: number) => void): Promise<string> => {
     let n = 0;
     server = createServer((req, res) => {
       let text = '';
@@ -137,7 +137,7 @@
       });
       req.on('end', () => {
         if (req.url === '/owners') res.end(JSON.stringify({ owners: ['e1/a', 'e2/b'] }));
-        else deal(JSON.parse(text) as Visit, res, ++n);
+        else deal(JSON.parse(text) as Request, res, ++n);
       });
     });
     await new Promise<void>((done) => {
@@ -159,7 +159,7 @@
     const met = (s: Socket): void => {
       sock = s;
     };
-    const got = await Client.make([addr], { nap, met }).visit(body);
+    const got = await Client.make([addr], { nap, met }).request(body);
     expect({ whole: got.whole, attempts }).to.deep.equal({ whole: true, attempts: [1, 2] });
   });
   it('a daemon that is not there spends nothing, and the next is asked', async () => {
@@ -168,7 +168,7 @@
       attempts.push(v.attempt);
       whole(res);
     });
-    const got = await Client.make(['127.0.0.1:1', addr], { nap }).visit(body);
+    const got = await Client.make(['127.0.0.1:1', addr], { nap }).request(body);
     expect({ whole: got.whole, attempts }).to.deep.equal({ whole: true, attempts: [1] });
   });
   it('names the owners that a daemon gave, the same for each call of a key', async () => {
@@ -178,6 +178,7 @@
       if (n === 1) refuse('no', 503)(res);
       else whole(res);
     });
+    // By the older name of request.
     await Client.make([addr], { nap, pin: true }).visit(body);
     expect(named).to.deep.equal([
       ['e1/a', 'e2/b'],
@@ -188,7 +189,7 @@
     const addr = await listen((_v, res, n) => {
       if (n === 1) refuse('no', 503)(res);
     });
-    const got = await Client.make([addr], { deadline: 1500 }).visit(body);
+    const got = await Client.make([addr], { deadline: 1500 }).request(body);
     expect(got.whole).to.equal(false);
     expect(got.attempt).to.equal(1);
   });
--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -1,15 +1,15 @@
 import type { Socket } from 'node:net';
-import type { Verdict, Visit } from './generated.js';
+import type { Request, Verdict } from './generated.js';
 import { Line } from './line.js';
 import type { Trying } from './trying.js';
-import type { Visiting } from './visiting.js';
+import type { RequestResult } from './requestresult.js';
 
 type Options = {
   /** Calls at the most. */
   tries?: number;
-  /** ms from the start in which the outcome must have come. */
+  /** ms from the start in which the answer must have come. */
   deadline?: number;
-  /** Names the owners of each visit, so that it runs once even if a call is doubled on its way. */
+  /** Names the owners of each request, so that it runs once even if a call is doubled on its way. */
   pin?: boolean;
   nap?: (ms: number) => Promise<void>;
   met?: (s: Socket) => void;
@@ -27,7 +27,7 @@
   !t.made || t.verdict.ran === 'no' || (t.verdict.code === 'torn' && t.pieces === 0);
 
 /**
- * A caller. Invariants: an attempt number is used once, but for a connection that was never made; a visit is tried
+ * A caller. Invariants: an attempt number is used once, but for a connection that was never made; a request is tried
  * again only when told that it has not run, after the time it was told, and at the next daemon; a text is given only
  * if it is whole; nothing goes on after the deadline.
  */
@@ -45,16 +45,19 @@
       }
       return null;
     };
-    return {
+    const caller = {
       close: line.close,
-      async visit(v: Omit<Visit, 'attempt'>, piece: (text: string) => void = () => undefined): Promise<Visiting> {
+      async request(
+        v: Omit<Request, 'attempt'>,
+        piece: (text: string) => void = () => undefined,
+      ): Promise<RequestResult> {
         const end = performance.now() + (o.deadline ?? 60_000);
         const owners = o.pin ? await pins() : null;
         if (o.pin && !owners) return { whole: false, verdict: unreached, pieces: 0, attempt: 0 };
         const named = owners ? { ...v, owners: owners as [string, string] } : v;
         let attempt = 1;
         for (let i = 1; ; i++) {
-          const got = await line.visit(
+          const got = await line.request(
             daemon(),
             { ...named, attempt },
             Math.max(1, Math.ceil(end - performance.now())),
@@ -70,5 +73,7 @@
         }
       },
     };
+    /** `visit` is the older name, under which callers know it. */
+    return { ...caller, visit: caller.request };
   },
 };
--- a/packages/client/src/generated.ts
+++ b/packages/client/src/generated.ts
@@ -1,6 +1,6 @@
 // Made by tools/client.mjs from the schemas of forms and counter. Not to be edited.
 
-export interface Visit {
+export interface Request {
   key: string;
   attempt: number;
   rule?: string;
@@ -14,7 +14,7 @@
   owners?: [string, string, ...string[]];
 }
 
-export type OutcomeLine =
+export type AnswerLine =
   | {
       n: number;
       text: string;
@@ -67,7 +67,7 @@
     {
       name: string;
       /**
-       * how much of a server one visit takes, against the others
+       * how much of a server one request takes, against the others
        */
       weight: number;
       /**
@@ -75,11 +75,11 @@
        */
       urgency: number;
       /**
-       * visits under way at once, per daemon
+       * requests under way at once, per daemon
        */
       limit: number;
       /**
-       * visits that may wait, per daemon
+       * requests that may wait, per daemon
        */
       waitlist: number;
       /**
@@ -87,7 +87,7 @@
        */
       deadline: number;
       /**
-       * the longest outcome, in pieces
+       * the longest answer, in pieces
        */
       pieces: number;
       /**
@@ -102,7 +102,7 @@
     ...{
       name: string;
       /**
-       * how much of a server one visit takes, against the others
+       * how much of a server one request takes, against the others
        */
       weight: number;
       /**
@@ -110,11 +110,11 @@
        */
       urgency: number;
       /**
-       * visits under way at once, per daemon
+       * requests under way at once, per daemon
        */
       limit: number;
       /**
-       * visits that may wait, per daemon
+       * requests that may wait, per daemon
        */
       waitlist: number;
       /**
@@ -122,7 +122,7 @@
        */
       deadline: number;
       /**
-       * the longest outcome, in pieces
+       * the longest answer, in pieces
        */
       pieces: number;
       /**
@@ -136,7 +136,7 @@
     }[]
   ];
   /**
-   * the rule for visits that name none
+   * the rule for requests that name none
    */
   fallback?: string;
   /**
--- a/packages/client/src/line.ts
+++ b/packages/client/src/line.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 import { request as call, Agent, buildConnector } from 'undici';
 import type { Socket } from 'node:net';
-import type { OutcomeLine, Verdict, Visit } from './generated.js';
+import type { AnswerLine, Request, Verdict } from './generated.js';
 import type { Trying } from './trying.js';
 
 const LONGEST = 1024 * 1024;
@@ -15,7 +15,7 @@
   let text = '';
   let held = '';
   const short = (verdict: Verdict): Trying => ({ whole: false, verdict, pieces: n, made: true });
-  const read = (line: OutcomeLine): Trying | null => {
+  const read = (line: AnswerLine): Trying | null => {
     if ('cut' in line) return short(line.verdict);
     if ('end' in line) {
       const good = line.count === n && line.digest === hash.digest('hex').slice(0, 24);
@@ -33,7 +33,7 @@
     feed(bit: string): Trying | null {
       held += bit;
       for (let i = held.indexOf('\n'); i >= 0; i = held.indexOf('\n')) {
-        const got = read(JSON.parse(held.slice(0, i)) as OutcomeLine);
+        const got = read(JSON.parse(held.slice(0, i)) as AnswerLine);
         if (got) return got;
         held = held.slice(i + 1);
       }
@@ -64,7 +64,7 @@
     });
     return {
       close: (): Promise<void> => agent.destroy(),
-      /** The two lives that are to record a visit, as a daemon names them; null when it does not. */
+      /** The two lives that are to record a request, as a daemon names them; null when it does not. */
       async owners(addr: string, ms: number): Promise<string[] | null> {
         try {
           const r = await call(`http://${addr}/owners`, { dispatcher: agent, signal: AbortSignal.timeout(ms) });
@@ -74,7 +74,7 @@
           return null;
         }
       },
-      async visit(addr: string, v: Visit, ms: number, piece: (text: string) => void): Promise<Trying> {
+      async request(addr: string, v: Request, ms: number, piece: (text: string) => void): Promise<Trying> {
         const lines = reader(piece);
         try {
           const r = await call(`http://${addr}/visit`, {
--- a/packages/client/src/visiting.ts
+++ b/packages/client/src/requestresult.ts
@@ -1,5 +1,5 @@
 import type { Verdict } from './generated.js';
 
-/** How a visit ended for its caller. `text` is there only if the outcome is whole. */
-export type Visiting =
+/** How a request ended for its caller. `text` is there only if the answer is whole. */
+export type RequestResult =
   { whole: true; text: string; attempt: number } | { whole: false; verdict: Verdict; pieces: number; attempt: number };
--- a/packages/counter/src/admission.ts
+++ b/packages/counter/src/admission.ts
@@ -1,7 +1,7 @@
 import { Indices, Verdicts, type Charter, type Result, type Rule, type Verdict, Err, Ok } from '@pumicebarrow/forms';
 import type { Loads } from './loads.js';
 import type { Choosing } from './choosing.js';
-import type { Visit } from './visit.js';
+import type { Request } from './request.js';
 import type { Queue } from './queue.js';
 
 type Tools = {
@@ -16,7 +16,7 @@
 const HELD = '*turn';
 
 /**
- * Who may come in. Invariants: a rule never has more than `limit` visits under way nor more than `waitlist` waiting;
+ * Who may come in. Invariants: a rule never has more than `limit` requests under way nor more than `waitlist` waiting;
  * a turn is given only against room at the readers that no other turn has been promised.
  */
 export const Admission = {
@@ -26,8 +26,8 @@
     const room = (rule: Rule): boolean =>
       (under[index.of(rule.name)] ?? 0) < rule.limit && t.choice.roomy('prefill', rule, HELD);
     return {
-      /** What the charter says of this visit, or why it may not come in. */
-      check(v: Visit): Result<Rule, Verdict> {
+      /** What the charter says of this request, or why it may not come in. */
+      check(v: Request): Result<Rule, Verdict> {
         const shut = t.open();
         if (shut) return Err(shut);
         const c = t.charter();
@@ -62,7 +62,7 @@
         return Ok(rule);
       },
       room,
-      /** Counts a visit as under way, and promises it room until it has a server. */
+      /** Counts a request as under way, and promises it room until it has a server. */
       begin(rule: Rule): { settled: () => void; over: () => void } {
         const i = index.of(rule.name);
         under[i] = (under[i] ?? 0) + 1;
--- a/packages/counter/src/outcomeline.ts
+++ b/packages/counter/src/answerline.ts
@@ -7,9 +7,9 @@
  * One line of what a caller is streamed. Invariant: exactly one line with `end` or `cut`, the last; a torn
  * connection has none.
  */
-export const OutcomeLine = Type.Union([
+export const AnswerLine = Type.Union([
   Type.Object({ n: Type.Integer({ minimum: 1 }), text: Type.String() }, shut),
   Type.Object({ end: Type.Literal(true), count: Type.Integer({ minimum: 0 }), digest: Type.String() }, shut),
   Type.Object({ cut: Type.Literal(true), verdict: Verdict }, shut),
 ]);
-export type OutcomeLine = Static<typeof OutcomeLine>;
+export type AnswerLine = Static<typeof AnswerLine>;
--- a/packages/counter/src/back.ts
+++ b/packages/counter/src/back.ts
@@ -5,18 +5,18 @@
 import type { Handle } from './handle.js';
 import type { OrderSlip } from './orderslip.js';
 import type { Piece } from './piece.js';
-import type { VisitJob } from './visitjob.js';
+import type { RequestJob } from './requestjob.js';
 
 /** How model servers are reached. A stream gives pieces as they come; it ends with null, or with a fault. */
 export type Back = {
   prefill(
     addr: string,
-    job: VisitJob & Bound & { prefix: string; part: string; weight: number },
+    job: RequestJob & Bound & { prefix: string; part: string; weight: number },
     ms: number,
   ): Promise<Result<Handle, BackFault>>;
   decode(
     addr: string,
-    job: VisitJob & Bound & { handle: Handle; pieces: number; weight: number },
+    job: RequestJob & Bound & { handle: Handle; pieces: number; weight: number },
     ms: number,
     take: (p: Piece) => boolean,
   ): Promise<Result<null, BackFault>>;
--- a/packages/counter/src/bounds.test.ts
+++ b/packages/counter/src/bounds.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai';
 import { Ledger } from './ledger.js';
 import { Shuns } from './shuns.js';
-import { VisitDiary } from './visitdiary.js';
+import { RequestDiary } from './requestdiary.js';
 import { Queue } from './queue.js';
 
 let now = 0;
@@ -26,11 +26,11 @@
     },
   ],
   [
-    'the diary keeps the latest visits',
+    'the diary keeps the latest requests',
     1200,
     1024,
     (n) => {
-      const diary = VisitDiary.make(clock);
+      const diary = RequestDiary.make(clock);
       const world = diary.listen({ tell: () => undefined } as unknown as World);
       for (let i = 0; i < n; i++) world.tell({ what: 'gated', key: `k${i}`, attempt: 1 });
       return Array.from({ length: n }, (_, i) => diary.of(`k${i}`).length).filter((x) => x > 0).length;
--- a/packages/counter/src/callersink.ts
+++ b/packages/counter/src/callersink.ts
@@ -1,7 +1,7 @@
 import type { Verdict } from '@pumicebarrow/forms';
 
 /**
- * Where a visit's outcome goes. Invariant: pieces come numbered from 1 without a gap, and at most one of
+ * Where a request's answer goes. Invariant: pieces come numbered from 1 without a gap, and at most one of
  * `end`, `cut` and `refuse` is called, once; `refuse` only before the first piece.
  */
 export type CallerSink = {
--- a/packages/counter/src/choice.ts
+++ b/packages/counter/src/choice.ts
@@ -17,7 +17,7 @@
   roster: () => readonly Ident[];
 };
 
-/** Which server a visit goes to. */
+/** Which server a request goes to. */
 export const Choice = {
   make(t: Tools) {
     const share = (id: string): number => {
--- a/packages/counter/src/choosing.ts
+++ b/packages/counter/src/choosing.ts
@@ -1,4 +1,4 @@
 import type { Choice } from './choice.js';
 
-/** The choice of servers, as the run of a visit sees it. */
+/** The choice of servers, as the run of a request sees it. */
 export type Choosing = ReturnType<typeof Choice.make>;
--- a/packages/counter/src/control.ts
+++ b/packages/counter/src/control.ts
@@ -4,7 +4,7 @@
 import { Type } from 'typebox';
 import type { Counting } from './counting.js';
 import { LendingControl } from './lending/lendingcontrol.js';
-import { VisitDesk } from './visitdesk.js';
+import { RequestDesk } from './requestdesk.js';
 import { Wellness } from './wellness.js';
 
 type Told = { verdict: Verdict; [key: string]: unknown };
@@ -142,13 +142,13 @@
         if (!met) return { verdict: Verdicts.not('unknown', `No daemon has met ${name} ${version ?? ''}.`) };
         return { verdict: Verdicts.ran('read', 'As the daemons say.'), name, version: top, daemons: told };
       },
-      /** What became of a visit, as every daemon knows it. */
-      async visit(key: string): Promise<Told> {
+      /** What became of a request, as every daemon knows it. */
+      async request(key: string): Promise<Told> {
         const rows = await Promise.all(
           everyone()
             .filter((w) => w.role === 'counter')
             .map(async (who) => {
-              const r = await d.post.ask(who.addr, who.id, 'visit.tell', { key }, VisitDesk.forms.told, 800);
+              const r = await d.post.ask(who.addr, who.id, 'visit.tell', { key }, RequestDesk.forms.told, 800);
               return { id: who.id, reached: r.ok, steps: r.ok ? r.val.steps : [], entry: r.ok ? r.val.entry : null };
             }),
         );
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -28,21 +28,21 @@
 import { Sights } from './sights.js';
 import type { Town } from './town.js';
 import { TownWatch } from './townwatch.js';
-import type { Visit } from './visit.js';
-import { VisitDesk } from './visitdesk.js';
-import { VisitDiary } from './visitdiary.js';
+import type { Request } from './request.js';
+import { RequestDesk } from './requestdesk.js';
+import { RequestDiary } from './requestdiary.js';
 import { Queue } from './queue.js';
 import { Witness } from './witness.js';
 
-/** Extra tries: so many a visit, and so many saved at the most. */
+/** Extra tries: so many a request, and so many saved at the most. */
 const RATE = 0.2;
 const CAP = 3;
 
-/** A counter daemon put together: purge, ledger, casting and the visits' path. */
+/** A counter daemon put together: purge, ledger, casting and the requests' path. */
 export const Counter = {
   make(outer: World, settings: CounterSettings, back: Back, town: Town) {
     const { clock } = outer;
-    const diary = VisitDiary.make(clock),
+    const diary = RequestDiary.make(clock),
       world = diary.listen(outer);
     const log = world.log('counter');
     const ident: Ident = {
@@ -94,7 +94,7 @@
     );
     const choice = Choice.make({ hails, sheet, town: watch, loads, shuns, roster: crew });
     const demand = { read: 0, write: 0 };
-    /** Visits at admission are wanting for readers only if it is the readers that have no room. */
+    /** Requests at admission are wanting for readers only if it is the readers that have no room. */
     const demandNow = () => ({
       read: demand.read + (choice.roomy('prefill', { weight: 1 }, '*turn') ? 0 : queue.weight()),
       write: demand.write,
@@ -143,7 +143,7 @@
       lending.handed(rule);
       return hands.enter(rule, due);
     };
-    const visit = Run.make({ ...tools, hands: { ...hands, enter: wanted }, version: sheet.version, sure });
+    const request = Run.make({ ...tools, hands: { ...hands, enter: wanted }, version: sheet.version, sure });
     const seeing = { look: () => awake.look(), load: () => checkin.load(), roster: crew, version: sheet.version, sure };
     const lending = Lending.make({
       ...tools,
@@ -182,16 +182,16 @@
       if (is() !== 'draining' && is() !== 'stopped') await checkin.tick();
     };
     TraceDesk.make(post, self, purge, shelf, sure);
-    VisitDesk.make(post, diary, ledger);
+    RequestDesk.make(post, diary, ledger);
     const parts = { ident, admission, post, line, purge, shelf, sheet, watch, ledger, duty, shuns, lending };
     return {
       ...parts,
       ...{ roster: crew, met: met.all, life: is },
-      visit(v: Visit, sink: CallerSink): Promise<Verdict> {
+      request(v: Request, sink: CallerSink): Promise<Verdict> {
         lending.arrived(v.rule);
-        return visit(v, sink);
+        return request(v, sink);
       },
-      /** Two lives that a caller may name as the owners of a visit. */
+      /** Two lives that a caller may name as the owners of a request. */
       owners: (): string[] =>
         Dice.some(
           world.chance,
@@ -223,10 +223,10 @@
         );
         stops.push(Timer.every(clock, 50, pump));
       },
-      /** Stops letting visits in, lets those under way end, gives up its leases. */
+      /** Stops letting requests in, lets those under way end, gives up its leases. */
       async leave(ms: number): Promise<void> {
         life.send('leave');
-        log.say('Leaving: no more visits are let in.');
+        log.say('Leaving: no more requests are let in.');
         queue.clear();
         const end = clock.mono() + ms;
         await lending.leave(Math.min(end, clock.mono() + ms / 2));
--- a/packages/counter/src/daemonlife.ts
+++ b/packages/counter/src/daemonlife.ts
@@ -1,7 +1,7 @@
 import { createMachine, state, transition } from 'robot3';
 
 /**
- * The life of a counter daemon. Visits come in only while 'serving'. A start and a wake both lead through 'asking',
+ * The life of a counter daemon. Requests come in only while 'serving'. A start and a wake both lead through 'asking',
  * in which the newest charter is sought before anything is served.
  */
 export const DaemonLife = createMachine('starting', {
--- a/packages/counter/src/front.test.ts
+++ b/packages/counter/src/front.test.ts
@@ -6,7 +6,7 @@
 import { Front } from './front.js';
 
 const sound = { key: 'k', attempt: 1, rule: 'verdict', prefix: 'p', part: 'q' };
-const visit = JSON.stringify(sound);
+const request = JSON.stringify(sound);
 const post = (body: string, length = Buffer.byteLength(body)): string =>
   `POST /visit HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\ncontent-length: ${length}\r\n\r\n${body}`;
 const tick = (): Promise<void> =>
@@ -24,10 +24,10 @@
     sock.write(text);
   });
 
-/** A daemon's HTTP side before a stand-in for the daemon, which deals with each visit as it is told to. */
+/** A daemon's HTTP side before a stand-in for the daemon, which deals with each request as it is told to. */
 const stand = async (deal: (sink: CallerSink) => Promise<void>) => {
   const d = {
-    visit: async (_v: unknown, sink: CallerSink) => {
+    request: async (_v: unknown, sink: CallerSink) => {
       await deal(sink);
       return Verdicts.ran('ran', '');
     },
@@ -60,7 +60,7 @@
     });
     const sock = dial();
     sock.pause();
-    sock.write(post(visit));
+    sock.write(post(request));
     for (let i = 0; i < 1e5 && !gone && sent < 1.3e8; i++) await tick();
     expect(gone).to.equal(true);
     expect(sent).to.be.lessThan(3e7);
@@ -77,7 +77,7 @@
       gone = true;
     });
     const sock = dial();
-    sock.write(post(visit));
+    sock.write(post(request));
     while (!begun) await tick();
     sock.destroy();
     for (let i = 0; i < 1e6 && !gone; i++) await tick();
@@ -85,7 +85,7 @@
     await front.close();
   });
   const unfinished: [string, string][] = [
-    ['half a body', post(visit, 500)],
+    ['half a body', post(request, 500)],
     ['half its headers', 'POST /visit HTTP/1.1\r\nhost: x\r\n'],
   ];
   for (const [name, text] of unfinished) {
@@ -116,7 +116,7 @@
       return Promise.resolve();
     });
     const sock = dial(),
-      body = Buffer.from(visit);
+      body = Buffer.from(request);
     let said = '';
     body[body.indexOf('p"') + 0] = 0xff;
     sock.write(post('', body.length));
--- a/packages/counter/src/front.ts
+++ b/packages/counter/src/front.ts
@@ -4,7 +4,7 @@
 import type { CallerSink } from './callersink.js';
 import { Control } from './control.js';
 import type { Counting } from './counting.js';
-import { Visit } from './visit.js';
+import { Request } from './request.js';
 
 const STATUS: Record<string, number> = {
   bad: 400,
@@ -25,10 +25,10 @@
   notlent: 409,
 };
 const MOST = 9 * 1024 * 1024;
-/** What is held for a caller that reads slowly, and how long one may take to send a visit. */
+/** What is held for a caller that reads slowly, and how long one may take to send a request. */
 const LIMITS = { held: 1024 * 1024, body: 15_000 };
 
-/** The daemon's HTTP side: visits, health, metrics and, where it is served, control. */
+/** The daemon's HTTP side: requests, health, metrics and, where it is served, control. */
 export const Front = {
   say(res: ServerResponse, body: { verdict: Verdict }): void {
     const v = body.verdict,
@@ -101,12 +101,12 @@
       void (async () => {
         const got = await body(req, res);
         if (!got) return;
-        const visit = Check.parse(Visit, got.v);
-        if (visit.err) {
-          Front.say(res, { verdict: Verdicts.bad(visit.val) });
+        const request = Check.parse(Request, got.v);
+        if (request.err) {
+          Front.say(res, { verdict: Verdicts.bad(request.val) });
           return;
         }
-        await d.visit(visit.val, Front.sink(res, limits.held));
+        await d.request(request.val, Front.sink(res, limits.held));
       })();
     });
     app.get('/owners', (_req, res) => {
@@ -136,7 +136,7 @@
       const key = (req: { params: object }): string =>
         decodeURIComponent(String((req.params as Record<string, unknown>)['key']));
       app.get('/visit/:key', (req, res) => {
-        void desk.visit(key(req)).then((r) => Front.say(res, r));
+        void desk.request(key(req)).then((r) => Front.say(res, r));
       });
       const { lending } = desk;
       app.post('/burst', (req, res) => {
--- a/packages/counter/src/gauges.ts
+++ b/packages/counter/src/gauges.ts
@@ -13,13 +13,13 @@
       for (const k of list) out[k] = (out[k] ?? 0) + 1;
       return out;
     };
-    meters.level('serving', '1 while this daemon lets visits in', () => (d.life() === 'serving' ? 1 : 0));
+    meters.level('serving', '1 while this daemon lets requests in', () => (d.life() === 'serving' ? 1 : 0));
     meters.level('charter_version', 'the charter held; none while it can not tell', () => d.version());
     meters.level('charter_age_seconds', 'since this charter was taken in', () => (mono() - since) / 1000);
     meters.level('list_age_seconds', "the age of the platform's list", () => d.watch.age() / 1000);
-    meters.level('visits_waiting', 'visits in the queues', () => d.waiting());
-    meters.level('visits_under_way', 'visits past their turn', () => d.under());
-    meters.level('ledger_rows', 'visits recorded here for others', () => d.ledger.size());
+    meters.level('visits_waiting', 'requests in the queues', () => d.waiting());
+    meters.level('visits_under_way', 'requests past their turn', () => d.under());
+    meters.level('ledger_rows', 'requests recorded here for others', () => d.ledger.size());
     meters.level('claims_held', 'duties of this daemon', () => d.duty.names().length);
     meters.level('extra_tries_left', 'extra tries saved up', () => d.level());
     meters.levels('servers', 'rows of the casting sheet, by stage', 'stage', () =>
--- a/packages/counter/src/httpback.test.ts
+++ b/packages/counter/src/httpback.test.ts
@@ -38,7 +38,7 @@
 };
 const cases: [string, Deal, { ran: string; code: string; pieces: number }][] = [
   [
-    'resets the connection once it has read the visit',
+    'resets the connection once it has read the request',
     (s) => s.resetAndDestroy(),
     { ran: 'maybe', code: 'broken', pieces: 0 },
   ],
@@ -123,7 +123,7 @@
     await back.close();
   });
   for (const code of ['EHOSTUNREACH', 'ENETUNREACH', 'ECONNREFUSED']) {
-    it(`whose connection fails with ${code} after the visit was written gives no proof`, async () => {
+    it(`whose connection fails with ${code} after the request was written gives no proof`, async () => {
       let last: Socket | null = null;
       const s = await listen(() => {
         last?.destroy(Object.assign(new Error(code), { code }));
--- a/packages/counter/src/ledger.ts
+++ b/packages/counter/src/ledger.ts
@@ -7,7 +7,7 @@
 const KEEP = 15 * 60_000;
 const MOST = 200_000;
 
-/** The owner's side of the visit ledger: in memory, for the keys that fall to this daemon. */
+/** The owner's side of the request ledger: in memory, for the keys that fall to this daemon. */
 export const Ledger = {
   make(clock: Clock) {
     const rows = new Map<string, Entry>();
--- a/packages/counter/src/lending/lending.ts
+++ b/packages/counter/src/lending/lending.ts
@@ -57,7 +57,7 @@
     const runner = Runner.make({
       ...{ world, line: t.line, duty: t.duty, charter: sheet.charter, room: run.room },
       run: (request, sink) => {
-        const done = run.visit(request, sink);
+        const done = run.request(request, sink);
         run.pump();
         return done;
       },
--- a/packages/counter/src/lending/runner.test.ts
+++ b/packages/counter/src/lending/runner.test.ts
@@ -2,12 +2,12 @@
 import { Apply, BurstSummary, Shards, type CoreState } from '@pumicebarrow/registry';
 import { expect } from 'chai';
 import type { CallerSink } from '../callersink.js';
-import type { Visit } from '../visit.js';
+import type { Request } from '../request.js';
 import { Runner } from './runner.js';
 
 const rollout = { name: 'rollout', urgency: 0, weight: 1, limit: 9, deadline: 900, pieces: 9, bytes: 900 };
 const charter = { rules: [rollout], lending: { rules: ['rollout'] } } as unknown as Charter;
-type Going = { request: Visit; sink: CallerSink; done: (v: Verdict) => void };
+type Going = { request: Request; sink: CallerSink; done: (v: Verdict) => void };
 const ranWhole = Verdicts.ran('ran', 'x');
 const unrun = Verdicts.not('late', 'x');
 
--- a/packages/counter/src/lending/runner.ts
+++ b/packages/counter/src/lending/runner.ts
@@ -2,7 +2,7 @@
 import { Shards, type Burst, type CoreLine, type Generation } from '@pumicebarrow/registry';
 import type { CallerSink } from '../callersink.js';
 import type { Duties } from '../duties.js';
-import type { Visit } from '../visit.js';
+import type { Request } from '../request.js';
 import { Takes } from '../takes.js';
 
 type Tools = {
@@ -12,7 +12,7 @@
   charter: () => Charter | null;
   /** How many more may be begun, for a rule. */
   room: (rule: Rule) => number;
-  run: (request: Visit, sink: CallerSink) => Promise<Verdict>;
+  run: (request: Request, sink: CallerSink) => Promise<Verdict>;
 };
 type Place = { burst: Burst; index: number; generation: Generation };
 type Step = { mark: number; turn: number; fence: number };
@@ -67,7 +67,7 @@
       const { spec } = p.burst,
         prompt = spec.prompts[Math.floor(p.index / spec.samples)]!;
       const take = Takes.make();
-      const request: Visit = { key: `${id(p)}.${step.mark}`, attempt: step.turn, rule: rule.name, ...prompt };
+      const request: Request = { key: `${id(p)}.${step.mark}`, attempt: step.turn, rule: rule.name, ...prompt };
       const out = Takes.outcome(await t.run(request, take.sink), take);
       if (out.to === 'unrun') {
         pause = now() + PAUSE;
--- a/packages/counter/src/lentrun.ts
+++ b/packages/counter/src/lentrun.ts
@@ -22,7 +22,7 @@
 };
 
 /**
- * The path of borrowed visits: that of live ones, with admission, queues and loads of its own. Invariants: live work
+ * The path of borrowed requests: that of live ones, with admission, queues and loads of its own. Invariants: live work
  * shares none of these, so it never waits for what is borrowed; every send is bound by its server's lease, and of the
  * lowest urgency there; there are no extra tries, what finds a fault goes back to its burst.
  */
@@ -41,12 +41,12 @@
         return lent && t.hails.bound(s, Math.min(until, lent.until));
       },
     };
-    const bucket = { visit: (): void => undefined, take: (): boolean => false, level: (): number => 0 };
+    const bucket = { request: (): void => undefined, take: (): boolean => false, level: (): number => 0 };
     const demand = { read: 0, write: 0 };
     const lists = { queue, hands, choice, loads: t.loads };
-    const visit = Run.make({ ...t, ...lists, hails, admission, pump, bucket, demand, urgency: 0 });
+    const request = Run.make({ ...t, ...lists, hails, admission, pump, bucket, demand, urgency: 0 });
     return {
-      visit,
+      request,
       pump,
       under: admission.under,
       /** How much of a rule may be in hand at once: what is lent at decode servers, while readers are lent too. */
--- a/packages/counter/src/machines.test.ts
+++ b/packages/counter/src/machines.test.ts
@@ -1,14 +1,14 @@
 import { expect } from 'chai';
 import { interpret, type Machine } from 'robot3';
 import { DaemonLife } from './daemonlife.js';
-import { VisitLife } from './visitlife.js';
+import { RequestLife } from './requestlife.js';
 
 const run = (m: Machine, events: string[]): string => {
   const s = interpret(m, () => undefined);
   for (const e of events) s.send(e as never);
   return String(s.machine.current);
 };
-const visits: [string, string][] = [
+const requests: [string, string][] = [
   ['turn marked read send piece piece whole', 'ended'],
   ['turn marked read send whole', 'ended'],
   ['give', 'refused'],
@@ -36,8 +36,9 @@
   ['sure', 'starting'],
 ];
 
-describe('VisitLife', () => {
-  for (const [e, end] of visits) it(`${e} leads to ${end}`, () => expect(run(VisitLife, e.split(' '))).to.equal(end));
+describe('RequestLife', () => {
+  for (const [e, end] of requests)
+    it(`${e} leads to ${end}`, () => expect(run(RequestLife, e.split(' '))).to.equal(end));
 });
 describe('DaemonLife', () => {
   for (const [e, end] of lives) it(`${e} leads to ${end}`, () => expect(run(DaemonLife, e.split(' '))).to.equal(end));
--- a/packages/counter/src/pump.ts
+++ b/packages/counter/src/pump.ts
@@ -7,8 +7,8 @@
 };
 
 /**
- * Gives turns to visits that wait: at admission, and with a handle for a decode server. Invariant: room that a turn was
- * given for counts as taken until that visit has had its chance to take it.
+ * Gives turns to requests that wait: at admission, and with a handle for a decode server. Invariant: room that a turn
+ * was given for counts as taken until that request has had its chance to take it.
  */
 export const Pump = {
   make(t: Tools): () => void {
--- a/packages/counter/src/queue.test.ts
+++ b/packages/counter/src/queue.test.ts
@@ -121,11 +121,11 @@
 });
 
 describe('Bucket', () => {
-  it('starts empty and never gives more than a fifth of the visits', () => {
+  it('starts empty and never gives more than a fifth of the requests', () => {
     const b = Bucket.make(0.2, 3);
     let taken = b.take() ? 1 : 0;
     for (let i = 0; i < 1000; i++) {
-      b.visit();
+      b.request();
       if (b.take()) taken++;
     }
     expect(taken).to.be.at.most(200);
@@ -133,7 +133,7 @@
   });
   it('saves up no more than its cap', () => {
     const b = Bucket.make(0.2, 3);
-    for (let i = 0; i < 1000; i++) b.visit();
+    for (let i = 0; i < 1000; i++) b.request();
     expect([1, 2, 3, 4].map(() => b.take())).to.deep.equal([true, true, true, false]);
   });
 });
--- a/packages/counter/src/reading.ts
+++ b/packages/counter/src/reading.ts
@@ -7,16 +7,16 @@
 import type { Tries } from './tries.js';
 import type { Trip } from './trip.js';
 import { Urgency } from './urgency.js';
-import type { Visit } from './visit.js';
+import type { Request } from './request.js';
 
 type Taken = { s: Listed; free: () => void };
 const PATIENCE = 4000;
 const LEAST = 200;
 const LOOK = 20;
-const MISFIT: BackFault = { ran: 'no', code: 'bad', dark: false, why: 'gave a handle that does not fit the visit' };
+const MISFIT: BackFault = { ran: 'no', code: 'bad', dark: false, why: 'gave a handle that does not fit the request' };
 
-/** Whether a handle is of this visit, this life of the server and this prompt. */
-const fits = (h: Handle | null, v: Visit, s: Listed): boolean =>
+/** Whether a handle is of this request, this life of the server and this prompt. */
+const fits = (h: Handle | null, v: Request, s: Listed): boolean =>
   h !== null &&
   h.key === v.key &&
   h.attempt === v.attempt &&
@@ -25,9 +25,9 @@
   h.digest === Hash.text(v.prefix + v.part);
 
 /**
- * A visit's prompt is read by a prefill server. Invariants: it is sent in the same turn as the list was looked at; the
- * room it was given is taken in the instant in which it is found;
- * whatever comes of it, the visit has not run.
+ * A request's prompt is read by a prefill server. Invariants: it is sent in the same turn as the list was looked at;
+ * the room it was given is taken in the instant in which it is found;
+ * whatever comes of it, the request has not run.
  */
 export const Reading = {
   make(t: RunTools, tries: ReturnType<typeof Tries.make>) {
--- a/packages/counter/src/visit.ts
+++ b/packages/counter/src/request.ts
@@ -5,7 +5,7 @@
  * number. With `owners`, no two calls of one attempt can both run, whatever daemons they go to; without, see
  * docs/design.md.
  */
-export const Visit = Type.Object(
+export const Request = Type.Object(
   {
     key: Type.String({ minLength: 1, maxLength: 120, pattern: '^[\\w.:-]+$' }),
     attempt: Type.Integer({ minimum: 1, maximum: 1000 }),
@@ -22,4 +22,4 @@
   },
   { additionalProperties: false },
 );
-export type Visit = Static<typeof Visit>;
+export type Request = Static<typeof Request>;
--- a/packages/counter/src/visitdesk.ts
+++ b/packages/counter/src/requestdesk.ts
@@ -1,12 +1,12 @@
 import type { PostBox } from '@pumicebarrow/forms';
 import { Type } from 'typebox';
 import type { Ledger } from './ledger.js';
-import type { VisitDiary } from './visitdiary.js';
+import type { RequestDiary } from './requestdiary.js';
 
 const shut = { additionalProperties: false } as const;
 
-/** Where a daemon tells what it knows of a visit: what it did, and what it recorded as a ledger owner. */
-export const VisitDesk = {
+/** Where a daemon tells what it knows of a request: what it did, and what it recorded as a ledger owner. */
+export const RequestDesk = {
   forms: {
     ask: Type.Object({ key: Type.String() }, shut),
     told: Type.Object(
@@ -30,8 +30,8 @@
       shut,
     ),
   },
-  make(post: PostBox, diary: ReturnType<typeof VisitDiary.make>, ledger: ReturnType<typeof Ledger.make>): void {
-    post.on('visit.tell', VisitDesk.forms.ask, (b) => {
+  make(post: PostBox, diary: ReturnType<typeof RequestDiary.make>, ledger: ReturnType<typeof Ledger.make>): void {
+    post.on('visit.tell', RequestDesk.forms.ask, (b) => {
       const e = ledger.get(b.key);
       return { steps: diary.of(b.key), entry: e ? { attempt: e.attempt, state: e.state, by: e.by } : null };
     });
--- a/packages/counter/src/visitmeter.test.ts
+++ b/packages/counter/src/requestmeter.test.ts
@@ -1,6 +1,6 @@
 import { Meters, type World } from '@pumicebarrow/forms';
 import { expect } from 'chai';
-import { VisitMeter } from './visitmeter.js';
+import { RequestMeter } from './requestmeter.js';
 
 type Deed = Parameters<World['tell']>[0];
 type Step = [ms: number, d: Deed];
@@ -11,7 +11,7 @@
 const shown = async (steps: readonly Step[]): Promise<string> => {
   let now = 0;
   const meters = Meters.make();
-  const meter = VisitMeter.make(meters, () => now);
+  const meter = RequestMeter.make(meters, () => now);
   const told: Deed[] = [];
   const world = meter.listen({ tell: (d: Deed) => told.push(d) } as unknown as World);
   for (const [ms, d] of steps) {
@@ -22,10 +22,10 @@
   return meters.text();
 };
 
-describe('VisitMeter', () => {
+describe('RequestMeter', () => {
   const cases: [string, Step[], string[]][] = [
     [
-      'a visit by rule and verdict',
+      'a request by rule and verdict',
       [
         [0, admitted],
         [900, of('visit', { ran: 'yes', code: 'ran' })],
@@ -36,7 +36,7 @@
       ],
     ],
     [
-      'a visit that was refused at admission, without a rule',
+      'a request that was refused at admission, without a rule',
       [[0, of('visit', { ran: 'no', code: 'full' })]],
       ['pumicebarrow_visits_total{rule="none",ran="no",code="full"} 1'],
     ],
@@ -77,8 +77,8 @@
       for (const line of want) expect(text).to.contain(`${line}\n`);
     });
   }
-  it('remembers no more visits than its bound, and counts one that it forgot', () => {
-    const meter = VisitMeter.make(Meters.make(), () => 0);
+  it('remembers no more requests than its bound, and counts one that it forgot', () => {
+    const meter = RequestMeter.make(Meters.make(), () => 0);
     const world = meter.listen({ tell: () => undefined } as unknown as World);
     for (let i = 0; i < 10_000; i++) world.tell({ ...admitted, key: `k${i}` });
     expect(meter.under()).to.equal(8192);
@@ -88,7 +88,7 @@
   it('times the pieces of a stream', async () => {
     let now = 0;
     const meters = Meters.make();
-    const meter = VisitMeter.make(meters, () => now);
+    const meter = RequestMeter.make(meters, () => now);
     meter.listen({ tell: () => undefined } as unknown as World).tell(admitted);
     const sink = meter.timed({ key: 'k', attempt: 1 }, { piece: () => undefined } as never);
     for (const at of [10, 30, 70]) {
--- a/packages/counter/src/visitmeter.ts
+++ b/packages/counter/src/requestmeter.ts
@@ -3,17 +3,22 @@
 
 type Under = { rule: string; at: number; sent: boolean };
 const MOST = 8192;
-/** Of a visit that was refused before its rule was known. */
+/** Of a request that was refused before its rule was known. */
 const NONE = 'none';
 
 /**
- * Counts visits by what this daemon does for them. Invariants: a visit under way is known by key and attempt, from the
- * admission to its outcome; no more than MOST are remembered, and one that was forgotten is counted without its rule.
+ * Counts requests by what this daemon does for them. Invariants: a request under way is known by key and attempt, from
+ * the admission to its outcome; no more than MOST are remembered, and one that was forgotten is counted without its
+ * rule.
  */
-export const VisitMeter = {
+export const RequestMeter = {
   make(meters: Metering, mono: () => number) {
     const open = new Map<string, Under>();
-    const visits = meters.count('visits_total', 'visits that ended here, by rule and verdict', ['rule', 'ran', 'code']);
+    const requests = meters.count('visits_total', 'requests that ended here, by rule and verdict', [
+      'rule',
+      'ran',
+      'code',
+    ]);
     const extra = meters.count('extra_tries_total', 'hand-overs tried again, by what the first met', ['code']);
     const wait = meters.time('wait_seconds', 'from admission to the first send', ['rule']);
     const first = meters.time('first_piece_seconds', 'from admission to the first piece', ['rule']);
@@ -35,7 +40,7 @@
       u.sent = true;
     };
     const leave = (id: string, u: Under | undefined, ran: string, code: string): void => {
-      visits({ rule: u?.rule ?? NONE, ran, code });
+      requests({ rule: u?.rule ?? NONE, ran, code });
       if (u) whole(mono() - u.at, { rule: u.rule });
       open.delete(id);
     };
--- a/packages/counter/src/run.ts
+++ b/packages/counter/src/run.ts
@@ -5,8 +5,8 @@
 import type { RunTools } from './runtools.js';
 import { Tries } from './tries.js';
 import type { Trip } from './trip.js';
-import type { Visit } from './visit.js';
-import { VisitLife } from './visitlife.js';
+import type { Request } from './request.js';
+import { RequestLife } from './requestlife.js';
 import { Writing } from './writing.js';
 
 type Turn = { settled: () => void; over: () => void };
@@ -17,10 +17,10 @@
   Verdicts.not('late', 'No server had room in time.', Math.min(MOST, Math.max(1, Math.ceil(wait / 1000))));
 
 /**
- * One visit, from admission to its outcome, written straight down.
+ * One request, from admission to its outcome, written straight down.
  * Invariants: nothing is sent while this daemon isn't sure of its charter; every send is preceded, in the same turn, by
- * a look at a young list, and bound by that list's age so that it can't take hold later; a visit is sent again only on
- * proof that it has not run, and each time from the bucket; the sink hears one outcome.
+ * a look at a young list, and bound by that list's age so that it can't take hold later; a request is sent again only
+ * on proof that it has not run, and each time from the bucket; the sink hears one outcome.
  */
 export const Run = {
   make(t: RunTools) {
@@ -31,9 +31,9 @@
       write = Writing.make(t, tries);
     const late = (rule: Rule): Verdict => tooOld(t.queue.foresee(rule.urgency));
 
-    /** A marked visit is read and written, again and again where that is safe, until it is whole or given up. */
-    const go = async (v: Visit, rule: Rule, sink: CallerSink, due: number, settled: () => void): Promise<Done> => {
-      const life = interpret(VisitLife, () => undefined);
+    /** A marked request is read and written, again and again where that is safe, until it is whole or given up. */
+    const go = async (v: Request, rule: Rule, sink: CallerSink, due: number, settled: () => void): Promise<Done> => {
+      const life = interpret(RequestLife, () => undefined);
       const prefix = Hash.text(v.prefix);
       const trip: Trip = {
         ...{ v, rule, sink, due, settled, life, prefix, why: late(rule) },
@@ -46,33 +46,39 @@
       life.send('marked');
       while (is() === 'reading' || is() === 'handing') await (is() === 'reading' ? read(trip) : write(trip));
       settled();
-      if (is() === 'ended') return { verdict: Verdicts.ran('ran', 'The outcome is whole.'), ran: true };
+      if (is() === 'ended') return { verdict: Verdicts.ran('ran', 'The answer is whole.'), ran: true };
       return { verdict: trip.why, ran: false };
     };
-    const told = (v: Visit, verdict: Verdict): void =>
+    const told = (v: Request, verdict: Verdict): void =>
       world.tell({ what: 'visit', key: v.key, attempt: v.attempt, ran: verdict.ran, code: verdict.code });
-    const end = (v: Visit, sink: CallerSink, verdict: Verdict): Verdict => {
+    const end = (v: Request, sink: CallerSink, verdict: Verdict): Verdict => {
       told(v, verdict);
       if (verdict.code === 'cut') sink.cut(verdict);
       else sink.refuse(verdict);
       return verdict;
     };
     /** Its turn never came, or it could not be marked in time: the try is closed before the caller is told. */
-    const unmarked = async (v: Visit, rule: Rule, book: Book, mine: Turn | null, marked: boolean): Promise<Verdict> => {
+    const unmarked = async (
+      v: Request,
+      rule: Rule,
+      book: Book,
+      mine: Turn | null,
+      marked: boolean,
+    ): Promise<Verdict> => {
       mine?.settled();
       mine?.over();
       await witness.close(v, book.owners, book.digest);
       t.pump();
-      return mine && !marked ? Verdicts.not('noledger', 'The visit could not be marked as sent.', 1) : late(rule);
+      return mine && !marked ? Verdicts.not('noledger', 'The request could not be marked as sent.', 1) : late(rule);
     };
 
-    return async (v: Visit, sink: CallerSink): Promise<Verdict> => {
+    return async (v: Request, sink: CallerSink): Promise<Verdict> => {
       const rule = t.admission.check(v);
       if (rule.err) {
         await witness.refused(v);
         return end(v, sink, rule.val);
       }
-      t.bucket.visit();
+      t.bucket.request();
       world.tell({ what: 'gated', key: v.key, attempt: v.attempt, rule: rule.val.name });
       const due = now() + rule.val.deadline;
       const spot = t.queue.enter(rule.val, due);
--- a/packages/counter/src/runtools.ts
+++ b/packages/counter/src/runtools.ts
@@ -10,7 +10,7 @@
 import type { Queue } from './queue.js';
 import type { Witnessing } from './witnessing.js';
 
-/** What the run of a visit works with. */
+/** What the run of a request works with. */
 export type RunTools = {
   world: World;
   admission: Admitting;
--- a/packages/counter/src/streamcheck.test.ts
+++ b/packages/counter/src/streamcheck.test.ts
@@ -26,7 +26,7 @@
   ['an early end', [p(1), end(2)], false],
   ['an end with another digest', [p(1), end(1, { digest: 'x' })], false],
   ['a text that was changed', [p(1, { text: 'other' }), end(1)], false],
-  ["another visit's piece", [p(1, { key: 'other' })], false],
+  ["another request's piece", [p(1, { key: 'other' })], false],
   ["another try's piece", [p(1, { attempt: 2 })], false],
   ['another life of the server', [p(1), p(2, { born: 'old' })], false],
   ['a line after the end', [p(1), end(1), p(2)], false],
--- a/packages/counter/src/streamcheck.ts
+++ b/packages/counter/src/streamcheck.ts
@@ -5,7 +5,7 @@
 type Look =
   { ok: true; text?: string; n?: number; end?: { count: number; digest: string } } | { ok: false; why: string };
 
-/** Holds a stream to its word: this visit, this server's life, no gap, no piece twice, and an end that agrees. */
+/** Holds a stream to its word: this request, this server's life, no gap, no piece twice, and an end that agrees. */
 export const StreamCheck = {
   make(told: Told) {
     const hash = createHash('sha256');
@@ -16,7 +16,7 @@
       over: (): boolean => over,
       look(p: Piece): Look {
         if (over) return { ok: false, why: 'a line came after the end' };
-        if (p.key !== told.key || p.attempt !== told.attempt) return { ok: false, why: 'a line of another visit' };
+        if (p.key !== told.key || p.attempt !== told.attempt) return { ok: false, why: 'a line of another request' };
         if (p.born !== told.born) return { ok: false, why: 'a line of another life of the server' };
         if ('end' in p) {
           over = true;
--- a/packages/counter/src/takes.test.ts
+++ b/packages/counter/src/takes.test.ts
@@ -3,7 +3,7 @@
 import { Takes } from './takes.js';
 
 const cases: [string, Verdict, string | null, object][] = [
-  ['a whole outcome', Verdicts.ran('ran', 'x'), 'text', { to: 'ran', text: 'text', count: 1, digest: 'd' }],
+  ['a whole answer', Verdicts.ran('ran', 'x'), 'text', { to: 'ran', text: 'text', count: 1, digest: 'd' }],
   ['a verdict of no', Verdicts.not('late', 'x'), null, { to: 'unrun' }],
   ['a cut', Verdicts.maybe('cut', 'x'), null, { to: 'unsure', why: 'cut: x' }],
   ['an earlier try that ran', Verdicts.ran('ran', 'x'), null, { to: 'unsure', why: 'ran: x' }],
--- a/packages/counter/src/takes.ts
+++ b/packages/counter/src/takes.ts
@@ -1,12 +1,12 @@
 import type { Verdict } from '@pumicebarrow/forms';
 import type { CallerSink } from './callersink.js';
 
-/** The longest text that the core keeps of an outcome. */
+/** The longest text that the core keeps of an answer. */
 const MOST = 4096;
 type Taken = { whole: { count: number; digest: string } | null; text: () => string; sink: CallerSink };
 type Outcome = { to: 'ran' | 'unrun' | 'unsure'; text?: string; count?: number; digest?: string; why?: string };
 
-/** Takes in one generation's outcome, and says what became of it. */
+/** Takes in one generation's answer, and says what became of it. */
 export const Takes = {
   make(): Taken {
     const pieces: string[] = [];
@@ -27,7 +27,7 @@
     };
     return t;
   },
-  /** Only a whole outcome is 'ran', and only a verdict of no is 'unrun'; of one too long, count and digest are kept. */
+  /** Only a whole answer is 'ran', and only a verdict of no is 'unrun'; of one too long, count and digest are kept. */
   outcome(v: Verdict, t: Taken): Outcome {
     const why = `${v.code}: ${v.why}`.slice(0, 200);
     if (t.whole) {
--- a/packages/counter/src/tries.ts
+++ b/packages/counter/src/tries.ts
@@ -8,8 +8,8 @@
 type Pick = (not: ReadonlySet<string>) => Listed | null;
 
 /**
- * What the reading and the writing of a visit share. Invariants: no server is picked while this daemon isn't sure of
- * its charter; a visit is sent again only for a token from the bucket, and not past its deadline.
+ * What the reading and the writing of a request share. Invariants: no server is picked while this daemon isn't sure of
+ * its charter; a request is sent again only for a token from the bucket, and not past its deadline.
  */
 export const Tries = {
   make(t: RunTools) {
@@ -23,7 +23,7 @@
       /** The bound of a send to a server, by a look at the list in this instant; null if it must not be sent to. */
       bound: (s: Listed | null): Bound | null =>
         s && t.town.good(s.id, s.born) ? t.hails.bound(s, t.town.until()) : null,
-      /** Takes a fault that proves the try unrun; true if the visit may be tried again. */
+      /** Takes a fault that proves the try unrun; true if the request may be tried again. */
       spend(trip: Trip, f: BackFault, s: Listed): boolean {
         trip.why = Verdicts.not(f.code, `${s.id}: ${f.why}`, 1);
         if (f.dark) t.sighted(s);
--- a/packages/counter/src/wellness.test.ts
+++ b/packages/counter/src/wellness.test.ts
@@ -39,7 +39,7 @@
     ],
     ['one behind', { daemons: [{ ...one, version: 3 }] }, ['e1 holds charter 3, not 4']],
     ['no charter', { charter: null }, ['there is no charter: plan and confirm one']],
-    ['no list', { listed: null }, ["the platform's list is away or old: visits are bounced"]],
+    ['no list', { listed: null }, ["the platform's list is away or old: requests are bounced"]],
     ['a server gone', { listed: [{ id: 'm1', born: 'b' }] }, ['server m2 is not listed as serving']],
     [
       'a new life without a row',
--- a/packages/counter/src/wellness.ts
+++ b/packages/counter/src/wellness.ts
@@ -28,7 +28,7 @@
 };
 const servers = (s: Seen): string[] => {
   if (s.charter === null) return ['there is no charter: plan and confirm one'];
-  if (s.listed === null) return ["the platform's list is away or old: visits are bounced"];
+  if (s.listed === null) return ["the platform's list is away or old: requests are bounced"];
   const lit = s.listed;
   return s.charter.servers.flatMap(({ id }) => {
     const there = lit.find((l) => l.id === id),
--- a/packages/counter/src/witness.test.ts
+++ b/packages/counter/src/witness.test.ts
@@ -7,7 +7,7 @@
 const who = (id: string): Ident => ({ id, born: 'b', addr: '10.0.0.1:1', site: 's', role: 'counter' });
 const roster = ['e1', 'e2', 'e3', 'e4'].map(who);
 const order = Lot.rank('key:k', roster, (r) => r.id).map((r) => r.id);
-const visit = (attempt: number) => ({ key: 'k', attempt, prefix: 'p', part: 'q' });
+const request = (attempt: number) => ({ key: 'k', attempt, prefix: 'p', part: 'q' });
 /** What happens to asks at the n-th owner in rank: unheard, or heard with the reply lost. */
 type Fate = 'fine' | 'unsent' | 'lost' | 'heardlost';
 
@@ -48,29 +48,29 @@
   it('pins two owners and marks both', async () => {
     const b = bench(),
       w = b.daemon('x');
-    const o = await w.open(visit(1));
+    const o = await w.open(request(1));
     expect(o.owners.map((i) => i.id)).to.deep.equal(order.slice(0, 2));
-    expect(await w.sent(visit(1), o.owners, o.digest)).to.equal(true);
-    expect((await b.daemon('y').open(visit(2))).bad?.ran).to.equal('maybe');
+    expect(await w.sent(request(1), o.owners, o.digest)).to.equal(true);
+    expect((await b.daemon('y').open(request(2))).bad?.ran).to.equal('maybe');
   });
   it('takes the next owner where nothing was sent to the first', async () => {
     const b = bench();
     b.fate(0, 'unsent');
-    expect((await b.daemon('x').open(visit(1))).owners.map((i) => i.id)).to.deep.equal(order.slice(1, 3));
+    expect((await b.daemon('x').open(request(1))).owners.map((i) => i.id)).to.deep.equal(order.slice(1, 3));
   });
   it('gives the try up where an owner may have recorded it unknown to us', async () => {
     const b = bench();
     b.fate(1, 'heardlost');
-    const o = await b.daemon('x').open(visit(1));
+    const o = await b.daemon('x').open(request(1));
     expect([o.bad?.ran, o.bad?.code, o.owners.length]).to.deep.equal(['no', 'noledger', 0]);
   });
   it('shuts a waiting try out when a later one comes', async () => {
     const b = bench(),
       x = b.daemon('x'),
-      o = await x.open(visit(1));
-    const later = await b.daemon('y').open(visit(2));
+      o = await x.open(request(1));
+    const later = await b.daemon('y').open(request(2));
     expect(later.bad).to.equal(null);
-    expect(await x.sent(visit(1), o.owners, o.digest)).to.equal(false);
+    expect(await x.sent(request(1), o.owners, o.digest)).to.equal(false);
   });
   const lost: [string, number[], string | undefined][] = [
     ['one owner forgot', [0], 'mayhaverun'],
@@ -80,26 +80,26 @@
     it(`never opens a second try of a sent one: ${name}`, async () => {
       const b = bench(),
         x = b.daemon('x'),
-        o = await x.open(visit(1));
-      await x.sent(visit(1), o.owners, o.digest);
+        o = await x.open(request(1));
+      await x.sent(request(1), o.owners, o.digest);
       for (const r of ranks) b.forget(r);
-      expect((await b.daemon('y').open(visit(2))).bad?.code).to.equal(code);
+      expect((await b.daemon('y').open(request(2))).bad?.code).to.equal(code);
     });
   }
   it('opens a second try of a waiting one whose mark can no longer be had, though one owner forgot', async () => {
     const b = bench(),
       x = b.daemon('x'),
-      o = await x.open(visit(1));
+      o = await x.open(request(1));
     b.forget(0);
-    expect((await b.daemon('y').open(visit(2))).bad).to.equal(null);
-    expect(await x.sent(visit(1), o.owners, o.digest)).to.equal(false);
+    expect((await b.daemon('y').open(request(2))).bad).to.equal(null);
+    expect(await x.sent(request(1), o.owners, o.digest)).to.equal(false);
   });
   it('opens the next try after one closed by the daemon that sent it', async () => {
     const b = bench(),
       x = b.daemon('x'),
-      o = await x.open(visit(1));
-    await x.sent(visit(1), o.owners, o.digest);
-    await x.close(visit(1), o.owners, o.digest);
-    expect((await b.daemon('y').open(visit(2))).bad).to.equal(null);
+      o = await x.open(request(1));
+    await x.sent(request(1), o.owners, o.digest);
+    await x.close(request(1), o.owners, o.digest);
+    expect((await b.daemon('y').open(request(2))).bad).to.equal(null);
   });
 });
--- a/packages/counter/src/witness.ts
+++ b/packages/counter/src/witness.ts
@@ -11,7 +11,7 @@
 } from '@pumicebarrow/forms';
 import type { Static } from 'typebox';
 import { LedgerWords } from './ledgerwords.js';
-import type { Visit } from './visit.js';
+import type { Request } from './request.js';
 
 type Say = Static<typeof LedgerWords.opened>['say'] | 'lost' | 'unsent';
 type Step = 'sent' | 'closed' | 'ran';
@@ -20,7 +20,7 @@
 const DOUBTS = 1024;
 
 /**
- * The visit's side of the ledger. Invariants: nothing goes to a server before both owners pinned at the opening
+ * The request's side of the ledger. Invariants: nothing goes to a server before both owners pinned at the opening
  * have acknowledged the mark; a try after the first is opened only on an owner's word that the one before did not run;
  * when an owner may have recorded an opening without our knowing, that try is given up, so that an 'open' record
  * is always one whose mark the sender needs.
@@ -37,12 +37,12 @@
         (r) => r.id,
       );
     /**
-     * Who may record a visit, first those who are to: the two lives that it names, or by rendezvous over the live
+     * Who may record a request, first those who are to: the two lives that it names, or by rendezvous over the live
      * daemons.
      */
-    const ranked = (v: Visit): Ident[] =>
+    const ranked = (v: Request): Ident[] =>
       v.owners ? known().filter((r) => v.owners!.includes(`${r.id}/${r.born}`)) : rendezvous(v.key);
-    const ask = async (o: Ident, v: Visit, digest: string, proven: boolean): Promise<Say> => {
+    const ask = async (o: Ident, v: Request, digest: string, proven: boolean): Promise<Say> => {
       const r = await post.ask(
         o.addr,
         o.id,
@@ -55,7 +55,7 @@
       doubt.set(`${o.id}/${o.born}`, true, SUSPECT);
       return r.val === 'lost' ? 'lost' : 'unsent';
     };
-    const step = async (o: Ident, v: Visit, digest: string, to: Step): Promise<boolean> => {
+    const step = async (o: Ident, v: Request, digest: string, to: Step): Promise<boolean> => {
       const r = await post.ask(
         o.addr,
         o.id,
@@ -66,23 +66,23 @@
       );
       return r.ok && r.val.ok;
     };
-    const all = async (list: readonly Ident[], v: Visit, digest: string, to: Step): Promise<boolean> =>
+    const all = async (list: readonly Ident[], v: Request, digest: string, to: Step): Promise<boolean> =>
       (await Promise.all(list.map((o) => step(o, v, digest, to)))).every((x) => x);
-    const digestOf = (v: Visit): string => Hash.text(`${v.rule ?? ''}\n${v.prefix.length}\n${v.prefix}${v.part}`);
+    const digestOf = (v: Request): string => Hash.text(`${v.rule ?? ''}\n${v.prefix.length}\n${v.prefix}${v.part}`);
 
     const judge = (says: readonly Say[]): Verdict | null => {
       const has = (s: Say): boolean => says.includes(s);
       if (has('other')) return Verdicts.not('otherbody', 'This key was used with another body.');
-      if (has('ran')) return Verdicts.ran('ran', 'An earlier try of this visit ran.');
-      if (has('sent')) return Verdicts.maybe('mayhaverun', 'An earlier try of this visit may have run.');
+      if (has('ran')) return Verdicts.ran('ran', 'An earlier try of this request ran.');
+      if (has('sent')) return Verdicts.maybe('mayhaverun', 'An earlier try of this request may have run.');
       if (has('twin')) return Verdicts.maybe('twin', 'This attempt, or a later one, is known already.');
       if (has('closed')) return Verdicts.not('closed', 'This attempt is closed; use the next number.', 0);
-      if (has('lost')) return Verdicts.not('noledger', 'A daemon that records visits did not reply.', 1);
+      if (has('lost')) return Verdicts.not('noledger', 'A daemon that records requests did not reply.', 1);
       return null;
     };
     return {
-      /** Two owners are pinned, or the visit goes no further. */
-      async open(v: Visit): Promise<{ bad: Verdict | null; owners: Ident[]; digest: string }> {
+      /** Two owners are pinned, or the request goes no further. */
+      async open(v: Request): Promise<{ bad: Verdict | null; owners: Ident[]; digest: string }> {
         const digest = digestOf(v),
           order = ranked(v);
         const asked = order.slice(0, v.attempt > 1 ? 3 : 2);
@@ -107,14 +107,15 @@
         const late = judge(says);
         if (late) return give(late);
         if (lit().length < 2)
-          return give(Verdicts.not('noledger', 'Too few daemons can be reached to record the visit.', 1));
+          return give(Verdicts.not('noledger', 'Too few daemons can be reached to record the request.', 1));
         return { bad: null, owners: lit(), digest };
       },
-      sent: (v: Visit, owners: readonly Ident[], digest: string): Promise<boolean> => all(owners, v, digest, 'sent'),
-      ran: (v: Visit, owners: readonly Ident[], digest: string): Promise<boolean> => all(owners, v, digest, 'ran'),
-      close: (v: Visit, owners: readonly Ident[], digest: string): Promise<boolean> => all(owners, v, digest, 'closed'),
-      /** For a visit refused at admission: lets its next try be proven. Never holds the outcome back for long. */
-      async refused(v: Visit): Promise<void> {
+      sent: (v: Request, owners: readonly Ident[], digest: string): Promise<boolean> => all(owners, v, digest, 'sent'),
+      ran: (v: Request, owners: readonly Ident[], digest: string): Promise<boolean> => all(owners, v, digest, 'ran'),
+      close: (v: Request, owners: readonly Ident[], digest: string): Promise<boolean> =>
+        all(owners, v, digest, 'closed'),
+      /** For a request refused at admission: lets its next try be proven. Never holds the outcome back for long. */
+      async refused(v: Request): Promise<void> {
         await Timer.within(clock, 150, all(ranked(v).slice(0, 2), v, digestOf(v), 'closed'), () => false);
       },
     };
--- a/packages/counter/src/witnessing.ts
+++ b/packages/counter/src/witnessing.ts
@@ -1,4 +1,4 @@
 import type { Witness } from './witness.js';
 
-/** The visit's side of the ledger, as its run sees it. */
+/** The request's side of the ledger, as its run sees it. */
 export type Witnessing = ReturnType<typeof Witness.make>;
--- a/packages/counter/src/writing.test.ts
+++ b/packages/counter/src/writing.test.ts
@@ -6,13 +6,13 @@
 import type { RunTools } from './runtools.js';
 import { Tries } from './tries.js';
 import type { Trip } from './trip.js';
-import { VisitLife } from './visitlife.js';
+import { RequestLife } from './requestlife.js';
 import { Writing } from './writing.js';
 
 const rule = { name: 'r', weight: 1, urgency: 1, limit: 9, waitlist: 9, deadline: 900, pieces: 2, bytes: 99 } as Rule;
 const servers = ['m1', 'm2', 'm3'].map((id) => ({ id, born: 'x', addr: id, site: 's', mark: 'serving' as const }));
 
-/** Visits that get their turn in one instant, where each server has room for one. */
+/** Requests that get their turn in one instant, where each server has room for one. */
 const rig = () => {
   const loads = Loads.make();
   const met: string[] = [];
@@ -42,7 +42,7 @@
       gone: () => false,
     },
     settled: () => undefined,
-    life: interpret(VisitLife, () => undefined),
+    life: interpret(RequestLife, () => undefined),
     handle: { id: 'h', key: `k${i}`, attempt: 1, server: 'm1', born: 'x', addr: 'm1', digest: '' },
     reader: servers[0]!,
     why: Err('x') as never,
@@ -50,7 +50,7 @@
   return { t, jobs, tries: Tries.make(t), trip, met };
 };
 
-describe('Visits that have their turn in one instant', () => {
+describe('Requests that have their turn in one instant', () => {
   for (const [name, make] of [
     ['read', Reading.make],
     ['written', Writing.make],
--- a/packages/counter/src/writing.ts
+++ b/packages/counter/src/writing.ts
@@ -18,10 +18,10 @@
 const broken = (why: string): BackFault => ({ ran: 'maybe', code: 'broken', dark: false, why });
 
 /**
- * A visit's outcome is written by a decode server. Invariants: it is sent in the same turn as the list was looked at;
+ * A request's answer is written by a decode server. Invariants: it is sent in the same turn as the list was looked at;
  * the room it was given is taken in the instant in which it is found;
  * it is sent again only on proof that this try has not run, and never once a piece has come; no piece is handed on
- * that is not the next one of this visit and this life.
+ * that is not the next one of this request and this life.
  */
 export const Writing = {
   make(t: RunTools, tries: ReturnType<typeof Tries.make>) {
@@ -68,7 +68,7 @@
       };
       return ear;
     };
-    /** The stream is over without its end: again if it is proven unrun, else the visit is given up. */
+    /** The stream is over without its end: again if it is proven unrun, else the request is given up. */
     const failed = (trip: Trip, s: Listed, f: BackFault, count: number): void => {
       if (f.ran === 'no' && count === 0) {
         const more = tries.spend(trip, f, s);
@@ -79,7 +79,7 @@
       if (f.dark) t.sighted(s);
       trip.why =
         count > 0
-          ? Verdicts.maybe('cut', `The outcome was cut after ${count} pieces: ${f.why}`)
+          ? Verdicts.maybe('cut', `The answer was cut after ${count} pieces: ${f.why}`)
           : Verdicts.maybe('mayhaverun', `${s.id}: ${f.why}`);
       trip.life.send('give');
     };
--- a/packages/counterd/src/main.ts
+++ b/packages/counterd/src/main.ts
@@ -1,5 +1,5 @@
-import { Counter, Front, Gauges, HttpBack, HttpTown, VisitMeter } from '@pumicebarrow/counter';
-import type { CallerSink, Visit } from '@pumicebarrow/counter';
+import { Counter, Front, Gauges, HttpBack, HttpTown, RequestMeter } from '@pumicebarrow/counter';
+import type { CallerSink, Request } from '@pumicebarrow/counter';
 import { Machine, Meters, Program } from '@pumicebarrow/forms';
 import { Tuned } from '@pumicebarrow/purge';
 import { Settings } from './settings.js';
@@ -25,7 +25,7 @@
       const back = HttpBack.make(),
         town = HttpTown.make(s.town);
       const meters = Meters.make();
-      const meter = VisitMeter.make(meters, world.clock.mono);
+      const meter = RequestMeter.make(meters, world.clock.mono);
       const d = Counter.make(
         meter.listen(world),
         {
@@ -40,7 +40,7 @@
         town,
       );
       Gauges.make(meters, d, world.clock.mono);
-      const timed = { ...d, visit: (v: Visit, sink: CallerSink) => d.visit(v, meter.timed(v, sink)) };
+      const timed = { ...d, request: (v: Request, sink: CallerSink) => d.request(v, meter.timed(v, sink)) };
       const front = await Front.make(world, timed, s.control ?? false, s.http, meters);
       d.start();
       Program.until(async () => {
--- a/packages/forms/src/charter.ts
+++ b/packages/forms/src/charter.ts
@@ -7,7 +7,7 @@
   {
     sites: Type.Array(Type.String({ minLength: 1, maxLength: 40 }), { minItems: 1, maxItems: 64 }),
     rules: Type.Array(Rule, { minItems: 1, maxItems: 64 }),
-    fallback: Type.Optional(Type.String({ description: 'the rule for visits that name none' })),
+    fallback: Type.Optional(Type.String({ description: 'the rule for requests that name none' })),
     servers: Type.Array(
       Type.Object(
         {
--- a/packages/forms/src/lending.ts
+++ b/packages/forms/src/lending.ts
@@ -5,7 +5,7 @@
 
 /**
  * Who may borrow what live work does not need. Invariants: a rule that may borrow is less urgent than every other, and
- * its outcomes are short enough to be kept; a loan is shorter than the quiet time of a new holder of a server's row.
+ * its answers are short enough to be kept; a loan is shorter than the quiet time of a new holder of a server's row.
  */
 export const Lending = Type.Object(
   {
--- a/packages/forms/src/lendingclauses.test.ts
+++ b/packages/forms/src/lendingclauses.test.ts
@@ -24,7 +24,7 @@
   ['a rule named twice', (c) => c.lending.rules.push('rollout'), ['/lending/rules/1']],
   ['the fallback', (c) => (c.fallback = 'rollout'), ['/lending/rules/0']],
   ['a rule as urgent as live work', (c) => (c.rules[2]!.urgency = 2), ['/lending/rules/0']],
-  ['a rule with long outcomes', (c) => (c.rules[2]!.pieces = 257), ['/lending/rules/0']],
+  ['a rule with long answers', (c) => (c.rules[2]!.pieces = 257), ['/lending/rules/0']],
   ['no rule left for live work', (c) => (c.rules = [c.rules[2]!]), ['/fallback', '/lending/rules']],
   ['more kept than there is', (c) => (c.lending.keep.decode = 9), ['/lending/keep/decode']],
   ['a loan longer than the quiet time', (c) => (c.lending.length = 2501), ['/lending/length']],
--- a/packages/forms/src/lendingclauses.ts
+++ b/packages/forms/src/lendingclauses.ts
@@ -1,7 +1,7 @@
 import type { Charter } from './charter.js';
 import type { Fault } from './fault.js';
 
-/** Outcomes of a burst are kept by the core, so they are short. */
+/** Answers of a burst are kept by the core, so they are short. */
 const LONGEST = 256;
 
 /** What a charter's lending says of the rest of it. */
@@ -16,9 +16,9 @@
         rule = c.rules.find((r) => r.name === name);
       if (l.rules.indexOf(name) < i) return [{ path, why: `names ${name} again` }];
       if (!rule) return [{ path, why: `names the unknown rule ${name}` }];
-      if (name === c.fallback) return [{ path, why: `names ${name}, which visits that name none fall back to` }];
+      if (name === c.fallback) return [{ path, why: `names ${name}, which requests that name none fall back to` }];
       if (rule.urgency >= least) return [{ path, why: `${name} is not less urgent than every rule of live work` }];
-      if (rule.pieces > LONGEST) return [{ path, why: `${name} has outcomes of more than ${LONGEST} pieces` }];
+      if (rule.pieces > LONGEST) return [{ path, why: `${name} has answers of more than ${LONGEST} pieces` }];
       return [];
     });
     if (live.length === 0) out.push({ path: '/lending/rules', why: 'leaves no rule for live work' });
--- a/packages/forms/src/verdict.ts
+++ b/packages/forms/src/verdict.ts
@@ -1,7 +1,7 @@
 import { Type, type Static } from 'typebox';
 
 /**
- * What became of a visit or a command, and whether it may have run.
+ * What became of a request or a command, and whether it may have run.
  * Invariant: `ran: 'no'` is said only when it has not run and never will.
  */
 export const Verdict = Type.Object(
--- a/packages/registry/src/warnings.test.ts
+++ b/packages/registry/src/warnings.test.ts
@@ -33,21 +33,21 @@
     [
       'a server in use that goes',
       { servers: [server('m1'), server('m3')] },
-      ['server m2 is in use, and no visit will go to it any more'],
+      ['server m2 is in use, and no request will go to it any more'],
     ],
     [
       'a server in use that is renamed',
       { servers: [server('m1'), server('m9'), server('m3')] },
       [
-        'server m2 is in use, and no visit will go to it any more',
+        'server m2 is in use, and no request will go to it any more',
         'm2 seems to be renamed to m9: the platform must list it under that name',
       ],
     ],
-    ['a rule that goes', { rules: [rule('review', 10)] }, ['visits of the rule verdict will be bounced: it goes']],
+    ['a rule that goes', { rules: [rule('review', 10)] }, ['requests of the rule verdict will be bounced: it goes']],
     [
       'a rule that shrinks',
       { rules: [rule('review', 1), rule('verdict', 10)] },
-      ['the rule review lets in 90% fewer visits at once'],
+      ['the rule review lets in 90% fewer requests at once'],
     ],
     [
       'a server that must swap',
--- a/packages/registry/src/warnings.ts
+++ b/packages/registry/src/warnings.ts
@@ -11,9 +11,9 @@
   if (b < a * HALF) out.push(`it takes away ${share(a, b)} of the fleet's slots (${a} to ${b})`);
   for (const r of was.rules) {
     const next = will.rules.find((x) => x.name === r.name);
-    if (!next) out.push(`visits of the rule ${r.name} will be bounced: it goes`);
+    if (!next) out.push(`requests of the rule ${r.name} will be bounced: it goes`);
     else if (next.limit < r.limit * HALF)
-      out.push(`the rule ${r.name} lets in ${share(r.limit, next.limit)} fewer visits at once`);
+      out.push(`the rule ${r.name} lets in ${share(r.limit, next.limit)} fewer requests at once`);
   }
   return out;
 };
@@ -21,7 +21,7 @@
   const gone = was.servers.filter((s) => !will.servers.some((x) => x.id === s.id));
   const fresh = will.servers.filter((s) => !was.servers.some((x) => x.id === s.id));
   const used = gone.filter((s) => rows.some((r) => r.server === s.id && r.stage === 'serving'));
-  const out = used.map((s) => `server ${s.id} is in use, and no visit will go to it any more`);
+  const out = used.map((s) => `server ${s.id} is in use, and no request will go to it any more`);
   for (const s of used) {
     const twin = fresh.find((x) => x.site === s.site && x.part === s.part && x.slots === s.slots);
     if (twin) out.push(`${s.id} seems to be renamed to ${twin.id}: the platform must list it under that name`);
--- a/packages/routesim/src/capacity/handing.ts
+++ b/packages/routesim/src/capacity/handing.ts
@@ -105,10 +105,10 @@
         Hollow.figure(a, 'router', `handed over within a zone, ${what}`, 'share', some.near / over),
       ];
     };
-    const perRouter = Math.round((Design.visits / Design.daemons / 1000) * UnderWay.STREAM);
+    const perRouter = Math.round((Design.requests / Design.daemons / 1000) * UnderWay.STREAM);
     const own = { beside: 0, near: 0, far: 0 };
     for (let i = 0; i < ROUTERS; i++) {
-      const reads = Math.round((Design.visits / Design.daemons) * (READ / 1000));
+      const reads = Math.round((Design.requests / Design.daemons) * (READ / 1000));
       const got = Handing.play(servers, [zones[i % zones.length]!], perRouter, reads, chance);
       own.beside += got.beside;
       own.near += got.near;
@@ -118,7 +118,7 @@
       servers,
       zones,
       KNOWN,
-      Math.round((Design.visits * READ * n) / 1000 / Design.servers),
+      Math.round((Design.requests * READ * n) / 1000 / Design.servers),
       chance,
     );
     const most = Math.max(...known.runs.values());
--- a/packages/routesim/src/capacity/routedruns.ts
+++ b/packages/routesim/src/capacity/routedruns.ts
@@ -22,7 +22,7 @@
 const sizes = [25, 50, 100, 200, 400, 800, 1600, 2900];
 const tables = [4, 16, 64, 256, 1024, 4096, 10_000];
 /** Requests under way at a router at the design size. */
-const UNDER_WAY = Math.round((Design.visits / Design.daemons / 1000) * UnderWay.STREAM);
+const UNDER_WAY = Math.round((Design.requests / Design.daemons / 1000) * UnderWay.STREAM);
 /** ms between regions, one way. */
 const FAR = 35;
 const SERVERS = Design.servers / Design.daemons;
--- a/packages/routesim/src/capacity/savedtries.ts
+++ b/packages/routesim/src/capacity/savedtries.ts
@@ -35,7 +35,7 @@
   },
   run(n: number): Figure[] {
     const a = { run: 'budget', axis: 'routers', at: n };
-    const most = Math.round(((Design.visits / Design.daemons) * window) / 1000);
+    const most = Math.round(((Design.requests / Design.daemons) * window) / 1000);
     const asked = [1, most].map((each) => ({ what: `${each} requests each`, each, services: 1 }));
     const one = {
       what: `${most} requests each, to one of ${SERVICES} services that fails`,
--- a/packages/sim/src/callers.ts
+++ b/packages/sim/src/callers.ts
@@ -1,5 +1,5 @@
 import { Dice, type Deed, type Verdict } from '@pumicebarrow/forms';
-import type { CallerSink, Visit } from '@pumicebarrow/counter';
+import type { CallerSink, Request } from '@pumicebarrow/counter';
 import type { Fleeting } from './fleeting.js';
 import { Text } from './text.js';
 
@@ -37,7 +37,7 @@
         motor.at(at() + ms, done);
       });
 
-    const once = (id: string, v: Visit): Promise<Out> =>
+    const once = (id: string, v: Request): Promise<Out> =>
       new Promise((done) => {
         const c = f.counters.get(id),
           box = f.boxes.get(id)!;
@@ -105,7 +105,7 @@
             motor.at(box.thaw(), hand);
             return;
           }
-          if (open) void c.visit(v, sink);
+          if (open) void c.request(v, sink);
         });
         const wait = (): void => {
           const before = n;
@@ -117,7 +117,7 @@
         wait();
       });
 
-    /** A new visit's key and body. */
+    /** A new request's key and body. */
     const wish = (rule: string, zone: string) => {
       const size = SIZES[rule]!,
         key = `v${++serial}`;
@@ -151,7 +151,7 @@
         }),
       );
     };
-    const visit = async (rule: string, zone: string): Promise<void> => {
+    const request = async (rule: string, zone: string): Promise<void> => {
       const { key, body } = wish(rule, zone);
       let attempt = 1;
       let dead = 0;
@@ -187,7 +187,7 @@
       const total = mix.reduce((a, [, w]) => a + w, 0);
       let r = motor.chance.real() * total;
       const kind = mix.find(([, w]) => (r -= w) < 0)?.[0] ?? mix[0]![0];
-      void visit(kind, Dice.one(motor.chance, d.zones)!);
+      void request(kind, Dice.one(motor.chance, d.zones)!);
       motor.at(at() + (-Math.log(1 - motor.chance.real()) * 1000) / rate, flow);
     };
     return {
@@ -197,7 +197,7 @@
       },
       crowd(n: number): void {
         for (let i = 0; i < n; i++)
-          void visit(
+          void request(
             Dice.one(motor.chance, ['changelog', 'changelog', 'verdict', 'review'])!,
             Dice.one(motor.chance, d.zones)!,
           );
@@ -209,7 +209,7 @@
       long(by: number): void {
         long = by;
       },
-      visit,
+      request,
       twin,
     };
   },
--- a/packages/sim/src/capacity/design.ts
+++ b/packages/sim/src/capacity/design.ts
@@ -7,6 +7,6 @@
   changes: 40_000 / 86_400,
   /** Changes of the list of servers a second: 150 failures and 1,900 restarts a day, two each, and 1,700 of a stage. */
   listed: (2 * (150 + 1900) + 1700) / 86_400,
-  visits: 35_000,
+  requests: 35_000,
   budget: { core: 3.6, memory: 256, bytes: 17_000, machines: 24 },
 };
--- a/packages/sim/src/capacity/handover.ts
+++ b/packages/sim/src/capacity/handover.ts
@@ -4,14 +4,16 @@
 import { Hollow } from './hollow.js';
 import { Props } from './props.js';
 
-/** Visits under way at one daemon at the design size: its part of all, for as long as a stream of 486 pieces takes. */
-const HELD = (Design.visits / Design.daemons) * (0.57 + 486 * 0.072);
+/**
+ * Requests under way at one daemon at the design size: its part of all, for as long as a stream of 486 pieces takes.
+ */
+const HELD = (Design.requests / Design.daemons) * (0.57 + 486 * 0.072);
 const MOST = 48;
 const rule = Props.charter(1).rules[2]!;
 
 /**
- * Where visits go when many daemons choose, each knowing its own only: links within a zone, and how even it comes out.
- * Invariant: a daemon's visits to the number of servers are as at the design size.
+ * Where requests go when many daemons choose, each knowing its own only: links within a zone, and how even it comes
+ * out. Invariant: a daemon's requests to the number of servers are as at the design size.
  */
 export const Handover = {
   async run(servers: number, seed: number): Promise<Figure[]> {
--- a/packages/sim/src/capacity/hollow.ts
+++ b/packages/sim/src/capacity/hollow.ts
@@ -25,7 +25,7 @@
     const casting = { ...c.casting, prefill: Math.max(1, Math.round(servers * 0.34)), swing: false };
     return { ...Deployments.coop, edges, servers, charter: { ...c, servers: list, casting } };
   },
-  /** A whole fleet without visits, whose charter is changed as often as at the design size. */
+  /** A whole fleet without requests, whose charter is changed as often as at the design size. */
   async fleet(a: Asked): Promise<Figure[]> {
     const d = Hollow.deployment(a.edges, a.servers),
       span = a.span ?? SPAN;
--- a/packages/sim/src/capacity/works.ts
+++ b/packages/sim/src/capacity/works.ts
@@ -135,7 +135,7 @@
       one('the list in memory', 'heap', Timed.heap(() => JSON.parse(text) as unknown) / n),
     ];
   },
-  /** Records of visits, `n` kept. */
+  /** Records of requests, `n` kept. */
   ledger(n: number): Figure[] {
     const clock = Props.clock(),
       ledger = Ledger.make(clock);
--- a/packages/sim/src/commands/measure.ts
+++ b/packages/sim/src/commands/measure.ts
@@ -50,7 +50,8 @@
       for (const r of list)
         this.log(
           `  ${label.padEnd(9)}${r.rule.padEnd(10)} ${String(r.whole).padStart(5)} of ` +
-            `${String(r.visits).padStart(5)} whole; first piece median ${r.median}, p95 ${r.p95}, worst ${r.worst} ms`,
+            `${String(r.requests).padStart(5)} whole; ` +
+            `first piece median ${r.median}, p95 ${r.p95}, worst ${r.worst} ms`,
         );
     };
     for (const seed of seeds) {
@@ -62,7 +63,7 @@
             `again after ${m.again} ms`,
         );
         this.log(
-          `  two dark servers: row dark after ${m.row} ms; ${m.sends} visits sent to them ` +
+          `  two dark servers: row dark after ${m.row} ms; ${m.sends} requests sent to them ` +
             `meanwhile, the last after ${m.last} ms; nevers broken ${m.broken}`,
         );
       } else if (args.what === 'cast') {
--- a/packages/sim/src/deployment.ts
+++ b/packages/sim/src/deployment.ts
@@ -1,6 +1,6 @@
 import type { Charter } from '@pumicebarrow/forms';
 
-/** The size of one deployment, and how its visits come. */
+/** The size of one deployment, and how its requests come. */
 export type Deployment = {
   name: string;
   edges: number;
--- a/packages/sim/src/drills.ts
+++ b/packages/sim/src/drills.ts
@@ -5,7 +5,7 @@
 import { Intents } from './drills/intents.js';
 import { Places } from './drills/places.js';
 import { Servers } from './drills/servers.js';
-import { InHand } from './drills/visits.js';
+import { InHand } from './drills/requests.js';
 
 /** All drills, by name. */
 export const Drills: ReadonlyMap<string, Drill> = new Map(
--- a/packages/sim/src/drills/crowds.ts
+++ b/packages/sim/src/drills/crowds.ts
@@ -15,7 +15,7 @@
   },
   {
     name: 'swing',
-    about: 'the mix swings between long prompts and long outcomes',
+    about: 'the mix swings between long prompts and long answers',
     meets: ['swung'],
     async run(s) {
       s.callers.long(6);
--- a/packages/sim/src/drills/daemons.ts
+++ b/packages/sim/src/drills/daemons.ts
@@ -18,7 +18,7 @@
   },
   {
     name: 'freeze',
-    about: 'edge machines freeze with visits in hand while the charter changes, and wake on a slow network',
+    about: 'edge machines freeze with requests in hand while the charter changes, and wake on a slow network',
     meets: ['frozenbusy', 'apart'],
     async run(s) {
       for (const id of s.f.some(s.f.edgeIds, 3)) {
@@ -166,7 +166,7 @@
   },
   {
     name: 'rolling',
-    about: 'every edge daemon in turn is told to leave, finishes its visits, and a new life starts',
+    about: 'every edge daemon in turn is told to leave, finishes its requests, and a new life starts',
     meets: ['leaves'],
     async run(s) {
       for (const id of s.f.edgeIds) {
--- a/packages/sim/src/drills/visits.ts
+++ b/packages/sim/src/drills/requests.ts
@@ -1,10 +1,10 @@
 import type { Drill } from '../drill.js';
 
-/** What happens to daemons while they have visits in hand. */
+/** What happens to daemons while they have requests in hand. */
 export const InHand: readonly Drill[] = [
   {
     name: 'bustle',
-    about: 'daemons are killed with many visits in hand, again and again',
+    about: 'daemons are killed with many requests in hand, again and again',
     meets: ['killedbusy'],
     async run(s) {
       for (let i = 0; i < 4; i++) {
@@ -20,7 +20,7 @@
   },
   {
     name: 'forgotten',
-    about: 'all edge daemons are killed at once with visits in hand, and start again knowing of none of them',
+    about: 'all edge daemons are killed at once with requests in hand, and start again knowing of none of them',
     meets: ['killedbusy', 'unproven'],
     async run(s) {
       for (let i = 0; i < 3; i++) {
--- a/packages/sim/src/drills/servers.ts
+++ b/packages/sim/src/drills/servers.ts
@@ -122,7 +122,7 @@
   },
   {
     name: 'crashes',
-    about: 'servers crash with many visits in hand, again and again',
+    about: 'servers crash with many requests in hand, again and again',
     meets: ['fellbusy'],
     async run(s) {
       for (let i = 0; i < 4; i++) {
@@ -137,7 +137,7 @@
   },
   {
     name: 'swapped',
-    about: 'servers give the handles of other visits, and hand over from any',
+    about: 'servers give the handles of other requests, and hand over from any',
     meets: ['tricked'],
     async run(s) {
       for (const id of s.park.ids()) s.park.trick(id, 'swap');
@@ -148,7 +148,7 @@
   },
   {
     name: 'tricks',
-    about: 'a server answers for another visit, skips, repeats, ends early, claims an old life',
+    about: 'a server answers for another request, skips, repeats, ends early, claims an old life',
     meets: ['tricked'],
     async run(s) {
       for (const t of TRICKS) {
--- a/packages/sim/src/figures.ts
+++ b/packages/sim/src/figures.ts
@@ -17,10 +17,10 @@
   return l.length === 0 ? '-' : `${l[Math.floor(l.length / 2)]!.toFixed(digits)} (${l.at(-1)!.toFixed(digits)})`;
 };
 
-/** What one run showed: p95 of first pieces by rule, visits, and what was last told of those that may have run. */
+/** What one run showed: p95 of first pieces by rule, requests, and what was last told of those that may have run. */
 type One = {
   first: Record<string, number>;
-  visits: number;
+  requests: number;
   whole: number;
   hold: number;
   again: number;
@@ -36,7 +36,7 @@
     const unproven = [...last(h).values()].filter((d) => d['ran'] === 'maybe').map((d) => String(d['code']));
     return {
       first: Object.fromEntries(rows.map((r) => [r.rule, r.p95])),
-      visits: rows.reduce((n, r) => n + r.visits, 0),
+      requests: rows.reduce((n, r) => n + r.requests, 0),
       whole: rows.reduce((n, r) => n + r.whole, 0),
       hold: worst('hold'),
       again: worst('again'),
@@ -46,12 +46,12 @@
   },
   /** One line for a drill at a deployment. */
   line(name: string, list: readonly One[]): string {
-    const lost = list.map((f) => 100 - (100 * f.whole) / f.visits);
+    const lost = list.map((f) => 100 - (100 * f.whole) / f.requests);
     const codes = tally(list.flatMap((f) => Object.entries(f.codes).flatMap(([k, n]) => Array<string>(n).fill(k))));
     const p95 = (rule: string): string => spread(list.map((f) => f.first[rule] ?? NaN));
     return [
       name.padEnd(20),
-      String(list.reduce((n, f) => n + f.visits, 0)).padStart(7),
+      String(list.reduce((n, f) => n + f.requests, 0)).padStart(9),
       spread(lost, 2).padStart(15),
       ...['verdict', 'changelog', 'review'].map((r) => p95(r).padStart(13)),
       ...[spread(list.map((f) => f.hold)), spread(list.map((f) => f.again))].map((s) => s.padStart(13)),
@@ -63,7 +63,7 @@
   },
   head: [
     'drill'.padEnd(20),
-    'visits'.padStart(7),
+    'requests'.padStart(9),
     '% not whole'.padStart(15),
     ...['verdict', 'changelog', 'review', 'hold', 'again'].map((s) => s.padStart(13)),
     'extra'.padStart(6),
--- a/packages/sim/src/lending/lentdrills.ts
+++ b/packages/sim/src/lending/lentdrills.ts
@@ -37,7 +37,7 @@
 export const LentDrills: readonly LentDrill[] = [
   {
     name: 'lendcrowd',
-    about: 'crowds of live visits come while two bursts run',
+    about: 'crowds of live requests come while two bursts run',
     meets: ['lent', 'wouldwait', 'recalled', 'unrun'],
     async run(s, t) {
       await begin(s, t);
@@ -163,7 +163,7 @@
   },
   {
     name: 'lendowed',
-    about: 'one daemon runs two bursts, and gives generations of the first back to crowds of live visits',
+    about: 'one daemon runs two bursts, and gives generations of the first back to crowds of live requests',
     meets: ['lent', 'unrun', 'again'],
     async run(s, t) {
       await t.begin('burst-a', 12, 16);
--- a/packages/sim/src/lending/lentfleet.ts
+++ b/packages/sim/src/lending/lentfleet.ts
@@ -5,7 +5,7 @@
 const rule = Deployments.coop.charter.rules.find((r) => r.name === 'changelog')!;
 const rollout = { ...rule, ...{ name: 'rollout', urgency: 0, limit: 200, deadline: 4000, pieces: 24 } };
 
-/** So few live visits that there are next to none. */
+/** So few live requests that there are next to none. */
 const IDLE = 0.001;
 
 /** The two deployments with a charter that lends. */
--- a/packages/sim/src/lending/lentmeasure.ts
+++ b/packages/sim/src/lending/lentmeasure.ts
@@ -63,7 +63,7 @@
 
 /** Figures of a day of waves with bursts, beside the same day by the same seed without, and with a fixed split. */
 export const LentMeasure = {
-  /** How much longer live visits may wait than on the same day without lending. */
+  /** How much longer live requests may wait than on the same day without lending. */
   bound: { median: 1.1, p99: 1.25 },
   async days(fleet: Job['fleet'], seed: number): Promise<Days> {
     const d = LentFleet.of(fleet),
@@ -86,7 +86,7 @@
       k: 'none' | 'ran' | 'unrun' | 'recalls' | 'broken' | 'live' | 'lent' | 'ms',
     ): number => days.reduce((n, x) => n + x[name][k], 0);
     const side = (name: keyof Days): string =>
-      `  ${name.padEnd(8)}${pooled(name).length} live visits, first piece median ` +
+      `  ${name.padEnd(8)}${pooled(name).length} live requests, first piece median ` +
       `${Math.round(at(pooled(name), 0.5))}, p99 ${Math.round(at(pooled(name), 0.99))} ms, ` +
       `${sum(name, 'none')} without; ${sum(name, 'ran')} generations ran in ` +
       `the window, ${sum(name, 'unrun')} given back; ${sum(name, 'recalls')} recalls; broken ${sum(name, 'broken')}`;
--- a/packages/sim/src/lending/lentwork.ts
+++ b/packages/sim/src/lending/lentwork.ts
@@ -42,7 +42,7 @@
       broken: [...nevers, ...Promises.broken(h, LentFleet.term)],
     };
   },
-  /** One day of waves of live visits, of bursts that come one after another, or of both. */
+  /** One day of waves of live requests, of bursts that come one after another, or of both. */
   async waves(d: Deployment, seed: number, lends: boolean, live: boolean) {
     let from = 0;
     const r = await Stage.run(d, seed, async (s) => {
--- a/packages/sim/src/measure.ts
+++ b/packages/sim/src/measure.ts
@@ -26,7 +26,7 @@
       const waits = list.flatMap((d) => (first.has(d['key']) ? [first.get(d['key'])! - d.at] : []));
       return {
         rule,
-        visits: list.length,
+        requests: list.length,
         whole: list.filter((d) => whole.has(d['key'])).length,
         median: at(waits, 0.5),
         p95: at(waits, 0.95),
--- a/packages/sim/src/meets.ts
+++ b/packages/sim/src/meets.ts
@@ -13,7 +13,7 @@
   (d: Deed): boolean =>
     wanted.includes(String(d[key]));
 
-/** Daemons that were stopped with visits in hand. */
+/** Daemons that were stopped with requests in hand. */
 const busy =
   (what: string): Count =>
   (list) =>
--- a/packages/sim/src/model.ts
+++ b/packages/sim/src/model.ts
@@ -1,5 +1,5 @@
 import { Dice, Hash, Timer, type Chance, type Clock } from '@pumicebarrow/forms';
-import type { BackState, Bound, Handle, OrderSlip, Piece, VisitJob } from '@pumicebarrow/counter';
+import type { BackState, Bound, Handle, OrderSlip, Piece, RequestJob } from '@pumicebarrow/counter';
 import { createHash } from 'node:crypto';
 import { Text } from './text.js';
 import { Tide } from './tide.js';
@@ -51,13 +51,13 @@
     let prefixes: readonly string[] = [];
     /** Of what is under way, that which others may overtake. */
     let low = 0;
-    const bump = (by: number, job: VisitJob): void => {
+    const bump = (by: number, job: RequestJob): void => {
       if (job.urgency !== undefined) low += by;
       state = { ...state, busy: state.busy + by };
     };
     /** Work that names no urgency is served first; the rest shares what slots that leaves, or a little. */
-    const full = (job: VisitJob): boolean => state.busy - (job.urgency === undefined ? low : 0) >= s.slots * 4;
-    const fair = (job: VisitJob): number => {
+    const full = (job: RequestJob): boolean => state.busy - (job.urgency === undefined ? low : 0) >= s.slots * 4;
+    const fair = (job: RequestJob): number => {
       const first = state.busy - low,
         left = Math.max(s.slots - first, s.slots * LEAST);
       return s.pace * (job.urgency === undefined ? Math.max(1, first / s.slots) : Math.max(1, low / left));
@@ -75,7 +75,7 @@
         return { ...state, clock: tide.now() };
       },
       async prefill(
-        job: VisitJob & Bound & { prefix: string; part: string; weight: number },
+        job: RequestJob & Bound & { prefix: string; part: string; weight: number },
       ): Promise<Handle | Turned> {
         if (past(job, 'prefill')) return { code: 'late' };
         if (state.part !== 'prefill') return { code: 'wrongpart' };
@@ -109,7 +109,7 @@
         return { key: kept.handle.key, attempt: kept.handle.attempt, digest: kept.handle.digest };
       },
       async decode(
-        job: VisitJob & Bound & { handle: Handle; pieces: number },
+        job: RequestJob & Bound & { handle: Handle; pieces: number },
         emit: (p: Piece) => void,
         on: () => boolean,
       ): Promise<Turned | null> {
--- a/packages/sim/src/rules/again.ts
+++ b/packages/sim/src/rules/again.ts
@@ -4,7 +4,7 @@
 
 /**
  * Never 12: each zone and each rule is served within 12 s of the last fault's end, and from then on nearly all
- * visits are.
+ * requests are.
  */
 export const Again: NeverRule = {
   name: 'again',
@@ -34,7 +34,7 @@
     if (late.length > 10 && good < late.length * 0.9)
       broken.push({
         at: over.at + MOST,
-        why: `only ${good} of ${late.length} visits were whole after 12 s`,
+        why: `only ${good} of ${late.length} requests were whole after 12 s`,
         deeds: [over],
       });
     return { checked: sorts.length + late.length, broken, worst: `${Math.round(worst)} ms` };
--- a/packages/sim/src/rules/extra.ts
+++ b/packages/sim/src/rules/extra.ts
@@ -25,7 +25,7 @@
         const n = i - a + 1,
           over = n - SHARE * (c - b);
         worst = Math.max(worst, over);
-        return over > margin ? [{ at, why: `${n} extra tries for ${c - b} visits within ${ms} ms`, deeds: [] }] : [];
+        return over > margin ? [{ at, why: `${n} extra tries for ${c - b} requests within ${ms} ms`, deeds: [] }] : [];
       });
     });
     return { checked: all.length, broken: broken.slice(0, 5), worst: `${worst.toFixed(1)} of ${margin} above a fifth` };
--- a/packages/sim/src/rules/leaving.ts
+++ b/packages/sim/src/rules/leaving.ts
@@ -5,7 +5,7 @@
 /** Never 5. */
 export const Leaving: NeverRule = {
   name: 'leaving',
-  never: 'a visit reaches a server more than 3 s after it was listed as leaving or gone',
+  never: 'a request reaches a server more than 3 s after it was listed as leaving or gone',
   judge(h) {
     const marks = h.of('listed');
     let worst = 0;
--- a/packages/sim/src/rules/memory.ts
+++ b/packages/sim/src/rules/memory.ts
@@ -3,7 +3,7 @@
 /** Never 4. */
 export const Memory: NeverRule = {
   name: 'memory',
-  never: "a decode server continues from another visit's memory",
+  never: "a decode server continues from another request's memory",
   judge(h) {
     const want = new Map(h.of('wish').map((d) => [d['key'], d['digest']]));
     const all = h.of('ran');
--- a/packages/sim/src/rules/twice.ts
+++ b/packages/sim/src/rules/twice.ts
@@ -4,7 +4,7 @@
 /** Never 1. */
 export const Twice: NeverRule = {
   name: 'twice',
-  never: 'a visit runs twice',
+  never: 'a request runs twice',
   judge(h) {
     const by = new Map<string, Deed[]>();
     for (const d of h.of('ran')) by.set(String(d['key']), [...(by.get(String(d['key'])) ?? []), d]);
--- a/packages/sim/src/rules/whole.ts
+++ b/packages/sim/src/rules/whole.ts
@@ -3,7 +3,7 @@
 /** Never 3. */
 export const Whole: NeverRule = {
   name: 'whole',
-  never: "an outcome is short but looks whole, is another visit's, or has a piece twice or a gap",
+  never: "an answer is short but looks whole, is another request's, or has a piece twice or a gap",
   judge(h) {
     const all = h.of('whole');
     const broken = all
--- a/packages/yard/src/commands/back.ts
+++ b/packages/yard/src/commands/back.ts
@@ -7,7 +7,7 @@
   static override flags = {
     id: Flags.string({ required: true, description: 'its name' }),
     addr: Flags.string({ required: true, description: 'IP:PORT' }),
-    slots: Flags.integer({ default: 8, min: 1, description: 'visits served at full pace at once' }),
+    slots: Flags.integer({ default: 8, min: 1, description: 'requests served at full pace at once' }),
     pace: Flags.integer({ default: 12, min: 1, description: 'ms a piece' }),
   };
 
--- a/packages/yard/src/crowd.ts
+++ b/packages/yard/src/crowd.ts
@@ -32,7 +32,7 @@
         part: `${key} `.repeat(40),
       };
       const zone = d.zones[serial % d.zones.length];
-      bump('visits');
+      bump('requests');
       const tell = (what: string, who: string, more: object): void =>
         plant.tale.tell({ what, who, key, rule, ...more });
       tell('wish', zone ?? '', { digest: Text.digest(v.prefix, v.part) });
@@ -41,7 +41,7 @@
         const near = plant.edges.filter((e) => e.site === zone && plant.alive(e.id));
         const list = near.length > 0 ? near : plant.edges;
         const to = list[Math.floor(Math.random() * list.length)]!;
-        const out = await caller.visit(
+        const out = await caller.request(
           to.http,
           { ...v, attempt },
           d.charter.rules.find((x) => x.name === rule)!.pieces,
@@ -87,7 +87,7 @@
     };
     return {
       tally,
-      /** n visits at once. */
+      /** n requests at once. */
       burst(n: number): void {
         for (let i = 0; i < n; i++) run();
       },
--- a/packages/yard/src/httpcaller.ts
+++ b/packages/yard/src/httpcaller.ts
@@ -2,7 +2,7 @@
 import { Text } from '@pumicebarrow/sim';
 import { Agent, request as call } from 'undici';
 
-type Visit = { key: string; attempt: number; rule: string; prefix: string; part: string };
+type Request = { key: string; attempt: number; rule: string; prefix: string; part: string };
 type Out = {
   kind: 'whole' | 'wrong' | 'cut' | 'refused' | 'torn' | 'unreached';
   pieces: number;
@@ -10,13 +10,13 @@
   ms: number;
 };
 
-/** A stand-in caller over HTTP, which checks its outcome piece by piece. */
+/** A stand-in caller over HTTP, which checks its answer piece by piece. */
 export const HttpCaller = {
   make() {
     const agent = new Agent({ connections: 256, connect: { timeout: 500 } });
     return {
       close: (): Promise<void> => agent.destroy(),
-      async visit(http: string, v: Visit, most: number): Promise<Out> {
+      async request(http: string, v: Request, most: number): Promise<Out> {
         const from = performance.now(),
           expect = Text.digest(v.prefix, v.part);
         let n = 0;
--- a/packages/yard/src/lentday.ts
+++ b/packages/yard/src/lentday.ts
@@ -77,7 +77,7 @@
       h.of('ran').map((x) => String(x['key'])),
       pieces,
     );
-    if ((crowd.tally['wrong'] ?? 0) > 0) broken.push(`${crowd.tally['wrong']} live outcomes were wrong`);
+    if ((crowd.tally['wrong'] ?? 0) > 0) broken.push(`${crowd.tally['wrong']} live answers were wrong`);
     const unmet = ['loan', 'wouldwait', 'recalled'].filter((what) => h.of(what).length === 0);
     const lines = [
       `loans ${h.of('loan').length}, live requests that would wait ${h.of('wouldwait').length}, recalls ` +
--- a/packages/yard/src/routed/clerkfleet.test.ts
+++ b/packages/yard/src/routed/clerkfleet.test.ts
@@ -118,7 +118,7 @@
     ['no address', ['status', '--daemon', 'here'], {}, 2, /^here is no IP number and port\n$/],
     ['an address where nothing listens', ['status', '--daemon', '127.0.0.1:9'], {}, 4, /^unreached: 127.0.0.1:9: /],
     ['no fleet for a request', ['request', 'x'], {}, 2, /^--daemon is needed, or PUMICEBARROW_DAEMONS\n$/],
-    ['a fleet for a visit', ['visit', 'x'], { PUMICEBARROW_DAEMONS: '127.0.0.1:9' }, 2, /^--at is needed/],
+    ['a fleet for the command visit', ['visit', 'x'], { PUMICEBARROW_DAEMONS: '127.0.0.1:9' }, 2, /^--at is needed/],
     ['a file that is not there', ['plan', 'none.json'], {}, 2, /^none.json can't be read: /],
   ];
   for (const [name, args, env, code, text] of wrong) {
--- a/packages/yard/src/shortday.test.ts
+++ b/packages/yard/src/shortday.test.ts
@@ -38,7 +38,7 @@
       const crowd = drive.crowd();
       crowd.start();
       const whole = (n: number) =>
-        drive.until(`${n} whole outcomes`, 300_000, () => Promise.resolve((crowd.tally['whole'] ?? 0) >= n));
+        drive.until(`${n} whole answers`, 300_000, () => Promise.resolve((crowd.tally['whole'] ?? 0) >= n));
       await whole(20);
       await drive.gather(['m1']);
       await Promise.all([plant.fall('e3', 'SIGKILL'), plant.fall('m1', 'SIGKILL'), plant.fall('c1', 'SIGKILL')]);
--- a/tools/client.mjs
+++ b/tools/client.mjs
@@ -1,12 +1,12 @@
 // Generates the callers' types from our own schemas; with --check, fails if the file in the tree is another.
 import { Charter, Verdict } from '@pumicebarrow/forms';
-import { OutcomeLine, Visit } from '@pumicebarrow/counter';
+import { AnswerLine, Request } from '@pumicebarrow/counter';
 import { compile } from 'json-schema-to-typescript';
 import { readFileSync, writeFileSync } from 'node:fs';
 
 const path = 'packages/client/src/generated.ts';
 let text = '// Made by tools/client.mjs from the schemas of forms and counter. Not to be edited.\n';
-for (const [name, form] of Object.entries({ Visit, OutcomeLine, Verdict, Charter })) {
+for (const [name, form] of Object.entries({ Request, AnswerLine, Verdict, Charter })) {
   const plain = JSON.parse(JSON.stringify(form));
   const strip = (v) => { if (v && typeof v === 'object') { if (!Array.isArray(v)) delete v.maxItems; Object.values(v).forEach(strip); } return v; };
   text += `\n${await compile(strip(plain), name, { bannerComment: '', additionalProperties: false, declareExternallyReferenced: false })}`;
--- a/tools/house.mjs
+++ b/tools/house.mjs
@@ -3,20 +3,19 @@
 import ts from 'typescript';
 
 const MOST = 250;
-// The field's own terms win. In packages named here the brief's words are gone; in the others a word keeps its old name
-// until it is renamed everywhere at once.
+// The field's own terms win. Packages named here have them; in the others a word keeps its old name until it is renamed
+// everywhere at once.
 const NEW =
   /^(packages\/(?:router|routesim|clerk\/src\/fleet|yard\/src\/routed|(?:registry|counter|sim|clerk)\/src\/lending)|platform)\//;
 // The product's routes by host and path are the field's; the older rules that callers name are another thing.
 const FORMS = /^packages\/forms\/src\/(route|routing)\.ts$/;
-const TURNED = { visit: 'request', visits: 'requests' };
 // Turned round everywhere. A key that others see keeps the old word (docs/clashes.md), so a property may be named so.
-const GONE = { bounce: 'refuse', bounces: 'refuses', bounced: 'refused', waitlist: 'queue', gate: 'admission', gated: 'admitted', gating: 'admitting', proxy: 'forward', proxies: 'forwards', proxied: 'forwarded', select: 'choice', selecting: 'choosing', selected: 'chosen', claim: 'lease', claims: 'leases', site: 'zone', sites: 'zones' };
+const GONE = { bounce: 'refuse', bounces: 'refuses', bounced: 'refused', waitlist: 'queue', gate: 'admission', gated: 'admitted', gating: 'admitting', proxy: 'forward', proxies: 'forwards', proxied: 'forwarded', select: 'choice', selecting: 'choosing', selected: 'chosen', claim: 'lease', claims: 'leases', site: 'zone', sites: 'zones', visit: 'request', visits: 'requests', visiting: 'requesting' };
 // Turned round in the older packages; the routed ones have them still.
 const ROUTED = /^packages\/(router|routesim)\//;
 const OLDER = { startup: 'settings' };
-const KEPT = new Set(['waitlist', 'gated', 'startup', 'claim', 'claims', 'site', 'sites']);
-const NOT = { request: 'visit', requests: 'visits', route: 'rule', configuration: 'charter', config: 'charter', answer: 'outcome', answers: 'outcomes' };
+const KEPT = new Set(['waitlist', 'gated', 'startup', 'claim', 'claims', 'site', 'sites', 'visit']);
+const NOT = { route: 'rule', configuration: 'charter', config: 'charter' };
 const faults = [];
 let files = 0, lines = 0, proofs = 0, tables = 0;
 const words = (s) => s.replace(/([a-z0-9])([A-Z])/g, '$1 $2').split(/[ _-]+/).map((w) => w.toLowerCase());
@@ -31,7 +30,7 @@
   const src = ts.createSourceFile(path, text, ts.ScriptTarget.ES2023, true);
   const out = new Set();
   const bare = path.endsWith('/index.ts') || path.endsWith('.test.ts') || path.endsWith('/generated.ts');
-  const told = { ...(NEW.test(path) ? TURNED : FORMS.test(path) ? { ...NOT, route: undefined } : NOT), ...GONE, ...(ROUTED.test(path) ? {} : OLDER) };
+  const told = { ...(NEW.test(path) ? {} : FORMS.test(path) ? { ...NOT, route: undefined } : NOT), ...GONE, ...(ROUTED.test(path) ? {} : OLDER) };
   const name = (id) => {
     if (!id || !ts.isIdentifier(id)) return;
     if (KEPT.has(id.text) && (ts.isPropertySignature(id.parent) || ts.isPropertyAssignment(id.parent))) return;
