--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -29,7 +29,7 @@
   unheard: () => boolean;
 };
 const NONE: ReadonlySet<string> = new Set();
-const UNWEIGHED: Weighed = { read: null, ms: 0, alone: 0 };
+const UNWEIGHED: Weighed = { read: null, ms: 0, alone: 0, beside: null };
 type Where = { s: Server; ms: number };
 /** A decode server reads at this part of the pace, between the tokens of others. */
 const BESIDE = 0.5;
@@ -151,7 +151,13 @@
       weigh(service: Service, route: Route, p: Prompt, not: ReadonlySet<string>): Weighed {
         const apart = service.engine ? reader(service, route, p, not) : null;
         const beside = service.engine ? decoder(service, p, null, not) : null;
-        if (!apart || !beside) return UNWEIGHED;
+        if (!beside) return UNWEIGHED;
+        if (!apart) {
+          const [waits, own] = [t.loads.at(beside.s.id).tokens, p.tokens - t.kept.held(beside.s.id, p)].map(
+            (tokens) => tokens / (t.pace() * BESIDE),
+          );
+          return { ...UNWEIGHED, beside: { waits: waits!, own: own! } };
+        }
         const crowded = t.loads.at(beside.s.id).runs >= CROWDED;
         const short = t.kept.held(beside.s.id, p) + SHORT > p.tokens;
         // What a decode server has to read is better known than what waits at readers, of which others know the most.
@@ -166,7 +172,7 @@
         // Where not all hear of it, what others send there would wait for longer instead.
         const aside = alone > route.aim && route.aim > 0 && !t.unheard() && patient(beside.s, p, route);
         const run = (aside && t.loads.at(beside.s.id).runs < THRONGED) || (!crowded && beside.ms <= bar);
-        return { read: run ? null : read, ms: soon ? Math.min(ms, alone) : ms, alone };
+        return { read: run ? null : read, ms: soon ? Math.min(ms, alone) : ms, alone, beside: null };
       },
       /** Where it is decoded: few under way, near the memory. */
       decode: (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>): Server | null =>
--- a/packages/routesim/src/capacity/routedruns.ts
+++ b/packages/routesim/src/capacity/routedruns.ts
@@ -1,4 +1,5 @@
 import { Design, type Figure } from '@pumicebarrow/sim';
+import { DeskWorks } from './deskworks.js';
 import { Handing } from './handing.js';
 import { Mixes } from './mixes.js';
 import { NewHead } from './newhead.js';
@@ -13,6 +14,8 @@
 type Run = { about: string; sizes: readonly number[]; job: Job };
 const fleet = (run: string, axis: string) => (at: number, seed: number) => ({ run, axis, at, seed });
 const routers = fleet('routers', 'routers'),
+  longlists = fleet('routedlonglist', 'servers'),
+  longroutes = fleet('routedlongroutes', 'routes'),
   servers = fleet('routedservers', 'servers'),
   lists = fleet('routedlist', 'servers'),
   runs = fleet('routedruns', 'requests under way'),
@@ -21,6 +24,8 @@
   whole = fleet('routedwhole', 'routers');
 const sizes = [25, 50, 100, 200, 400, 800, 1600, 2900];
 const tables = [4, 16, 64, 256, 1024, 4096, 10_000];
+/** Sizes from which on docs are handed on by parts (`DocParts`). */
+const LONG = { servers: 1360 };
 /** Requests under way at a router at the design size. */
 const UNDER_WAY = Math.round((Design.requests / Design.daemons / 1000) * UnderWay.STREAM);
 /** ms between regions, one way. */
@@ -41,7 +46,7 @@
   },
   routedlist: {
     about: '25 routers, one server exchanged each four seconds',
-    sizes: tables,
+    sizes: tables.filter((n) => n < LONG.servers),
     job: (n, seed, span) => RoutedFleet.run({ span, ...lists(n, seed), routers: 25, servers: n, listed: 0.25 }),
   },
   routedruns: {
@@ -51,9 +56,19 @@
   },
   routedroutes: {
     about: '25 routers, a configuration of more and more routes',
-    sizes: [8, 32, 128, 512, 2600],
+    sizes: [8, 32, 128],
     job: (n, seed, span) => RoutedFleet.run({ span, ...routes(n, seed), routers: 25, servers: 16, routes: n }),
   },
+  routedlonglist: {
+    about: 'the same as routedlist, with lists that are handed on by parts',
+    sizes: [2000, 4096, 10_000],
+    job: (n, seed, span) => RoutedFleet.run({ span, ...longlists(n, seed), routers: 25, servers: n, listed: 0.25 }),
+  },
+  routedlongroutes: {
+    about: 'the same as routedroutes, with configurations that are handed on by parts',
+    sizes: [200, 400, 800, 1600, 2600],
+    job: (n, seed, span) => RoutedFleet.run({ span, ...longroutes(n, seed), routers: 25, servers: 16, routes: n }),
+  },
   routersfar: {
     about: 'routers before 16 servers, 35 ms apart',
     sizes: [100, 200, 400, 800],
@@ -94,7 +109,12 @@
     sizes: [1000, 2000, 4000, 10_000],
     job: (n, seed) => Handing.run(n, seed),
   },
-  desk: { about: 'timed: check-ins at the head', sizes, job: (n) => RoutedWorks.desk(n) },
+  desk: { about: 'timed: check-ins at the head', sizes, job: (n) => DeskWorks.run(n) },
+  deskheap: {
+    about: 'memory of the routers that a head knows',
+    sizes: [200, 400, 800, 1600, 2900],
+    job: (n) => DeskWorks.kept(n),
+  },
   budget: { about: 'further tries in ten seconds, of what was saved and earned', sizes, job: (n) => SavedTries.run(n) },
   newhead: {
     about: 'timed: all routers check in at a head that begins, on this machine and one half as fast',
@@ -104,7 +124,7 @@
   table: { about: 'timed: the list at a router and the head', sizes: tables, job: (n) => RoutedWorks.table(n) },
   loads: { about: 'timed: news of loads', sizes: [8, 27, 54, 108, 215, 430], job: (n) => RoutedWorks.loads(n) },
   mixes: {
-    about: 'whether a stage gains a server, by how many there are',
+    about: 'how many servers change their stage at once, by how many there are',
     sizes: Mixes.sizes,
     job: (n) => Mixes.run(n),
   },
