--- a/packages/router/src/deferral.test.ts
+++ b/packages/router/src/deferral.test.ts
@@ -28,17 +28,11 @@
     const a = { ...routing().routes[0]!, name: 'a', timeout: 8000 },
       b = { ...a, name: 'b', timeout: 9000 };
     expect(firsts.is(a, 8000)).to.equal(true);
-    expect(firsts.is(a, 7950)).to.equal(false);
+    expect(firsts.is(a, 7992)).to.equal(false);
     expect(firsts.is(a, 9000)).to.equal(true);
     expect(firsts.is(a, 8000)).to.equal(false);
     for (let i = 0; i < 8; i++) expect(firsts.is(b, 2500)).to.equal(false);
     expect(firsts.is(b, 2500)).to.equal(true);
-    expect(firsts.is(b, 2450)).to.equal(false);
-  });
-  it('takes a try over a new connection for a first one', () => {
-    const firsts = FirstTries.make();
-    const a = { ...routing().routes[0]!, timeout: 8000 };
-    for (let i = 0; i < 20; i++) expect(firsts.is(a, i % 2 === 0 ? 8000 : 7986)).to.equal(true);
-    expect(firsts.is(a, 7850)).to.equal(false);
+    expect(firsts.is(b, 2490)).to.equal(false);
   });
 });
--- a/packages/router/src/firsttries.ts
+++ b/packages/router/src/firsttries.ts
@@ -1,10 +1,7 @@
 import type { Route } from '@pumicebarrow/forms';
 
-/**
- * What rounding and the opening of a connection may take off the time that a client tells, in ms: a new connection
- * costs a first try some round trips; one that was sent away comes back later than this.
- */
-const SLACK = 30;
+/** What rounding may take off the time that a client tells, in ms. */
+const SLACK = 2;
 /** So many requests of a route show how long its clients wait; before that, the route's own limit stands for it. */
 const ENOUGH = 8;
 const MOST = 10_000;
--- a/packages/router/src/placement.test.ts
+++ b/packages/router/src/placement.test.ts
@@ -28,7 +28,7 @@
     const changed = new Set<string>();
     const linked = new Set<string>();
     const slow = new Map<string, number>();
-    const wait = { ms: 0, unheard: false };
+    const wait = { ms: 0 };
     const place = Placement.make({
       ...{ chance: Dice.seeded(3), zone: 'z1', list, loads, health, kept: KeptParts.make(() => 400_000) },
       ...{
@@ -37,7 +37,6 @@
         changing: (s: { id: string }) => changed.has(s.id),
         linked: (s: { id: string }) => linked.has(s.id),
         wait: () => wait.ms,
-        unheard: () => wait.unheard,
       },
     });
     const { services, routes } = routing();
@@ -93,26 +92,6 @@
     loads.read('p2', 40_000);
     expect(place.weigh(service, route, p, none).read).to.equal(null);
   });
-  it('reads aside what is late in any case, while its client waits and few run there', () => {
-    const long = prompt(34_500, 1500);
-    for (const [waits, runs, stage] of [
-      [0, 0, undefined],
-      [0, 25, undefined],
-      [0, 40, 'prefill'],
-      [8000, 0, 'prefill'],
-    ] as const) {
-      const { place, loads, service, route } = make();
-      for (const id of ['d1', 'd2']) {
-        loads.read(id, waits);
-        for (let i = 0; i < runs; i++) loads.run(id);
-      }
-      expect(place.weigh(service, route, long, none).read?.server.stage, `${waits}, ${runs}`).to.equal(stage);
-    }
-    const { place, wait, service, route } = make();
-    expect(place.weigh(service, route, prompt(20_000, 18_000), none).read?.server.stage).to.equal('prefill');
-    wait.unheard = true;
-    expect(place.weigh(service, route, long, none).read?.server.stage, 'unheard').to.equal('prefill');
-  });
   it('foresees no queue for what is read before all that waits', () => {
     const { place, loads, service, route } = make();
     for (const id of ['p1', 'p2', 'd1', 'd2']) loads.read(id, 60_000);
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -25,8 +25,6 @@
   speed: (id: string) => number;
   /** ms that reads lately waited beyond what was foreseen. */
   wait: () => number;
-  /** Whether there are routers whose work this one doesn't hear of. */
-  unheard: () => boolean;
 };
 const NONE: ReadonlySet<string> = new Set();
 const UNWEIGHED: Weighed = { read: null, ms: 0, alone: 0, beside: null };
@@ -44,10 +42,6 @@
 const CROWD = 16;
 /** From so many runs on a decode server reads nothing beside them: each piece read holds all of them up. */
 const CROWDED = 20;
-/** The same for a prompt that is late in any case: it takes longer to read there, but holds up no reader. */
-const THRONGED = 32;
-/** In times of the aim, what a read may take there that is late in any case: its client must still be waiting then. */
-const PATIENT = 2.25;
 /** The part of a server's slots that runs may take: beyond it all of them come too slowly. */
 const FULL = 0.7;
 /** Outcomes of fewer tokens than this hardly take a place. */
@@ -136,9 +130,6 @@
       const more = again(best.s, p, home) * AGAIN;
       return { s: best.s, ms: (tokens + work) / (t.pace() * BESIDE) + more };
     };
-    /** Whether a decode server would have read it, after what waits there, before its client gives up. */
-    const patient = (s: Server, p: Prompt, route: Route): boolean =>
-      t.loads.at(s.id).tokens + fresh(s, p, undefined) <= route.aim * PATIENT * t.pace() * BESIDE;
     return {
       /** Whether some server has a place for one more run that is not brief. */
       room(service: Service, p: Prompt | null): boolean {
@@ -168,11 +159,12 @@
         // What takes next to nothing is read before all that waits: the queue doesn't make it late.
         const soon = apart.fresh / t.pace() < Urgency.TINY;
         const ms = (crowded ? apart.ms : Math.min(apart.ms, beside.ms)) + HAND + START;
-        // A reader reads one prompt after the other: one that is late in any case would make those behind it late.
-        // Where not all hear of it, what others send there would wait for longer instead.
-        const aside = alone > route.aim && route.aim > 0 && !t.unheard() && patient(beside.s, p, route);
-        const run = (aside && t.loads.at(beside.s.id).runs < THRONGED) || (!crowded && beside.ms <= bar);
-        return { read: run ? null : read, ms: soon ? Math.min(ms, alone) : ms, alone, beside: null };
+        return {
+          read: !crowded && beside.ms <= bar ? null : read,
+          ms: soon ? Math.min(ms, alone) : ms,
+          alone,
+          beside: null,
+        };
       },
       /** Where it is decoded: few under way, near the memory. */
       decode: (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>): Server | null =>
--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -75,7 +75,6 @@
     wait: wait.now,
     changing: () => false,
     linked: () => false,
-    unheard: () => false,
   };
   const steps = RequestLog.make(time.clock);
   const serve = Serve.make({
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -93,8 +93,7 @@
     const health = ServerHealth.make(clock),
       pace = Pace.make(),
       speed = ServerSpeed.make(clock),
-      unheard = (): boolean => (head.routers() ?? 0) > LoadNews.SEEN,
-      wait = ReadWait.make(clock, unheard);
+      wait = ReadWait.make(clock, () => (head.routers() ?? 0) > LoadNews.SEEN);
     const memory = (): number => routes?.services().find((s) => (s.engine?.memory ?? 0) > 0)?.engine?.memory ?? MEMORY;
     const kept = KeptParts.make(memory);
     const placement = Placement.make({
@@ -104,7 +103,6 @@
       pace: pace.now,
       speed: speed.of,
       wait: wait.now,
-      unheard,
     });
     const budgets = Budgets.make(clock, () => startup.budget, head.routers);
     const shut = (): Verdict | null => {
--- a/packages/router/src/stagemix.ts
+++ b/packages/router/src/stagemix.ts
@@ -5,20 +5,9 @@
 type Load = { read: number; run: number; room?: number };
 type Count = { prefill: number; decode: number };
 
-/** What is held to be busy: ms of reading that waits, and runs; and the runs that a change may lead to at the most. */
-type Terms = { read: number; run: number; most: number };
-const TERMS: Terms = { read: 350, run: 24, most: Infinity };
-/**
- * Where both stages keep a second server: reads that wait are late long before runs are that decode side by side, so
- * readers are given what decode servers can spare.
- */
-const SPARED: Terms = { read: 130, run: 40, most: 40 };
-/** A reader is given up for runs only where little would wait at the others. */
-const ROOMY: Terms = { read: 130, run: 32, most: Infinity };
-/** Decode servers that are kept then: where one of two fails, the other has too much to do. */
-const KEPT = 3;
-/** Runs from which on a decode server alone gets a second where more than two read: if it fails, nothing runs. */
-const ALONE = 10;
+/** What is held to be busy: of reading, and of runs. */
+const READ = 350;
+const RUN = 24;
 /** At these a stage is half used: ms of reading that waits, and runs at which each token takes twice as long. */
 const HALF = { read: 130, run: 22 };
 const FULL = 0.97;
@@ -29,7 +18,7 @@
 const LARGE = 24;
 /** Below this a large service is at ease; and the runs that it is held to be busy with, as prompts are read beside. */
 const EASY = 0.4;
-const FEWER: Terms = { ...TERMS, run: 12 };
+const FEWER = 12;
 /** The part of a large service that changes at once at the most. */
 const PART = 0.25;
 /** A mix that is so little worse than the best is as good, if fewer servers change for it. */
@@ -49,23 +38,13 @@
  */
 export const StageMix = {
   LARGE,
-  /** What is held to be busy, if a change leads to `next`. */
-  terms(now: Count, next: Count): Terms {
-    if (StageMix.most(next) > 1) return FEWER;
-    if (next.decode > now.decode) return ROOMY;
-    return next.decode >= (now.prefill > 1 ? KEPT : 2) ? SPARED : TERMS;
-  },
   /** How busy the busier stage is; work goes round, so what one server gives up the others take. */
-  pressure(load: Load, now: Count, next: Count, terms: Terms): number {
+  pressure(load: Load, now: Count, next: Count): number {
     if (next.prefill < 1 || next.decode < 1) return Infinity;
-    if (next.decode < now.decode && StageMix.lone(next)) return Infinity;
     const read = StageMix.grown(load.read, HALF.read, now.prefill / next.prefill);
     const run = StageMix.grown(load.run, HALF.run, now.decode / next.decode);
-    if (next.decode < now.decode && run > terms.most) return Infinity;
-    return Math.max(read / terms.read, run / terms.run);
+    return Math.max(read / READ, run / (StageMix.most(now) > 1 ? FEWER : RUN));
   },
-  /** Whether one decodes what more than two read. */
-  lone: (now: Count): boolean => StageMix.most(now) === 1 && now.decode === 1 && now.prefill > 2,
   /** What waits or runs once each server takes `ratio` times as much: a queue grows faster than its load. */
   grown(at: number, half: number, ratio: number): number {
     if (ratio === 1) return at;
@@ -84,18 +63,14 @@
     const full = load.room !== undefined && load.run >= load.room * BRIM;
     if (full && now.prefill > 1 && (now.prefill > now.decode || load.read < WAITS))
       return -Math.ceil(Math.min(most, now.prefill - 1) / 2);
-    if (StageMix.lone(now) && load.run >= ALONE) return -1;
-    const busy = most > 1 ? EASY : BUSY;
+    const at = (by: number): number =>
+      StageMix.pressure(load, now, { prefill: now.prefill + by, decode: now.decode - by });
+    const here = at(0);
+    if (here < (most > 1 ? EASY : BUSY)) return 0;
     const ways = Array.from({ length: most }, (_, i) => [i + 1, -i - 1]).flat();
-    const after = ways.map((by) => {
-      const next = { prefill: now.prefill + by, decode: now.decode - by };
-      const terms = StageMix.terms(now, next);
-      const here = StageMix.pressure(load, now, now, terms);
-      const then = StageMix.pressure(load, now, next, terms);
-      return { by, at: here >= busy && then <= here * GAIN ? then : Infinity };
-    });
-    const least = Math.min(...after.map((a) => a.at));
-    return least === Infinity ? 0 : after.find((a) => a.at <= least * NEAR)!.by;
+    const least = Math.min(...ways.map(at));
+    if (!(least <= here * GAIN)) return 0;
+    return ways.find((by) => at(by) <= least * NEAR) ?? 0;
   },
   lean: (load: Load, now: Count): -1 | 0 | 1 => Math.sign(StageMix.move(load, now)) as -1 | 0 | 1,
   make() {
--- a/packages/router/src/stages.test.ts
+++ b/packages/router/src/stages.test.ts
@@ -39,14 +39,6 @@
     ['full decoders of many take readers', { read: 60, run: 40, room: 45 }, { prefill: 60, decode: 38 }, -1],
     ['of many, some are taken where one would change little', { read: 600, run: 4 }, { prefill: 31, decode: 60 }, 1],
     ['of many, none where some fewer readers would drown', { read: 200, run: 23 }, { prefill: 31, decode: 60 }, 0],
-    ['readers get what decoders can spare', { read: 200, run: 6 }, { prefill: 2, decode: 4 }, 1],
-    ['but not one of three decoders', { read: 200, run: 6 }, { prefill: 2, decode: 3 }, 0],
-    ['nor where decoders would be full', { read: 200, run: 26 }, { prefill: 2, decode: 4 }, 0],
-    ['nor what passes', { read: 90, run: 6 }, { prefill: 4, decode: 5 }, 0],
-    ['a reader alone gets a second sooner than others', { read: 200, run: 10 }, { prefill: 1, decode: 3 }, 1],
-    ['one decoder of many readers gets a second', { read: 900, run: 12 }, { prefill: 4, decode: 1 }, -1],
-    ['and stays alone while it has little to do', { read: 90, run: 4 }, { prefill: 4, decode: 1 }, 0],
-    ['none is left to decode alone for three', { read: 1500, run: 2 }, { prefill: 2, decode: 2 }, 0],
     ['a reader alone decodes, for nothing could run', { read: 0, run: 0 }, { prefill: 1, decode: 0 }, -1],
     ['one server alone stays', { read: 9000, run: 90 }, { prefill: 0, decode: 1 }, 0],
   ];
@@ -80,7 +72,7 @@
       run: StageMix.grown(4, 22, now.decode / next.decode),
     };
     expect(StageMix.move(then, next)).to.equal(0);
-    expect(StageMix.move({ read: 300, run: 4 }, { prefill: 2, decode: 3 })).to.equal(0);
+    expect(StageMix.move({ read: 300, run: 4 }, { prefill: 2, decode: 4 })).to.equal(0);
   });
   it('leans several times before it moves, and at once where a stage is bare', () => {
     const m = StageMix.make();
--- a/packages/routesim/src/capacity/routedworks.ts
+++ b/packages/routesim/src/capacity/routedworks.ts
@@ -85,7 +85,6 @@
       pace: () => 40,
       speed: () => 1,
       wait: () => 0,
-      unheard: () => false,
     });
     const routing = HollowRouting.make(1, 8);
     let turn = 0;
