--- a/packages/sim/src/lending/needless.ts
+++ b/packages/sim/src/lending/needless.ts
@@ -49,7 +49,9 @@
       const wants = most(w.at) + sum(w.at, w.who) + one(w.at, w.who),
         has = room(w['part'], w.at);
       return wants <= has
-        ? [`${w.who} called ${String(w['part'])} back at ${Math.round(w.at)}: ${wants} wanted, room for ${has}`]
+        ? [
+            `lending: ${w.who} called ${String(w['part'])} back at ${Math.round(w.at)}: ${wants} wanted, room for ${has}`,
+          ]
         : [];
     });
   },
