--- a/packages/client/src/generated.ts
+++ b/packages/client/src/generated.ts
@@ -94,10 +94,6 @@
        * the largest prefix and part together
        */
       bytes: number;
-      /**
-       * whether a borrowed answer may be cut at a piece, and gone on with from there at another server
-       */
-      resumes?: boolean;
       /**
        * where it is served; everywhere if left out
        */
@@ -133,10 +129,6 @@
        * the largest prefix and part together
        */
       bytes: number;
-      /**
-       * whether a borrowed answer may be cut at a piece, and gone on with from there at another server
-       */
-      resumes?: boolean;
       /**
        * where it is served; everywhere if left out
        */
@@ -209,25 +201,6 @@
        */
       decode: number;
     };
-    /**
-     * whether a server may change its part for bursts; not if left out
-     */
-    swaps?: {
-      floor: {
-        /**
-         * servers that stay in the part, whatever bursts need
-         */
-        prefill: number;
-        /**
-         * servers that stay in the part, whatever bursts need
-         */
-        decode: number;
-      };
-      /**
-       * swaps for bursts in an hour at the most
-       */
-      hour: number;
-    };
     /**
      * ms after which a loan must have been asked for again
      */
--- a/packages/counter/src/back.ts
+++ b/packages/counter/src/back.ts
@@ -11,7 +11,7 @@
 export type Back = {
   prefill(
     addr: string,
-    job: RequestJob & Bound & { prefix: string; part: string; weight: number; begun?: readonly string[] },
+    job: RequestJob & Bound & { prefix: string; part: string; weight: number },
     ms: number,
   ): Promise<Result<Handle, BackFault>>;
   decode(
@@ -19,8 +19,6 @@
     job: RequestJob & Bound & { handle: Handle; pieces: number; weight: number },
     ms: number,
     take: (p: Piece) => boolean,
-    /** Gives the stream up, also between two pieces. */
-    stop?: AbortSignal,
   ): Promise<Result<null, BackFault>>;
   order(addr: string, slip: OrderSlip, ms: number): Promise<Result<BackState, BackFault>>;
   state(addr: string, ms: number): Promise<Result<BackState, BackFault>>;
--- a/packages/counter/src/callersink.ts
+++ b/packages/counter/src/callersink.ts
@@ -10,8 +10,4 @@
   cut(v: Verdict): void;
   refuse(v: Verdict): void;
   gone(): boolean;
-  /** The try is recorded: so none before it has run or will. */
-  opened?(): void;
-  /** A line came that can't be of this request: nothing may be gone on with from here. */
-  spoilt?(): void;
 };
--- a/packages/counter/src/casting.ts
+++ b/packages/counter/src/casting.ts
@@ -85,7 +85,7 @@
         writes = all.filter((l) => l.part === 'decode').length;
       const short = reads < c.casting.floor.prefill || writes < c.casting.floor.decode;
       const moving = [...t.sheet.rows().values()].some((r) => r.row.stage === 'draining' && r.row.server !== s.id);
-      const swaps = !moving && (short || t.sheet.mix()?.back === true || now() - swapped > c.casting.calm);
+      const swaps = !moving && (short || now() - swapped > c.casting.calm);
       const part = Target.part(c, t.sheet.mix()?.prefill ?? c.casting.prefill, all, s.id, swaps);
       if (!row || row.born !== s.born) {
         const first = row?.part ?? part;
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -129,7 +129,7 @@
     const sights = Sights.make({ world, shelf, sheet, shuns, purge, town: watch, self: ident.id });
     const shared = { world, sheet, town: watch, hails, duty, purge, back, self: (): string => ident.id };
     const casting = Casting.make({ ...shared, suspect: (s) => shuns.has(s.id, s.born) });
-    const mixer = Mixer.make({ ...shared, load: () => checkin.load(), wished: () => lending.wished() });
+    const mixer = Mixer.make({ ...shared, load: () => checkin.load() });
     const witness = Witness.make(world, post, crew, known);
     const bucket = Bucket.make(RATE, CAP);
     /** A daemon that has just started, or slept, may hold an older charter than it once did. */
--- a/packages/counter/src/handle.ts
+++ b/packages/counter/src/handle.ts
@@ -3,7 +3,7 @@
 
 /**
  * A hold on prompt memory. Invariant: good only for this key and attempt, at this life of this server,
- * for exactly this prefix, part and pieces already written; checked here and by the decode server.
+ * for exactly this prefix and part; checked here and by the decode server.
  */
 export const Handle = Type.Object(
   {
@@ -14,12 +14,6 @@
     born: Type.String(),
     addr: Addr,
     digest: Type.String(),
-    after: Type.Optional(
-      Type.Object(
-        { count: Type.Integer({ minimum: 1 }), digest: Type.String() },
-        { additionalProperties: false, description: 'the pieces read with the prompt, after which writing goes on' },
-      ),
-    ),
   },
   { additionalProperties: false },
 );
--- a/packages/counter/src/httpback.ts
+++ b/packages/counter/src/httpback.ts
@@ -100,10 +100,8 @@
       prefill: (addr, job, ms) => ask('POST', `http://${addr}/prefill`, job, ms, Handle),
       order: (addr, slip, ms) => ask('POST', `http://${addr}/order`, slip, ms, BackState),
       state: (addr, ms) => ask('GET', `http://${addr}/state`, undefined, ms, BackState),
-      async decode(addr, job, ms, take, given) {
+      async decode(addr, job, ms, take) {
         const stop = new AbortController();
-        const quit = (): void => stop.abort();
-        given?.addEventListener('abort', quit);
         try {
           const r = await call(`http://${addr}/decode`, {
             method: 'POST',
@@ -128,9 +126,7 @@
           }
           return lines.rest() === '' ? Ok(null) : broken('ended inside a line');
         } catch (e) {
-          return given?.aborted === true ? broken('the stream was given up') : Err(fault(e));
-        } finally {
-          given?.removeEventListener('abort', quit);
+          return Err(fault(e));
         }
       },
       close: () => agent.destroy(),
--- a/packages/counter/src/lending/borrower.test.ts
+++ b/packages/counter/src/lending/borrower.test.ts
@@ -9,7 +9,7 @@
 
 const rig = () => {
   let now = 0;
-  const is = { reply: lent as Reply | null, takes: 0, ended: 0, lost: [] as string[], onask: () => undefined as void };
+  const is = { reply: lent as Reply | null, takes: 0, ended: 0, onask: () => undefined as void };
   const mails: string[] = [];
   const post = {
     ask: (_addr: string, _id: string, kind: string) => {
@@ -28,7 +28,6 @@
     roster: () => [lender],
     running: () => 0,
     look: () => undefined,
-    lost: (server) => void is.lost.push(server),
     ended: () => void is.ended++,
   });
   const tick = async (need = true): Promise<void> => {
@@ -108,30 +107,6 @@
     r.b.drop();
     expect(r.b.slots('m1', 'x')).to.equal(0);
   });
-  for (const [why, cut] of [
-    ['nothing', ['m1']],
-    ['older', []],
-  ] as const)
-    it(`${cut.length > 0 ? 'cuts' : 'does not cut'} what streams at a server refused with ${why}`, async () => {
-      const r = rig();
-      await r.tick();
-      r.is.reply = { ...no, why };
-      r.wait(1000);
-      await r.tick();
-      expect(r.is.lost).to.deep.equal(cut);
-    });
-  it('cuts what streams at a server that was called back, that lapsed, or that it slept through', async () => {
-    for (const end of ['recall', 'lapse', 'drop'] as const) {
-      const r = rig();
-      await r.tick();
-      if (end === 'recall') r.b.recalled('m1');
-      if (end === 'drop') r.b.drop();
-      r.is.reply = null;
-      if (end === 'lapse') r.wait(2000);
-      await r.tick();
-      expect(r.is.lost, end).to.deep.equal(['m1']);
-    }
-  });
   it('gives back what nothing needs', async () => {
     const r = rig();
     await r.tick();
--- a/packages/counter/src/lending/borrower.ts
+++ b/packages/counter/src/lending/borrower.ts
@@ -14,8 +14,6 @@
   look: () => void;
   /** What goes back to its burst when a loan has ended. */
   ended: () => void;
-  /** This server is not borrowed any more: what streams there ends, where it may be cut. */
-  lost: (server: string) => void;
 };
 type Lease = { born: string; slots: number; until: number };
 type Need = { burst: string; order: number };
@@ -61,10 +59,7 @@
       t.look();
       if (!r.ok || before !== slept || (calm.get(server) ?? 0) > now()) return;
       if (!r.val.ok) {
-        if (!without(server)) return;
-        // What an earlier burst asks for is given back as it comes free: what runs of a later one is not cut for it.
-        if (r.val.why !== 'older') t.lost(server);
-        t.ended();
+        if (without(server)) t.ended();
         return;
       }
       leases = new Map(leases).set(server, { born, slots: r.val.slots, until: sent + r.val.term });
@@ -78,7 +73,6 @@
     const recalled = (server: string): boolean => {
       calm.set(server, now() + CALM);
       const had = without(server);
-      if (had) t.lost(server);
       if (had) t.ended();
       return had;
     };
@@ -89,17 +83,11 @@
       count: (): number => [...leases.values()].filter((l) => l.until > now()).length,
       drop(): void {
         slept++;
-        const gone = [...leases.keys()];
         leases = new Map();
-        for (const server of gone) t.lost(server);
       },
       /** Asks for what is needed; gives all back where nothing is. */
       tick(need: Need | null, term: number): void {
-        for (const [server, l] of leases)
-          if (l.until <= now() && without(server)) {
-            t.lost(server);
-            t.ended();
-          }
+        for (const [server, l] of leases) if (l.until <= now() && without(server)) t.ended();
         if (!need) {
           for (const server of leases.keys()) give(server);
           return;
--- a/packages/counter/src/lending/lender.test.ts
+++ b/packages/counter/src/lending/lender.test.ts
@@ -17,7 +17,7 @@
   const desks = new Map<string, (body: unknown, from: Ident) => unknown>();
   const docs = new Map<string, Doc>();
   const mails: string[] = [];
-  const is = { fence: 3 as number | null, load: 0, reached: true, running: 0, until: Infinity };
+  const is = { fence: 3 as number | null, load: 0, reached: true, running: 0 };
   const row: SheetRow = { server: 'm2', born: 'x', part: 'decode', stage: 'serving', by: 'e9' };
   const post = {
     on: (kind: string, _form: unknown, fn: (body: unknown, from: Ident) => unknown) => void desks.set(kind, fn),
@@ -37,7 +37,7 @@
       mark: (name: string) => docs.get(name)?.mark ?? null,
     } as never,
     town: { good: () => ({}) } as never,
-    duty: { fence: () => is.fence, until: () => is.until } as never,
+    duty: { fence: () => is.fence } as never,
     purge: { publish: (d: Doc) => docs.set(d.name, d) !== undefined } as never,
     load: () => ({ read: 0, write: is.load }),
     self: () => 'e9',
@@ -52,8 +52,6 @@
   };
   return {
     ...{ lender, ask, is, loan, mails },
-    term: (): number =>
-      (desks.get('loan.ask')!({ server: 'm2', born: 'x', burst: 'b1', order: 1 }, who('e1')) as { term: number }).term,
     give: (id: string): unknown => desks.get('loan.give')!({ server: 'm2', running: 0 }, who(id)),
     mark: () => docs.get('loan:m2')?.mark,
     wait: (ms: number): void => {
@@ -86,14 +84,6 @@
     r.wait(6100);
     expect(r.ask('e2')).to.equal('lent 4');
   });
-  it('lends for the length of the clause, and no longer than it surely holds the row', () => {
-    const r = rig();
-    expect(r.term()).to.equal(2000);
-    r.is.until = 1400;
-    expect(r.term()).to.equal(1400);
-    r.wait(1000);
-    expect(r.term()).to.equal(400);
-  });
   it('lends nothing without a live fence', () => {
     const r = rig();
     r.is.fence = null;
--- a/packages/counter/src/lending/lender.ts
+++ b/packages/counter/src/lending/lender.ts
@@ -34,8 +34,7 @@
 /**
  * Lends the servers whose rows this daemon holds. Invariants: nothing is lent without a live fence of the row at that
  * instant; a server has one holder, and another only once that one has given it back or `until` is past; a burst that
- * was begun earlier and asks goes first; nothing is lent within CALM of a revocation; a loan is over by the time the
- * row's lease would be, so that one cut off from all, which may lend to itself, is no longer than that out of reach.
+ * was begun earlier and asks goes first; nothing is lent within CALM of a revocation.
  */
 export const Lender = {
   make(t: Tools) {
@@ -102,9 +101,8 @@
     t.post.on('loan.ask', LoanWords.ask, (b, from) => {
       const no = (why: string) => ({ ok: false, slots: 0, term: 0, why });
       const who = name(from),
-        length = t.sheet.charter()?.lending?.length;
-      if (fence(b.server) === null || length === undefined) return no('notmine');
-      const term = Math.min(length, t.duty.until(`row:${b.server}`) - now());
+        term = t.sheet.charter()?.lending?.length;
+      if (fence(b.server) === null || term === undefined) return no('notmine');
       if (t.sheet.rows().get(b.server)?.row.born !== b.born) return no('notserving');
       if (held.has(b.server) && !open(b.server)) over(b.server, 'lapsed', held.get(b.server)!.slots);
       const first = noted(b.server, who, b.order).every((a) => a.order >= b.order);
--- a/packages/counter/src/lending/lending.ts
+++ b/packages/counter/src/lending/lending.ts
@@ -8,13 +8,11 @@
 import type { RunTools } from '../runtools.js';
 import type { SheetView } from '../sheetview.js';
 import { Borrower } from './borrower.js';
-import { Cuts } from './cuts.js';
 import { Lender } from './lender.js';
 import { LoanDiary } from './loandiary.js';
 import { LiveWatch } from './livewatch.js';
 import { LoanWords } from './loanwords.js';
 import { Runner } from './runner.js';
-import { StageWishes } from './stagewishes.js';
 
 type Shared = Pick<
   RunTools,
@@ -40,14 +38,12 @@
   self: () => string;
 };
 const PUMP = 50;
-const WISH = 300;
 
 /** Lending in one daemon: as lender of the servers whose rows it holds, as borrower, and as runner of bursts. */
 export const Lending = {
   make(t: Tools) {
     const { world, sheet } = t;
-    const lent = Loads.make(),
-      cuts = Cuts.make();
+    const lent = Loads.make();
     const term = (): number => sheet.charter()?.lending?.length ?? 0;
     const loan = (server: string): Loan | null => (t.shelf.get(`loan:${server}`)?.body as Loan | undefined) ?? null;
     const loans = (): Loan[] => [...sheet.rows().keys()].flatMap((s) => loan(s) ?? []);
@@ -56,13 +52,12 @@
     const borrower = Borrower.make({
       ...{ world, post: t.post, sheet, town: t.town, roster: t.roster, look: t.look, running: lent.at },
       ended: () => run.clear(),
-      lost: cuts.cut,
     });
-    const run = LentRun.make({ ...t, charter: sheet.charter, loads: lent, borrower, cuts });
+    const run = LentRun.make({ ...t, charter: sheet.charter, loads: lent, borrower });
     const runner = Runner.make({
       ...{ world, line: t.line, duty: t.duty, charter: sheet.charter, room: run.room },
-      run: (request, sink, begun) => {
-        const done = run.request(request, sink, begun);
+      run: (request, sink) => {
+        const done = run.request(request, sink);
         run.pump();
         return done;
       },
@@ -78,27 +73,12 @@
     t.post.on('loan.recall', LoanWords.recall, (b) => {
       lender.recalled(b.server);
       const ok = borrower.recalled(b.server);
-      const running = Math.max(0, lent.at(b.server) - cuts.going(b.server));
-      if (ok) world.tell({ what: 'recalled', server: b.server, running });
-      return { ok, running };
+      if (ok) world.tell({ what: 'recalled', server: b.server, running: lent.at(b.server) });
+      return { ok, running: lent.at(b.server) };
     });
-    const wishes = StageWishes.make(world.clock);
-    t.post.on('loan.wish', LoanWords.wish, (b, from) => {
-      wishes.heard(from, b.part, b.order);
-      return { ok: true };
-    });
-    /** Says that something is to be borrowed, and which part alone stands in its way. */
-    const wish = (): void => {
-      const need = t.serving() ? runner.need() : null,
-        part = need && sheet.charter()?.lending?.swaps ? (run.short() ?? 'either') : null,
-        who = Holder.of('mix', t.roster());
-      if (need && part && who)
-        void t.post.ask(who.addr, who.id, 'loan.wish', { part, order: need.order }, LoanWords.done, WISH);
-    };
     const stops: (() => void)[] = [];
     return {
       loans,
-      wished: wishes.part,
       story: diary.of,
       names: runner.names,
       drop: borrower.drop,
@@ -132,14 +112,12 @@
         lender.tick();
         if (!sheet.charter()?.lending && runner.hand() === 0 && borrower.count() === 0) return;
         borrower.tick(t.serving() ? runner.need() : null, term());
-        wish();
         await runner.read();
       },
-      /** Begins nothing more, and gives back what is lent and what waits; what runs is cut at a piece, or ends. */
+      /** Begins nothing more, gives back what is lent and what waits, and lets what runs come to its end. */
       async leave(until: number): Promise<void> {
         runner.stop();
         run.clear();
-        cuts.all();
         borrower.tick(null, term());
         while (runner.hand() > 0 && world.clock.mono() < until) await Timer.nap(world.clock, PUMP);
       },
--- a/packages/counter/src/lending/loanwords.ts
+++ b/packages/counter/src/lending/loanwords.ts
@@ -15,14 +15,6 @@
   recall: Type.Object(server, shut),
   /** `running` is the weight that was begun and runs on. */
   recalled: Type.Object({ ok: Type.Boolean(), running: Type.Number({ minimum: 0 }) }, shut),
-  /** Said to the holder of the mix by a runner that needs loans: which part its bursts are short of, if one alone. */
-  wish: Type.Object(
-    {
-      part: Type.Union([Type.Literal('prefill'), Type.Literal('decode'), Type.Literal('either')]),
-      order: Type.Integer({ minimum: 1 }),
-    },
-    shut,
-  ),
   give: Type.Object({ ...server, running: Type.Number({ minimum: 0 }) }, shut),
   done: Type.Object({ ok: Type.Boolean() }, shut),
 };
--- a/packages/counter/src/lending/runner.test.ts
+++ b/packages/counter/src/lending/runner.test.ts
@@ -7,12 +7,12 @@
 
 const rollout = { name: 'rollout', urgency: 0, weight: 1, limit: 9, deadline: 900, pieces: 9, bytes: 900 };
 const charter = { rules: [rollout], lending: { rules: ['rollout'] } } as unknown as Charter;
-type Going = { request: Request; sink: CallerSink; begun: readonly string[]; done: (v: Verdict) => void };
+type Going = { request: Request; sink: CallerSink; done: (v: Verdict) => void };
 const ranWhole = Verdicts.ran('ran', 'x');
 const unrun = Verdicts.not('late', 'x');
 
 /** A runner over the core's own rulings; `bent` says of a write's reply what is heard instead. */
-const rig = (samples = 4, resumes = false) => {
+const rig = (samples = 4) => {
   let now = 0;
   let state: CoreState = Apply.empty;
   const write = (c: Parameters<typeof Apply.one>[1]): Verdict => {
@@ -53,9 +53,9 @@
       },
     } as never,
     duty: { fence: () => is.fence } as never,
-    charter: () => ({ ...charter, rules: [{ ...rollout, resumes }] }) as unknown as Charter,
+    charter: () => charter,
     room: () => is.room,
-    run: (request, sink, begun) => new Promise((done) => going.push({ request, sink, begun, done })),
+    run: (request, sink) => new Promise((done) => going.push({ request, sink, done })),
   });
   const calm = (): Promise<void> => new Promise((done) => void setTimeout(done, 0));
   return {
@@ -66,7 +66,6 @@
         .bursts!.find((b) => b.spec.key === key)!
         .generations.map((g) => g.state)
         .join(' '),
-    text: (index: number): string | undefined => state.bursts![0]!.generations[index]!.text,
     async read(): Promise<void> {
       await runner.read();
       await calm();
@@ -139,50 +138,6 @@
     await r.read();
     expect(r.keys()).to.deep.equal(['a.0.1/1']);
   });
-  it('goes on with one that was cut, at its piece, before any later one and any later burst', async () => {
-    const r = rig(2, true);
-    r.begin('a');
-    r.begin('b');
-    await r.read();
-    r.going[0]!.sink.piece(1, 'x');
-    await r.end(0, Verdicts.maybe('cut', 'x'));
-    expect(r.states()).to.equal('waiting begun');
-    r.wait(400);
-    await r.read();
-    expect(r.keys()).to.deep.equal(['a.0.1/1', 'a.1.1/1', 'a.0.2/1']);
-    expect(r.going[2]!.begun).to.deep.equal(['x']);
-    r.going[2]!.sink.piece(2, 'y');
-    await r.end(2, Verdicts.maybe('cut', 'x'));
-    r.wait(400);
-    await r.read();
-    expect(r.going[3]!.begun).to.deep.equal(['x', 'y']);
-    r.going[3]!.sink.end(2, 'd');
-    await r.end(3, ranWhole);
-    expect(r.states()).to.equal('ran begun');
-    expect(r.text(0)).to.equal('xy');
-  });
-  it('begins nothing later while the core has not taken that an earlier one was cut', async () => {
-    const r = rig(1, true);
-    r.begin('a');
-    r.begin('b');
-    r.is.room = 1;
-    await r.read();
-    r.is.mute = true;
-    r.going[0]!.sink.piece(1, 'x');
-    await r.end(0, Verdicts.maybe('cut', 'x'));
-    r.is.room = 2;
-    r.wait(400);
-    await r.read();
-    expect(r.keys()).to.deep.equal(['a.0.1/1']);
-  });
-  it('does not cut what its rule does not let resume', async () => {
-    const r = rig(1);
-    r.begin('a');
-    await r.read();
-    r.going[0]!.sink.piece(1, 'x');
-    await r.end(0, Verdicts.maybe('cut', 'x'));
-    expect(r.states()).to.equal('unsure');
-  });
   it('begins nothing without a fence, or without room', async () => {
     const r = rig();
     r.begin('a');
@@ -225,20 +180,6 @@
     expect(r.states()).to.equal('unsure');
     expect(r.runner.need()).to.equal(null);
   });
-  it('takes a refusal before the try was recorded for no proof that the turn before has not run', async () => {
-    const r = rig(1);
-    r.begin('a');
-    r.write({ do: 'mark', id: 'a', index: 0, mark: 1, turn: 1, fence: 1 });
-    await r.read();
-    await r.end(0, unrun);
-    expect(r.states()).to.equal('begun');
-    r.wait(400);
-    await r.read();
-    expect(r.keys()).to.deep.equal(['a.0.1/2', 'a.0.1/3']);
-    r.going[1]!.sink.opened!();
-    await r.end(1, unrun);
-    expect(r.states()).to.equal('waiting');
-  });
   it('takes nothing up that it has in hand, however often it reads', async () => {
     const r = rig(1);
     r.begin('a');
--- a/packages/counter/src/lending/runner.ts
+++ b/packages/counter/src/lending/runner.ts
@@ -12,8 +12,7 @@
   charter: () => Charter | null;
   /** How many more may be begun, for a rule. */
   room: (rule: Rule) => number;
-  /** `begun` are the pieces that it goes on from. */
-  run: (request: Request, sink: CallerSink, begun: readonly string[]) => Promise<Verdict>;
+  run: (request: Request, sink: CallerSink) => Promise<Verdict>;
 };
 type Place = { burst: Burst; index: number; generation: Generation };
 type Step = { mark: number; turn: number; fence: number };
@@ -59,11 +58,6 @@
       const base = { do: 'settle' as const, id: p.burst.spec.key, index: p.index, mark: step.mark, turn: step.turn };
       for (;;) {
         const { verdict } = (await t.line.write({ ...base, ...out }, WRITE)).ruling;
-        if (verdict.ran === 'yes' && out.to === 'cut')
-          t.world.tell({
-            what: 'rests',
-            ...{ burst: base.id, index: p.index, mark: step.mark, pieces: out.held!.length },
-          });
         if (verdict.ran === 'yes' || (verdict.ran === 'no' && verdict.code !== 'unready' && verdict.code !== 'full'))
           return;
         await Timer.nap(t.world.clock, AGAIN);
@@ -72,24 +66,14 @@
     const send = async (p: Place, rule: Rule, step: Step): Promise<void> => {
       const { spec } = p.burst,
         prompt = spec.prompts[Math.floor(p.index / spec.samples)]!;
-      const begun = p.generation.held ?? [],
-        take = Takes.make(begun);
+      const take = Takes.make();
       const request: Request = { key: `${id(p)}.${step.mark}`, attempt: step.turn, rule: rule.name, ...prompt };
-      const out = Takes.outcome(await t.run(request, take.sink, begun), take, rule.resumes);
-      if (out.to === 'unrun' || out.to === 'cut') {
+      const out = Takes.outcome(await t.run(request, take.sink), take);
+      if (out.to === 'unrun') {
         pause = now() + PAUSE;
         back.add(id(p));
       }
-      // Refused before it was recorded: that proves nothing of the turn before, which may run yet, or have run.
-      if (out.to === 'unrun' && step.turn > 1 && !take.opened) return;
-      t.world.tell({
-        what: 'generation',
-        burst: spec.key,
-        index: p.index,
-        mark: step.mark,
-        to: out.to,
-        pieces: out.held?.length,
-      });
+      t.world.tell({ what: 'generation', burst: spec.key, index: p.index, mark: step.mark, to: out.to });
       await settle(p, step, out);
     };
     const start = async (p: Place, rule: Rule): Promise<void> => {
--- a/packages/counter/src/lentrun.ts
+++ b/packages/counter/src/lentrun.ts
@@ -2,7 +2,6 @@
 import { Admission } from './admission.js';
 import type { Borrower } from './lending/borrower.js';
 import { LentChoice } from './lending/lentchoice.js';
-import type { Cuts } from './lending/cuts.js';
 import type { Loads } from './loads.js';
 import { Pump } from './pump.js';
 import { Run } from './run.js';
@@ -20,11 +19,8 @@
   serving: () => boolean;
   borrower: ReturnType<typeof Borrower.make>;
   loads: ReturnType<typeof Loads.make>;
-  cuts: ReturnType<typeof Cuts.make>;
 };
 
-const HALF = 0.5;
-
 /**
  * The path of borrowed requests: that of live ones, with admission, queues and loads of its own. Invariants: live work
  * shares none of these, so it never waits for what is borrowed; every send is bound by its server's lease, and of the
@@ -59,20 +55,6 @@
           choice.usable(part).reduce((n, s) => n + t.borrower.slots(s.id, s.born), 0);
         return slots('prefill') >= rule.weight ? slots('decode') : 0;
       },
-      /**
-       * The part that borrowed work is held up by: readers where all that is lent of them is taken, else writers where
-       * they have at least as much in hand as is on its way to them; null where neither is short.
-       */
-      short: (): 'prefill' | 'decode' | null => {
-        const taken = (part: 'prefill' | 'decode'): number => {
-          const list = choice.usable(part);
-          const slots = list.reduce((n, s) => n + t.borrower.slots(s.id, s.born), 0);
-          return slots === 0 ? 1 : list.reduce((n, s) => n + t.loads.at(s.id), 0) / slots;
-        };
-        const [read, write] = [taken('prefill'), taken('decode')];
-        if (read >= 1 && write >= 1) return null;
-        return read >= 1 ? 'prefill' : write >= HALF ? 'decode' : null;
-      },
       /** All that waits is given up, as not run. */
       clear(): void {
         queue.clear();
--- a/packages/counter/src/mixer.ts
+++ b/packages/counter/src/mixer.ts
@@ -1,8 +1,6 @@
 import type { World } from '@pumicebarrow/forms';
 import type { Purging } from '@pumicebarrow/purge';
-import type { Mix } from '@pumicebarrow/registry';
 import type { Duties } from './duties.js';
-import { StageLoan } from './lending/stageloan.js';
 import type { SheetView } from './sheetview.js';
 import { Target } from './target.js';
 import type { TownView } from './townview.js';
@@ -26,20 +24,8 @@
     duty: Duties;
     purge: Purging;
     load: () => Load;
-    /** Which part bursts are short of; null where there are none. */
-    wished: () => 'prefill' | 'decode' | 'either' | null;
     self: () => string;
   }) {
-    let wish: ReturnType<typeof t.wished> = null;
-    let looks = 0;
-    let rested = -Infinity;
-    const publish = (fence: number, body: Omit<Mix, 'by'>): boolean => {
-      const old = t.sheet.mark('mix');
-      const step = old && old[0] === fence ? old[1] + 1 : 0;
-      if (!t.purge.publish({ name: 'mix', mark: [fence, step], body: { ...body, by: t.self() } })) return false;
-      t.world.tell({ what: 'mix', prefill: body.prefill, lent: body.lent ?? 0, back: body.back ?? false });
-      return true;
-    };
     let lean = 0;
     let moved = -Infinity;
     let last = 0;
@@ -48,7 +34,7 @@
       tick(): void {
         const c = t.sheet.charter(),
           fence = t.duty.fence('mix');
-        if (!c || fence === null || (!c.casting.swing && !t.sheet.mix()?.lent)) {
+        if (!c || fence === null || !c.casting.swing) {
           lean = 0;
           return;
         }
@@ -70,21 +56,6 @@
         const here = worst(0),
           now = here < BUSY ? 0 : worst(1) < here * GAIN ? 1 : worst(-1) < here * GAIN ? -1 : 0;
         lean = now === 0 ? 0 : Math.sign(lean) === now ? lean + now : now;
-        const mix: Omit<Mix, 'by'> = t.sheet.mix() ?? { prefill: c.casting.prefill };
-        const asked = t.wished();
-        looks = asked === wish ? looks + 1 : 0;
-        wish = asked;
-        const seen = { charter: c, mix, wish, looks, lean: now, worst, servers: rows.length };
-        const times = { since: t.world.clock.mono() - Math.max(moved, rested), wall: t.world.clock.wall() };
-        const loan = StageLoan.next({ ...seen, ...times });
-        if (loan && publish(fence, loan)) {
-          rested = t.world.clock.mono();
-          if (!loan.back) moved = rested;
-        }
-        if (loan || !c.casting.swing || (mix.lent ?? 0) !== 0) {
-          lean = 0;
-          return;
-        }
         const calm = c.casting.calm * (Math.sign(lean) === -last ? BACK : 1);
         if (Math.abs(lean) < TIMES || t.world.clock.mono() - moved < calm) return;
         const held = t.sheet.mix()?.prefill ?? c.casting.prefill;
@@ -94,7 +65,10 @@
         if (next === held) return;
         moved = t.world.clock.mono();
         last = way;
-        publish(fence, { prefill: next, ...(mix.swaps ? { swaps: mix.swaps } : {}) });
+        const old = t.sheet.mark('mix');
+        const step = old && old[0] === fence ? old[1] + 1 : 0;
+        t.purge.publish({ name: 'mix', mark: [fence, step], body: { prefill: next, by: t.self() } });
+        t.world.tell({ what: 'mix', prefill: next });
       },
     };
   },
--- a/packages/counter/src/reading.ts
+++ b/packages/counter/src/reading.ts
@@ -3,11 +3,11 @@
 import type { Bound } from './bound.js';
 import type { Handle } from './handle.js';
 import type { Listed } from './listed.js';
-import { PieceHash } from './piecehash.js';
 import type { RunTools } from './runtools.js';
 import type { Tries } from './tries.js';
 import type { Trip } from './trip.js';
 import { Urgency } from './urgency.js';
+import type { Request } from './request.js';
 
 type Taken = { s: Listed; free: () => void };
 const PATIENCE = 4000;
@@ -15,20 +15,14 @@
 const LOOK = 20;
 const MISFIT: BackFault = { ran: 'no', code: 'bad', dark: false, why: 'gave a handle that does not fit the request' };
 
-/** Whether a handle is of just these pieces; of none where nothing was written yet. */
-const goesOn = (h: Handle, begun: readonly string[]): boolean =>
-  begun.length === 0
-    ? h.after === undefined
-    : h.after?.count === begun.length && h.after.digest === PieceHash.short(PieceHash.over(begun));
-/** Whether a handle is of this request, this life of the server, this prompt and these pieces. */
-const fits = (h: Handle | null, { v, begun }: Trip, s: Listed): boolean =>
+/** Whether a handle is of this request, this life of the server and this prompt. */
+const fits = (h: Handle | null, v: Request, s: Listed): boolean =>
   h !== null &&
   h.key === v.key &&
   h.attempt === v.attempt &&
   h.server === s.id &&
   h.born === s.born &&
-  h.digest === Hash.text(v.prefix + v.part) &&
-  goesOn(h, begun);
+  h.digest === Hash.text(v.prefix + v.part);
 
 /**
  * A request's prompt is read by a prefill server. Invariants: it is sent in the same turn as the list was looked at;
@@ -49,18 +43,13 @@
       }
     };
     const send = async (trip: Trip, s: Listed, bound: Bound): Promise<void> => {
-      const { v, rule, life, begun } = trip;
+      const { v, rule, life } = trip;
       const { key, attempt, prefix, part } = v;
       world.tell({ what: 'send', part: 'prefill', server: s.id, key, attempt, version: t.version() });
       const job = { key, attempt, ...Urgency.of(t), ...bound, prefix, part, weight: rule.weight };
-      const more = begun.length > 0 ? { begun } : {};
-      const got = await t.back.prefill(
-        s.addr,
-        { ...job, ...more },
-        Math.max(LEAST, Math.min(PATIENCE, trip.due - now())),
-      );
+      const got = await t.back.prefill(s.addr, job, Math.max(LEAST, Math.min(PATIENCE, trip.due - now())));
       const h = got.ok ? got.val : null;
-      if (fits(h, trip, s)) {
+      if (fits(h, v, s)) {
         trip.handle = h;
         trip.reader = s;
         life.send('read');
--- a/packages/counter/src/run.ts
+++ b/packages/counter/src/run.ts
@@ -32,18 +32,11 @@
     const late = (rule: Rule): Verdict => tooOld(t.queue.foresee(rule.urgency));
 
     /** A marked request is read and written, again and again where that is safe, until it is whole or given up. */
-    const go = async (
-      v: Request,
-      rule: Rule,
-      sink: CallerSink,
-      begun: readonly string[],
-      due: number,
-      settled: () => void,
-    ): Promise<Done> => {
+    const go = async (v: Request, rule: Rule, sink: CallerSink, due: number, settled: () => void): Promise<Done> => {
       const life = interpret(RequestLife, () => undefined);
       const prefix = Hash.text(v.prefix);
       const trip: Trip = {
-        ...{ v, rule, sink, begun, due, settled, life, prefix, why: late(rule) },
+        ...{ v, rule, sink, due, settled, life, prefix, why: late(rule) },
         avoid: new Set(),
         handle: null,
         reader: null,
@@ -79,7 +72,7 @@
       return mine && !marked ? Verdicts.not('noledger', 'The request could not be marked as sent.', 1) : late(rule);
     };
 
-    return async (v: Request, sink: CallerSink, begun: readonly string[] = []): Promise<Verdict> => {
+    return async (v: Request, sink: CallerSink): Promise<Verdict> => {
       const rule = t.admission.check(v);
       if (rule.err) {
         await witness.refused(v);
@@ -95,14 +88,13 @@
         return end(v, sink, book.bad);
       }
       const { owners, digest } = book;
-      sink.opened?.();
       world.tell({ what: 'recorded', key: v.key, attempt: v.attempt, owners: owners.map((o) => o.id) });
       t.pump();
       const turn = await spot.turn;
       const mine = turn ? t.admission.begin(rule.val) : null;
       const marked = mine && !sink.gone() ? await witness.sent(v, owners, digest) : false;
       if (!mine || !marked || now() >= due) return end(v, sink, await unmarked(v, rule.val, book, mine, marked));
-      const out = await go(v, rule.val, sink, begun, due, mine.settled);
+      const out = await go(v, rule.val, sink, due, mine.settled);
       mine.over();
       t.pump();
       if (out.ran) {
--- a/packages/counter/src/runtools.ts
+++ b/packages/counter/src/runtools.ts
@@ -1,7 +1,6 @@
 import type { World } from '@pumicebarrow/forms';
 import type { Back } from './back.js';
 import type { Bucket } from './bucket.js';
-import type { Cuts } from './lending/cuts.js';
 import type { Hailing } from './hailing.js';
 import type { Admitting } from './admitting.js';
 import type { Listed } from './listed.js';
@@ -32,6 +31,4 @@
   demand: { read: number; write: number };
   /** Told to servers with each send, for work that live work may overtake there; left out for live work. */
   urgency?: number;
-  /** Where streams that may be cut at a piece are known; left out for live work, which never is. */
-  cuts?: ReturnType<typeof Cuts.make>;
 };
--- a/packages/counter/src/streamcheck.test.ts
+++ b/packages/counter/src/streamcheck.test.ts
@@ -1,7 +1,6 @@
 import { expect } from 'chai';
 import { createHash } from 'node:crypto';
 import type { Piece } from './piece.js';
-import { PieceHash } from './piecehash.js';
 import { StreamCheck } from './streamcheck.js';
 
 const base = { key: 'k', attempt: 1, born: 'b' };
@@ -33,28 +32,7 @@
   ['a line after the end', [p(1), end(1), p(2)], false],
 ];
 
-const begun = ['t1', 't2'];
-const later: [string, Piece[], boolean][] = [
-  ['the pieces after those that it goes on from, and the end of all', [p(3), p(4), end(4)], true],
-  ['an end at the very piece it goes on from', [end(2)], true],
-  ['a piece that had come before', [p(2)], false],
-  ['a gap behind what had come before', [p(4)], false],
-  ['a start from the beginning', [p(1)], false],
-  ['an end that counts its own pieces alone', [p(3), end(1)], false],
-  [
-    'an end over other pieces before',
-    [p(3), end(3, { digest: PieceHash.short(PieceHash.over(['t1', 'x', 't3'])) })],
-    false,
-  ],
-];
-
 describe('StreamCheck', () => {
-  for (const [name, list, good] of later) {
-    it(`of a stream that goes on ${good ? 'takes' : 'turns away'} ${name}`, () => {
-      const c = StreamCheck.make(base, begun);
-      expect(list.map((x) => c.look(x).ok).every((x) => x)).to.equal(good);
-    });
-  }
   for (const [name, list, good] of cases) {
     it(`${good ? 'takes' : 'turns away'} ${name}`, () => {
       const c = StreamCheck.make(base);
--- a/packages/counter/src/streamcheck.ts
+++ b/packages/counter/src/streamcheck.ts
@@ -1,5 +1,5 @@
+import { createHash } from 'node:crypto';
 import type { Piece } from './piece.js';
-import { PieceHash } from './piecehash.js';
 
 type Told = { key: string; attempt: number; born: string };
 type Look =
@@ -7,14 +7,12 @@
 
 /** Holds a stream to its word: this request, this server's life, no gap, no piece twice, and an end that agrees. */
 export const StreamCheck = {
-  /** `begun` are the pieces that an earlier stream brought: this one goes on after them, and its end counts them. */
-  make(told: Told, begun: readonly string[] = []) {
-    const hash = PieceHash.over(begun);
-    let n = begun.length;
+  make(told: Told) {
+    const hash = createHash('sha256');
+    let n = 0;
     let over = false;
     return {
-      /** How many pieces this stream brought. */
-      count: (): number => n - begun.length,
+      count: (): number => n,
       over: (): boolean => over,
       look(p: Piece): Look {
         if (over) return { ok: false, why: 'a line came after the end' };
@@ -22,7 +20,7 @@
         if (p.born !== told.born) return { ok: false, why: 'a line of another life of the server' };
         if ('end' in p) {
           over = true;
-          const digest = PieceHash.short(hash);
+          const digest = hash.digest('hex').slice(0, 24);
           if (p.count !== n) return { ok: false, why: `the end counts ${p.count} pieces, ${n} came` };
           if (p.digest !== digest) return { ok: false, why: 'the end has another digest' };
           return { ok: true, end: { count: n, digest } };
--- a/packages/counter/src/trip.ts
+++ b/packages/counter/src/trip.ts
@@ -14,8 +14,6 @@
   v: Request;
   rule: Rule;
   sink: CallerSink;
-  /** The pieces that an earlier stream brought, from the first; none for a request that begins. */
-  begun: readonly string[];
   due: number;
   /** The request has a server, or never will: its turn at admission is over. */
   settled: () => void;
--- a/packages/counter/src/writing.test.ts
+++ b/packages/counter/src/writing.test.ts
@@ -33,14 +33,7 @@
     ...{ bucket: { take: () => false }, sighted: () => undefined, version: () => 1, sure: () => true },
   } as unknown as RunTools;
   const trip = (i: number): Trip => ({
-    ...{
-      v: { key: `k${i}`, attempt: 1, prefix: '', part: '' },
-      rule,
-      due: 900,
-      prefix: '',
-      avoid: new Set<string>(),
-      begun: [],
-    },
+    ...{ v: { key: `k${i}`, attempt: 1, prefix: '', part: '' }, rule, due: 900, prefix: '', avoid: new Set<string>() },
     sink: {
       piece: () => undefined,
       end: () => undefined,
--- a/packages/counter/src/writing.ts
+++ b/packages/counter/src/writing.ts
@@ -11,7 +11,6 @@
 
 type Checking = ReturnType<typeof StreamCheck.make>;
 type Taken = { s: Listed; free: () => void };
-type Cutting = ReturnType<NonNullable<RunTools['cuts']>['enter']> | undefined;
 type Piece = Parameters<Checking['look']>[0];
 const IDLE = 2500;
 const PATIENCE = 4000;
@@ -22,7 +21,7 @@
  * A request's answer is written by a decode server. Invariants: it is sent in the same turn as the list was looked at;
  * the room it was given is taken in the instant in which it is found;
  * it is sent again only on proof that this try has not run, and never once a piece has come; no piece is handed on
- * that is not the next one of this request and this life; one that may be cut is so only after a piece, and says where.
+ * that is not the next one of this request and this life.
  */
 export const Writing = {
   make(t: RunTools, tries: ReturnType<typeof Tries.make>) {
@@ -45,28 +44,26 @@
       world.tell({ what: 'streams', key: trip.v.key, attempt: trip.v.attempt, server: s.id });
     };
     /** Hands pieces on as they come; what it heard that can't be is kept in `wrong`, and ends the stream. */
-    const hearer = (trip: Trip, s: Listed, check: Checking, cutting: Cutting) => {
+    const hearer = (trip: Trip, s: Listed, check: Checking) => {
       const from = now();
       const ear = {
         wrong: null as string | null,
         take(p: Piece): boolean {
-          if (ear.wrong !== null || cutting?.over()) return false;
+          if (ear.wrong !== null) return false;
           const look = check.look(p);
           if (!look.ok) {
             ear.wrong = look.why;
-            trip.sink.spoilt?.();
             return false;
           }
           if (look.n !== undefined) {
-            if (check.count() === 1) first(trip, s, from);
+            if (look.n === 1) first(trip, s, from);
             trip.life.send('piece');
             trip.sink.piece(look.n, look.text!);
-            cutting?.piece(look.text!);
           } else if (look.end) {
             trip.life.send('whole');
             trip.sink.end(look.end.count, look.end.digest);
           }
-          return !trip.sink.gone() && !cutting?.over();
+          return !trip.sink.gone();
         },
       };
       return ear;
@@ -95,17 +92,11 @@
         { pieces, weight } = trip.rule;
       trip.life.send('send');
       world.tell({ what: 'send', part: 'decode', server: s.id, key, attempt });
-      const check = StreamCheck.make({ key, attempt, born: s.born }, trip.begun);
-      const stop = new AbortController();
-      const cutting =
-        trip.rule.resumes === true ? t.cuts?.enter(s.id, weight, trip.begun, () => stop.abort()) : undefined;
-      const ear = hearer(trip, s, check, cutting);
+      const check = StreamCheck.make({ key, attempt, born: s.born });
+      const ear = hearer(trip, s, check);
       const job = { key, attempt, ...Urgency.of(t), ...bound, handle, pieces, weight };
       const ms = Math.max(IDLE, Math.min(PATIENCE, trip.due - now()));
-      const got = await t.back.decode(s.addr, job, ms, (p) => ear.take(p), stop.signal);
-      if (cutting?.over() && trip.life.machine.current !== 'ended')
-        world.tell({ what: 'cutat', key, attempt, server: s.id, pieces: trip.begun.length + check.count() });
-      cutting?.leave();
+      const got = await t.back.decode(s.addr, job, ms, (p) => ear.take(p));
       if (trip.life.machine.current !== 'ended') failed(trip, s, fault(got, ear.wrong), check.count());
     };
     return async (trip: Trip): Promise<void> => {
--- a/packages/forms/src/lending.ts
+++ b/packages/forms/src/lending.ts
@@ -1,6 +1,6 @@
 import { Type, type Static } from 'typebox';
 
-const parts = <T extends ReturnType<typeof Type.Number> | ReturnType<typeof Type.Integer>>(one: T) =>
+const parts = <T extends ReturnType<typeof Type.Number>>(one: T) =>
   Type.Object({ prefill: one, decode: one }, { additionalProperties: false });
 
 /**
@@ -14,20 +14,6 @@
       Type.Number({ minimum: 0, maximum: 1, description: "share of a part's slots that is lent at the most" }),
     ),
     keep: parts(Type.Number({ minimum: 0, maximum: 100_000, description: 'slots that are never lent' })),
-    swaps: Type.Optional(
-      Type.Object(
-        {
-          floor: parts(
-            Type.Integer({ minimum: 1, description: 'servers that stay in the part, whatever bursts need' }),
-          ),
-          hour: Type.Integer({ minimum: 1, maximum: 60, description: 'swaps for bursts in an hour at the most' }),
-        },
-        {
-          additionalProperties: false,
-          description: 'whether a server may change its part for bursts; not if left out',
-        },
-      ),
-    ),
     length: Type.Integer({
       minimum: 500,
       maximum: 2500,
--- a/packages/forms/src/lendingclauses.test.ts
+++ b/packages/forms/src/lendingclauses.test.ts
@@ -18,12 +18,6 @@
   },
 });
 type Draft = ReturnType<typeof good>;
-const swaps = (prefill: number) => ({ floor: { prefill, decode: 1 }, hour: 4 });
-const swapsBelow = (c: Draft): void => {
-  for (const s of ['m3', 'm4']) c.servers.push({ ...c.servers[0]!, id: s });
-  c.casting = { ...c.casting, prefill: 2, floor: { prefill: 2, decode: 1 } };
-  Object.assign(c.lending, { swaps: swaps(1) });
-};
 const cases: [string, (c: Draft) => void, string[]][] = [
   ['a sound clause', () => undefined, []],
   ['a rule not known', (c) => c.lending.rules.push('other'), ['/lending/rules/1']],
@@ -34,10 +28,6 @@
   ['no rule left for live work', (c) => (c.rules = [c.rules[2]!]), ['/fallback', '/lending/rules']],
   ['more kept than there is', (c) => (c.lending.keep.decode = 9), ['/lending/keep/decode']],
   ['a loan longer than the quiet time', (c) => (c.lending.length = 2501), ['/lending/length']],
-  ['a borrowing rule that resumes', (c) => Object.assign(c.rules[2]!, { resumes: true }), []],
-  ['a rule of live work that resumes', (c) => Object.assign(c.rules[1]!, { resumes: true }), ['/rules/1/resumes']],
-  ['swaps with floors', (c) => Object.assign(c.lending, { swaps: swaps(1) }), []],
-  ['a floor of swaps below that of the casting', swapsBelow, ['/lending/swaps/floor/prefill']],
   ['a share above all', (c) => (c.lending.most.prefill = 1.1), ['/lending/most/prefill']],
 ];
 
--- a/packages/forms/src/lendingclauses.ts
+++ b/packages/forms/src/lendingclauses.ts
@@ -8,12 +8,7 @@
 export const LendingClauses = {
   faults(c: Charter): Fault[] {
     const l = c.lending;
-    const cut = c.rules.flatMap((r, i): Fault[] =>
-      r.resumes === true && l?.rules.includes(r.name) !== true
-        ? [{ path: `/rules/${i}/resumes`, why: `${r.name} may not borrow, and only what is borrowed is cut` }]
-        : [],
-    );
-    if (!l) return cut;
+    if (!l) return [];
     const live = c.rules.filter((r) => !l.rules.includes(r.name));
     const least = Math.min(...live.map((r) => r.urgency));
     const out = l.rules.flatMap((name, i): Fault[] => {
@@ -32,13 +27,6 @@
       if (l.keep[p] > all)
         out.push({ path: `/lending/keep/${p}`, why: `keeps ${l.keep[p]} but servers that can ${p} have ${all} slots` });
     }
-    if (l.swaps)
-      for (const p of ['prefill', 'decode'] as const)
-        if (l.swaps.floor[p] < c.casting.floor[p])
-          out.push({
-            path: `/lending/swaps/floor/${p}`,
-            why: `is below the floor of the casting, ${c.casting.floor[p]}`,
-          });
-    return [...cut, ...out];
+    return out;
   },
 };
--- a/packages/forms/src/rule.ts
+++ b/packages/forms/src/rule.ts
@@ -19,11 +19,6 @@
     }),
     pieces: Type.Integer({ minimum: 1, maximum: 100000, description: 'the longest answer, in pieces' }),
     bytes: Type.Integer({ minimum: 1, maximum: 4194304, description: 'the largest prefix and part together' }),
-    resumes: Type.Optional(
-      Type.Boolean({
-        description: 'whether a borrowed answer may be cut at a piece, and gone on with from there at another server',
-      }),
-    ),
     sites: Type.Optional(Type.Array(Type.String(), { description: 'where it is served; everywhere if left out' })),
   },
   { additionalProperties: false },
--- a/packages/registry/src/lending/burstcommand.ts
+++ b/packages/registry/src/lending/burstcommand.ts
@@ -18,8 +18,7 @@
     {
       do: Type.Literal('settle'),
       ...base,
-      to: Type.Union([Type.Literal('ran'), Type.Literal('unrun'), Type.Literal('unsure'), Type.Literal('cut')]),
-      held: Type.Optional(Type.Array(Type.String({ maxLength: 4096 }), { minItems: 1, maxItems: 256 })),
+      to: Type.Union([Type.Literal('ran'), Type.Literal('unrun'), Type.Literal('unsure')]),
       text: Type.Optional(Type.String({ maxLength: 4096 })),
       count: Type.Optional(Type.Integer({ minimum: 0 })),
       digest: Type.Optional(Type.String({ maxLength: 64 })),
--- a/packages/registry/src/lending/bursts.test.ts
+++ b/packages/registry/src/lending/bursts.test.ts
@@ -21,12 +21,6 @@
 const settle = (index: number, to: 'ran' | 'unrun' | 'unsure', m = 1, turn = 1): Command => ({
   ...{ do: 'settle', id: 'b', index, mark: m, turn, to, ...(to === 'ran' ? { text: 'x', count: 1 } : {}) },
 });
-const cut = (index: number, held: string[], m = 1, turn = 1): Command => ({
-  ...{ do: 'settle', id: 'b', index, mark: m, turn, to: 'cut', held },
-});
-const whole = (text: string, m: number): Command => ({
-  ...{ do: 'settle', id: 'b', index: 0, mark: m, turn: 1, to: 'ran', text, count: 1 },
-});
 const end: Command = { do: 'end', id: 'b' };
 const lease = (id: string) => ({ do: 'claim' as const, name: Shards.of('b'), id, born: 'x' });
 
@@ -87,50 +81,6 @@
     ['begun', 'marked', 'ending', 'settled', 'gone', 'gone', 'begun', 'otherbody'],
     '',
   ],
-  [
-    'one cut at a piece, said twice, and gone on with to its end',
-    [begin(), mark(0), cut(0, ['x']), cut(0, ['x']), mark(0, 2), cut(0, ['x', 'y'], 2), mark(0, 3), whole('xyz', 3)],
-    ['begun', 'marked', 'settled', 'settled', 'marked', 'settled', 'marked', 'settled'],
-    'ran waiting',
-  ],
-  [
-    'a cut that holds no more, less, or other pieces than were held',
-    [
-      begin(),
-      mark(0),
-      cut(0, ['x', 'y']),
-      mark(0, 2),
-      cut(0, ['x', 'y'], 2),
-      cut(0, ['x'], 2),
-      cut(0, ['x', 'z', 'y'], 2),
-    ],
-    ['begun', 'marked', 'settled', 'marked', 'stale', 'stale', 'stale'],
-    'begun waiting',
-  ],
-  [
-    'an end that does not go on from what is held',
-    [begin(), mark(0), cut(0, ['x']), mark(0, 2), whole('yx', 2), whole('xy', 2)],
-    ['begun', 'marked', 'settled', 'marked', 'misjoined', 'settled'],
-    'ran waiting',
-  ],
-  [
-    'a cut by an old runner, of what the next one runs',
-    [begin(), mark(0), mark(0, 1, 2), cut(0, ['x'])],
-    ['begun', 'marked', 'marked', 'stale'],
-    'begun waiting',
-  ],
-  [
-    'a cut once its burst is ended',
-    [begin(), mark(0), end, cut(0, ['x'])],
-    ['begun', 'marked', 'ending', 'settled'],
-    'dropped dropped',
-  ],
-  [
-    'more than can be kept',
-    [begin(), mark(0), cut(0, ['x'.repeat(4096), 'y'])],
-    ['begun', 'marked', 'stale'],
-    'begun waiting',
-  ],
   ['one nobody began', [mark(0), end], ['unknown', 'unknown'], ''],
   ['a generation that is not there', [begin(), mark(2)], ['begun', 'unknown'], 'waiting waiting'],
 ];
@@ -158,17 +108,6 @@
     });
     expect(BurstSummary.of(s.bursts![0]!)).to.include({ total: 2, ran: 1, waiting: 1, begun: 0 });
   });
-  it('keeps the pieces of one that was cut until its end, whatever comes between', () => {
-    let s = Apply.one(Apply.empty, lease('e1')).state;
-    const held = (): unknown => s.bursts![0]!.generations[0]!.held;
-    const say = (c: Command): void => void (s = Apply.one(s, c).state);
-    for (const c of [begin('b', 2, 1), mark(0), cut(0, ['x']), mark(0, 2), settle(0, 'unrun', 2)]) say(c);
-    expect(held()).to.deep.equal(['x']);
-    for (const c of [mark(0, 3), settle(0, 'unsure', 3)]) say(c);
-    expect(held()).to.deep.equal(['x']);
-    for (const c of [mark(0, 4), whole('xy', 4)]) say(c);
-    expect(s.bursts![0]!.generations[0]).to.include({ state: 'ran', text: 'xy' }).and.not.have.property('held');
-  });
   it('is bounded, and tells so before anything is written', () => {
     let s = Apply.empty;
     const say = (key: string, samples: number, part = 'q'): string => {
--- a/packages/registry/src/lending/bursts.ts
+++ b/packages/registry/src/lending/bursts.ts
@@ -13,14 +13,8 @@
 
 const MOST = { each: 256, all: 1024, body: 32_768, open: 16, gone: 64 };
 const FINAL: readonly Generation['state'][] = ['ran', 'unsure', 'dropped'];
-const LONGEST = 4096;
-/** Whether what was cut goes on from what is held: no piece less, none changed, and at least one more. */
-const longer = (held: readonly string[], next: readonly string[]): boolean =>
-  next.length > held.length && held.every((x, i) => x === next[i]) && next.join('').length <= LONGEST;
 const over = (b: Burst): boolean => b.generations.every((g) => FINAL.includes(g.state));
 
-const bare = ({ held: _held, ...g }: Generation): Generation => g;
-
 /** What each command does to the bursts that the core keeps. Pure, as all of the core's rulings. */
 export const Bursts = {
   over,
@@ -60,7 +54,7 @@
       if (b.gone) return yes('gone', `Burst ${id} is ended, and its outcomes are gone.`);
       if (!over(b)) {
         if (b.ended) return yes('ending', `Burst ${id} is ended; what was begun runs on.`);
-        const generations = b.generations.map((g) => (g.state === 'waiting' ? bare({ ...g, state: 'dropped' }) : g));
+        const generations = b.generations.map((g) => (g.state === 'waiting' ? { ...g, state: 'dropped' as const } : g));
         return put({ ...b, ended: true, generations }, 'ending', `Burst ${id} is ended; what was begun runs on.`);
       }
       const gone = {
@@ -88,24 +82,18 @@
       return swap(b, m.index, { ...g, state: 'begun', mark: m.mark, turn: m.turn, fence: m.fence }, 'marked');
     };
     const settle = (b: Burst, g: Generation, s: Of<'settle'>): Done => {
-      const held = g.held ?? [];
-      const back = s.to === 'unrun' || (s.to === 'cut' && held.length === s.held?.length);
-      const done = g.mark === s.mark && ((back && g.state === 'waiting') || g.state === s.to);
+      const done = g.mark === s.mark && ((s.to === 'unrun' && g.state === 'waiting') || g.state === s.to);
       if (done) return yes('settled', `${id} ${s.index} is settled.`);
       const mine = g.state === 'begun' && g.mark === s.mark && s.turn <= g.turn;
       if (!mine || (s.to !== 'ran' && s.turn !== g.turn)) return no('stale', `${id} ${s.index} is not as you know it.`);
-      if (s.to === 'cut' && !longer(held, s.held ?? [])) return no('stale', `${id} ${s.index} holds other pieces.`);
-      if (s.to === 'ran' && s.text !== undefined && !s.text.startsWith(held.join('')))
-        return no('misjoined', `${id} ${s.index} does not go on from what is held.`);
       const { fence: _fence, ...rest } = g;
       const idle = { ...rest, state: b.ended ? ('dropped' as const) : ('waiting' as const) };
-      if (s.to === 'cut') return swap(b, s.index, b.ended ? bare(idle) : { ...idle, held: s.held! }, 'settled');
-      if (s.to === 'unrun') return swap(b, s.index, b.ended ? bare(idle) : idle, 'settled');
+      if (s.to === 'unrun') return swap(b, s.index, idle, 'settled');
       if (s.to === 'unsure' && g.repeated < b.spec.repeats && !b.ended)
         return swap(b, s.index, { ...idle, repeated: g.repeated + 1 }, 'settled');
       const told = (({ text, count, digest, why }) => ({ text, count, digest, why }))(s);
       const kept = Object.fromEntries(Object.entries(told).filter(([, v]) => v !== undefined));
-      return swap(b, s.index, bare({ ...rest, ...kept, state: s.to }), 'settled');
+      return swap(b, s.index, { ...rest, ...kept, state: s.to }, 'settled');
     };
 
     if (c.do === 'begin') return begin(c.spec);
--- a/packages/registry/src/lending/generation.ts
+++ b/packages/registry/src/lending/generation.ts
@@ -2,10 +2,8 @@
 
 /**
  * One generation of a burst. Invariants: `mark` only rises, and a request is sent for a mark only once the mark is
- * held by the core; 'waiting' means that no mark so far has run or will, or that it may be repeated, or that
- * it was cut after the pieces in `held`; 'ran', 'unsure'
- * and 'dropped' never change. `held` only grows, and is there only while 'waiting' or 'begun'.
- * `turn` counts the runners that took one mark up; `fence` is that of the last.
+ * held by the core; 'waiting' means that no mark so far has run or will, or that it may be repeated; 'ran', 'unsure'
+ * and 'dropped' never change. `turn` counts the runners that took one mark up; `fence` is that of the last.
  */
 export const Generation = Type.Object(
   {
@@ -19,13 +17,6 @@
     mark: Type.Integer({ minimum: 0 }),
     turn: Type.Integer({ minimum: 0 }),
     repeated: Type.Integer({ minimum: 0 }),
-    held: Type.Optional(
-      Type.Array(Type.String({ maxLength: 4096 }), {
-        minItems: 1,
-        maxItems: 256,
-        description: 'the pieces that it was cut at, all from the first; the next mark goes on from there',
-      }),
-    ),
     fence: Type.Optional(Type.Integer({ minimum: 1 })),
     text: Type.Optional(Type.String({ maxLength: 4096 })),
     count: Type.Optional(Type.Integer({ minimum: 0 })),
--- a/packages/router/src/urgency.test.ts
+++ b/packages/router/src/urgency.test.ts
@@ -15,15 +15,6 @@
     ['unless it misses its aim even alone', 900, 0, 7, false],
     ['what misses its aim even alone goes last', 900, 0, 7],
   ];
-  it('is the last of all on a route without an aim, such as bursts take, whatever is asked', () => {
-    const burst = { ...route, aim: 0, rank: 1000 };
-    for (const [ms, first] of [
-      [1, true],
-      [20, false],
-      [700, true],
-    ] as const)
-      expect(Urgency.of(burst, ms, first)).to.equal(7);
-  });
   for (const [name, ms, rank, want, first = true] of cases)
     it(name, () => expect(Urgency.of({ ...route, rank }, ms, first)).to.equal(want));
 });
--- a/packages/sim/src/callers.ts
+++ b/packages/sim/src/callers.ts
@@ -151,13 +151,13 @@
         }),
       );
     };
-    const request = async (rule: string, zone: string, only?: string): Promise<void> => {
+    const request = async (rule: string, zone: string): Promise<void> => {
       const { key, body } = wish(rule, zone);
       let attempt = 1;
       let dead = 0;
       while (attempt <= TRIES) {
         const near = f.edgeIds.filter((id) => f.boxes.get(id)!.site === zone && f.boxes.get(id)!.up());
-        const id = only ?? Dice.one(motor.chance, near.length > 0 ? near : f.edgeIds)!;
+        const id = Dice.one(motor.chance, near.length > 0 ? near : f.edgeIds)!;
         const out = await once(id, { key, attempt, ...body });
         if (out.kind === 'unreached') {
           if (++dead > 8) break;
--- a/packages/sim/src/lending/fairness.ts
+++ b/packages/sim/src/lending/fairness.ts
@@ -22,7 +22,7 @@
       if (d.what === 'passedon') of(d.who).delete(String(d['name']));
       if (d.what !== 'generation' && d.what !== 'taken') continue;
       const place = { order: order.get(String(d['burst'])) ?? Infinity, index: Number(d['index']) };
-      if (d.what === 'generation' && (d['to'] === 'unrun' || d['to'] === 'cut')) of(d.who).set(name(d), place);
+      if (d.what === 'generation' && d['to'] === 'unrun') of(d.who).set(name(d), place);
       if (d.what !== 'taken') continue;
       for (const mine of owed.values()) mine.delete(name(d));
       if (d['mark'] !== 0) continue;
--- a/packages/sim/src/lending/lentdrill.ts
+++ b/packages/sim/src/lending/lentdrill.ts
@@ -6,28 +6,7 @@
   name: string;
   about: string;
   meets: readonly (
-    | 'lent'
-    | 'recalled'
-    | 'unrun'
-    | 'killed'
-    | 'frozen'
-    | 'fell'
-    | 'lapsed'
-    | 'wouldwait'
-    | 'unsure'
-    | 'late'
-    | 'again'
-    | 'cutat'
-    | 'resumed'
-    | 'resumedtwice'
-    | 'crashed'
-    | 'flocked'
-    | 'swapped'
-    | 'returned'
+    'lent' | 'recalled' | 'unrun' | 'killed' | 'frozen' | 'fell' | 'lapsed' | 'wouldwait' | 'unsure' | 'late' | 'again'
   )[];
-  /** Whether nothing fails in it, so that it can be judged whether what was called back was needed. */
-  calm?: true;
-  /** Whether a server may change its part for bursts. */
-  swaps?: true;
   run(s: Scene, t: ReturnType<typeof Trainers.make>): Promise<void>;
 };
--- a/packages/sim/src/lending/lentdrills.ts
+++ b/packages/sim/src/lending/lentdrills.ts
@@ -49,24 +49,6 @@
       await t.finish(LONG);
     },
   },
-  {
-    name: 'lendroom',
-    about: 'live requests come to one daemon in small flocks, for which the fleet has room beside what is lent',
-    meets: ['lent', 'flocked'],
-    calm: true,
-    async run(s, t) {
-      s.callers.mix({ changelog: 1 }, 0.05);
-      await s.nap(3000);
-      await begin(s, t, 20);
-      for (let i = 0; i < 20; i++) {
-        const id = s.f.edgeIds[i % s.f.edgeIds.length]!;
-        for (let k = 0; k < s.f.d.servers - 1; k++) void s.callers.request('changelog', s.f.d.zones[0]!, id);
-        await s.nap(300 + s.real() * 300);
-      }
-      s.callers.mix({ review: 1, changelog: 6, verdict: 3 });
-      await t.finish(LONG);
-    },
-  },
   {
     name: 'lendkill',
     about: 'the daemon that borrows is killed, and comes back later',
--- a/packages/sim/src/lending/lentfleet.ts
+++ b/packages/sim/src/lending/lentfleet.ts
@@ -4,8 +4,6 @@
 
 const rule = Deployments.coop.charter.rules.find((r) => r.name === 'changelog')!;
 const rollout = { ...rule, ...{ name: 'rollout', urgency: 0, limit: 200, deadline: 4000, pieces: 24 } };
-/** The same, for generations that may be cut at a piece. */
-const rollon = { ...rollout, name: 'rollon', resumes: true };
 
 /** So few live requests that there are next to none. */
 const IDLE = 0.001;
@@ -17,9 +15,9 @@
     const d = Deployments[fleet];
     const charter: Charter = {
       ...d.charter,
-      rules: [...d.charter.rules, rollout, rollon],
+      rules: [...d.charter.rules, rollout],
       lending: {
-        rules: ['rollout', 'rollon'],
+        rules: ['rollout'],
         most: { prefill: 0.5, decode: 0.5 },
         keep: { prefill: 4, decode: 6 },
         length: LentFleet.term,
@@ -27,13 +25,6 @@
     };
     return { ...d, charter };
   },
-  /** The same, where a server may also change its part for bursts. */
-  swapping(fleet: 'coop' | 'registry'): Deployment {
-    const d = LentFleet.of(fleet),
-      lending = d.charter.lending!;
-    return { ...d, charter: { ...d.charter, lending: { ...lending, swaps: LentFleet.swaps } } };
-  },
-  swaps: { floor: { prefill: 1, decode: 2 }, hour: 3 },
   /** A fixed split: the first servers for live work alone, as many as the rest for bursts alone. */
   split(fleet: 'coop' | 'registry'): { live: Deployment; bursts: Deployment } {
     const d = LentFleet.of(fleet),
--- a/packages/sim/src/lending/lentwork.ts
+++ b/packages/sim/src/lending/lentwork.ts
@@ -7,15 +7,10 @@
 import { Stage } from '../stage.js';
 import { LentDrills } from './lentdrills.js';
 import { LentFleet } from './lentfleet.js';
-import { Needless } from './needless.js';
-import { PieceDrills } from './piecedrills.js';
 import { Promises } from './promises.js';
-import { StageJudge } from './stagejudge.js';
-import { SwapDrills } from './swapdrills.js';
 import { Trainers } from './trainers.js';
 
-const DRILLS = [...LentDrills, ...PieceDrills, ...SwapDrills];
-const MEETS: Record<(typeof DRILLS)[number]['meets'][number], (d: Deed) => boolean> = {
+const MEETS: Record<(typeof LentDrills)[number]['meets'][number], (d: Deed) => boolean> = {
   lent: (d) => d.what === 'send' && d['part'] === 'decode' && Promises.lent(d),
   recalled: (d) => d.what === 'recalled',
   wouldwait: (d) => d.what === 'wouldwait',
@@ -25,36 +20,26 @@
   killed: (d) => d.what === 'killed',
   late: (d) => d.what === 'late' && d['part'] === 'decode',
   again: (d) => d.what === 'taken' && Number(d['mark']) > 0,
-  cutat: (d) => d.what === 'cutat',
-  resumed: (d) => d.what === 'ran' && Number(d['from']) > 0,
-  resumedtwice: (d) => d.what === 'rests' && Number(d['mark']) > 1,
-  /** Cut by a fault, not called back. */
-  crashed: (d) => d.what === 'visit' && d['code'] === 'cut' && Promises.lent(d),
-  flocked: (d) => d.what === 'streams' && !Promises.lent(d),
-  swapped: (d) => d.what === 'mix' && Number(d['lent']) !== 0,
-  returned: (d) => d.what === 'mix' && d['back'] === true,
   frozen: (d) => d.what === 'frozen',
   fell: (d) => d.what === 'fell',
 };
 
 /** Makes one run with bursts, and judges it by the nevers and by what lending promises. */
 export const LentWork = {
-  names: DRILLS.map((d) => d.name),
+  names: LentDrills.map((d) => d.name),
   async run(j: Job): Promise<Ran | null> {
-    const drill = DRILLS.find((d) => d.name === j.drill);
+    const drill = LentDrills.find((d) => d.name === j.drill);
     if (!drill) return null;
-    const r = await Stage.run((drill.swaps ? LentFleet.swapping : LentFleet.of)(j.fleet), j.seed, async (s) => {
+    const r = await Stage.run(LentFleet.of(j.fleet), j.seed, async (s) => {
       await drill.run(s, Trainers.make(s));
     });
     const h = r.history,
       told = History.make([...Promises.wishes(h), ...h.all]);
     const nevers = Nevers.flatMap((n) => n.judge(told).broken.map((b) => `${n.name}: ${b.why}`));
     const unmet = drill.meets.filter((m) => !h.all.some(MEETS[m]));
-    const swaps = StageJudge.broken(h, LentFleet.swapping(j.fleet).charter);
-    const needless = drill.calm ? Needless.broken(h, LentFleet.of(j.fleet).charter) : [];
     return {
       ...{ deeds: [], ended: r.ended, points: h.of('generation').length, unmet },
-      broken: [...nevers, ...Promises.broken(h, LentFleet.term), ...needless, ...swaps],
+      broken: [...nevers, ...Promises.broken(h, LentFleet.term)],
     };
   },
   /** One day of waves of live requests, of bursts that come one after another, or of both. */
--- a/packages/sim/src/lending/promises.ts
+++ b/packages/sim/src/lending/promises.ts
@@ -1,17 +1,18 @@
 import type { Deed } from '@pumicebarrow/forms';
 import type { History } from '../history.js';
 import { Fairness } from './fairness.js';
-import { Joins } from './joins.js';
-import { LentKeys } from './lentkeys.js';
 import { SendBounds } from './sendbounds.js';
 
 type Past = ReturnType<typeof History.make>;
-const place = LentKeys.place;
+const LENT = /^(burst-\w+)\.(\d+)\.\d+$/;
+const place = (d: Deed): string | null => {
+  const m = LENT.exec(String(d['key']));
+  return m ? `${m[1]} ${m[2]}` : null;
+};
 
 /** Each generation runs once, or as often as its burst lets it be repeated; each has one outcome, and the right one. */
 const once = (h: Past): string[] => {
   const runs = new Map<string, number>();
-  const cuts = Joins.cuts(h);
   for (const d of h.of('ran')) {
     const p = place(d);
     if (p) runs.set(p, (runs.get(p) ?? 0) + 1);
@@ -23,8 +24,8 @@
       most = 1 + Number(b['repeats']);
     if (!f || f['total'] !== b['total']) return [`${key} was acknowledged, and is lost`];
     const out = [...runs]
-      .filter(([p, n]) => p.startsWith(`${key} `) && n > most + (cuts.get(p) ?? 0))
-      .map(([p, n]) => `${p} ran ${n} times, ${most} at the most, and ${cuts.get(p) ?? 0} from where it was cut`);
+      .filter(([p, n]) => p.startsWith(`${key} `) && n > most)
+      .map(([p, n]) => `${p} ran ${n} times, ${most} at the most`);
     if (f['open'] !== 0) out.push(`${key} has ${String(f['open'])} generations without an outcome`);
     if (f['wrong'] !== 0) out.push(`${key} has ${String(f['wrong'])} outcomes that are not what ran`);
     const end = h.of('burstend').find((d) => d['key'] === key)?.['code'];
@@ -98,8 +99,6 @@
       ...holder(h, term).broken,
       ...back(h, term).broken,
       ...Fairness.broken(h),
-      ...Joins.broken(h),
-      ...Joins.late(h),
       ...SendBounds.broken(h, term, (d) => place(d) !== null),
     ].map((w) => `lending: ${w}`),
 };
--- a/packages/sim/src/lending/trainers.ts
+++ b/packages/sim/src/lending/trainers.ts
@@ -1,4 +1,4 @@
-import { Dice, type Deed } from '@pumicebarrow/forms';
+import { Dice } from '@pumicebarrow/forms';
 import { LendingControl, type Counting } from '@pumicebarrow/counter';
 import type { Generation } from '@pumicebarrow/registry';
 import type { Scene } from '../scene.js';
@@ -24,15 +24,9 @@
       if (!d) return s.nap(300).then(() => null);
       return Promise.race([job(LendingControl.make(d)), s.nap(PATIENCE).then(() => null)]);
     };
-    const begin = async (
-      key: string,
-      prompts: number,
-      samples: number,
-      repeats = 0,
-      rule = 'rollout',
-    ): Promise<void> => {
+    const begin = async (key: string, prompts: number, samples: number, repeats = 0): Promise<void> => {
       const spec: Spec = {
-        ...{ key, rule, samples, repeats },
+        ...{ key, rule: 'rollout', samples, repeats },
         prompts: Array.from({ length: prompts }, (_, i) => ({ prefix: `${key} step `, part: `prompt ${i} ` })),
       };
       for (;;) {
@@ -42,7 +36,7 @@
       }
       specs.push(spec);
       const digests = spec.prompts.flatMap((p) => Array<string>(samples).fill(Text.digest(p.prefix, p.part)));
-      s.note('burst', { key, total: prompts * samples, repeats, digests, resumes: rule === 'rollon' });
+      s.note('burst', { key, total: prompts * samples, repeats, digests });
     };
     const look = async (key: string): Promise<readonly Generation[] | null> =>
       ((await call((c) => c.burst(key)))?.['generations'] as readonly Generation[] | undefined) ?? null;
@@ -82,15 +76,6 @@
         }
         return null;
       },
-      /** Whether something has been told since this was asked for. */
-      hears(fits: (d: Deed) => boolean): () => Deed | null {
-        let next = s.deeds().length;
-        let found: Deed | null = null;
-        return () => {
-          for (const all = s.deeds(); !found && next < all.length; next++) found = fits(all[next]!) ? all[next]! : null;
-          return found;
-        };
-      },
       /** Whether a lender has told of a lapse of this server's loan since this was asked for. */
       lapses(server: string): () => boolean {
         let next = s.deeds().length;
--- a/packages/sim/src/model.ts
+++ b/packages/sim/src/model.ts
@@ -1,11 +1,12 @@
 import { Dice, Hash, Timer, type Chance, type Clock } from '@pumicebarrow/forms';
 import type { BackState, Bound, Handle, OrderSlip, Piece, RequestJob } from '@pumicebarrow/counter';
+import { createHash } from 'node:crypto';
 import { Text } from './text.js';
 import { Tide } from './tide.js';
 import type { Trick } from './trick.js';
 
-type Kept = { handle: Handle; until: number; begun: readonly string[] };
-type Memory = { key: string; attempt: number; digest: string; begun?: readonly string[] };
+type Kept = { handle: Handle; until: number };
+type Memory = { key: string; attempt: number; digest: string };
 type Settings = { id: string; born: string; addr: string; slots: number; hold: number; pace: number };
 type Hooks = {
   /** Fetches prompt memory from the server that read it; null when it has lapsed or can't be had. */
@@ -13,8 +14,7 @@
   /** Work is taken in, or turned away since it came too late. */
   took: (part: 'prefill' | 'decode') => void;
   late: (part: 'prefill' | 'decode' | 'order') => void;
-  /** `begun` are the pieces it goes on from. */
-  ran: (key: string, attempt: number, digest: string, begun: readonly string[]) => void;
+  ran: (key: string, attempt: number, digest: string) => void;
   ordered: (slip: OrderSlip) => void;
   trick: () => Trick;
 };
@@ -75,7 +75,7 @@
         return { ...state, clock: tide.now() };
       },
       async prefill(
-        job: RequestJob & Bound & { prefix: string; part: string; weight: number; begun?: readonly string[] },
+        job: RequestJob & Bound & { prefix: string; part: string; weight: number },
       ): Promise<Handle | Turned> {
         if (past(job, 'prefill')) return { code: 'late' };
         if (state.part !== 'prefill') return { code: 'wrongpart' };
@@ -85,8 +85,7 @@
         const prefix = Hash.text(job.prefix),
           known = prefixes.includes(prefix);
         prefixes = [prefix, ...prefixes.filter((p) => p !== prefix)].slice(0, 12);
-        const size = (known ? 0 : job.prefix.length) + job.part.length,
-          begun = (job.begun ?? []).map((text) => (h.trick() === 'mixed' ? `not ${text}` : text));
+        const size = (known ? 0 : job.prefix.length) + job.part.length;
         await Timer.nap(clock, fair(job) * (0.5 + size / 400));
         bump(-1, job);
         const handle: Handle = {
@@ -97,9 +96,8 @@
           born: s.born,
           addr: s.addr,
           digest: Text.digest(job.prefix, job.part),
-          ...(begun.length > 0 ? { after: { count: begun.length, digest: Text.seal(begun) } } : {}),
         };
-        memory.set(handle.id, { handle, begun, until: clock.mono() + s.hold });
+        memory.set(handle.id, { handle, until: clock.mono() + s.hold });
         if (memory.size > 4096) memory.delete(memory.keys().next().value!);
         const before = [...memory.values()].find((m) => m.handle.key !== job.key)?.handle;
         return h.trick() === 'swap' && before ? before : handle;
@@ -108,7 +106,7 @@
         const kept = memory.get(id);
         if (!kept || kept.until < clock.mono()) return null;
         memory.delete(id);
-        return { key: kept.handle.key, attempt: kept.handle.attempt, digest: kept.handle.digest, begun: kept.begun };
+        return { key: kept.handle.key, attempt: kept.handle.attempt, digest: kept.handle.digest };
       },
       async decode(
         job: RequestJob & Bound & { handle: Handle; pieces: number },
@@ -130,24 +128,24 @@
           return { code: got ? 'bad' : 'lapsed' };
         }
         const trick = h.trick();
-        const { digest, begun = [] } = got;
-        h.ran(job.key, job.attempt, digest, begun);
+        const { digest } = got;
+        h.ran(job.key, job.attempt, digest);
         const count = Text.count(digest, job.pieces),
-          pieces = [...begun];
+          hash = createHash('sha256');
         const base = {
           key: trick === 'other' ? 'another' : job.key,
           attempt: job.attempt,
           born: trick === 'old' ? 'before' : s.born,
         };
-        for (let n = begun.length + 1; n <= count && on(); n++) {
+        for (let n = 1; n <= count && on(); n++) {
           await Timer.nap(clock, fair(job));
           if (trick === 'early' && n === count) break;
           const text = Text.piece(trick === 'other' ? `other ${digest}` : digest, n);
-          pieces.push(text);
-          if (!(trick === 'skip' && n === begun.length + 2)) emit({ ...base, n, text });
-          if (trick === 'repeat' && n === begun.length + 1) emit({ ...base, n, text });
+          hash.update(`${n}:${text}\n`);
+          if (!(trick === 'skip' && n === 2)) emit({ ...base, n, text });
+          if (trick === 'repeat' && n === 1) emit({ ...base, n, text });
         }
-        if (on() && trick !== 'torn') emit({ ...base, end: true, count, digest: Text.seal(pieces) });
+        if (on() && trick !== 'torn') emit({ ...base, end: true, count, digest: hash.digest('hex').slice(0, 24) });
         bump(-1, job);
         return null;
       },
--- a/packages/sim/src/park.ts
+++ b/packages/sim/src/park.ts
@@ -6,7 +6,6 @@
 import { ParkLine } from './parkline.js';
 import type { Server } from './server.js';
 import type { Stall } from './stall.js';
-import { Text } from './text.js';
 import type { Trick } from './trick.js';
 
 type Settings = { id: string; addr: string; site: string; slots: number };
@@ -56,7 +55,7 @@
     /** Prompt memory is fetched over the servers' own links, which may be slow, shaky or cut. */
     const fetch =
       (now: Server) =>
-      (h: Handle): Promise<ReturnType<Server['stand']['kv']>> =>
+      (h: Handle): Promise<{ key: string; attempt: number; digest: string } | null> =>
         new Promise((done) => {
           const from = servers.get(h.server),
             slow = now.slow + (from?.slow ?? 0);
@@ -93,8 +92,7 @@
           fetch: fetch(now),
           took: (part) => say('reach', s.id, { part, born }),
           late: (part) => say('late', s.id, { part, born }),
-          ran: (key, attempt, digest, begun) =>
-            say('ran', s.id, { key, attempt, digest, from: begun.length, seal: Text.seal(begun) }),
+          ran: (key, attempt, digest) => say('ran', s.id, { key, attempt, digest }),
           ordered: (slip) => say('ordered', s.id, { by: slip.who, fence: slip.fence, part: slip.part }),
           trick: () => now.trick,
         },
--- a/packages/sim/src/parkline.ts
+++ b/packages/sim/src/parkline.ts
@@ -120,7 +120,6 @@
       job: Parameters<Back['decode']>[1],
       ms: number,
       take: (p: Piece) => boolean,
-      stop?: AbortSignal,
     ): Promise<Told<null>> => {
       const life = me.life(),
         there = find(addr),
@@ -156,13 +155,7 @@
           });
         return got;
       });
-      const quit = new Promise<Told<null>>((done) => {
-        stop?.addEventListener('abort', () => {
-          on = false;
-          done(Err({ ran: 'maybe', code: 'broken', dark: false, why: 'the stream was given up' }));
-        });
-      });
-      const got = await Promise.race([stream, silent, quit]);
+      const got = await Promise.race([stream, silent]);
       on = false;
       return turned<null>(got);
     };
--- a/packages/sim/src/trick.ts
+++ b/packages/sim/src/trick.ts
@@ -1,5 +1,4 @@
 /** What a stand-in server may do wrong. 'early' leaves out the last piece;
  * 'flaky' turns work away;
- * 'mixed' goes on after other pieces than it was given;
  * 'swap' gives the handle of the request before, and hands over from any handle. */
-export type Trick = 'none' | 'skip' | 'repeat' | 'other' | 'old' | 'torn' | 'early' | 'flaky' | 'swap' | 'mixed';
+export type Trick = 'none' | 'skip' | 'repeat' | 'other' | 'old' | 'torn' | 'early' | 'flaky' | 'swap';
--- a/packages/yard/src/backhost.ts
+++ b/packages/yard/src/backhost.ts
@@ -1,11 +1,11 @@
 import { Dice, JsonBody, RealClock } from '@pumicebarrow/forms';
-import { Model, Text } from '@pumicebarrow/sim';
+import { Model } from '@pumicebarrow/sim';
 import type { ServerResponse } from 'node:http';
 import polka from 'polka';
 import { request as call } from 'undici';
 
 type Settings = { id: string; addr: string; slots: number; pace: number };
-type Memory = { key: string; attempt: number; digest: string; begun?: readonly string[] };
+type Memory = { key: string; attempt: number; digest: string };
 
 /** A stand-in model server as a process of its own, over HTTP/1.1 with JSON. */
 export const BackHost = {
@@ -30,9 +30,9 @@
             return null;
           }
         },
-        ran: (key, attempt, digest, begun) => {
+        ran: (key, attempt, digest) => {
           ran.push(`${key} ${attempt}`);
-          deed('ran', { key, attempt, digest, from: begun.length, seal: Text.seal(begun) });
+          deed('ran', { key, attempt, digest });
         },
         took: (part) => deed('reach', { part, born }),
         late: (part) => deed('late', { part, born }),
--- a/packages/yard/src/lentday.ts
+++ b/packages/yard/src/lentday.ts
@@ -1,4 +1,4 @@
-import { History, Joins, Text, type Deployment } from '@pumicebarrow/sim';
+import { History, Text, type Deployment } from '@pumicebarrow/sim';
 import type { Drive } from './drive.js';
 import type { Planting } from './planting.js';
 
@@ -7,8 +7,6 @@
 type Told = { lines: string[]; broken: string[]; unmet: string[] };
 
 const KEY = 'trial';
-/** The burst whose generations may be cut at a piece. */
-const CUT = 'burst-on';
 const SAMPLES = 12;
 const PROMPTS = Array.from({ length: 16 }, (_, i) => ({ prefix: 'trial step ', part: `prompt ${i} ` }));
 
@@ -18,26 +16,20 @@
  */
 export const LentDay = {
   /** What is wrong with a burst's outcomes, and how often each generation ran. */
-  judge(
-    list: readonly Generation[],
-    ran: readonly string[],
-    pieces: number,
-    name = KEY,
-    cuts: ReadonlyMap<string, number> = new Map(),
-  ): string[] {
+  judge(list: readonly Generation[], ran: readonly string[], pieces: number): string[] {
     const total = PROMPTS.length * SAMPLES;
     const out = list.length === total ? [] : [`the core holds ${list.length} generations of ${total}`];
     const times = new Map<string, number>();
     for (const key of ran) {
       const m = /^(.+)\.\d+$/.exec(key);
-      if (m && key.startsWith(`${name}.`)) times.set(m[1]!, (times.get(m[1]!) ?? 0) + 1);
+      if (m && key.startsWith(`${KEY}.`)) times.set(m[1]!, (times.get(m[1]!) ?? 0) + 1);
     }
     list.forEach((g, i) => {
-      const n = times.get(`${name}.${i}`) ?? 0,
+      const n = times.get(`${KEY}.${i}`) ?? 0,
         p = PROMPTS[Math.floor(i / SAMPLES)]!,
         digest = Text.digest(p.prefix, p.part);
       const whole = Array.from({ length: Text.count(digest, pieces) }, (_, k) => Text.piece(digest, k + 1)).join('');
-      if (n > 1 + (cuts.get(`${name} ${i}`) ?? 0)) out.push(`${i} ran ${n} times`);
+      if (n > 1) out.push(`${i} ran ${n} times`);
       if (g.state !== 'ran' && g.state !== 'unsure') out.push(`${i} has no outcome: ${g.state}`);
       if (g.state === 'ran' && n === 0) out.push(`${i} has an outcome and never ran`);
       if (g.state === 'ran' && g.text !== whole) out.push(`${i} has an outcome that is not what ran`);
@@ -51,62 +43,45 @@
     say: (s: string) => void,
   ): Promise<Told> {
     const { tale } = plant;
-    const read = async (key: string) => await drive.ask('GET', `http://${drive.edge()}/burst/${key}`);
-    const summary = async (key: string): Promise<Summary | null> =>
-      ((await read(key))?.['summary'] as Summary | undefined) ?? null;
-    const going = async (key: string): Promise<number | null> => {
-      const s = await summary(key);
-      return s && s.waiting + s.begun;
-    };
+    const read = async () => await drive.ask('GET', `http://${drive.edge()}/burst/${KEY}`);
+    const summary = async (): Promise<Summary | null> => ((await read())?.['summary'] as Summary | undefined) ?? null;
     await plant.start();
     await drive.holds(await drive.change(d.charter));
     await drive.serves();
     const crowd = drive.crowd();
     crowd.start();
-    for (const [key, rule] of [
-      [KEY, 'rollout'],
-      [CUT, 'rollon'],
-    ] as const) {
-      const spec = { key, rule, prompts: PROMPTS, samples: SAMPLES, repeats: 0 };
-      await drive.until('a burst begun', 30_000, async () => {
-        const told = await drive.ask('POST', `http://${drive.edge()}/burst`, spec);
-        return told?.verdict?.ran === 'yes';
-      });
-    }
-    say('Two bursts are begun, one of which may be cut.');
-    for (let i = 0; i < 6; i++) {
-      await drive.until('borrowed work under way', 60_000, async () => {
-        const begun = await Promise.all([KEY, CUT].map(async (key) => (await summary(key))?.begun ?? 0));
-        const left = await Promise.all([KEY, CUT].map(going));
-        return Math.max(...begun) > 0 || left.every((n) => n === 0);
-      });
+    const spec = { key: KEY, rule: 'rollout', prompts: PROMPTS, samples: SAMPLES, repeats: 0 };
+    await drive.until('a burst begun', 30_000, async () => {
+      const told = await drive.ask('POST', `http://${drive.edge()}/burst`, spec);
+      return told?.verdict?.ran === 'yes';
+    });
+    say('A burst is begun.');
+    for (let i = 0; i < 3; i++) {
+      await drive.until('borrowed work under way', 60_000, async () => ((await summary())?.begun ?? 0) > 0);
       say('Borrowed work runs; live load comes.');
       crowd.burst(120);
       await drive.nap(2500);
     }
-    const ms = await drive.until('the end of the bursts', 180_000, async () =>
-      (await Promise.all([KEY, CUT].map(going))).every((n) => n === 0),
-    );
-    const last = await Promise.all([KEY, CUT].map(summary));
-    say(`The bursts are done, ${Math.round(ms / 1000)} s after the last load: ${JSON.stringify(last)}`);
-    const lists = await Promise.all(
-      [KEY, CUT].map(async (key) => ((await read(key))?.['generations'] as Generation[] | undefined) ?? []),
-    );
+    let last: Summary | null = null;
+    const ms = await drive.until('the end of the burst', 180_000, async () => {
+      last = await summary();
+      return last !== null && last.waiting + last.begun === 0;
+    });
+    say(`The burst is done, ${Math.round(ms / 1000)} s after the last load: ${JSON.stringify(last)}`);
+    const list = ((await read())?.['generations'] as Generation[] | undefined) ?? [];
     await crowd.stop();
     const h = History.make(await tale.deeds(plant.dir));
     const pieces = d.charter.rules.find((r) => r.name === 'rollout')!.pieces;
-    const ran = h.of('ran').map((x) => String(x['key']));
-    const broken = [
-      ...LentDay.judge(lists[0]!, ran, pieces),
-      ...LentDay.judge(lists[1]!, ran, pieces, CUT, Joins.cuts(h)),
-      ...Joins.broken(h),
-    ];
+    const broken = LentDay.judge(
+      list,
+      h.of('ran').map((x) => String(x['key'])),
+      pieces,
+    );
     if ((crowd.tally['wrong'] ?? 0) > 0) broken.push(`${crowd.tally['wrong']} live answers were wrong`);
-    const unmet = ['loan', 'wouldwait', 'recalled', 'cutat'].filter((what) => h.of(what).length === 0);
+    const unmet = ['loan', 'wouldwait', 'recalled'].filter((what) => h.of(what).length === 0);
     const lines = [
       `loans ${h.of('loan').length}, live requests that would wait ${h.of('wouldwait').length}, recalls ` +
-        `${h.of('recalled').length}, given back ${h.of('generation').filter((x) => x['to'] === 'unrun').length}, cut ` +
-        `${h.of('cutat').length}, gone on with ${h.of('ran').filter((x) => Number(x['from']) > 0).length}`,
+        `${h.of('recalled').length}, given back ${h.of('generation').filter((x) => x['to'] === 'unrun').length}`,
       JSON.stringify({ live: crowd.tally }),
     ];
     return { lines, broken, unmet };
