--- a/packages/forms/src/post.ts
+++ b/packages/forms/src/post.ts
@@ -11,7 +11,7 @@
 
 /**
  * Raised with each release that adds a key to any mail: 2 names the life meant in `ledger.open`, 3 keeps bursts, 4
- * names the list held, and the chunks held of a long doc.
+ * names the list held, has the head add up loads, and names the chunks held of a long doc.
  */
 const VOICE = 4;
 type Desk = { form: TSchema; fn: (body: never, from: Ident) => unknown; told: boolean };
--- a/packages/router/src/changing.ts
+++ b/packages/router/src/changing.ts
@@ -19,11 +19,15 @@
     const body = shelf.get('changes')?.body as ChangesBody | undefined;
     return body ? rows(body) : new Map();
   },
-  /** A server that was ordered to a stage which the list does not show yet takes nothing by its old one. */
-  of(shelf: Holding, s: Server): boolean {
-    const row = shelf.get(`row:${s.id}`)?.body as SheetRow | undefined;
-    if (row?.stage === 'draining' && row.part !== s.stage) return true;
-    const part = Changing.together(shelf).get(s.id);
-    return part !== undefined && part !== s.stage;
+  /** One that was ordered to a stage which the list does not show yet takes nothing by its old one; as told now. */
+  now(shelf: Holding): (s: Server) => boolean {
+    const together = Changing.together(shelf);
+    return (s) => {
+      const row = shelf.get(`row:${s.id}`)?.body as SheetRow | undefined;
+      if (row?.stage === 'draining' && row.part !== s.stage) return true;
+      const part = together.get(s.id);
+      return part !== undefined && part !== s.stage;
+    };
   },
+  of: (shelf: Holding, s: Server): boolean => Changing.now(shelf)(s),
 };
--- a/packages/router/src/nearest.ts
+++ b/packages/router/src/nearest.ts
@@ -33,10 +33,11 @@
     };
     const tidy = (): void => {
       if (came.length < 2 * at.size + SPARE) return;
-      const before: number[] = [];
-      const live = came.filter((id, i) => {
-        before.push(before.length === 0 ? 0 : before.at(-1)! + (at.get(came[i - 1]!) === i - 1 ? 1 : 0));
-        return at.get(id) === i;
+      const before: number[] = [],
+        live: string[] = [];
+      came.forEach((id, i) => {
+        before.push(live.length);
+        if (at.get(id) === i) live.push(id);
       });
       for (const k of kept.values()) k.upto = before[k.upto] ?? live.length;
       came = live;
--- a/packages/router/src/placement.test.ts
+++ b/packages/router/src/placement.test.ts
@@ -34,7 +34,7 @@
       ...{
         pace: () => 40,
         speed: (id: string) => slow.get(id) ?? 1,
-        changing: (s: { id: string }) => changed.has(s.id),
+        changing: () => (s: { id: string }) => changed.has(s.id),
         linked: (s: { id: string }) => linked.has(s.id),
         wait: () => wait.ms,
       },
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -15,8 +15,8 @@
   loads: ReturnType<typeof ServerLoads.make>;
   health: ReturnType<typeof ServerHealth.make>;
   kept: ReturnType<typeof KeptParts.make>;
-  /** Whether the sheet says that the server was ordered to another stage than the list shows. */
-  changing: (s: Server) => boolean;
+  /** Whether the sheet says, at this instant, that a server was ordered to another stage than the list shows. */
+  changing: () => (s: Server) => boolean;
   /** Prompt tokens that a server reads in a ms, as learnt. */
   pace: () => number;
   /** Whether a request there needs no new connection. */
@@ -71,11 +71,12 @@
   FULL,
   make(t: Tools) {
     const able = (service: Service, stage: Server['stage'], not: ReadonlySet<string>): Server[] => {
+      const changing = t.changing();
       const all = t.list
         .all()
         .filter(
           (s) =>
-            s.service === service.name && s.state === 'ready' && s.stage === stage && !not.has(s.id) && !t.changing(s),
+            s.service === service.name && s.state === 'ready' && s.stage === stage && !not.has(s.id) && !changing(s),
         );
       const well = all.filter((s) => t.health.open(s.id));
       if (well.length >= all.length * HEEDED) return well;
@@ -144,10 +145,9 @@
         const beside = service.engine ? decoder(service, p, null, not) : null;
         if (!beside) return UNWEIGHED;
         if (!apart) {
-          const [waits, own] = [t.loads.at(beside.s.id).tokens, p.tokens - t.kept.held(beside.s.id, p)].map(
-            (tokens) => tokens / (t.pace() * BESIDE),
-          );
-          return { ...UNWEIGHED, beside: { waits: waits!, own: own! } };
+          const pace = t.pace() * BESIDE;
+          const own = p.tokens - t.kept.held(beside.s.id, p);
+          return { ...UNWEIGHED, beside: { waits: t.loads.at(beside.s.id).tokens / pace, own: own / pace } };
         }
         const crowded = t.loads.at(beside.s.id).runs >= CROWDED;
         const short = t.kept.held(beside.s.id, p) + SHORT > p.tokens;
--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -73,7 +73,7 @@
     pace: pace.now,
     speed: speed.of,
     wait: wait.now,
-    changing: () => false,
+    changing: () => () => false,
     linked: () => false,
   };
   const steps = RequestLog.make(time.clock);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -98,7 +98,7 @@
     const kept = KeptParts.make(memory);
     const placement = Placement.make({
       ...{ chance: world.chance, zone: startup.zone, list, loads, health, kept },
-      changing: (s) => Changing.of(shelf, s),
+      changing: () => Changing.now(shelf),
       linked: engine.linked,
       pace: pace.now,
       speed: speed.of,
--- a/packages/routesim/src/capacity/deskworks.ts
+++ b/packages/routesim/src/capacity/deskworks.ts
@@ -5,6 +5,7 @@
 import { Weighings } from './weighings.js';
 
 const FEW = 6;
+const CHECKIN = { version: 1, list: null, epoch: 1, peers: '', load: { read: 1, beside: 1, run: 1 } };
 const clock: Clock = { mono: () => 5000, wall: () => 5000, after: () => () => undefined };
 
 /** The head's desk for check-ins, alone, by how many routers there are. */
@@ -19,10 +20,9 @@
       const time = { now: 5000 };
       const { post, hear } = RoutedWorks.post();
       const desk = DeskWorks.head(post, () => time.now);
-      const body = { version: 1, list: null, epoch: 1, peers: '', load: { read: 1, beside: 1, run: 1 } };
       const round = (): number =>
         Weighings.of(() => {
-          for (let i = 0; i < n; i++) hear('keeper.checkin', body, RoutedWorks.ident(i));
+          for (let i = 0; i < n; i++) hear('keeper.checkin', CHECKIN, RoutedWorks.ident(i));
         });
       for (let more = round(); more > 0; more = round()) time.now += 450;
       return [desk, post, hear];
@@ -37,8 +37,7 @@
     const time = { now: 5000 };
     const { post, hear } = RoutedWorks.post();
     DeskWorks.head(post, () => time.now);
-    const body = { version: 1, list: null, epoch: 1, peers: '', load: { read: 1, beside: 1, run: 1 } };
-    const checkin = (who: Ident): void => void hear('keeper.checkin', body, who);
+    const checkin = (who: Ident): void => void hear('keeper.checkin', CHECKIN, who);
     const begun = performance.now();
     const first = Weighings.of(() => all.forEach(checkin));
     // The head weighs a part of the names at a time.
--- a/packages/routesim/src/capacity/handing.ts
+++ b/packages/routesim/src/capacity/handing.ts
@@ -59,7 +59,7 @@
     const all = zones.map((zone) =>
       Placement.make({
         ...{ chance, zone, list, loads, health, kept },
-        ...{ changing: () => false, linked: () => true, pace: () => 40, speed: () => 1, wait: () => 0 },
+        ...{ changing: () => () => false, linked: () => true, pace: () => 40, speed: () => 1, wait: () => 0 },
       }),
     );
     const { services, routes } = HollowRouting.make(1, SERVICES);
--- a/packages/routesim/src/capacity/routedworks.ts
+++ b/packages/routesim/src/capacity/routedworks.ts
@@ -80,7 +80,7 @@
     const loads = ServerLoads.make();
     const placement = Placement.make({
       ...{ chance, zone: 'zone-1', list, loads, health, kept },
-      changing: (s: Server) => shelf.get(`row:${s.id}`) !== null,
+      changing: () => (s: Server) => shelf.get(`row:${s.id}`) !== null,
       linked: () => false,
       pace: () => 40,
       speed: () => 1,
