--- a/packages/clerk/src/fleet/fleet.ts
+++ b/packages/clerk/src/fleet/fleet.ts
@@ -1,5 +1,5 @@
 import { Dice, Intents, Order, Verdicts, type Mark, type Verdict, type WireFault } from '@pumicebarrow/forms';
-import { Line, TraceDesk, Views } from '@pumicebarrow/registry';
+import { ControlClient, TraceDesk, Views } from '@pumicebarrow/registry';
 import { IntentDesk, RequestDesk, type DaemonStatus } from '@pumicebarrow/router';
 import { Caller } from './caller.js';
 import { Census } from './census.js';
@@ -26,7 +26,7 @@
   mute: readonly string[],
 ) => {
   const seeds = [...new Set([...at, ...first.flatMap((t) => t.known.map((k) => k.addr))])];
-  const line = Line.make(c.world, c.post, () => seeds);
+  const line = ControlClient.make(c.world, c.post, () => seeds);
   for (const t of first) line.learn(t.view);
   const everyone = async (): Promise<Daemon[]> => {
     const all = await Census.take(c.post, first);
--- a/packages/counter/src/checkin.ts
+++ b/packages/counter/src/checkin.ts
@@ -1,13 +1,13 @@
 import type { Clock, Ident } from '@pumicebarrow/forms';
 import type { Holding } from '@pumicebarrow/purge';
-import type { CoreLine } from '@pumicebarrow/registry';
+import type { ControlClient } from '@pumicebarrow/registry';
 import type { Newest } from './newest.js';
 import type { SheetView } from './sheetview.js';
 
 type Load = { read: number; write: number };
 type Tools = {
   clock: Clock;
-  line: CoreLine;
+  line: ControlClient;
   sheet: SheetView;
   shelf: Holding;
   newest: ReturnType<typeof Newest.make>;
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -1,6 +1,6 @@
 import { Awake, Dice, Post, Timer, Verdicts, type Ident, type Verdict, type World } from '@pumicebarrow/forms';
 import { Purge, Shelf } from '@pumicebarrow/purge';
-import { Line, Sound, TraceDesk, Views } from '@pumicebarrow/registry';
+import { ControlClient, RecordCheck, TraceDesk, Views } from '@pumicebarrow/registry';
 import { interpret } from 'robot3';
 import type { Back } from './back.js';
 import { Bucket } from './bucket.js';
@@ -57,13 +57,13 @@
     const is = (): string => life.machine.current,
       serving = (): boolean => is() === 'serving';
     const post = Post.make(world, self);
-    const shelf = Shelf.make(Sound.doc);
+    const shelf = Shelf.make(RecordCheck.doc);
     const seeds = (): readonly string[] => settings.seeds;
     const purge = Purge.make(world, post, self, shelf, settings.tunes, seeds, (): readonly Ident[] => [
       ...Views.idents(line.view()),
       ...checkin.roster(),
     ]);
-    const line = Line.make(world, post, () => [...seeds(), ...purge.peers().map((p) => p.addr)]);
+    const line = ControlClient.make(world, post, () => [...seeds(), ...purge.peers().map((p) => p.addr)]);
     const sheet = Sheet.make(shelf);
     let certain = false;
     const known = (): readonly Ident[] => {
--- a/packages/counter/src/duty.test.ts
+++ b/packages/counter/src/duty.test.ts
@@ -1,5 +1,5 @@
 import { Verdicts, type Ident, type World } from '@pumicebarrow/forms';
-import type { CoreLine } from '@pumicebarrow/registry';
+import type { ControlClient } from '@pumicebarrow/registry';
 import { expect } from 'chai';
 import { Duty } from './duty.js';
 
@@ -94,7 +94,7 @@
                   sent: now,
                 },
           ),
-      } as unknown as CoreLine;
+      } as unknown as ControlClient;
       const duty = Duty.make(
         world,
         line,
--- a/packages/counter/src/duty.ts
+++ b/packages/counter/src/duty.ts
@@ -1,6 +1,6 @@
 import { type Ident, type World } from '@pumicebarrow/forms';
 import { Holder } from './holder.js';
-import { Paces, type CoreLine } from '@pumicebarrow/registry';
+import { CoreTimings, type ControlClient } from '@pumicebarrow/registry';
 
 type Held = { fence: number; until: number; ready: number };
 
@@ -11,7 +11,7 @@
 export const Duty = {
   make(
     world: World,
-    line: CoreLine,
+    line: ControlClient,
     self: () => Ident,
     roster: () => readonly Ident[],
     look: () => void = () => undefined,
@@ -32,7 +32,7 @@
       const fence = got.ruling.fence;
       if (got.ruling.verdict.ran !== 'yes' || fence === undefined) return;
       const old = held.get(name);
-      const ready = old?.fence === fence ? old.ready : fence === 1 ? now() : now() + Paces.quiet;
+      const ready = old?.fence === fence ? old.ready : fence === 1 ? now() : now() + CoreTimings.quiet;
       if (old?.fence !== fence) world.tell({ what: 'claim', name, fence });
       held.set(name, { fence, until: got.sent + got.term, ready });
     };
@@ -40,7 +40,7 @@
       tick(names: readonly string[]): void {
         for (const name of names) {
           const h = held.get(name);
-          if (mine(name) && (!h || h.until - now() < Paces.lease * 0.7)) void renew(name);
+          if (mine(name) && (!h || h.until - now() < CoreTimings.lease * 0.7)) void renew(name);
         }
       },
       /** The fence to act under, at this instant; null when there is none. */
--- a/packages/counter/src/lending/lending.ts
+++ b/packages/counter/src/lending/lending.ts
@@ -1,7 +1,7 @@
 import { Timer, type Ident, type PostBox, type Rule, type Verdict } from '@pumicebarrow/forms';
 import { Holder } from '../holder.js';
 import type { Holding, Purging } from '@pumicebarrow/purge';
-import type { CoreLine, Loan } from '@pumicebarrow/registry';
+import type { ControlClient, Loan } from '@pumicebarrow/registry';
 import type { Duties } from '../duties.js';
 import { LentRun } from '../lentrun.js';
 import { Loads } from '../loads.js';
@@ -20,7 +20,7 @@
 >;
 type Tools = Shared & {
   post: PostBox;
-  line: CoreLine;
+  line: ControlClient;
   sheet: SheetView;
   shelf: Holding;
   purge: Purging;
--- a/packages/counter/src/lending/runner.ts
+++ b/packages/counter/src/lending/runner.ts
@@ -1,5 +1,5 @@
 import { Timer, type Charter, type Rule, type Verdict, type World } from '@pumicebarrow/forms';
-import { Shards, type Burst, type CoreLine, type Generation } from '@pumicebarrow/registry';
+import { Shards, type Burst, type ControlClient, type Generation } from '@pumicebarrow/registry';
 import type { CallerSink } from '../callersink.js';
 import type { Duties } from '../duties.js';
 import type { Request } from '../request.js';
@@ -7,7 +7,7 @@
 
 type Tools = {
   world: World;
-  line: CoreLine;
+  line: ControlClient;
   duty: Duties;
   charter: () => Charter | null;
   /** How many more may be begun, for a rule. */
--- a/packages/counter/src/newest.ts
+++ b/packages/counter/src/newest.ts
@@ -1,11 +1,11 @@
 import { Order, type Doc, type Ident, type PostBox, type World } from '@pumicebarrow/forms';
 import { Slips, type Holding, type Purging } from '@pumicebarrow/purge';
-import type { CoreLine } from '@pumicebarrow/registry';
+import type { ControlClient } from '@pumicebarrow/registry';
 
 type Tools = {
   world: World;
   post: PostBox;
-  line: CoreLine;
+  line: ControlClient;
   purge: Purging;
   shelf: Holding;
   self: () => Ident;
--- a/packages/registry/src/bounds.test.ts
+++ b/packages/registry/src/bounds.test.ts
@@ -1,6 +1,6 @@
 import type { Charter } from '@pumicebarrow/forms';
 import { expect } from 'chai';
-import { Apply } from './apply.js';
+import { Apply } from './state/apply.js';
 
 const charter = {} as Charter;
 const plan = (i: number, base: number) => ({ ...{ do: 'plan' as const, id: `p${i}`, base, charter } });
--- a/packages/registry/src/batch.ts
+++ b/packages/registry/src/chain/batch.ts
@@ -1,7 +1,7 @@
 import { Verdicts } from '@pumicebarrow/forms';
-import { Apply } from './apply.js';
+import { Apply } from '../state/apply.js';
 import type { Command } from './command.js';
-import type { CoreState } from './corestate.js';
+import type { CoreState } from '../state/corestate.js';
 import type { Ruling } from './ruling.js';
 
 /** A command that waits for its turn at the head, and whom to tell what came of it. */
--- a/packages/registry/src/chain.ts
+++ b/packages/registry/src/chain/chain.ts
@@ -1,14 +1,14 @@
 import { Timer, Verdicts, type PostBox, type World } from '@pumicebarrow/forms';
 import { Batch } from './batch.js';
 import type { Command } from './command.js';
-import type { CoreState } from './corestate.js';
-import { CoreWords } from './corewords.js';
-import type { Member } from './member.js';
-import { Paces } from './paces.js';
+import type { CoreState } from '../state/corestate.js';
+import { CoreMessages } from '../service/coremessages.js';
+import type { Member } from '../membership/member.js';
+import { CoreTimings } from '../coretimings.js';
 import type { Ruling } from './ruling.js';
-import type { Storing } from './storing.js';
-import type { View } from './view.js';
-import { Views } from './views.js';
+import type { Store } from '../state/store.js';
+import type { View } from '../consensus/view.js';
+import { Views } from '../consensus/views.js';
 
 type Wait = { command: Command; done: (r: Ruling) => void };
 type Hooks = {
@@ -26,7 +26,7 @@
  * a command is refused with 'no' only if no version that carries its effect was ever begun.
  */
 export const Chain = {
-  make(world: World, post: PostBox, store: Storing, kept: CoreState, hooks: Hooks) {
+  make(world: World, post: PostBox, store: Store, kept: CoreState, hooks: Hooks) {
     let state = kept;
     let passed: CoreState | null = null;
     let fresh = 0;
@@ -68,7 +68,14 @@
       if (next) {
         const r = await Promise.race([
           turned,
-          post.ask(next.addr, next.id, 'core.push', { epoch: view.epoch, state: s }, CoreWords.done, Paces.push),
+          post.ask(
+            next.addr,
+            next.id,
+            'core.push',
+            { epoch: view.epoch, state: s },
+            CoreMessages.done,
+            CoreTimings.push,
+          ),
         ]);
         if (r === null || !r.ok || !r.val.ok) return false;
       }
@@ -133,7 +140,7 @@
       }
     };
 
-    post.on('core.push', CoreWords.push, async (body, from) => {
+    post.on('core.push', CoreMessages.push, async (body, from) => {
       const ok = await alone(async () => {
         const view = hooks.view();
         if (!view || view.epoch !== body.epoch) return false;
@@ -187,3 +194,5 @@
     };
   },
 };
+/** A chain as its users see it. */
+export type Chain = ReturnType<typeof Chain.make>;
--- a/packages/registry/src/command.ts
+++ b/packages/registry/src/chain/command.ts
@@ -1,6 +1,6 @@
 import { Intent, Routing } from '@pumicebarrow/forms';
 import { Type, type Static } from 'typebox';
-import { BurstCommand } from './lending/burstcommand.js';
+import { BurstCommand } from '../lending/burstcommand.js';
 
 const shut = { additionalProperties: false } as const;
 
--- a/packages/registry/src/line.test.ts
+++ b/packages/registry/src/chain/controlclient.test.ts
@@ -1,7 +1,7 @@
 import { Err, Ok, type Ident, type PostBox, type World } from '@pumicebarrow/forms';
 import { expect } from 'chai';
-import { Line } from './line.js';
-import type { View } from './view.js';
+import { ControlClient } from './controlclient.js';
+import type { View } from '../consensus/view.js';
 
 type Timed = { at: number; fn: () => void };
 const member = (id: string) => ({ id, born: 'b', addr: `${id}:1` });
@@ -46,7 +46,7 @@
   } as unknown as PostBox;
   const clock = { mono: () => now, wall: () => now, after };
   const world = { clock, chance: { real: () => 0.5 } } as unknown as World;
-  const line = Line.make(world, post, () => seeds);
+  const line = ControlClient.make(world, post, () => seeds);
   if (known) line.learn(old);
   return {
     asked,
--- a/packages/registry/src/line.ts
+++ b/packages/registry/src/chain/controlclient.ts
@@ -1,15 +1,15 @@
 import { Dice, Err, Timer, Verdicts, type PostBox, type Result, type WireFault, type World } from '@pumicebarrow/forms';
 import type { Static } from 'typebox';
 import type { Command } from './command.js';
-import { CoreWords } from './corewords.js';
-import { BurstWords } from './lending/burstwords.js';
-import { Paces } from './paces.js';
+import { CoreMessages } from '../service/coremessages.js';
+import { BurstWords } from '../lending/burstwords.js';
+import { CoreTimings } from '../coretimings.js';
 import type { Ruling } from './ruling.js';
-import type { View } from './view.js';
-import { Views } from './views.js';
+import type { View } from '../consensus/view.js';
+import { Views } from '../consensus/views.js';
 
-type Readout = Static<typeof CoreWords.readout>;
-type Checked = Static<typeof CoreWords.checked>;
+type Readout = Static<typeof CoreMessages.readout>;
+type Checked = Static<typeof CoreMessages.checked>;
 /** How many a look asks, and how many of them are of the view known: one of three that is silent is not enough. */
 const LOOK = 5;
 const NEAR = 2;
@@ -18,7 +18,7 @@
  * A daemon's line to the core. Invariant: the view known here only rises in epoch;
  * 'no' is said of a command only if no try of it can have been written.
  */
-export const Line = {
+export const ControlClient = {
   /** `own` is the view that a core daemon itself holds; that one's desk is Core's. */
   make(world: World, post: PostBox, seeds: () => readonly string[], own?: () => View | null) {
     let view: View | null = null;
@@ -38,11 +38,11 @@
       const all = [...near, ...Dice.some(world.chance, rest, LOOK - near.length)];
       return new Promise((done) => {
         const asked = all.map(async (a) => {
-          const r = await post.ask(a, '', 'core.hint', {}, CoreWords.hint, Paces.ask);
+          const r = await post.ask(a, '', 'core.hint', {}, CoreMessages.hint, CoreTimings.ask);
           if (r.ok) learn(r.val.view);
           if (epoch() > was) done();
         });
-        const stop = view ? world.clock.after(Paces.peek, done) : () => undefined;
+        const stop = view ? world.clock.after(CoreTimings.peek, done) : () => undefined;
         void Promise.all(asked).then(() => {
           stop();
           done();
@@ -92,13 +92,13 @@
           else if (open) wait();
         };
         const wait = (): void => {
-          stop = world.clock.after(Paces.peek, () => void peek());
+          stop = world.clock.after(CoreTimings.peek, () => void peek());
         };
         wait();
         void job.then(settle);
       });
     };
-    if (!own) post.on('core.hint', CoreWords.look, () => ({ view }));
+    if (!own) post.on('core.hint', CoreMessages.look, () => ({ view }));
     return {
       view: (): View | null => view,
       learn,
@@ -108,7 +108,7 @@
         let sent = world.clock.mono();
         const got = await reach('head', ms, async (addr, id) => {
           sent = world.clock.mono();
-          const r = await unlessMoved(post.ask(addr, id, 'core.write', { command }, CoreWords.written, 5000));
+          const r = await unlessMoved(post.ask(addr, id, 'core.write', { command }, CoreMessages.written, 5000));
           if (r.err) {
             if (r.val === 'lost') unsure = true;
             return { got: null, view: null };
@@ -134,25 +134,25 @@
             id,
             'core.read',
             plan === undefined ? {} : { plan },
-            CoreWords.readout,
-            Paces.ask,
+            CoreMessages.readout,
+            CoreTimings.ask,
           );
           return r.ok ? { got: r.val.ok ? r.val : null, view: r.val.view } : { got: null, view: null };
         }),
       /** Bursts in counts; with a key that one alone, and whole; its outcomes' texts only if they are asked for. */
       bursts: (ask: Static<typeof BurstWords.read>, ms: number): Promise<Static<typeof BurstWords.told> | null> =>
         reach('tail', ms, async (addr, id) => {
-          const r = await post.ask(addr, id, 'core.burst', ask, BurstWords.told, Paces.ask);
+          const r = await post.ask(addr, id, 'core.burst', ask, BurstWords.told, CoreTimings.ask);
           return r.ok ? { got: r.val.ok ? r.val : null, view: r.val.view } : { got: null, view: null };
         }),
-      checkin: (body: Static<typeof CoreWords.checkin>): Promise<Checked | null> =>
+      checkin: (body: Static<typeof CoreMessages.checkin>): Promise<Checked | null> =>
         reach('head', 0, async (addr, id) => {
-          const r = await unlessMoved(post.ask(addr, id, 'core.checkin', body, CoreWords.checked, Paces.ask));
+          const r = await unlessMoved(post.ask(addr, id, 'core.checkin', body, CoreMessages.checked, CoreTimings.ask));
           return r.ok ? { got: r.val.ok ? r.val : null, view: r.val.view } : { got: null, view: null };
         }),
-      roll: (): Promise<Static<typeof CoreWords.roll> | null> =>
+      roll: (): Promise<Static<typeof CoreMessages.roll> | null> =>
         reach('head', 1500, async (addr, id) => {
-          const r = await post.ask(addr, id, 'core.roll', {}, CoreWords.roll, Paces.ask);
+          const r = await post.ask(addr, id, 'core.roll', {}, CoreMessages.roll, CoreTimings.ask);
           return r.ok ? { got: r.val.roster.length > 0 ? r.val : null, view: r.val.view } : { got: null, view: null };
         }),
       async leave(names: readonly string[]): Promise<void> {
@@ -162,10 +162,12 @@
             Views.head(view).id,
             'core.leave',
             { names },
-            CoreWords.done,
-            Paces.ask,
+            CoreMessages.done,
+            CoreTimings.ask,
           );
       },
     };
   },
 };
+/** A control client as its users see it. */
+export type ControlClient = ReturnType<typeof ControlClient.make>;
--- a/packages/registry/src/founding.ts
+++ b/packages/registry/src/consensus/bootstrap.ts
@@ -1,17 +1,17 @@
 import { Fading, type PostBox, type World } from '@pumicebarrow/forms';
 import type { Static, TSchema } from 'typebox';
-import { CoreWords } from './corewords.js';
-import type { Member } from './member.js';
-import { Paces } from './paces.js';
-import type { Rudder } from './rudder.js';
-import type { Spots } from './spots.js';
+import { CoreMessages } from '../service/coremessages.js';
+import type { Member } from '../membership/member.js';
+import { CoreTimings } from '../coretimings.js';
+import type { ViewChanger } from './viewchanger.js';
+import type { AddressBook } from '../membership/addressbook.js';
 import type { View } from './view.js';
 import { Views } from './views.js';
-import type { Voting } from './voting.js';
+import type { Voter } from './voter.js';
 
 type Hooks = {
   me: () => Member;
-  spots: Spots;
+  addresses: AddressBook;
   /** How many machines may be lost at once. */
   losses: number;
   cores: () => readonly string[];
@@ -27,27 +27,27 @@
  * How the first view comes about, among candidates that know each other by a few seeds.
  * Invariants: whoever proposes it has heard in that very turn, from every one of exactly 2 * losses + 1 candidates,
  * that it holds no view, has taken none and knows the same candidates; a first round needs the promises of them all
- * (Helm). So two first views would need more than `losses` candidates to change between two turns.
+ * (ViewChanger). So two first views would need more than `losses` candidates to change between two turns.
  */
-export const Founding = {
-  make(world: World, post: PostBox, voter: Voting, helm: Rudder, h: Hooks) {
+export const Bootstrap = {
+  make(world: World, post: PostBox, voter: Voter, viewChanger: ViewChanger, h: Hooks) {
     const met = Fading.make<Member>(world.clock.mono, LIVES);
     /** Where candidates are that others have told of; they are asked in the next turn. */
     let told: readonly string[] = [];
     const note = (m: Member): void => {
-      if (m.id !== h.me().id) met.set(m.id, m, Paces.met);
+      if (m.id !== h.me().id) met.set(m.id, m, CoreTimings.met);
     };
     /** The candidates that this one knows, itself among them; none if it is none. */
     const known = (): Member[] => (h.stands() ? [h.me(), ...met.all()].sort((a, b) => (a.id < b.id ? -1 : 1)) : []);
-    post.on('core.look', CoreWords.look, () => ({ view: h.view(), took: voter.took(), me: h.me() }));
-    post.on('core.meet', CoreWords.meet, (body) => {
+    post.on('core.look', CoreMessages.look, () => ({ view: h.view(), took: voter.took(), me: h.me() }));
+    post.on('core.meet', CoreMessages.meet, (body) => {
       note(body.me);
       return { view: h.view(), took: voter.took(), me: h.me(), met: known() };
     });
     const ask = async <S extends TSchema>(kind: string, body: unknown, form: S): Promise<Static<S>[]> => {
       const addrs = new Set([...h.cores(), ...told, ...met.all().map((m) => m.addr)]);
       addrs.delete(h.me().addr);
-      const got = await Promise.all([...addrs].map((a) => post.ask(a, '', kind, body, form, Paces.ask)));
+      const got = await Promise.all([...addrs].map((a) => post.ask(a, '', kind, body, form, CoreTimings.ask)));
       return got.flatMap((r) => (r.ok ? [r.val] : []));
     };
     const newest = (list: readonly { view: View | null }[]): View | undefined =>
@@ -61,12 +61,12 @@
         const took = voter.took(),
           me = h.me();
         if (took && Views.votes(took, me)) {
-          if (await helm.propose(took.voters, took, 'Taking up a first view left half made.')) return;
-          await h.spots.search(took);
+          if (await viewChanger.propose(took.voters, took, 'Taking up a first view left half made.')) return;
+          await h.addresses.search(took);
           return;
         }
-        const held = newest(await ask('core.look', {}, CoreWords.seen));
-        const all = held || !h.stands() ? [] : await ask('core.meet', { me }, CoreWords.met);
+        const held = newest(await ask('core.look', {}, CoreMessages.seen));
+        const all = held || !h.stands() ? [] : await ask('core.meet', { me }, CoreMessages.met);
         const view = held ?? newest(all);
         if (view) {
           await h.adopt(view);
@@ -79,7 +79,7 @@
         const same = (m: Member): boolean =>
           Views.same(m, me) || all.some((s) => Views.same(s.me, m) && text(s.met) === text(list));
         if (all.every((s) => s.took === null) && list.every(same))
-          await helm.propose(list, { epoch: 1, voters: list, chain: list }, 'The first view.');
+          await viewChanger.propose(list, { epoch: 1, voters: list, chain: list }, 'The first view.');
       },
     };
   },
--- a/packages/registry/src/rest.ts
+++ b/packages/registry/src/consensus/leaserecall.ts
@@ -1,12 +1,12 @@
 import { Timer, type PostBox, type World } from '@pumicebarrow/forms';
-import { CoreWords } from './corewords.js';
-import type { Lookout } from './lookout.js';
-import type { Member } from './member.js';
-import { Paces } from './paces.js';
-import type { Spots } from './spots.js';
+import { CoreMessages } from '../service/coremessages.js';
+import type { FailureDetector } from '../membership/failuredetector.js';
+import type { Member } from '../membership/member.js';
+import { CoreTimings } from '../coretimings.js';
+import type { AddressBook } from '../membership/addressbook.js';
 import type { View } from './view.js';
 import { Views } from './views.js';
-import type { Voting } from './voting.js';
+import type { Voter } from './voter.js';
 
 /**
  * How leases end before their term once a next view is under way: a voter asks those that hold its leases to lay them
@@ -14,37 +14,44 @@
  * it asked for before, once it has said so; a voter asks only while it grants nothing, and forgets a lease only on its
  * holder's reply to that very question.
  */
-export const Rest = {
+export const LeaseRecall = {
   make(
     world: World,
     post: PostBox,
     me: () => Member,
-    spots: Spots,
+    addresses: AddressBook,
     view: () => View | null,
-    watch: Lookout,
-    voter: Voting,
+    detector: FailureDetector,
+    voter: Voter,
   ) {
-    post.on('core.rest', CoreWords.rest, (body) => {
+    post.on('core.rest', CoreMessages.rest, (body) => {
       const ok = view()?.epoch === body.epoch;
-      if (ok) watch.rest();
+      if (ok) detector.rest();
       return { ok };
     });
     const ask = async (v: View, m: Member): Promise<void> => {
-      if (Views.same(m, me())) watch.rest();
+      if (Views.same(m, me())) detector.rest();
       else {
-        const r = await post.ask(spots.of(m), m.id, 'core.rest', { epoch: v.epoch }, CoreWords.done, Paces.ask);
+        const r = await post.ask(
+          addresses.of(m),
+          m.id,
+          'core.rest',
+          { epoch: v.epoch },
+          CoreMessages.done,
+          CoreTimings.ask,
+        );
         if (!r.ok || !r.val.ok) return;
       }
       voter.rested(v.epoch, m);
     };
     return {
       ...voter,
-      async prepare(epoch: number, ballot: number): ReturnType<Voting['prepare']> {
+      async prepare(epoch: number, ballot: number): ReturnType<Voter['prepare']> {
         const first = await voter.prepare(epoch, ballot),
           v = view();
         if (first.ok || first.wait === 0 || !v || v.epoch + 1 !== epoch) return first;
         const all = Promise.all(v.chain.map((m) => ask(v, m)));
-        await Promise.race([all, Timer.nap(world.clock, Paces.rest)]);
+        await Promise.race([all, Timer.nap(world.clock, CoreTimings.rest)]);
         return voter.prepare(epoch, ballot);
       },
     };
--- a/packages/registry/src/view.ts
+++ b/packages/registry/src/consensus/view.ts
@@ -1,6 +1,6 @@
 import { Type, type Static } from 'typebox';
-import { Member } from './member.js';
-import { Most } from './most.js';
+import { Member } from '../membership/member.js';
+import { ViewLimits } from './viewlimits.js';
 
 /**
  * The agreed order of the core. The chain runs from its head (first) to its tail (last).
@@ -10,8 +10,8 @@
 export const View = Type.Object(
   {
     epoch: Type.Integer({ minimum: 1 }),
-    voters: Type.Array(Member, { minItems: 3, maxItems: Most.voters }),
-    chain: Type.Array(Member, { minItems: 1, maxItems: Most.chain }),
+    voters: Type.Array(Member, { minItems: 3, maxItems: ViewLimits.voters }),
+    chain: Type.Array(Member, { minItems: 1, maxItems: ViewLimits.chain }),
   },
   { additionalProperties: false },
 );
--- a/packages/registry/src/helm.ts
+++ b/packages/registry/src/consensus/viewchanger.ts
@@ -1,12 +1,12 @@
 import { Dice, Timer, type PostBox, type World } from '@pumicebarrow/forms';
-import { CoreWords } from './corewords.js';
-import type { Member } from './member.js';
-import { Most } from './most.js';
-import { Paces } from './paces.js';
-import type { Spots } from './spots.js';
+import { CoreMessages } from '../service/coremessages.js';
+import type { Member } from '../membership/member.js';
+import { ViewLimits } from './viewlimits.js';
+import { CoreTimings } from '../coretimings.js';
+import type { AddressBook } from '../membership/addressbook.js';
 import type { View } from './view.js';
 import { Views } from './views.js';
-import type { Voting } from './voting.js';
+import type { Voter } from './voter.js';
 
 type Voice = {
   ok: boolean;
@@ -18,7 +18,7 @@
 
 /** Ballots come in blocks of so many. Invariant: each voter has one of its own in every block,
  * and those that have no vote share the last. */
-const BLOCK = Most.voters + 1;
+const BLOCK = ViewLimits.voters + 1;
 /** Members by name, in their order. */
 const text = (list: readonly Member[]): string => JSON.stringify(list.map((m) => [m.id, m.born]));
 
@@ -27,13 +27,13 @@
  * Invariants: at most one view is chosen for an epoch, whoever proposes and however often; the first one, which has no
  * voters before it, is put to those it names: all must promise it before any takes it.
  */
-export const Helm = {
+export const ViewChanger = {
   make(
     world: World,
     post: PostBox,
     me: () => Member,
-    spots: Spots,
-    voter: Voting,
+    addresses: AddressBook,
+    voter: Voter,
     adopt: (v: View) => Promise<boolean>,
   ) {
     let busy = false;
@@ -43,7 +43,7 @@
 
     const ballot = (voters: readonly Member[]): number => {
       const place = voters.findIndex((m) => m.id === me().id);
-      const mine = place < 0 ? Most.voters : place;
+      const mine = place < 0 ? ViewLimits.voters : place;
       const n = Math.floor(top / BLOCK) * BLOCK + BLOCK + mine;
       top = n;
       return n;
@@ -70,12 +70,12 @@
       const first = await poll(voters, epoch === 1 ? voters.length : most, async (m) => {
         if (Views.same(m, me())) return { ...(await voter.prepare(epoch, n)), view: null };
         const r = await post.ask(
-          spots.of(m),
+          addresses.of(m),
           m.id,
           'core.prepare',
           { epoch, ballot: n },
-          CoreWords.prepared,
-          Paces.ask,
+          CoreMessages.prepared,
+          CoreTimings.ask,
         );
         return r.ok ? r.val : null;
       });
@@ -91,7 +91,7 @@
         .filter((t) => !!t)
         .sort((a, b) => b.ballot - a.ballot)[0];
       if (yes.length < (epoch === 1 && !took ? voters.length : most)) {
-        const wait = Math.min(Paces.hold, Math.max(...first.map((v) => v.wait ?? 0), 0));
+        const wait = Math.min(CoreTimings.hold, Math.max(...first.map((v) => v.wait ?? 0), 0));
         await Timer.nap(world.clock, wait + Dice.int(world.chance, 60));
         return null;
       }
@@ -100,12 +100,12 @@
       const second = await poll(voters, most, async (m) => {
         if (Views.same(m, me())) return { ...(await voter.accept(epoch, n, view)), view: null };
         const r = await post.ask(
-          spots.of(m),
+          addresses.of(m),
           m.id,
           'core.accept',
           { epoch, ballot: n, view },
-          CoreWords.accepted,
-          Paces.ask,
+          CoreMessages.accepted,
+          CoreTimings.ask,
         );
         return r.ok ? r.val : null;
       });
@@ -131,7 +131,9 @@
               told = Promise.all(
                 Views.all(view)
                   .filter((m) => !Views.same(m, me()))
-                  .map((m) => post.ask(spots.of(m), m.id, 'core.view', { view }, CoreWords.done, Paces.ask)),
+                  .map((m) =>
+                    post.ask(addresses.of(m), m.id, 'core.view', { view }, CoreMessages.done, CoreTimings.ask),
+                  ),
               );
               return done;
             }
@@ -144,3 +146,5 @@
     };
   },
 };
+/** A view changer as its users see it. */
+export type ViewChanger = ReturnType<typeof ViewChanger.make>;
--- a/packages/registry/src/views.ts
+++ b/packages/registry/src/consensus/views.ts
@@ -1,5 +1,5 @@
 import type { Ident } from '@pumicebarrow/forms';
-import type { Member } from './member.js';
+import type { Member } from '../membership/member.js';
 import type { View } from './view.js';
 
 type Who = { id: string; born: string };
--- a/packages/registry/src/voter.test.ts
+++ b/packages/registry/src/consensus/voter.test.ts
@@ -1,6 +1,6 @@
 import { Err, Ok } from '@pumicebarrow/forms';
 import { expect } from 'chai';
-import type { Storing } from './storing.js';
+import type { Store } from '../state/store.js';
 import type { View } from './view.js';
 import { Voter } from './voter.js';
 
@@ -16,7 +16,7 @@
     if (!sick) saved.push(v);
     return Promise.resolve(sick ? Err('full') : Ok(undefined));
   },
-} as unknown as Storing;
+} as unknown as Store;
 type Step =
   | ['moved', number]
   | ['prepare', number, number, boolean]
--- a/packages/registry/src/voter.ts
+++ b/packages/registry/src/consensus/voter.ts
@@ -1,5 +1,5 @@
 import type { Result } from '@pumicebarrow/forms';
-import type { Storing } from './storing.js';
+import type { Store } from '../state/store.js';
 import type { View } from './view.js';
 import type { Vote } from './vote.js';
 
@@ -15,7 +15,7 @@
  * `until` is when the last lease ends that its life before this one may have granted.
  */
 export const Voter = {
-  make(store: Storing, mono: () => number, kept: Vote | null, until = 0) {
+  make(store: Store, mono: () => number, kept: Vote | null, until = 0) {
     let vote: Vote | null = kept;
     const held = new Map([['', until]]);
     let moving = 0;
@@ -79,3 +79,5 @@
     };
   },
 };
+/** A voter as its users see it. */
+export type Voter = ReturnType<typeof Voter.make>;
--- a/packages/registry/src/paces.ts
+++ b/packages/registry/src/coretimings.ts
@@ -2,7 +2,7 @@
  * The core's terms, in ms. Invariant: `suspect` is longer than `hold`, so a live lease is not outlived by suspicion
  * alone.
  */
-export const Paces = {
+export const CoreTimings = {
   beat: 150,
   hold: 800,
   suspect: 1000,
--- a/packages/registry/src/leases.ts
+++ b/packages/registry/src/duties/leases.ts
@@ -1,7 +1,7 @@
 import { Verdicts, type Clock } from '@pumicebarrow/forms';
-import type { Links } from './links.js';
-import { Paces } from './paces.js';
-import type { Ruling } from './ruling.js';
+import type { Chain } from '../chain/chain.js';
+import { CoreTimings } from '../coretimings.js';
+import type { Ruling } from '../chain/ruling.js';
 
 /**
  * Leases, as the head gives them. The holder and its fence are in the chain; how long it may go on is only here.
@@ -9,14 +9,14 @@
  * know, waits one whole term first.
  */
 export const Leases = {
-  make(clock: Clock, chain: Links, live: () => boolean) {
+  make(clock: Clock, chain: Chain, live: () => boolean) {
     const until = new Map<string, number>();
     const asked = new Set<string>();
     let calm = 0;
     return {
       moved(): void {
         until.clear();
-        calm = clock.mono() + Paces.lease;
+        calm = clock.mono() + CoreTimings.lease;
       },
       yield(name: string, id: string, born: string): void {
         const held = chain.passed()?.claims[name];
@@ -28,7 +28,7 @@
         if (!live() || !chain.ready()) return { verdict: Verdicts.not('unready', 'The core is not ready.', 1) };
         if (held && held.id === id && held.born === born) {
           if (asked.has(name)) return { verdict: Verdicts.not('busy', 'The lease is changing hands.', 1) };
-          until.set(name, now + Paces.lease);
+          until.set(name, now + CoreTimings.lease);
           return { verdict: Verdicts.ran('claimed', `${id} holds ${name}.`), fence: held.fence };
         }
         const wait = held ? (until.get(name) ?? calm) - now : 0;
@@ -37,7 +37,7 @@
         asked.add(name);
         const ruling = await chain.write({ do: 'claim', name, id, born });
         asked.delete(name);
-        until.set(name, clock.mono() + Paces.lease);
+        until.set(name, clock.mono() + CoreTimings.lease);
         return ruling;
       },
     };
--- a/packages/registry/src/lending/burstdesk.ts
+++ b/packages/registry/src/lending/burstdesk.ts
@@ -1,6 +1,6 @@
 import type { PostBox } from '@pumicebarrow/forms';
-import type { CoreState } from '../corestate.js';
-import type { View } from '../view.js';
+import type { CoreState } from '../state/corestate.js';
+import type { View } from '../consensus/view.js';
 import type { Burst } from './burst.js';
 import { BurstSummary } from './burstsummary.js';
 import { BurstWords } from './burstwords.js';
--- a/packages/registry/src/lending/burstrule.ts
+++ b/packages/registry/src/lending/burstrule.ts
@@ -1,5 +1,5 @@
 import { Intents, Verdicts, type Verdict } from '@pumicebarrow/forms';
-import type { CoreState } from '../corestate.js';
+import type { CoreState } from '../state/corestate.js';
 import type { BurstSpec } from './burstspec.js';
 
 /** Whether a burst may begin: the charter in force lets its rule borrow, or it is held, and is only said again. */
--- a/packages/registry/src/lending/bursts.test.ts
+++ b/packages/registry/src/lending/bursts.test.ts
@@ -1,8 +1,8 @@
 import { Check } from '@pumicebarrow/forms';
 import { expect } from 'chai';
 import type { Static } from 'typebox';
-import { Apply } from '../apply.js';
-import { CoreState } from '../corestate.js';
+import { Apply } from '../state/apply.js';
+import { CoreState } from '../state/corestate.js';
 import type { BurstCommand } from './burstcommand.js';
 import { BurstRule } from './burstrule.js';
 import { Bursts } from './bursts.js';
--- a/packages/registry/src/lending/burstwords.ts
+++ b/packages/registry/src/lending/burstwords.ts
@@ -1,5 +1,5 @@
 import { Type } from 'typebox';
-import { View } from '../view.js';
+import { View } from '../consensus/view.js';
 import { Burst } from './burst.js';
 import { BurstSummary } from './burstsummary.js';
 
--- a/packages/registry/src/whereabouts.ts
+++ b/packages/registry/src/membership/addressbook.ts
@@ -1,9 +1,9 @@
 import { Fading, type PostBox, type World } from '@pumicebarrow/forms';
-import { CoreWords } from './corewords.js';
+import { CoreMessages } from '../service/coremessages.js';
 import type { Member } from './member.js';
-import { Paces } from './paces.js';
-import type { View } from './view.js';
-import { Views } from './views.js';
+import { CoreTimings } from '../coretimings.js';
+import type { View } from '../consensus/view.js';
+import { Views } from '../consensus/views.js';
 
 /** Lives whose address is remembered, and for how long after it was last heard. */
 const LIVES = 64;
@@ -16,7 +16,7 @@
  * Invariants: an address goes with id and born, as that very life said them; it is only where to ask. Who replies there
  * speaks for itself alone, so a wrong one costs a question and never a vote.
  */
-export const Whereabouts = {
+export const AddressBook = {
   make(world: World, post: PostBox, me: () => Member, cores: () => readonly string[]) {
     const known = Fading.make<string>(world.clock.mono, LIVES);
     const key = (w: Who): string => `${w.id}/${w.born}`;
@@ -29,12 +29,12 @@
       /** Asks at all addresses where cores may be who is there now, once a second at the most. */
       async search(view: View): Promise<void> {
         if (world.clock.mono() < next) return;
-        next = world.clock.mono() + Paces.search;
+        next = world.clock.mono() + CoreTimings.search;
         const addrs = new Set([...cores(), ...Views.all(view).map((m) => m.addr)]);
         addrs.delete(me().addr);
         await Promise.all(
           [...addrs].map(async (a) => {
-            const r = await post.ask(a, '', 'core.look', {}, CoreWords.seen, Paces.ask);
+            const r = await post.ask(a, '', 'core.look', {}, CoreMessages.seen, CoreTimings.ask);
             if (r.ok) note(r.val.me);
           }),
         );
@@ -42,3 +42,5 @@
     };
   },
 };
+/** A address book as its users see it. */
+export type AddressBook = ReturnType<typeof AddressBook.make>;
--- a/packages/registry/src/watch.test.ts
+++ b/packages/registry/src/membership/failuredetector.test.ts
@@ -1,9 +1,9 @@
 import { Err, Ok, type PostBox, type World } from '@pumicebarrow/forms';
 import { expect } from 'chai';
-import type { Spots } from './spots.js';
-import type { View } from './view.js';
-import type { Voting } from './voting.js';
-import { Watch } from './watch.js';
+import type { AddressBook } from './addressbook.js';
+import type { View } from '../consensus/view.js';
+import type { Voter } from '../consensus/voter.js';
+import { FailureDetector } from './failuredetector.js';
 
 const member = (id: string) => ({ id, born: 'b', addr: `${id}:1` });
 const [k1, k2, k3] = [member('k1'), member('k2'), member('k3')];
@@ -22,18 +22,18 @@
       ),
   } as unknown as PostBox;
   const clock = { mono: () => now, wall: () => now, after: () => () => undefined };
-  const spots = { of: (m: { addr: string }) => m.addr, search: () => Promise.resolve() } as unknown as Spots;
-  const voter = { grant: () => true } as unknown as Voting;
-  const watch = Watch.make({ clock } as unknown as World, post, () => k2, spots, voter);
+  const addresses = { of: (m: { addr: string }) => m.addr, search: () => Promise.resolve() } as unknown as AddressBook;
+  const voter = { grant: () => true } as unknown as Voter;
+  const detector = FailureDetector.make({ clock } as unknown as World, post, () => k2, addresses, voter);
   return {
-    watch,
+    detector,
     reply(on: boolean): void {
       replies = on;
     },
     async beats(ms: number): Promise<void> {
       for (const end = now + ms; now < end; now += 150) {
-        watch.seen(k1, { sick: false, fresh: true, epoch: 3 });
-        await watch.beat(VIEW, { sick: false, fresh: true });
+        detector.seen(k1, { sick: false, fresh: true, epoch: 3 });
+        await detector.beat(VIEW, { sick: false, fresh: true });
         await new Promise((done) => setImmediate(done));
       }
     },
@@ -47,12 +47,12 @@
   it('knows one that is heard and replies to no beat', async () => {
     const b = bench();
     await b.beats(600);
-    expect(b.watch.deaf(k1)).to.equal(0);
+    expect(b.detector.deaf(k1)).to.equal(0);
     b.reply(false);
     await b.beats(1500);
-    expect(b.watch.deaf(k1)).to.equal(1500);
-    expect(b.watch.deaf(k3)).to.equal(0);
-    expect(b.watch.silent(k1)).to.be.at.most(150);
+    expect(b.detector.deaf(k1)).to.equal(1500);
+    expect(b.detector.deaf(k3)).to.equal(0);
+    expect(b.detector.silent(k1)).to.be.at.most(150);
   });
   it('forgets it with the first reply', async () => {
     const b = bench();
@@ -60,7 +60,7 @@
     await b.beats(1500);
     b.reply(true);
     await b.beats(150);
-    expect(b.watch.deaf(k1)).to.equal(0);
+    expect(b.detector.deaf(k1)).to.equal(0);
   });
   it('counts nothing over a sleep of its own, and from a new view on afresh', async () => {
     const b = bench();
@@ -68,8 +68,8 @@
     await b.beats(1500);
     b.sleep(5000);
     await b.beats(150);
-    expect(b.watch.deaf(k1)).to.equal(150);
-    b.watch.reset();
-    expect(b.watch.deaf(k1)).to.equal(0);
+    expect(b.detector.deaf(k1)).to.equal(150);
+    b.detector.reset();
+    expect(b.detector.deaf(k1)).to.equal(0);
   });
 });
--- a/packages/registry/src/watch.ts
+++ b/packages/registry/src/membership/failuredetector.ts
@@ -1,11 +1,11 @@
 import { Awake, Fading, Timer, type PostBox, type World } from '@pumicebarrow/forms';
-import { CoreWords } from './corewords.js';
+import { CoreMessages } from '../service/coremessages.js';
 import type { Member } from './member.js';
-import { Paces } from './paces.js';
-import type { Spots } from './spots.js';
-import type { View } from './view.js';
-import { Views } from './views.js';
-import type { Voting } from './voting.js';
+import { CoreTimings } from '../coretimings.js';
+import type { AddressBook } from './addressbook.js';
+import type { View } from '../consensus/view.js';
+import { Views } from '../consensus/views.js';
+import type { Voter } from '../consensus/voter.js';
 
 /** Lives of core daemons that are remembered, and for how long after their last word. */
 const LIVES = 64;
@@ -17,8 +17,8 @@
  * Invariant: `live()` is true only while a majority of voters each granted a lease, counted from before it was
  * asked for.
  */
-export const Watch = {
-  make(world: World, post: PostBox, me: () => Member, spots: Spots, voter: Voting) {
+export const FailureDetector = {
+  make(world: World, post: PostBox, me: () => Member, addresses: AddressBook, voter: Voter) {
     const heard = Fading.make<Heard>(world.clock.mono, LIVES);
     const grants = new Map<string, number>();
     const key = (m: Member): string => `${m.id}/${m.born}`;
@@ -73,14 +73,14 @@
           before = slept,
           era = eras,
           inside = Views.place(view, me()) >= 0;
-        if (inside && Views.votes(view, me()) && voter.grant(view.epoch, Paces.hold, me()))
-          grants.set(key(me()), at + Paces.hold);
+        if (inside && Views.votes(view, me()) && voter.grant(view.epoch, CoreTimings.hold, me()))
+          grants.set(key(me()), at + CoreTimings.hold);
         const ask = async (m: Member): Promise<void> => {
           const body = { me: me(), epoch: view.epoch, ...self };
-          const r = await post.ask(spots.of(m), m.id, 'core.beat', body, CoreWords.beaten, Paces.ask);
+          const r = await post.ask(addresses.of(m), m.id, 'core.beat', body, CoreMessages.beaten, CoreTimings.ask);
           asking.delete(key(m));
           awake.look();
-          if (!r.ok) void spots.search(view);
+          if (!r.ok) void addresses.search(view);
           if (slept !== before) return;
           if (r.ok) vain.delete(key(m));
           else if (era === eras && !vain.has(key(m))) vain.set(key(m), at);
@@ -88,14 +88,16 @@
           if (r.val.me.id === m.id && r.val.me.born !== m.born) empty.set(key(m), true, KEEP);
           if (!Views.same(r.val.me, m)) return;
           seen(m, { sick: r.val.sick, fresh: r.val.fresh, epoch: r.val.view?.epoch ?? 0 });
-          if (r.val.claim && Views.votes(view, m) && era === eras) grants.set(key(m), at + Paces.hold);
+          if (r.val.claim && Views.votes(view, m) && era === eras) grants.set(key(m), at + CoreTimings.hold);
           if (r.val.view && r.val.view.epoch > (best?.epoch ?? 0)) best = r.val.view;
         };
         const due = Views.all(view).filter((m) => !Views.same(m, me()) && !asking.has(key(m)));
         for (const m of due) asking.add(key(m));
-        await Promise.race([Promise.all(due.map(ask)), Timer.nap(world.clock, Paces.beat)]);
+        await Promise.race([Promise.all(due.map(ask)), Timer.nap(world.clock, CoreTimings.beat)]);
         return best;
       },
     };
   },
 };
+/** A failure detector as its users see it. */
+export type FailureDetector = ReturnType<typeof FailureDetector.make>;
--- a/packages/registry/src/roll.ts
+++ b/packages/registry/src/membership/livedaemons.ts
@@ -1,5 +1,5 @@
 import type { Clock, Ident } from '@pumicebarrow/forms';
-import { Paces } from './paces.js';
+import { CoreTimings } from '../coretimings.js';
 
 type Load = { read: number; write: number };
 type Seen = { who: Ident; at: number; version: number; sum: string; load: Load };
@@ -8,11 +8,11 @@
  * Who is live, as the head has heard. Soft: lost with the head and learnt again.
  * Invariant: a roster is given out only once the head has listened for longer than a silence that drops a daemon.
  */
-export const Roll = {
+export const LiveDaemons = {
   make(clock: Clock) {
     let seen: ReadonlyMap<string, Seen> = new Map();
     let since = clock.mono();
-    const live = (): Seen[] => [...seen.values()].filter((s) => clock.mono() - s.at < Paces.gone);
+    const live = (): Seen[] => [...seen.values()].filter((s) => clock.mono() - s.at < CoreTimings.gone);
     return {
       reset(): void {
         seen = new Map();
@@ -29,7 +29,7 @@
         seen = next;
       },
       roster: (): Ident[] | null =>
-        clock.mono() - since < Paces.gone
+        clock.mono() - since < CoreTimings.gone
           ? null
           : live()
               .map((s) => s.who)
--- a/packages/registry/src/minder.test.ts
+++ b/packages/registry/src/membership/repairtask.test.ts
@@ -1,14 +1,14 @@
 import { expect } from 'chai';
-import type { Links } from './links.js';
-import type { Lookout } from './lookout.js';
-import { Minder } from './minder.js';
-import type { Rudder } from './rudder.js';
-import type { View } from './view.js';
+import type { Chain } from '../chain/chain.js';
+import type { FailureDetector } from './failuredetector.js';
+import { RepairTask } from './repairtask.js';
+import type { ViewChanger } from '../consensus/viewchanger.js';
+import type { View } from '../consensus/view.js';
 
 const member = (id: string) => ({ id, born: 'b', addr: `${id}:1` });
 const VIEW: View = { epoch: 3, chain: ['k1', 'k2', 'k3'].map(member), voters: ['k1', 'k2', 'k3'].map(member) };
 
-describe('the minder', () => {
+describe('the repair', () => {
   const cases: [string, { live: (at: number) => boolean; me: string; ms: number }, number | null][] = [
     ['proposes nothing while leases are granted', { live: () => true, me: 'k1', ms: 20_000 }, null],
     ['waits a while for leases', { live: (at) => at > 1500, me: 'k1', ms: 20_000 }, null],
@@ -27,13 +27,16 @@
         heard: () => undefined,
         emptied: () => false,
       };
-      const helm = { busy: () => false, propose: (_: unknown, next: View) => Promise.resolve(proposed.push(next) > 0) };
-      const m = Minder.make(
+      const viewChanger = {
+        busy: () => false,
+        propose: (_: unknown, next: View) => Promise.resolve(proposed.push(next) > 0),
+      };
+      const m = RepairTask.make(
         () => member(me),
         () => at,
-        watch as unknown as Lookout,
-        helm as unknown as Rudder,
-        {} as Links,
+        watch as unknown as FailureDetector,
+        viewChanger as unknown as ViewChanger,
+        {} as Chain,
       );
       for (; at < ms; at += 150) m.mind(VIEW);
       expect(proposed[0]?.epoch ?? null).to.equal(want);
@@ -59,13 +62,16 @@
         heard: () => undefined,
         emptied: () => false,
       };
-      const helm = { busy: () => false, propose: (_: unknown, next: View) => Promise.resolve(proposed.push(next) > 0) };
-      const m = Minder.make(
+      const viewChanger = {
+        busy: () => false,
+        propose: (_: unknown, next: View) => Promise.resolve(proposed.push(next) > 0),
+      };
+      const m = RepairTask.make(
         () => member(me),
         () => at,
-        watch as unknown as Lookout,
-        helm as unknown as Rudder,
-        { remend: () => undefined } as unknown as Links,
+        watch as unknown as FailureDetector,
+        viewChanger as unknown as ViewChanger,
+        { remend: () => undefined } as unknown as Chain,
       );
       for (; at < ms; at += 150) m.mind(VIEW);
       expect(proposed[0]?.chain.map((x) => x.id) ?? null).to.deep.equal(want);
--- a/packages/registry/src/minder.ts
+++ b/packages/registry/src/membership/repairtask.ts
@@ -1,15 +1,15 @@
-import type { Links } from './links.js';
-import type { Lookout } from './lookout.js';
+import type { Chain } from '../chain/chain.js';
+import type { FailureDetector } from './failuredetector.js';
 import type { Member } from './member.js';
-import { Paces } from './paces.js';
-import type { Rudder } from './rudder.js';
-import type { View } from './view.js';
-import { Views } from './views.js';
+import { CoreTimings } from '../coretimings.js';
+import type { ViewChanger } from '../consensus/viewchanger.js';
+import type { View } from '../consensus/view.js';
+import { Views } from '../consensus/views.js';
 
 /** ms without a lease, though all are heard, after which the view is made anew. */
-const LAME = 2 * Paces.suspect;
+const LAME = 2 * CoreTimings.suspect;
 /** ms for which a member that is heard may leave our beats without a reply: what is sent to it is lost. */
-const DEAF = 2 * Paces.suspect;
+const DEAF = 2 * CoreTimings.suspect;
 
 /**
  * What a member of the chain that votes does about the others: those that are silent, deaf or sick go out of the
@@ -18,36 +18,36 @@
  * change that was promised and then given up bars every lease for good; so whoever goes long without makes the view
  * anew.
  */
-export const Minder = {
-  make(me: () => Member, mono: () => number, watch: Lookout, helm: Rudder, chain: Links) {
+export const RepairTask = {
+  make(me: () => Member, mono: () => number, detector: FailureDetector, viewChanger: ViewChanger, chain: Chain) {
     const mine = (m: Member): boolean => Views.same(m, me());
-    const known = (m: Member): boolean => watch.heard(m)?.sick === true || watch.emptied(m);
+    const known = (m: Member): boolean => detector.heard(m)?.sick === true || detector.emptied(m);
     /** One that a majority does not reply to is cut off itself, and can't tell who else is. */
     const replied = (v: View): boolean =>
-      v.voters.filter((m) => mine(m) || watch.deaf(m) < Paces.suspect).length >= Views.most(v);
+      v.voters.filter((m) => mine(m) || detector.deaf(m) < CoreTimings.suspect).length >= Views.most(v);
     const late = (v: View, m: Member, turn: number): boolean =>
-      watch.silent(m) > Paces.suspect + turn || (watch.deaf(m) > DEAF + turn && replied(v));
+      detector.silent(m) > CoreTimings.suspect + turn || (detector.deaf(m) > DEAF + turn && replied(v));
     const gone = (v: View, m: Member): boolean => known(m) || late(v, m, 0);
     /** Members without a vote that hold all of this view. */
     const caught = (v: View): Member[] =>
       v.chain.filter((m) => {
-        const h = watch.heard(m);
+        const h = detector.heard(m);
         return !mine(m) && !Views.votes(v, m) && h?.fresh === true && h.epoch === v.epoch;
       });
     const shorten = (v: View, list: readonly Member[]): void => {
-      const up = v.voters.filter((m) => mine(m) || watch.silent(m) < Paces.suspect);
+      const up = v.voters.filter((m) => mine(m) || detector.silent(m) < CoreTimings.suspect);
       const turn = up.findIndex(mine) * 300;
       const due = list.find((m) => known(m) || late(v, m, turn));
       if (!due) return;
-      const how = watch.heard(due)?.sick
+      const how = detector.heard(due)?.sick
         ? 'sick'
-        : watch.emptied(due)
+        : detector.emptied(due)
           ? 'emptied'
-          : watch.silent(due) > Paces.suspect
+          : detector.silent(due) > CoreTimings.suspect
             ? 'silent'
             : 'deaf';
       const why = `${list.map((m) => m.id).join(', ')}: ${how}.`;
-      void helm.propose(v.voters, Views.without(v, list), why);
+      void viewChanger.propose(v.voters, Views.without(v, list), why);
     };
     /** Who takes whose vote, if there is such a change to be made. */
     const handing = (v: View): { heir: Member; old: Member } | null => {
@@ -57,21 +57,21 @@
         if (old) return { heir, old };
       }
       const named = (x: Member): boolean => v.chain.some((m) => m.id === x.id);
-      const old = v.voters.find((x) => !mine(x) && !named(x) && watch.silent(x) > Paces.suspect);
+      const old = v.voters.find((x) => !mine(x) && !named(x) && detector.silent(x) > CoreTimings.suspect);
       return list[0] && old ? { heir: list[0], old } : null;
     };
     let since: number | null = null;
     const renew = (v: View): void => {
       const turn = v.voters.findIndex(mine) * 300;
-      if (watch.live(v)) since = null;
+      if (detector.live(v)) since = null;
       else since ??= mono();
       if (since === null || mono() - since <= LAME + turn) return;
       since = null;
-      void helm.propose(v.voters, Views.without(v, []), 'No lease was granted, though all are heard.');
+      void viewChanger.propose(v.voters, Views.without(v, []), 'No lease was granted, though all are heard.');
     };
     return {
       mind(v: View): void {
-        if (helm.busy() || !Views.votes(v, me())) return;
+        if (viewChanger.busy() || !Views.votes(v, me())) return;
         const mates = v.chain.filter((m) => !mine(m));
         const list = mates.filter((m) => gone(v, m));
         if (list.length > 0) {
@@ -79,15 +79,15 @@
           return;
         }
         renew(v);
-        if (helm.busy()) return;
+        if (viewChanger.busy()) return;
         const hand = handing(v);
         if (hand) {
           const why = `${hand.heir.id} has caught up and votes.`;
-          void helm.propose(v.voters, Views.withVoter(v, hand.heir, hand.old), why);
+          void viewChanger.propose(v.voters, Views.withVoter(v, hand.heir, hand.old), why);
           return;
         }
         const behind = mates.some((m) => {
-          const h = watch.heard(m);
+          const h = detector.heard(m);
           return h && !h.fresh && h.epoch === v.epoch;
         });
         if (Views.same(Views.head(v), me()) && behind) chain.remend();
@@ -97,7 +97,7 @@
         const next = Views.without(v, [me()]);
         const heir = Views.votes(v, me()) ? caught(v)[0] : undefined;
         const voters = heir ? Views.withVoter(v, heir, me()).voters : v.voters;
-        return helm.propose(v.voters, { ...next, voters }, `${me().id} leaves.`);
+        return viewChanger.propose(v.voters, { ...next, voters }, `${me().id} leaves.`);
       },
     };
   },
--- a/packages/registry/src/registrar.ts
+++ b/packages/registry/src/registrar.ts
@@ -1,12 +1,12 @@
 import { Err, Ok, Post, type Doc, type Ident, type Result, type World } from '@pumicebarrow/forms';
 import { Purge, Shelf, type Tunes } from '@pumicebarrow/purge';
 import { Core } from './core.js';
-import { Line } from './line.js';
-import { Self } from './self.js';
-import { Sound } from './sound.js';
-import { Store } from './store.js';
-import { TraceDesk } from './tracedesk.js';
-import { Views } from './views.js';
+import { ControlClient } from './chain/controlclient.js';
+import { Self } from './membership/memberidentity.js';
+import { RecordCheck } from './state/recordcheck.js';
+import { Store } from './state/store.js';
+import { TraceDesk } from './service/tracedesk.js';
+import { Views } from './consensus/views.js';
 
 /** Addresses to begin with; those that may change while the daemon lives are asked for. */
 type Seeds = readonly string[] | (() => readonly string[]);
@@ -40,7 +40,7 @@
       role: 'registry',
     };
     const post = Post.make(world, () => ident);
-    const shelf = Shelf.make(settings.sound ?? Sound.doc);
+    const shelf = Shelf.make(settings.sound ?? RecordCheck.doc);
     const given = settings.seeds;
     const seeds = (): readonly string[] => (typeof given === 'function' ? given() : given);
     const purge = Purge.make(
@@ -89,7 +89,7 @@
       shelf,
       post,
       /** Reads and writes as any other daemon does; the head or the tail may be this one. */
-      line: Line.make(world, post, cores, core.view),
+      line: ControlClient.make(world, post, cores, core.view),
       start(): void {
         core.start();
         purge.start();
--- a/packages/registry/src/coredesk.ts
+++ b/packages/registry/src/service/coredesk.ts
@@ -1,17 +1,17 @@
 import { Clauses, Verdicts, type PostBox, type World } from '@pumicebarrow/forms';
-import { Leases } from './leases.js';
-import { CoreWords } from './corewords.js';
-import { BurstDesk } from './lending/burstdesk.js';
-import { BurstRule } from './lending/burstrule.js';
-import type { Links } from './links.js';
-import { Paces } from './paces.js';
-import { Roll } from './roll.js';
-import type { View } from './view.js';
+import { Leases } from '../duties/leases.js';
+import { CoreMessages } from './coremessages.js';
+import { BurstDesk } from '../lending/burstdesk.js';
+import { BurstRule } from '../lending/burstrule.js';
+import type { Chain } from '../chain/chain.js';
+import { CoreTimings } from '../coretimings.js';
+import { LiveDaemons } from '../membership/livedaemons.js';
+import type { View } from '../consensus/view.js';
 
 type Hooks = {
   view: () => View | null;
   live: () => boolean;
-  chain: Links;
+  chain: Chain;
   isTail: () => boolean;
   isHead: () => boolean;
 };
@@ -19,11 +19,11 @@
 /** Where other daemons come to the core: commands and check-ins at the head, reading at the tail, the view anywhere. */
 export const CoreDesk = {
   make(world: World, post: PostBox, h: Hooks) {
-    const roll = Roll.make(world.clock);
+    const roll = LiveDaemons.make(world.clock);
     const leases = Leases.make(world.clock, h.chain, h.live);
     let head = false;
 
-    post.on('core.write', CoreWords.write, async (body) => {
+    post.on('core.write', CoreMessages.write, async (body) => {
       const c = body.command;
       if (c.do === 'plan' || c.do === 'replace') {
         const faults = Clauses.faults(c.do === 'plan' ? c.charter : c.intent);
@@ -33,16 +33,16 @@
       if (c.do === 'begin' && h.chain.ready() && !BurstRule.may(h.chain.passed(), c.spec))
         return { ruling: { verdict: BurstRule.no(c.spec.rule) }, term: 0, view: h.view() };
       const ruling = c.do === 'claim' ? await leases.take(c.name, c.id, c.born) : await h.chain.write(c);
-      return { ruling, term: c.do === 'claim' && ruling.fence !== undefined ? Paces.lease : 0, view: h.view() };
+      return { ruling, term: c.do === 'claim' && ruling.fence !== undefined ? CoreTimings.lease : 0, view: h.view() };
     });
-    post.on('core.read', CoreWords.read, (body) => {
+    post.on('core.read', CoreMessages.read, (body) => {
       const s = h.chain.passed();
       if (!s || !h.isTail() || !h.live()) return { ok: false, view: h.view(), charter: null, plan: null };
       const plan = body.plan === undefined ? null : (s.plans.find((p) => p.id === body.plan) ?? null);
       return { ok: true, view: h.view(), charter: s.charter, plan };
     });
     BurstDesk.make(post, { view: h.view, read: () => (h.isTail() && h.live() ? h.chain.passed() : null) });
-    post.on('core.checkin', CoreWords.checkin, (body, from) => {
+    post.on('core.checkin', CoreMessages.checkin, (body, from) => {
       const ok = head && h.live();
       if (ok) roll.note(from, body.version, body.sum, body.load);
       return {
@@ -53,12 +53,12 @@
         load: roll.load(),
       };
     });
-    post.on('core.leave', CoreWords.leave, (body, from) => {
+    post.on('core.leave', CoreMessages.leave, (body, from) => {
       for (const n of body.names) leases.yield(n, from.id, from.born);
       roll.leave(from.id);
       return { ok: true };
     });
-    post.on('core.roll', CoreWords.look, () => ({ view: h.view(), roster: head && h.live() ? roll.all() : [] }));
+    post.on('core.roll', CoreMessages.look, () => ({ view: h.view(), roster: head && h.live() ? roll.all() : [] }));
 
     return {
       live: () => roll.roster() ?? [],
--- a/packages/registry/src/corewords.ts
+++ b/packages/registry/src/service/coremessages.ts
@@ -1,18 +1,18 @@
 import { Ident } from '@pumicebarrow/forms';
 import { Type } from 'typebox';
-import { Command } from './command.js';
-import { CoreState } from './corestate.js';
-import { Member } from './member.js';
-import { Plan } from './plan.js';
-import { Ruling } from './ruling.js';
-import { View } from './view.js';
-import { Vote } from './vote.js';
+import { Command } from '../chain/command.js';
+import { CoreState } from '../state/corestate.js';
+import { Member } from '../membership/member.js';
+import { Plan } from '../state/plan.js';
+import { Ruling } from '../chain/ruling.js';
+import { View } from '../consensus/view.js';
+import { Vote } from '../consensus/vote.js';
 
 const shut = { additionalProperties: false } as const;
 const maybeView = Type.Union([View, Type.Null()]);
 
 /** The forms of what the core says, and of what is said to it. */
-export const CoreWords = {
+export const CoreMessages = {
   beat: Type.Object({ me: Member, epoch: Type.Integer(), sick: Type.Boolean(), fresh: Type.Boolean() }, shut),
   beaten: Type.Object(
     { me: Member, view: maybeView, claim: Type.Boolean(), sick: Type.Boolean(), fresh: Type.Boolean() },
--- a/packages/registry/src/coremeter.ts
+++ b/packages/registry/src/service/coremeter.ts
@@ -1,6 +1,6 @@
 import type { Metering, World } from '@pumicebarrow/forms';
-import type { Registrar } from './registrar.js';
-import { Views } from './views.js';
+import type { Registrar } from '../registrar.js';
+import { Views } from '../consensus/views.js';
 
 type Made = Extract<Awaited<ReturnType<typeof Registrar.make>>, { ok: true }>['val'];
 
--- a/packages/registry/src/apply.test.ts
+++ b/packages/registry/src/state/apply.test.ts
@@ -1,8 +1,8 @@
 import type { Charter } from '@pumicebarrow/forms';
 import { expect } from 'chai';
 import { Apply } from './apply.js';
-import type { Command } from './command.js';
-import { Diff } from './diff.js';
+import type { Command } from '../chain/command.js';
+import { Diff } from '../service/diff.js';
 
 const charter = (limit: number): Charter => ({
   sites: ['s1'],
--- a/packages/registry/src/apply.ts
+++ b/packages/registry/src/state/apply.ts
@@ -1,9 +1,9 @@
 import { Intents, Verdicts, type Intent, type Verdict } from '@pumicebarrow/forms';
-import type { Command } from './command.js';
+import type { Command } from '../chain/command.js';
 import type { CoreState } from './corestate.js';
-import { Bursts } from './lending/bursts.js';
+import { Bursts } from '../lending/bursts.js';
 import type { Plan } from './plan.js';
-import type { Ruling } from './ruling.js';
+import type { Ruling } from '../chain/ruling.js';
 
 type Done = { state: CoreState; ruling: Ruling };
 const KEEP = 200;
--- a/packages/registry/src/corestate.ts
+++ b/packages/registry/src/state/corestate.ts
@@ -1,6 +1,6 @@
 import { Intent } from '@pumicebarrow/forms';
 import { Type, type Static } from 'typebox';
-import { Burst } from './lending/burst.js';
+import { Burst } from '../lending/burst.js';
 import { Plan } from './plan.js';
 
 /**
--- a/packages/registry/src/sound.ts
+++ b/packages/registry/src/state/recordcheck.ts
@@ -1,12 +1,12 @@
 import { Check, Clauses, type Doc } from '@pumicebarrow/forms';
 import { CharterBody } from './charterbody.js';
-import { Loan } from './lending/loan.js';
-import { Mix } from './mix.js';
-import { SheetRow } from './sheetrow.js';
-import { Sighting } from './sighting.js';
+import { Loan } from '../lending/loan.js';
+import { Mix } from '../duties/mix.js';
+import { SheetRow } from '../duties/sheetrow.js';
+import { Sighting } from '../duties/sighting.js';
 
 /** Whether a shared doc is what its name says. Nothing else is put on a shelf. */
-export const Sound = {
+export const RecordCheck = {
   doc(d: Doc): boolean {
     if (d.name === 'charter') {
       const got = Check.parse(CharterBody, d.body);
--- a/packages/registry/src/replace.test.ts
+++ b/packages/registry/src/state/replace.test.ts
@@ -1,7 +1,7 @@
 import type { Charter, Routing } from '@pumicebarrow/forms';
 import { expect } from 'chai';
 import { Apply } from './apply.js';
-import type { Command } from './command.js';
+import type { Command } from '../chain/command.js';
 
 const routing = (revision: number): Routing => ({
   revision,
--- a/packages/registry/src/store.ts
+++ b/packages/registry/src/state/store.ts
@@ -2,8 +2,8 @@
 import { Type, type Static } from 'typebox';
 import { Apply } from './apply.js';
 import { CoreState } from './corestate.js';
-import { View } from './view.js';
-import { Vote } from './vote.js';
+import { View } from '../consensus/view.js';
+import { Vote } from '../consensus/vote.js';
 
 const Self = Type.Object({ born: Type.String(), whole: Type.Optional(Type.Boolean()) });
 const FORMS = [
@@ -89,3 +89,5 @@
     };
   },
 };
+/** A store as its users see it. */
+export type Store = ReturnType<typeof Store.make>;
--- a/packages/router/src/duties.test.ts
+++ b/packages/router/src/duties.test.ts
@@ -1,6 +1,6 @@
 import { Err, Hash, Ok, type Doc, type Mark } from '@pumicebarrow/forms';
 import { Shelf, type Purging } from '@pumicebarrow/purge';
-import type { CoreLine, View } from '@pumicebarrow/registry';
+import type { ControlClient, View } from '@pumicebarrow/registry';
 import { expect } from 'chai';
 import { HeadLine } from './headline.js';
 import { KeeperDesk } from './keeperdesk.js';
@@ -102,7 +102,11 @@
         () => undefined,
       );
       const purge = { learn: (d: Doc) => shelf.offer(d) } as unknown as Purging;
-      const line = { view: () => view, learn: () => undefined, look: () => Promise.resolve() } as unknown as CoreLine;
+      const line = {
+        view: () => view,
+        learn: () => undefined,
+        look: () => Promise.resolve(),
+      } as unknown as ControlClient;
       const made = HeadLine.make({
         ...{ clock: time.clock, post, line, shelf, purge, list, version: () => state.held },
         load: () => ({ read: 10, beside: 0, run: 2 }),
--- a/packages/router/src/headline.ts
+++ b/packages/router/src/headline.ts
@@ -1,6 +1,6 @@
 import { Hash, Order, type Clock, type Ident, type Mark, type PostBox } from '@pumicebarrow/forms';
 import { Slips, type Holding, type Purging } from '@pumicebarrow/purge';
-import { Views, type CoreLine } from '@pumicebarrow/registry';
+import { Views, type ControlClient } from '@pumicebarrow/registry';
 import type { ListBody } from './listbody.js';
 import { ListRows } from './listrows.js';
 import type { ServerListing } from './serverlisting.js';
@@ -9,7 +9,7 @@
 type Tools = {
   clock: Clock;
   post: PostBox;
-  line: CoreLine;
+  line: ControlClient;
   shelf: Holding;
   purge: Purging;
   list: ServerListing;
--- a/packages/router/src/intentdesk.ts
+++ b/packages/router/src/intentdesk.ts
@@ -8,7 +8,7 @@
   type PostBox,
   type Result,
 } from '@pumicebarrow/forms';
-import { Diff, type CoreLine } from '@pumicebarrow/registry';
+import { Diff, type ControlClient } from '@pumicebarrow/registry';
 import { Type } from 'typebox';
 
 /** How an operator's text becomes an intent. */
@@ -27,7 +27,7 @@
     ask: Type.Object({ id: Type.String({ pattern: '^[\\w.:-]{1,60}$' }), text: Type.String() }, shut),
     told: Type.Object({ verdict: Verdict, base: Type.Integer(), changes: Type.Array(Change) }, shut),
   },
-  make(post: PostBox, line: CoreLine, read: Read | null): void {
+  make(post: PostBox, line: ControlClient, read: Read | null): void {
     const whole = (text: string): Result<Intent, Fault[]> => {
       const got = read ? read(text) : Err([{ path: '', why: 'can be read by no one here' }]);
       const faults = got.ok ? Clauses.faults(got.val) : [];
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,7 +1,7 @@
 import { Awake, Dice, Post, Timer, Verdicts, type Ident, type Verdict, type World } from '@pumicebarrow/forms';
 import { DaemonLife, Newest } from '@pumicebarrow/counter';
 import { Purge, Shelf } from '@pumicebarrow/purge';
-import { Line, TraceDesk, Views, type CharterBody, type Sighting } from '@pumicebarrow/registry';
+import { ControlClient, TraceDesk, Views, type CharterBody, type Sighting } from '@pumicebarrow/registry';
 import { interpret } from 'robot3';
 import type { AnswerSink } from './answersink.js';
 import { Budgets } from './budgets.js';
@@ -63,7 +63,7 @@
     const shelf = Shelf.make(SharedSound.doc);
     const known = (): readonly Ident[] => Views.idents(line.view());
     const purge = Purge.make(world, post, self, shelf, startup.tunes, startup.seeds, known);
-    const line = Line.make(world, post, () => [...startup.seeds(), ...purge.peers().map((p) => p.addr)]);
+    const line = ControlClient.make(world, post, () => [...startup.seeds(), ...purge.peers().map((p) => p.addr)]);
     const peers = (): readonly Ident[] => purge.peers().filter((p) => p.role === 'counter' && p.id !== ident.id);
     const awake = Awake.make(clock, () => {
       list.drop();
--- a/packages/router/src/sharedsound.ts
+++ b/packages/router/src/sharedsound.ts
@@ -1,5 +1,5 @@
 import { Check, type Doc } from '@pumicebarrow/forms';
-import { Sound } from '@pumicebarrow/registry';
+import { RecordCheck } from '@pumicebarrow/registry';
 import { ChangesBody } from './changesbody.js';
 import { ListBody } from './listbody.js';
 
@@ -8,6 +8,6 @@
   doc(d: Doc): boolean {
     if (d.name === 'list') return Check.is(ListBody, d.body);
     if (d.name === 'changes') return Check.is(ChangesBody, d.body);
-    return Sound.doc(d);
+    return RecordCheck.doc(d);
   },
 };
--- a/packages/sim/src/bench.ts
+++ b/packages/sim/src/bench.ts
@@ -1,6 +1,6 @@
 import { Err, Post, type Charter, type Deed, type Ident, type Result } from '@pumicebarrow/forms';
 import { Tuned } from '@pumicebarrow/purge';
-import { Line, Registrar } from '@pumicebarrow/registry';
+import { ControlClient, Registrar } from '@pumicebarrow/registry';
 import type { Size } from './size.js';
 import { Host } from './host.js';
 import type { Motor } from './motor.js';
@@ -72,12 +72,12 @@
     const [line, reader] = desks.map((b) => {
       const w = net.world(b);
       const me: Ident = { id: b.id, born: 'o', addr: b.addr(), site: 's1', role: 'counter' };
-      return Line.make(
+      return ControlClient.make(
         w,
         Post.make(w, () => me),
         () => seeds,
       );
-    }) as [ReturnType<typeof Line.make>, ReturnType<typeof Line.make>];
+    }) as [ReturnType<typeof ControlClient.make>, ReturnType<typeof ControlClient.make>];
     return {
       motor,
       net,
--- a/packages/sim/src/capacity/works.ts
+++ b/packages/sim/src/capacity/works.ts
@@ -1,7 +1,7 @@
 import { Duty, Ledger, Target, TownList } from '@pumicebarrow/counter';
 import { Check, Verdicts } from '@pumicebarrow/forms';
 import { Ranges } from '@pumicebarrow/purge';
-import { Roll, type CoreLine } from '@pumicebarrow/registry';
+import { LiveDaemons, type ControlClient } from '@pumicebarrow/registry';
 import { Design } from './design.js';
 import type { Figure } from './figure.js';
 import { Props } from './props.js';
@@ -27,13 +27,13 @@
       clock = Props.clock(),
       load = { read: 1, write: 1 };
     let now = 5000;
-    const roll = Roll.make({ ...clock, mono: () => now });
+    const roll = LiveDaemons.make({ ...clock, mono: () => now });
     now += 1500;
     for (const who of list) roll.note(who, 1, 'x', load);
     now += 600;
     const line = {
       write: () => Promise.resolve({ ruling: { verdict: Verdicts.not('unready', '', 1) }, term: 0, sent: 0 }),
-    } as unknown as CoreLine;
+    } as unknown as ControlClient;
     const duty = Duty.make(
       Props.world(clock),
       line,
--- a/tools/house.mjs
+++ b/tools/house.mjs
@@ -6,7 +6,7 @@
 // The field's own terms win. Packages named here have them; in the others a word keeps its old name until it is renamed
 // everywhere at once.
 const NEW =
-  /^(packages\/(?:router|routesim|clerk\/src\/fleet|yard\/src\/routed|(?:registry|counter|sim|clerk)\/src\/lending)|platform)\//;
+  /^(packages\/(?:router|routesim|registry|clerk\/src\/fleet|yard\/src\/routed|(?:counter|sim|clerk)\/src\/lending)|platform)\//;
 // The product's routes by host and path are the field's; the older rules that callers name are another thing.
 const FORMS = /^packages\/forms\/src\/(route|routing)\.ts$/;
 // Turned round everywhere. A key that others see keeps the old word (docs/clashes.md), so a property may be named so.
