--- a/packages/counter/src/httpback.ts
+++ b/packages/counter/src/httpback.ts
@@ -76,7 +76,7 @@
       body: unknown,
       ms: number,
       form: S,
-    ): Promise<Result<Static<S>, BackFault>> => {
+    ): Promise<Result<NoInfer<Static<S>>, BackFault>> => {
       try {
         const r = await call(url, {
           method,
--- a/packages/forms/src/check.ts
+++ b/packages/forms/src/check.ts
@@ -20,14 +20,14 @@
   is(form: TSchema, v: unknown): boolean {
     return Check.tool(form).Check(v);
   },
-  parse<S extends TSchema>(form: S, v: unknown): Result<Static<S>, Fault[]> {
+  parse<S extends TSchema>(form: S, v: unknown): Result<NoInfer<Static<S>>, Fault[]> {
     const tool = Check.tool(form);
-    if (tool.Check(v)) return Ok(v as Static<S>);
+    if (tool.Check(v)) return Ok(v as NoInfer<Static<S>>);
     const list = [...tool.Errors(v)].filter((e) => e.keyword !== 'additionalProperties').flatMap(plain);
     return Err(list.length > 0 ? list.slice(0, 50) : [{ path: '', why: 'does not fit' }]);
   },
   /** The same, but keys that the schema does not know are left out. */
-  lenient<S extends TSchema>(form: S, v: unknown): Result<Static<S>, Fault[]> {
+  lenient<S extends TSchema>(form: S, v: unknown): Result<NoInfer<Static<S>>, Fault[]> {
     const got = Check.parse(form, v);
     return got.ok ? got : Check.parse(form, Check.known(form, v));
   },
--- a/packages/forms/src/post.ts
+++ b/packages/forms/src/post.ts
@@ -50,10 +50,10 @@
       return desk.told ? undefined : (back ?? null);
     });
     return {
-      on<S extends TSchema>(kind: string, form: S, fn: (body: Static<S>, from: Ident) => unknown): void {
+      on<S extends TSchema>(kind: string, form: S, fn: (body: NoInfer<Static<S>>, from: Ident) => unknown): void {
         desks.set(kind, { form, fn, told: false });
       },
-      heed<S extends TSchema>(kind: string, form: S, fn: (body: Static<S>, from: Ident) => void): void {
+      heed<S extends TSchema>(kind: string, form: S, fn: (body: NoInfer<Static<S>>, from: Ident) => void): void {
         desks.set(kind, { form, fn, told: true });
       },
       tell(addr: string, to: string, kind: string, body: unknown): void {
@@ -66,7 +66,7 @@
         body: unknown,
         form: S,
         ms: number,
-      ): Promise<Result<Static<S>, WireFault>> {
+      ): Promise<Result<NoInfer<Static<S>>, WireFault>> {
         const mail: Mail = { v: VOICE, to, from: self(), kind, body };
         const back = await world.wire.ask(addr, mail, ms);
         if (back.err) return back;
--- a/packages/forms/src/postbox.ts
+++ b/packages/forms/src/postbox.ts
@@ -5,8 +5,8 @@
 
 /** A daemon's way to hear, to ask and to tell. What is told has no reply, and may be lost. */
 export type PostBox = {
-  on<S extends TSchema>(kind: string, form: S, fn: (body: Static<S>, from: Ident) => unknown): void;
-  heed<S extends TSchema>(kind: string, form: S, fn: (body: Static<S>, from: Ident) => void): void;
+  on<S extends TSchema>(kind: string, form: S, fn: (body: NoInfer<Static<S>>, from: Ident) => unknown): void;
+  heed<S extends TSchema>(kind: string, form: S, fn: (body: NoInfer<Static<S>>, from: Ident) => void): void;
   tell(addr: string, to: string, kind: string, body: unknown): void;
   ask<S extends TSchema>(
     addr: string,
@@ -15,6 +15,6 @@
     body: unknown,
     form: S,
     ms: number,
-  ): Promise<Result<Static<S>, WireFault>>;
+  ): Promise<Result<NoInfer<Static<S>>, WireFault>>;
   close(): void;
 };
--- a/packages/forms/src/program.ts
+++ b/packages/forms/src/program.ts
@@ -19,7 +19,7 @@
     list: readonly Flag[],
     form: S,
     argv: readonly string[],
-  ): Promise<Static<S>> {
+  ): Promise<NoInfer<Static<S>>> {
     const got = Flags.read(program, about, list, argv);
     if ('say' in got) {
       (got.code === 0 ? process.stdout : process.stderr).write(`${got.say}\n`);
--- a/packages/forms/src/settingsreader.ts
+++ b/packages/forms/src/settingsreader.ts
@@ -12,7 +12,7 @@
     form: S,
     path: string | undefined,
     flags: Record<string, unknown>,
-  ): Promise<Result<Static<S>, Fault[]>> {
+  ): Promise<Result<NoInfer<Static<S>>, Fault[]>> {
     let base: unknown = {};
     if (path !== undefined) {
       try {
--- a/packages/registry/src/consensus/bootstrap.ts
+++ b/packages/registry/src/consensus/bootstrap.ts
@@ -44,7 +44,7 @@
       note(body.me);
       return { view: h.view(), took: voter.took(), me: h.me(), met: known() };
     });
-    const ask = async <S extends TSchema>(kind: string, body: unknown, form: S): Promise<Static<S>[]> => {
+    const ask = async <S extends TSchema>(kind: string, body: unknown, form: S): Promise<NoInfer<Static<S>>[]> => {
       const addrs = new Set([...h.cores(), ...told, ...met.all().map((m) => m.addr)]);
       addrs.delete(h.me().addr);
       const got = await Promise.all([...addrs].map((a) => post.ask(a, '', kind, body, form, CoreTimings.ask)));
