Chain: a version is handed down as what changed against the one that the next holds

Cause: each change handed the whole state down the chain, also its 200 remembered orders: 16.9 KB a change and link at 8 routes, 1.23 MB at 2,600 (JSON). Now a change names its base and its result by sequence and digest; a member that lacks the base says so and is sent the whole, as is one of the release before. After a new view the base guessed is the sender's own version, so members that are level exchange two names. The file on disk stays whole.

--- a/packages/purge/src/docparts.ts
+++ b/packages/purge/src/docparts.ts
@@ -15,7 +15,8 @@
 export const DocParts = {
   LEAST,
   digest: (name: string, mark: Mark, text: string): string => Hash.text(`${name} ${mark.join(' ')} ${text}`),
-  make() {
+  /** `least` is the length of text from which on a doc is handed on by parts. */
+  make(least = LEAST) {
     const known = new WeakMap<Doc, Cut | null>();
     const take = (text: string, sum: string): Cut => {
       const chunks = Chunks.cut(text);
@@ -25,7 +26,7 @@
       const old = known.get(doc);
       if (old !== undefined) return old;
       const text = JSON.stringify(doc.body) ?? '';
-      const made = text.length < LEAST ? null : take(text, DocParts.digest(doc.name, doc.mark, text));
+      const made = text.length < least ? null : take(text, DocParts.digest(doc.name, doc.mark, text));
       known.set(doc, made);
       return made;
     };
@@ -71,7 +72,7 @@
         const text = chunks.join('');
         if (DocParts.digest(old.name, part.mark, text) !== part.sum) return null;
         const made = { name: old.name, mark: part.mark, body: JSON.parse(text) as unknown };
-        known.set(made, text.length < LEAST ? null : { chunks, sums, length: text.length, sum: part.sum });
+        known.set(made, text.length < least ? null : { chunks, sums, length: text.length, sum: part.sum });
         return made;
       },
     };
--- a/packages/registry/src/chain/chain.ts
+++ b/packages/registry/src/chain/chain.ts
@@ -1,10 +1,12 @@
-import { Timer, Verdicts, type PostBox, type World } from '@pumicebarrow/forms';
+import { Timer, Verdicts, type Ident, type PostBox, type World } from '@pumicebarrow/forms';
 import { Batch } from './batch.js';
 import type { Command } from './command.js';
 import type { CoreState } from '../state/corestate.js';
+import { StateChanges } from '../state/statechanges.js';
+import { StateDigest } from '../state/statedigest.js';
+import { StateHandover } from './statehandover.js';
 import { CoreMessages } from '../service/coremessages.js';
 import type { Member } from '../membership/member.js';
-import { CoreTimings } from '../coretimings.js';
 import type { Ruling } from './ruling.js';
 import type { Store } from '../state/store.js';
 import type { View } from '../consensus/view.js';
@@ -38,6 +40,8 @@
     let turned = new Promise<null>((done) => {
       turn = () => done(null);
     });
+    const changes = StateChanges.make();
+    const handover = StateHandover.make(post, changes);
     const log = world.log('chain');
     const alone = <T>(fn: () => Promise<T>): Promise<T> => {
       const next = lock.then(fn, fn);
@@ -45,7 +49,7 @@
       return next;
     };
     const save = async (next: CoreState): Promise<boolean> => {
-      const same = next === state || (next.seq === state.seq && JSON.stringify(next) === JSON.stringify(state));
+      const same = next === state || (next.seq === state.seq && StateDigest.of(next) === StateDigest.of(state));
       if (!same) {
         const done = await store.put('state', next);
         if (done.err) {
@@ -66,23 +70,18 @@
         next = view.chain[place + 1];
       if (place < 0) return false;
       if (next) {
-        const r = await Promise.race([
-          turned,
-          post.ask(
-            next.addr,
-            next.id,
-            'core.push',
-            { epoch: view.epoch, state: s },
-            CoreMessages.done,
-            CoreTimings.push,
-          ),
-        ]);
-        if (r === null || !r.ok || !r.val.ok) return false;
+        const given = await Promise.race([turned, handover.give(next, view.epoch, s)]);
+        if (!given) return false;
       }
       if (hooks.view()?.epoch !== view.epoch) return false;
       pass(s);
       return true;
     };
+    /** Whether a daemon stands right above this one in the chain. */
+    const follows = (v: View, above: Ident): boolean => {
+      const place = Views.place(v, hooks.me());
+      return place > 0 && Views.same(v.chain[place - 1], above);
+    };
     const isHead = (v: View | null): v is View => !!v && Views.same(Views.head(v), hooks.me());
     const able = (): string | null => {
       const v = hooks.view();
@@ -140,20 +139,24 @@
       }
     };
 
-    post.on('core.push', CoreMessages.push, async (body, from) => {
-      const ok = await alone(async () => {
-        const view = hooks.view();
-        if (!view || view.epoch !== body.epoch) return false;
-        const place = Views.place(view, hooks.me()),
-          above = view.chain[place - 1];
-        if (place < 1 || !Views.same(above, from)) return false;
-        if (fresh === view.epoch && body.state.seq < state.seq) return false;
-        if (!(await save(body.state))) return false;
-        fresh = view.epoch;
-        return down(view, body.state);
-      });
-      return { ok };
-    });
+    /** Takes in the version that the member above hands down, and hands it on; false unless the tail has it. */
+    const take = async (epoch: number, from: Ident, next: CoreState): Promise<boolean> => {
+      const view = hooks.view();
+      if (!view || view.epoch !== epoch || !follows(view, from)) return false;
+      if (fresh === view.epoch && next.seq < state.seq) return false;
+      if (!(await save(next))) return false;
+      fresh = view.epoch;
+      return down(view, next);
+    };
+    post.on('core.push', CoreMessages.push, (body, from) =>
+      alone(async () => ({ ok: await take(body.epoch, from, body.state) })),
+    );
+    post.on('core.change', CoreMessages.change, (body, from) =>
+      alone(async () => {
+        const next = changes.apply(state, body.change);
+        return next ? { ok: await take(body.epoch, from, next), lacking: false } : { ok: false, lacking: true };
+      }),
+    );
 
     return {
       state: (): CoreState => state,
--- /dev/null
+++ b/packages/registry/src/chain/statehandover.ts
@@ -0,0 +1,52 @@
+import type { PostBox } from '@pumicebarrow/forms';
+import type { Member } from '../membership/member.js';
+import { CoreTimings } from '../coretimings.js';
+import { CoreMessages } from '../service/coremessages.js';
+import type { CoreState } from '../state/corestate.js';
+import type { StateChanges } from '../state/statechanges.js';
+
+type Held = { member: string; state: CoreState };
+
+/**
+ * Hands versions to the next member of the chain: what changed against the version that it holds, or the whole state
+ * if it lacks that one. Invariant: true is given only on the member's word that it holds the version.
+ */
+export const StateHandover = {
+  make(post: PostBox, changes: StateChanges) {
+    /** What the next member said last that it holds. */
+    let held: Held | null = null;
+    const whole = async (to: Member, epoch: number, state: CoreState): Promise<boolean> => {
+      const reply = await post.ask(
+        ...([to.addr, to.id, 'core.push' as const, { epoch, state }, CoreMessages.done, CoreTimings.push] as const),
+      );
+      return reply.ok && reply.val.ok;
+    };
+    /** Null when it must be sent whole: the member lacks the base, or its release does not know changes. */
+    const changed = async (to: Member, epoch: number, base: CoreState, state: CoreState): Promise<boolean | null> => {
+      const change = changes.between(base, state);
+      const reply = await post.ask(
+        ...([
+          to.addr,
+          to.id,
+          'core.change' as const,
+          { epoch, change },
+          CoreMessages.changed,
+          CoreTimings.push,
+        ] as const),
+      );
+      if (reply.err) return reply.val === 'wrong' ? null : false;
+      return reply.val.lacking ? null : reply.val.ok;
+    };
+    return {
+      async give(to: Member, epoch: number, state: CoreState): Promise<boolean> {
+        const member = `${to.id}/${to.born}`;
+        // After a new view it most likely holds the same as this one does.
+        const base = held?.member === member ? held.state : state;
+        held = null;
+        const ok = (await changed(to, epoch, base, state)) ?? (await whole(to, epoch, state));
+        if (ok) held = { member, state };
+        return ok;
+      },
+    };
+  },
+};
--- a/packages/registry/src/service/coremessages.ts
+++ b/packages/registry/src/service/coremessages.ts
@@ -2,6 +2,7 @@
 import { Type } from 'typebox';
 import { Command } from '../chain/command.js';
 import { CoreState } from '../state/corestate.js';
+import { StateChange } from '../state/statechange.js';
 import { Member } from '../membership/member.js';
 import { Plan } from '../state/plan.js';
 import { Ruling } from '../chain/ruling.js';
@@ -35,6 +36,8 @@
   join: Type.Object({ me: Member }, shut),
   done: Type.Object({ ok: Type.Boolean() }, shut),
   push: Type.Object({ epoch: Type.Integer(), state: CoreState }, shut),
+  change: Type.Object({ epoch: Type.Integer(), change: StateChange }, shut),
+  changed: Type.Object({ ok: Type.Boolean(), lacking: Type.Boolean() }, shut),
   write: Type.Object({ command: Command }, shut),
   written: Type.Object({ ruling: Type.Union([Ruling, Type.Null()]), term: Type.Number(), view: maybeView }, shut),
   read: Type.Object({ plan: Type.Optional(Type.String()) }, shut),
--- /dev/null
+++ b/packages/registry/src/state/statechange.ts
@@ -0,0 +1,33 @@
+import { Intent } from '@pumicebarrow/forms';
+import { DocPart } from '@pumicebarrow/purge';
+import { Type, type Static } from 'typebox';
+import { Burst } from '../lending/burst.js';
+import { CoreState } from './corestate.js';
+import { Plan } from './plan.js';
+
+const shut = { additionalProperties: false } as const;
+const version = { seq: Type.Integer({ minimum: 0 }), digest: Type.String() };
+
+/**
+ * What one version of the core's state is changed by to become another. Invariant: it applies to the version named by
+ * `base` and to no other, and what comes out must have the digest of `result`.
+ */
+export const StateChange = Type.Object(
+  {
+    base: Type.Object(version, shut),
+    result: Type.Object(version, shut),
+    charter: Type.Optional(
+      Type.Union([
+        Type.Null(),
+        Type.Object({ version: Type.Integer({ minimum: 1 }), plan: Type.String(), body: Intent }, shut),
+        Type.Object({ version: Type.Integer({ minimum: 1 }), plan: Type.String(), part: DocPart }, shut),
+      ]),
+    ),
+    forgotten: Type.Array(Type.String(), { description: 'plans of the base that are no longer there, or have moved' }),
+    plans: Type.Array(Plan, { description: 'plans that come after those kept' }),
+    claims: CoreState.properties.claims,
+    bursts: Type.Optional(Type.Array(Burst)),
+  },
+  shut,
+);
+export type StateChange = Static<typeof StateChange>;
