Views tell which members are complete: overlapping losses no longer lose what was confirmed

Cause: every member of a chain counted as a copy, also one just placed; and who was taken out was forgotten whoever was left. Now a view names who is joining (not known to hold all) and, while fewer than n+1 are complete, keeps those that were taken out in reserve. The head is always complete; with too few complete nothing is confirmed, read or told of; a member of the reserve leads once all complete ones of the chain are away; a record of completeness costs one more view only in that rare case. Ruled out: never shortening below n+1 (the newcomer could not be handed the state past the dead member); counting by freshness in the epoch alone (forgotten by a restart). Mail's voice is 5.

--- a/packages/forms/src/post.ts
+++ b/packages/forms/src/post.ts
@@ -11,9 +11,10 @@
 
 /**
  * Raised with each release that adds a key to any mail: 2 names the life meant in `ledger.open`, 3 keeps bursts, 4
- * names the list held, has the head add up loads, and names the chunks held of a long doc.
+ * names the list held, has the head add up loads, and names the chunks held of a long doc, 5 hands states on as changes
+ * and tells which members of a view are complete.
  */
-const VOICE = 4;
+const VOICE = 5;
 type Desk = { form: TSchema; fn: (body: never, from: Ident) => unknown; told: boolean };
 
 /**
--- a/packages/registry/src/chain/chain.ts
+++ b/packages/registry/src/chain/chain.ts
@@ -60,6 +60,7 @@
       state = next;
       return true;
     };
+    const enough = (v: View): boolean => Views.complete(v).length >= Views.most(v);
     const pass = (s: CoreState): void => {
       passed = s;
       hooks.passed(s);
@@ -74,7 +75,8 @@
         if (!given) return false;
       }
       if (hooks.view()?.epoch !== view.epoch) return false;
-      pass(s);
+      // With too few copies it could still be lost, so it is neither shown nor confirmed.
+      if (enough(view)) pass(s);
       return true;
     };
     /** Whether a daemon stands right above this one in the chain. */
@@ -88,7 +90,7 @@
       if (!isHead(v)) return 'This daemon is not the head.';
       if (!hooks.live()) return 'The core has no live lease on its view.';
       if (ready !== v.epoch) return 'The chain is being mended.';
-      if (v.chain.length < Views.most(v)) return 'The chain has too few copies.';
+      if (!enough(v)) return 'The chain has too few copies.';
       return null;
     };
     const begun = (next: CoreState): void =>
--- a/packages/registry/src/consensus/view.ts
+++ b/packages/registry/src/consensus/view.ts
@@ -2,16 +2,27 @@
 import { Member } from '../membership/member.js';
 import { ViewLimits } from './viewlimits.js';
 
+const members = { maxItems: ViewLimits.chain };
+
 /**
  * The agreed order of the core. The chain runs from its head (first) to its tail (last).
  * Invariants: one view an epoch, chosen by a majority of the voters of the epoch before;
  * voters change by one member at a time; a newcomer is in the chain before it is a voter.
+ * The head is complete: it is not among `joining`. While fewer than a majority of the voters' number are complete,
+ * nothing is confirmed, and those complete members that were taken out are kept in `reserve`; so whatever was
+ * confirmed is on the disk of every complete member, and of every member in reserve.
  */
 export const View = Type.Object(
   {
     epoch: Type.Integer({ minimum: 1 }),
     voters: Type.Array(Member, { minItems: 3, maxItems: ViewLimits.voters }),
     chain: Type.Array(Member, { minItems: 1, maxItems: ViewLimits.chain }),
+    joining: Type.Optional(
+      Type.Array(Member, { ...members, description: 'members of the chain not known to hold all that was confirmed' }),
+    ),
+    reserve: Type.Optional(
+      Type.Array(Member, { ...members, description: 'members out of the chain that hold all that was confirmed' }),
+    ),
   },
   { additionalProperties: false },
 );
--- a/packages/registry/src/core.ts
+++ b/packages/registry/src/core.ts
@@ -115,7 +115,10 @@
       const now: View = view;
       if (inside()) {
         if (!sick()) repair.mind(now);
-      } else if (!sick() && !leaving) await join(now);
+      } else if (!sick() && !leaving) {
+        repair.takeOver(now);
+        if (!viewChanger.busy()) await join(now);
+      }
     };
 
     post.on('core.beat', CoreMessages.beat, (body) => {
@@ -149,8 +152,9 @@
       const twin = v.chain.find((x) => x.id === m.id);
       if (!Views.room(v, m) || (twin?.addr === m.addr && Views.same(twin, m))) return { ok: false };
       if (twin && !Views.same(twin, m) && detector.silent(twin) < CoreTimings.suspect) return { ok: false };
-      void viewChanger.propose(v.voters, Views.withTail(v, m), `${m.id} joins at the tail.`);
-      return { ok: true };
+      const next = repair.joined(v, m);
+      if (next) void viewChanger.propose(v.voters, next, `${m.id} joins at the tail.`);
+      return { ok: next !== null };
     });
 
     return {
--- a/packages/registry/src/index.ts
+++ b/packages/registry/src/index.ts
@@ -6,6 +6,7 @@
 export { StateHandover } from './chain/statehandover.js';
 export { Bootstrap } from './consensus/bootstrap.js';
 export { LeaseRecall } from './consensus/leaserecall.js';
+export { NextViews } from './consensus/nextviews.js';
 export { View } from './consensus/view.js';
 export { ViewChanger } from './consensus/viewchanger.js';
 export { ViewLimits } from './consensus/viewlimits.js';
--- a/packages/registry/src/membership/repairtask.ts
+++ b/packages/registry/src/membership/repairtask.ts
@@ -4,6 +4,7 @@
 import { CoreTimings } from '../coretimings.js';
 import type { ViewChanger } from '../consensus/viewchanger.js';
 import type { View } from '../consensus/view.js';
+import { NextViews } from '../consensus/nextviews.js';
 import { Views } from '../consensus/views.js';
 
 /** ms without a lease, though all are heard, after which the view is made anew. */
@@ -21,23 +22,36 @@
 export const RepairTask = {
   make(me: () => Member, mono: () => number, detector: FailureDetector, viewChanger: ViewChanger, chain: Chain) {
     const mine = (m: Member): boolean => Views.same(m, me());
-    const known = (m: Member): boolean => detector.heard(m)?.sick === true || detector.emptied(m);
+    const unwell = (m: Member): boolean => detector.heard(m)?.sick === true || detector.emptied(m);
     /** One that a majority does not reply to is cut off itself, and can't tell who else is. */
     const replied = (v: View): boolean =>
       v.voters.filter((m) => mine(m) || detector.deaf(m) < CoreTimings.suspect).length >= Views.most(v);
     const late = (v: View, m: Member, turn: number): boolean =>
       detector.silent(m) > CoreTimings.suspect + turn || (detector.deaf(m) > DEAF + turn && replied(v));
-    const gone = (v: View, m: Member): boolean => known(m) || late(v, m, 0);
+    const gone = (v: View, m: Member): boolean => unwell(m) || late(v, m, 0);
+    const isFresh = (v: View, m: Member): boolean => {
+      const h = detector.heard(m);
+      return h?.fresh === true && h.epoch === v.epoch;
+    };
     /** Members without a vote that hold all of this view. */
-    const caught = (v: View): Member[] =>
-      v.chain.filter((m) => {
-        const h = detector.heard(m);
-        return !mine(m) && !Views.votes(v, m) && h?.fresh === true && h.epoch === v.epoch;
-      });
+    const caught = (v: View): Member[] => v.chain.filter((m) => !mine(m) && !Views.votes(v, m) && isFresh(v, m));
+    const known = (v: View) => ({
+      fresh: (m: Member): boolean => (mine(m) ? chain.fresh() : isFresh(v, m)),
+      emptied: (m: Member): boolean => detector.emptied(m),
+    });
+    const propose = (v: View, next: View | null, why: string): void => {
+      if (next) void viewChanger.propose(v.voters, next, why);
+    };
+    /** A member of the reserve as the head, if one is heard and all complete members of the chain are away. */
+    const promotion = (v: View, away: readonly Member[]): View | null => {
+      const heard = (m: Member): boolean => mine(m) || (detector.silent(m) < CoreTimings.suspect && !unwell(m));
+      const heir = (v.reserve ?? []).find(heard);
+      return heir ? NextViews.promoting(v, heir, away, known(v)) : null;
+    };
     const shorten = (v: View, list: readonly Member[]): void => {
       const up = v.voters.filter((m) => mine(m) || detector.silent(m) < CoreTimings.suspect);
       const turn = up.findIndex(mine) * 300;
-      const due = list.find((m) => known(m) || late(v, m, turn));
+      const due = list.find((m) => unwell(m) || late(v, m, turn));
       if (!due) return;
       const how = detector.heard(due)?.sick
         ? 'sick'
@@ -47,7 +61,7 @@
             ? 'silent'
             : 'deaf';
       const why = `${list.map((m) => m.id).join(', ')}: ${how}.`;
-      void viewChanger.propose(v.voters, Views.without(v, list), why);
+      propose(v, NextViews.without(v, list, known(v)) ?? promotion(v, list), why);
     };
     /** Who takes whose vote, if there is such a change to be made. */
     const handing = (v: View): { heir: Member; old: Member } | null => {
@@ -67,9 +81,24 @@
       else since ??= mono();
       if (since === null || mono() - since <= LAME + turn) return;
       since = null;
-      void viewChanger.propose(v.voters, Views.without(v, []), 'No lease was granted, though all are heard.');
+      propose(v, NextViews.without(v, [], known(v)), 'No lease was granted, though all are heard.');
+    };
+    /** Records as complete those that have caught up, where nothing is confirmed before that. */
+    const complete = (v: View): void => {
+      const most = Views.most(v);
+      if (Views.complete(v).length >= most || !mine(Views.head(v))) return;
+      const next = NextViews.without(v, [], known(v));
+      if (next && Views.complete(next).length >= most) propose(v, next, 'Enough members are complete again.');
     };
     return {
+      /** The view in which a member that asks to join stands at the tail; null if there is none. */
+      joined: (v: View, m: Member): View | null => NextViews.withTail(v, m, known(v)),
+      /** What a member of the reserve does: it becomes the head once the whole chain that could lead is away. */
+      takeOver(v: View): void {
+        if (viewChanger.busy() || !Views.votes(v, me()) || !Views.reserved(v, me())) return;
+        const away = v.chain.filter((m) => gone(v, m));
+        propose(v, promotion(v, away), `${me().id} leads from the reserve.`);
+      },
       mind(v: View): void {
         if (viewChanger.busy() || !Views.votes(v, me())) return;
         const mates = v.chain.filter((m) => !mine(m));
@@ -79,11 +108,12 @@
           return;
         }
         renew(v);
+        if (!viewChanger.busy()) complete(v);
         if (viewChanger.busy()) return;
         const hand = handing(v);
         if (hand) {
           const why = `${hand.heir.id} has caught up and votes.`;
-          void viewChanger.propose(v.voters, Views.withVoter(v, hand.heir, hand.old), why);
+          propose(v, NextViews.withVoter(v, hand.heir, hand.old, known(v)), why);
           return;
         }
         const behind = mates.some((m) => {
@@ -94,9 +124,10 @@
       },
       /** Proposes the view without this daemon; its vote goes along if there is one to take it. */
       async leave(v: View): Promise<boolean> {
-        const next = Views.without(v, [me()]);
+        const next = NextViews.without(v, [me()], known(v));
+        if (!next || Views.complete(next).length < Views.most(v)) return false;
         const heir = Views.votes(v, me()) ? caught(v)[0] : undefined;
-        const voters = heir ? Views.withVoter(v, heir, me()).voters : v.voters;
+        const voters = heir ? v.voters.map((x) => (mine(x) ? heir : x)) : v.voters;
         return viewChanger.propose(v.voters, { ...next, voters }, `${me().id} leaves.`);
       },
     };
--- a/packages/registry/src/state/statechanges.ts
+++ b/packages/registry/src/state/statechanges.ts
@@ -22,7 +22,7 @@
   }
   return kept;
 };
-const changedClaims = (from: CoreState['claims'], to: CoreState['claims']): CoreState['claims'] =>
+const changedLeases = (from: CoreState['claims'], to: CoreState['claims']): CoreState['claims'] =>
   Object.fromEntries(
     Object.entries(to).filter(([name, lease]) => {
       const old = from[name];
@@ -69,7 +69,7 @@
           ...(sameCharter ? {} : { charter: to.charter && charterChange(from.charter, to.charter) }),
           forgotten: from.plans.filter((p) => !stays.has(`${p.id} ${p.fate}`)).map((p) => p.id),
           plans: to.plans.slice(kept),
-          claims: changedClaims(from.claims, to.claims),
+          claims: changedLeases(from.claims, to.claims),
           ...(to.bursts && to.bursts !== from.bursts ? { bursts: to.bursts } : {}),
         };
       },
--- a/packages/sim/src/drills/alone.ts
+++ b/packages/sim/src/drills/alone.ts
@@ -2,6 +2,7 @@
 import { Bench } from '../bench.js';
 import type { CoreDrill } from '../coredrill.js';
 import { Larger } from './larger.js';
+import { Overlaps } from './overlaps.js';
 import type { Scripter } from '../scripter.js';
 
 const NAME = 'row:m1';
@@ -55,6 +56,7 @@
 /** The core alone, brought to the edge of one promise at a time. */
 export const Alone: readonly CoreDrill[] = [
   ...Larger,
+  ...Overlaps,
   {
     name: 'staletail',
     about: 'the tail is cut off from all but a reader that knows the old view, and charters are confirmed without it',
--- a/packages/sim/src/index.ts
+++ b/packages/sim/src/index.ts
@@ -40,6 +40,7 @@
 export { Daemons } from './drills/daemons.js';
 export { Intents } from './drills/intents.js';
 export { Larger } from './drills/larger.js';
+export { Overlaps } from './drills/overlaps.js';
 export { Places } from './drills/places.js';
 export { InHand } from './drills/requests.js';
 export { Servers } from './drills/servers.js';
