--- a/packages/registry/src/chain/chain.ts
+++ b/packages/registry/src/chain/chain.ts
@@ -1,5 +1,6 @@
 import { Timer, Verdicts, type Ident, type PostBox, type World } from '@pumicebarrow/forms';
 import { Batch } from './batch.js';
+import { ChainRules } from './chainrules.js';
 import type { Command } from './command.js';
 import type { CoreState } from '../state/corestate.js';
 import { StateChanges } from '../state/statechanges.js';
@@ -60,7 +61,6 @@
       state = next;
       return true;
     };
-    const enough = (v: View): boolean => Views.complete(v).length >= Views.most(v);
     const pass = (s: CoreState): void => {
       passed = s;
       hooks.passed(s);
@@ -76,21 +76,16 @@
       }
       if (hooks.view()?.epoch !== view.epoch) return false;
       // With too few copies it could still be lost, so it is neither shown nor confirmed.
-      if (enough(view)) pass(s);
+      if (ChainRules.enough(view)) pass(s);
       return true;
     };
-    /** Whether a daemon stands right above this one in the chain. */
-    const follows = (v: View, above: Ident): boolean => {
-      const place = Views.place(v, hooks.me());
-      return place > 0 && Views.same(v.chain[place - 1], above);
-    };
     const isHead = (v: View | null): v is View => !!v && Views.same(Views.head(v), hooks.me());
     const able = (): string | null => {
       const v = hooks.view();
       if (!isHead(v)) return 'This daemon is not the head.';
       if (!hooks.live()) return 'The core has no live lease on its view.';
       if (ready !== v.epoch) return 'The chain is being mended.';
-      if (!enough(v)) return 'The chain has too few copies.';
+      if (!ChainRules.enough(v)) return 'The chain has too few copies.';
       return null;
     };
     const begun = (next: CoreState): void =>
@@ -144,8 +139,8 @@
     /** Takes in the version that the member above hands down, and hands it on; false unless the tail has it. */
     const take = async (epoch: number, from: Ident, next: CoreState): Promise<boolean> => {
       const view = hooks.view();
-      if (!view || view.epoch !== epoch || !follows(view, from)) return false;
-      if (fresh === view.epoch && next.seq < state.seq) return false;
+      const held = { fresh, seq: state.seq };
+      if (!view || !ChainRules.takes(view, hooks.me(), from, epoch, held, next.seq)) return false;
       if (!(await save(next))) return false;
       fresh = view.epoch;
       return down(view, next);
--- a/packages/registry/src/consensus/viewchanger.ts
+++ b/packages/registry/src/consensus/viewchanger.ts
@@ -7,6 +7,7 @@
 import type { View } from './view.js';
 import { Views } from './views.js';
 import type { Voter } from './voter.js';
+import { VoterRules } from './voterrules.js';
 
 type Voice = {
   ok: boolean;
@@ -86,17 +87,14 @@
         return null;
       }
       const yes = first.filter((v) => v.ok);
-      const took = yes
-        .map((v) => v.took)
-        .filter((t) => !!t)
-        .sort((a, b) => b.ballot - a.ballot)[0];
-      if (yes.length < (epoch === 1 && !took ? voters.length : most)) {
+      const taken = yes.some((v) => v.took);
+      if (yes.length < (epoch === 1 && !taken ? voters.length : most)) {
         const wait = Math.min(CoreTimings.hold, Math.max(...first.map((v) => v.wait ?? 0), 0));
         await Timer.nap(world.clock, wait + Dice.int(world.chance, 60));
         return null;
       }
-      if (epoch === 1 && took && text(took.view.voters) !== text(voters)) return null;
-      const view = took ? took.view : next;
+      const view = VoterRules.choice(yes, next);
+      if (epoch === 1 && text(view.voters) !== text(voters)) return null;
       const second = await poll(voters, most, async (m) => {
         if (Views.same(m, me())) return { ...(await voter.accept(epoch, n, view)), view: null };
         const r = await post.ask(
--- a/packages/registry/src/consensus/voter.ts
+++ b/packages/registry/src/consensus/voter.ts
@@ -2,6 +2,7 @@
 import type { Store } from '../state/store.js';
 import type { View } from './view.js';
 import type { Vote } from './vote.js';
+import { VoterRules } from './voterrules.js';
 
 type Who = { id: string; born: string };
 type Prepared = { ok: boolean; wait: number; promised: number; took: Vote['took'] };
@@ -32,8 +33,7 @@
       if (done.ok) vote = v;
       return done;
     };
-    const at = (epoch: number): Vote => (vote && vote.epoch === epoch ? vote : { epoch, promised: 0, took: null });
-    const past = (epoch: number): boolean => epoch <= present || (vote !== null && epoch < vote.epoch);
+    const at = (epoch: number): Vote => VoterRules.at(vote, epoch);
     const no = (epoch: number, wait: number): Prepared => ({
       ok: false,
       wait,
@@ -44,7 +44,7 @@
       took: (): View | null => vote?.took?.view ?? null,
       /** Grants a lease on the view of `epoch`, unless the next view is under way. */
       grant(epoch: number, ms: number, who?: Who): boolean {
-        if (mono() < moving || at(epoch + 1).promised > 0) return false;
+        if (mono() < moving || !VoterRules.mayGrant(vote, epoch)) return false;
         held.set(key(who), mono() + ms);
         return true;
       },
@@ -53,17 +53,16 @@
           if (epoch <= present) return no(epoch, 0);
           moving = mono() + 1500;
           if (mono() < last()) return no(epoch, last() - mono());
-          const mine = at(epoch);
-          if (past(epoch) || ballot <= mine.promised) return no(epoch, 0);
-          const next = { ...mine, promised: ballot };
+          const next = VoterRules.promise(vote, present, epoch, ballot, false);
+          if (!next) return no(epoch, 0);
           const done = await save(next);
           return done.ok ? { ok: true, wait: 0, promised: ballot, took: next.took } : no(epoch, 0);
         }),
       accept: (epoch: number, ballot: number, view: View): Promise<{ ok: boolean; promised: number }> =>
         alone(async () => {
-          const mine = at(epoch);
-          if (past(epoch) || ballot < mine.promised || mono() < last()) return { ok: false, promised: mine.promised };
-          const done = await save({ epoch, promised: ballot, took: { ballot, view } });
+          const next = VoterRules.accept(vote, present, ballot, { ...view, epoch }, mono() < last());
+          if (!next) return { ok: false, promised: at(epoch).promised };
+          const done = await save(next);
           return { ok: done.ok, promised: ballot };
         }),
       /** One that held a lease on the view of `epoch` has laid it down. */
--- /dev/null
+++ b/packages/registry/src/consensus/voterrules.ts
@@ -0,0 +1,34 @@
+import type { View } from './view.js';
+import type { Vote } from './vote.js';
+
+/**
+ * What one voter may say, as pure functions of what it has said before. `leased` tells whether a lease that it granted
+ * on the present view may still be live. Invariants: promises only rise; nothing is promised or accepted for the next
+ * view while a lease on the present one may be live, and no lease is granted once something is promised.
+ */
+export const VoterRules = {
+  /** What the voter is bound to for an epoch. */
+  at: (vote: Vote | null, epoch: number): Vote =>
+    vote && vote.epoch === epoch ? vote : { epoch, promised: 0, took: null },
+  /** Whether an epoch is over for a voter whose view is of the epoch `present`. */
+  past: (vote: Vote | null, present: number, epoch: number): boolean =>
+    epoch <= present || (vote !== null && epoch < vote.epoch),
+  mayGrant: (vote: Vote | null, epoch: number): boolean => VoterRules.at(vote, epoch + 1).promised === 0,
+  /** The vote with a ballot promised; null where it may not be. */
+  promise(vote: Vote | null, present: number, epoch: number, ballot: number, leased: boolean): Vote | null {
+    const now = VoterRules.at(vote, epoch);
+    if (leased || VoterRules.past(vote, present, epoch) || ballot <= now.promised) return null;
+    return { ...now, promised: ballot };
+  },
+  /** The vote with a view accepted; null where it may not be. */
+  accept(vote: Vote | null, present: number, ballot: number, view: View, leased: boolean): Vote | null {
+    const { epoch } = view;
+    if (leased || VoterRules.past(vote, present, epoch) || ballot < VoterRules.at(vote, epoch).promised) return null;
+    return { epoch, promised: ballot, took: { ballot, view } };
+  },
+  /** What a proposer must propose: the view of the highest ballot accepted by any that promised, else its own. */
+  choice(promises: readonly { took?: Vote['took'] }[], own: View): View {
+    const took = promises.flatMap((p) => (p.took ? [p.took] : [])).sort((a, b) => b.ballot - a.ballot)[0];
+    return took ? took.view : own;
+  },
+};
--- a/packages/registry/src/core.ts
+++ b/packages/registry/src/core.ts
@@ -1,6 +1,7 @@
 import { Dice, Timer, type Ident, type PostBox, type World } from '@pumicebarrow/forms';
 import { interpret } from 'robot3';
 import { Chain } from './chain/chain.js';
+import { ChainRules } from './chain/chainrules.js';
 import { CoreLife } from './corelife.js';
 import { CoreDesk } from './service/coredesk.js';
 import type { CoreState } from './state/corestate.js';
@@ -126,9 +127,7 @@
       detector.seen(body.me, { sick: body.sick, fresh: body.fresh, epoch: body.epoch });
       const lease =
         !!view &&
-        body.epoch === view.epoch &&
-        Views.place(view, body.me) >= 0 &&
-        Views.votes(view, me()) &&
+        ChainRules.mayLease(view, body.epoch, body.me, me()) &&
         voter.grant(view.epoch, CoreTimings.hold, body.me);
       return { me: me(), view, claim: lease, sick: sick(), fresh: chain.fresh() };
     });
--- a/packages/registry/src/index.ts
+++ b/packages/registry/src/index.ts
@@ -1,5 +1,6 @@
 export { Batch } from './chain/batch.js';
 export { Chain } from './chain/chain.js';
+export { ChainRules } from './chain/chainrules.js';
 export { Command } from './chain/command.js';
 export { ControlClient } from './chain/controlclient.js';
 export { Ruling } from './chain/ruling.js';
@@ -13,6 +14,7 @@
 export { Views } from './consensus/views.js';
 export { Vote } from './consensus/vote.js';
 export { Voter } from './consensus/voter.js';
+export { VoterRules } from './consensus/voterrules.js';
 export { Core } from './core.js';
 export { CoreLife } from './corelife.js';
 export { CoreTimings } from './coretimings.js';
