--- a/packages/registry/src/membership/repairtask.ts
+++ b/packages/registry/src/membership/repairtask.ts
@@ -108,7 +108,6 @@
           return;
         }
         renew(v);
-        if (!viewChanger.busy()) complete(v);
         if (viewChanger.busy()) return;
         const hand = handing(v);
         if (hand) {
@@ -116,6 +115,8 @@
           propose(v, NextViews.withVoter(v, hand.heir, hand.old, known(v)), why);
           return;
         }
+        complete(v);
+        if (viewChanger.busy()) return;
         const behind = mates.some((m) => {
           const h = detector.heard(m);
           return h && !h.fresh && h.epoch === v.epoch;
