--- a/packages/routesim/src/drills.ts
+++ b/packages/routesim/src/drills.ts
@@ -4,12 +4,12 @@
 import { CoreDrills } from './drills/coredrills.js';
 import { MachineDrills } from './drills/machinedrills.js';
 import { ServerDrills } from './drills/serverdrills.js';
+import { WorstDrills } from './drills/worstdrills.js';
 import { SureDrills } from './drills/suredrills.js';
 
 /** All drills, by name. */
 export const Drills: ReadonlyMap<string, Drill> = new Map(
-  [...ConfigDrills, ...ServerDrills, ...MachineDrills, ...CoreDrills, ...Closings, ...SureDrills].map((d) => [
-    d.name,
-    d,
-  ]),
+  [...ConfigDrills, ...ServerDrills, ...MachineDrills, ...CoreDrills, ...Closings, ...SureDrills, ...WorstDrills].map(
+    (d) => [d.name, d],
+  ),
 );
--- /dev/null
+++ b/packages/routesim/src/drills/worstdrills.ts
@@ -0,0 +1,107 @@
+import type { Drill } from '../drill.js';
+import { Met } from '../met.js';
+import type { Scene } from '../scene.js';
+import type { Seen } from '../seen.js';
+
+/** ms for which a keeper is cut off: longer than any lease, list or detector lasts. */
+const LONG = 21_000;
+type Place = 'head' | 'middle' | 'tail';
+const at = (s: Scene, place: Place): string => {
+  const chain = s.f.chain();
+  const i = place === 'head' ? 0 : place === 'tail' ? chain.length - 1 : Math.floor(chain.length / 2);
+  return chain[i] ?? s.f.keeperIds[0]!;
+};
+/** Changes, races and reads while time runs; the reads are asked of one keeper all the while. */
+const press = async (s: Scene, ms: number, id: string): Promise<void> => {
+  const end = s.f.motor.now() + ms;
+  const reads = async (): Promise<void> => {
+    for (; s.f.motor.now() < end; await s.f.nap(100)) void s.operators.peek(id);
+  };
+  const changes = async (): Promise<void> => {
+    for (let i = 0; s.f.motor.now() < end; i++, await s.f.nap(400))
+      await (i % 3 === 2 ? s.operators.crowd(3) : s.operators.change());
+  };
+  await Promise.all([reads(), changes()]);
+};
+const acked =
+  (least: number) =>
+  (seen: readonly Seen[]): boolean =>
+    seen.filter((x) => x.what === 'ruled' && x.outcome === 'acked').length >= least;
+const both =
+  (...all: ((seen: readonly Seen[]) => boolean)[]) =>
+  (seen: readonly Seen[]): boolean =>
+    all.every((m) => m(seen));
+
+const longCut = (place: Place, from: 'core' | 'all' | 'one_way'): Drill => ({
+  name: `cut_${place}_${from}`,
+  about: `the ${place} is cut off for ${LONG / 1000} s (${from}), and is asked for the configuration all the while`,
+  async run(s) {
+    const id = at(s, place);
+    const core = s.f.keeperIds.filter((x) => x !== id);
+    s.trouble.cut([id], from === 'all' ? [...core, ...s.f.routerIds] : core, LONG, from === 'one_way');
+    await press(s, LONG, id);
+    await s.f.nap(6000);
+  },
+  meets: both(Met.kind('cut'), acked(6)),
+});
+
+/** The worst days of the control side, brought about one by one; answers to operators are lost in some. */
+export const WorstDrills: readonly Drill[] = [
+  longCut('head', 'core'),
+  longCut('tail', 'core'),
+  longCut('middle', 'all'),
+  longCut('head', 'one_way'),
+  {
+    name: 'race_lost_answers',
+    about: 'operators race on one number, most answers to them are lost, and repeats go to any keeper',
+    async run(s) {
+      s.operators.losing(0.7);
+      for (let i = 0; i < 3; i++) {
+        await s.operators.crowd(4);
+        await s.f.nap(300);
+      }
+      s.operators.losing(0);
+    },
+    meets: both(Met.ruled('lost', 4), acked(4)),
+  },
+  {
+    name: 'many_changes',
+    about: 'some hundred changes while keepers are killed, frozen, stalled and wiped in turn',
+    async run(s) {
+      const end = s.f.motor.now() + 30_000;
+      const change = async (): Promise<void> => {
+        for (; s.f.motor.now() < end; await s.f.nap(100)) await s.operators.change();
+      };
+      const harm = async (): Promise<void> => {
+        s.trouble.kill([at(s, 'head')], 1000);
+        await s.f.nap(7000);
+        s.trouble.freeze([at(s, 'middle')], 2000);
+        await s.f.nap(7000);
+        s.trouble.disk('stall', at(s, 'tail'), 2500);
+        await s.f.nap(7500);
+        s.trouble.wipe(at(s, 'head'), 1000);
+        await s.f.nap(8000);
+      };
+      await Promise.all([change(), harm()]);
+    },
+    meets: both(Met.kind('wipe'), acked(100)),
+  },
+  {
+    name: 'overlap_wipe',
+    about:
+      'one keeper is behind, another stops as it comes back, and the third loses its disk; all power goes after it',
+    async run(s) {
+      const [head, middle, tail] = s.f.chain() as [string, string, string];
+      s.trouble.kill([tail], 3000, true);
+      await s.f.nap(1500);
+      await s.operators.change();
+      await s.f.nap(1450);
+      s.trouble.kill([middle], 6000, true);
+      await s.f.nap(1150);
+      s.trouble.wipe(head, 3000);
+      s.trouble.kill(s.f.routerIds, 3000, true);
+      await s.f.nap(14_000);
+    },
+    meets: both(Met.kind('wipe'), Met.kind('kill')),
+  },
+];
--- a/packages/routesim/src/modeloperators.ts
+++ b/packages/routesim/src/modeloperators.ts
@@ -31,6 +31,7 @@
     const proposals: Proposal[] = [];
     const outcomes = new Map<number, Ruled>();
     let acker: string | null = null;
+    let lost = 0;
     const any = (): string => f.keeperIds[Dice.int(motor.chance, f.keeperIds.length)]!;
     const make = (base: number, revision: number, fault: Fault = 'none'): Proposal => {
       const n = proposals.length + 1,
@@ -66,7 +67,7 @@
           else if (b.frozen()) motor.at(b.thaw(), arrive);
           else
             void fn().then((v) => {
-              if (b.up() && b.life() === life) back(v);
+              if (b.up() && b.life() === life && !(lost > 0 && motor.chance.real() < lost)) back(v);
             });
         });
       });
@@ -102,11 +103,27 @@
       const now = await read();
       return now === null ? null : now === 'none' ? 0 : now.revision;
     };
+    /** One read at one keeper, told of if it replied; one that can't be sure of the newest says so and is no reply. */
+    const peek = async (id: string): Promise<void> => {
+      const from = motor.now();
+      const got = await call(id, 3000, () => f.desk.read(id));
+      if (got?.ok) tell({ what: 'read', keeper: id, from, revision: got.val?.revision ?? 0, at: motor.now() });
+    };
     return {
+      peek,
+      /** A part of the answers to operators is lost on the way, until told otherwise. */
+      losing(part: number): void {
+        lost = part;
+      },
       proposals,
       outcome: (n: number): Ruled | null => outcomes.get(n) ?? null,
       /** The keeper that acknowledged last. */
       acker: (): string | null => acker,
+      /** Several operators on one base at once, each under the number that the others have too. */
+      async crowd(n: number): Promise<void> {
+        const on = await base();
+        if (on !== null) await Promise.all(Array.from({ length: n }, () => send(make(on, on + 1))));
+      },
       async change(step?: number): Promise<boolean> {
         const on = await base();
         return on !== null && (await send(make(on, on + (step ?? 1 + Dice.int(motor.chance, 3))))) === 'acked';
--- a/packages/routesim/src/play.ts
+++ b/packages/routesim/src/play.ts
@@ -43,6 +43,12 @@
         else if (p) clients.probe(r, p.mark, 'alpha');
       }
     };
+    const reads = async (): Promise<void> => {
+      while (!over) {
+        await f.nap(250);
+        void operators.peek(f.keeperIds[Math.floor(motor.chance.real() * f.keeperIds.length)]!);
+      }
+    };
     const script = async (): Promise<void> => {
       f.platform.start();
       f.startAll();
@@ -52,6 +58,7 @@
       await f.nap(FOUND);
       clients.start();
       void probes();
+      void reads();
       await f.nap(CALM);
       await operators.change();
       await drill.run(s);
--- a/packages/routesim/src/rules.ts
+++ b/packages/routesim/src/rules.ts
@@ -4,6 +4,7 @@
 import { ConfigBackRule } from './rules/configback.js';
 import { ConfigLateRule } from './rules/configlate.js';
 import { DrainingRule } from './rules/draining.js';
+import { HistoryRule } from './rules/history.js';
 import { MixedRule } from './rules/mixed.js';
 import { OneHolderRule } from './rules/oneholder.js';
 import { OrderedRule } from './rules/ordered.js';
@@ -16,5 +17,5 @@
 /** All that is judged. */
 export const Rules: readonly Rule[] = [
   ...[TwiceRule, RefusedRule, RoutedRule, DrainingRule, TornRule, ConfigLateRule, ConfigBackRule, ConfigAcksRule],
-  ...[BudgetedRule, OrderedRule, MixedRule, OneHolderRule, RecoveredRule],
+  ...[BudgetedRule, OrderedRule, MixedRule, OneHolderRule, RecoveredRule, HistoryRule],
 ];
--- a/packages/routesim/src/virtualfleet.ts
+++ b/packages/routesim/src/virtualfleet.ts
@@ -138,6 +138,11 @@
         return got;
       },
     };
+    const chain = (): string[] => {
+      const views = [...keepers.values()].flatMap((k) => k.core.view() ?? []);
+      const newest = views.sort((a, b) => b.epoch - a.epoch)[0];
+      return (newest?.chain ?? []).map((m) => m.id);
+    };
     return {
       ...{ motor, net, platform, boxes, disks, routers, keepers, keeperIds, routerIds, open, desk, start, down, term },
       startAll(): void {
@@ -161,11 +166,9 @@
       },
       /** Tells of each process that ends, so that clients see their connections torn or fall silent. */
       torn: (fn: (id: string, dark: boolean) => void): void => void ears.push(fn),
-      /** The head of the chain, as any keeper last knew it. */
-      head(): string | null {
-        const views = [...keepers.values()].flatMap((k) => k.core.view() ?? []);
-        return views.sort((a, b) => b.epoch - a.epoch)[0]?.chain[0]?.id ?? null;
-      },
+      /** The chain, head first, and its head, as any keeper last knew them. */
+      chain,
+      head: (): string | null => chain()[0] ?? null,
       nap: (ms: number): Promise<void> => new Promise((done) => motor.at(motor.now() + ms, done)),
     };
   },
--- a/packages/sim/src/commands/index.ts
+++ b/packages/sim/src/commands/index.ts
@@ -2,6 +2,7 @@
 import { GuardsCommand } from './guards.js';
 import { ListCommand } from './list.js';
 import { MeasureCommand } from './measure.js';
+import { ModelCommand } from './model.js';
 import { RunCommand } from './run.js';
 import { SpreadCommand } from './spread.js';
 
@@ -13,4 +14,5 @@
   spread: SpreadCommand,
   measure: MeasureCommand,
   capacity: CapacityCommand,
+  model: ModelCommand,
 };
--- a/packages/sim/src/commands/run.ts
+++ b/packages/sim/src/commands/run.ts
@@ -6,12 +6,13 @@
 import { Drills } from '../drills.js';
 import { Explore } from '../explore.js';
 import { Guards } from '../guards.js';
+import { ModelSearches } from '../modelcheck/modelsearches.js';
 import { LentWork } from '../lending/lentwork.js';
 import type { Job } from '../job.js';
 import { Seeds } from '../seeds.js';
 
 type Fleet = Job['fleet'];
-const SETS = ['all', 'day', 'core', 'explore', 'points', 'lending'];
+const SETS = ['all', 'day', 'core', 'explore', 'points', 'lending', 'model'];
 const FLEETS = ['coop', 'registry', 'both'];
 
 /** sim run */
@@ -27,7 +28,7 @@
   ];
   static override args = {
     drill: Args.string({
-      description: "a drill's name, `all`, `day`, `core`, `explore`, `points` or `lending`",
+      description: "a drill's name, `all`, `day`, `core`, `explore`, `points`, `lending` or `model`",
       required: true,
     }),
   };
@@ -101,6 +102,8 @@
       );
     if (Alone.some((d) => d.name === drill)) return all([drill], 'coop');
     if (drill === 'points') return all(DiskPoints.names, 'coop');
+    if (drill === 'model')
+      return Object.keys(ModelSearches).map((n) => ({ fleet: 'coop', drill: `model ${n}`, faults: 1, seed: 1 }));
     if (drill === 'lending') return fleets.flatMap((fleet) => all(LentWork.names, fleet));
     return fleets.flatMap((fleet) => all(drill === 'all' ? Day.names(fleet) : [drill], fleet));
   }
--- a/packages/sim/src/work.ts
+++ b/packages/sim/src/work.ts
@@ -8,6 +8,8 @@
 import type { History } from './history.js';
 import { LentWork } from './lending/lentwork.js';
 import { Meets } from './meets.js';
+import { ModelCheck } from './modelcheck/modelcheck.js';
+import { ModelSearches } from './modelcheck/modelsearches.js';
 import type { Job } from './job.js';
 import type { Ran } from './ran.js';
 import type { Scene } from './scene.js';
@@ -27,6 +29,14 @@
   );
   return judged(r.broken, r.points);
 };
+/** A search of the model of the agreement; the path to what it breaks is part of what is told. */
+const model = (j: Job): Ran => {
+  const reach = ModelSearches[j.drill.split(' ')[1] ?? ''];
+  if (!reach) return judged([`there is no search ${j.drill}`], 0);
+  const found = ModelCheck.run(reach);
+  const broken = found.broken === null ? [] : [[found.broken, ...found.path].join('; ')];
+  return judged(found.whole || broken.length > 0 ? broken : ['states were left out'], found.states);
+};
 const explore = async (j: Job): Promise<Ran> => {
   const r = await Explore.run(j.seed, Explore.acts(j.seed, j.faults));
   const acts = Object.values(r.met).reduce((a, b) => a + b, 0);
@@ -58,6 +68,7 @@
 export const Work = {
   async run(j: Job): Promise<Ran> {
     if (j.drill.startsWith('points ')) return points(j);
+    if (j.drill.startsWith('model ')) return model(j);
     if (j.drill === 'explore') return explore(j);
     const core = await alone(j);
     if (core) return core;
