--- a/packages/registry/src/membership/repairtask.test.ts
+++ b/packages/registry/src/membership/repairtask.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import type { Chain } from '../chain/chain.js';
 import type { FailureDetector } from './failuredetector.js';
+import type { Member } from './member.js';
 import { RepairTask } from './repairtask.js';
 import type { ViewChanger } from '../consensus/viewchanger.js';
 import type { View } from '../consensus/view.js';
@@ -8,6 +9,45 @@
 const member = (id: string) => ({ id, born: 'b', addr: `${id}:1` });
 const VIEW: View = { epoch: 3, chain: ['k1', 'k2', 'k3'].map(member), voters: ['k1', 'k2', 'k3'].map(member) };
 
+type How = {
+  live?: (at: number) => boolean;
+  deaf?: readonly string[];
+  silent?: readonly string[];
+  fresh?: readonly string[];
+  emptied?: readonly string[];
+};
+/** The repair of one member that sees the others as told, and what it proposes. */
+const repairing = (me: string, how: How) => {
+  let at = 0;
+  const proposed: View[] = [];
+  const detector = {
+    live: () => how.live?.(at) ?? true,
+    silent: (m: Member) => (how.silent?.includes(m.id) ? 20_000 : 0),
+    deaf: (m: Member) => (how.deaf?.includes(m.id) ? at : 0),
+    heard: (m: Member) => (how.fresh?.includes(m.id) ? { fresh: true, epoch: VIEW.epoch } : undefined),
+    emptied: (m: Member) => how.emptied?.includes(m.id) === true,
+  };
+  const viewChanger = {
+    busy: () => false,
+    propose: (_: unknown, next: View) => Promise.resolve(proposed.push(next) > 0),
+  };
+  const chain = { remend: () => undefined, fresh: () => false };
+  const task = RepairTask.make(
+    () => member(me),
+    () => at,
+    detector as unknown as FailureDetector,
+    viewChanger as unknown as ViewChanger,
+    chain as unknown as Chain,
+  );
+  return {
+    task,
+    proposed,
+    mind(v: View, ms: number): void {
+      for (; at < ms; at += 150) task.mind(v);
+    },
+  };
+};
+
 describe('the repair', () => {
   const cases: [string, { live: (at: number) => boolean; me: string; ms: number }, number | null][] = [
     ['proposes nothing while leases are granted', { live: () => true, me: 'k1', ms: 20_000 }, null],
@@ -18,29 +58,10 @@
   ];
   for (const [name, { live, me, ms }, want] of cases) {
     it(name, () => {
-      let at = 0;
-      const proposed: View[] = [];
-      const watch = {
-        live: () => live(at),
-        silent: () => 0,
-        deaf: () => 0,
-        heard: () => undefined,
-        emptied: () => false,
-      };
-      const viewChanger = {
-        busy: () => false,
-        propose: (_: unknown, next: View) => Promise.resolve(proposed.push(next) > 0),
-      };
-      const m = RepairTask.make(
-        () => member(me),
-        () => at,
-        watch as unknown as FailureDetector,
-        viewChanger as unknown as ViewChanger,
-        {} as Chain,
-      );
-      for (; at < ms; at += 150) m.mind(VIEW);
-      expect(proposed[0]?.epoch ?? null).to.equal(want);
-      if (want) expect(proposed[0]!.chain).to.deep.equal(VIEW.chain);
+      const r = repairing(me, { live });
+      r.mind(VIEW, ms);
+      expect(r.proposed[0]?.epoch ?? null).to.equal(want);
+      if (want) expect(r.proposed[0]!.chain).to.deep.equal(VIEW.chain);
     });
   }
 
@@ -53,28 +74,51 @@
   ];
   for (const [name, { deaf, me, ms }, want] of lost) {
     it(name, () => {
-      let at = 0;
-      const proposed: View[] = [];
-      const watch = {
-        live: () => true,
-        silent: () => 0,
-        deaf: (m: { id: string }) => (deaf.includes(m.id) ? at : 0),
-        heard: () => undefined,
-        emptied: () => false,
-      };
-      const viewChanger = {
-        busy: () => false,
-        propose: (_: unknown, next: View) => Promise.resolve(proposed.push(next) > 0),
-      };
-      const m = RepairTask.make(
-        () => member(me),
-        () => at,
-        watch as unknown as FailureDetector,
-        viewChanger as unknown as ViewChanger,
-        { remend: () => undefined } as unknown as Chain,
-      );
-      for (; at < ms; at += 150) m.mind(VIEW);
-      expect(proposed[0]?.chain.map((x) => x.id) ?? null).to.deep.equal(want);
+      const r = repairing(me, { deaf });
+      r.mind(VIEW, ms);
+      expect(r.proposed[0]?.chain.map((x) => x.id) ?? null).to.deep.equal(want);
+    });
+  }
+
+  const [k1, k2, k3] = VIEW.chain as [Member, Member, Member];
+  const alone: View = { ...VIEW, chain: [k1, k3], joining: [k3], reserve: [k2] };
+  const text = (v: View | undefined): string | null => {
+    const names = (list: readonly Member[] | undefined): string => (list ?? []).map((m) => m.id).join(' ');
+    return v ? `${names(v.chain)} | ${names(v.joining)} | ${names(v.reserve)}` : null;
+  };
+  /** With too few complete members: who proposes what of chain, joining and reserve. */
+  const few: [string, { me: string; fresh?: string[]; silent?: string[]; emptied?: string[] }, string | null][] = [
+    ['waits until the one that joins has caught up', { me: 'k1' }, null],
+    ['records that it has, once it says so', { me: 'k1', fresh: ['k3'] }, 'k1 k3 |  | '],
+    ['leaves that to the head', { me: 'k3', fresh: ['k3'] }, null],
+    ['never lets one lead that is only joining', { me: 'k3', silent: ['k1', 'k2'] }, null],
+    ['has one of the reserve lead where the head is away', { me: 'k3', silent: ['k1'] }, 'k2 k3 | k3 | k1'],
+    ['and keeps nothing of a head whose disk is lost', { me: 'k3', emptied: ['k1'] }, 'k2 k3 | k3 | '],
+  ];
+  for (const [name, { me, ...how }, want] of few) {
+    it(name, () => {
+      const r = repairing(me, how);
+      r.mind(alone, 4000);
+      expect(text(r.proposed[0])).to.equal(want);
     });
   }
+  it('takes over from the reserve only once the whole chain that could lead is away', () => {
+    for (const [silent, want] of [
+      [[], null],
+      [['k1'], 'k2 k3 | k3 | k1'],
+    ] as const) {
+      const r = repairing('k2', { silent });
+      r.task.takeOver(alone);
+      expect(text(r.proposed[0])).to.equal(want);
+    }
+    const other = repairing('k3', { silent: ['k1'] });
+    other.task.takeOver(alone);
+    expect(other.proposed, 'one that is not of the reserve').to.deep.equal([]);
+  });
+  it('leaves in good order only where enough complete members remain', async () => {
+    const of = async (v: View): Promise<boolean> => repairing('k1', {}).task.leave(v);
+    expect(await of(VIEW)).to.equal(true);
+    expect(await of({ ...VIEW, joining: [k3] })).to.equal(false);
+    expect(await of({ ...VIEW, chain: [k1, k2] })).to.equal(false);
+  });
 });
