--- a/packages/routesim/src/drills/serverdrills.ts
+++ b/packages/routesim/src/drills/serverdrills.ts
@@ -117,7 +117,7 @@
   {
     name: 'srv_grey',
     about: 'servers turn a part of their requests away, although they have room',
-    run: (s) => harm(s, 0.3, 6000, { shed: 0.45 }),
+    run: (s) => harm(s, 0.5, 12_000, { shed: 0.7 }),
     meets: Met.turned('refused'),
   },
   {
