--- a/packages/routesim/src/capacity/routedbounds.ts
+++ b/packages/routesim/src/capacity/routedbounds.ts
@@ -29,7 +29,14 @@
     { ...routes, what: 'purge.pull', unit: 'B/s', most: 400, why: 'a change brings one line of each route' },
     { ...long, what: 'purge.pull', unit: 'B/s', most: 4, why: 'of a long configuration digests and what changed' },
     { ...longlists, what: 'purge.pull', unit: 'B/s', most: 0.5, why: 'of a long list digests and what changed' },
-    { ...routes, role: 'head', what: 'core.change', unit: 'B/s', most: 260, why: 'what changed goes down the chain once' },
+    {
+      ...routes,
+      role: 'head',
+      what: 'core.change',
+      unit: 'B/s',
+      most: 260,
+      why: 'what changed goes down the chain once',
+    },
     {
       ...{ run: 'work', role: 'head', what: 'names weighed a check-in after one went and one came', unit: 'count' },
       ...{ shape: 'line', most: 0.02, why: 'who came is weighed, and all only where a peer went' },
