--- a/packages/forms/src/index.ts
+++ b/packages/forms/src/index.ts
@@ -35,6 +35,8 @@
 export { Mark } from './mark.js';
 export { type Metering } from './metering.js';
 export { Meters } from './meters.js';
+export { type MetricFamily } from './metricfamily.js';
+export { MetricsText } from './metricstext.js';
 export { Note } from './note.js';
 export { Ok } from './ok.js';
 export { Order } from './order.js';
--- a/packages/registry/src/chain/chain.ts
+++ b/packages/registry/src/chain/chain.ts
@@ -181,7 +181,8 @@
         turned = new Promise<null>((done) => {
           turn = () => done(null);
         });
-        log.say(`Chain of view ${hooks.view()?.epoch ?? 0}.`);
+        const { seq, charter } = state;
+        log.say(`Chain of view ${hooks.view()?.epoch ?? 0}; holding ${seq}, configuration ${charter?.version ?? 0}.`);
         void mend();
       },
       /** A member below has lost its place, or holds nothing of this view yet. */
--- a/packages/registry/src/index.ts
+++ b/packages/registry/src/index.ts
@@ -44,6 +44,7 @@
 export { CoreDesk } from './service/coredesk.js';
 export { CoreMessages } from './service/coremessages.js';
 export { CoreMeter } from './service/coremeter.js';
+export { CoreMetrics } from './service/coremetrics.js';
 export { Diff } from './service/diff.js';
 export { TraceDesk } from './service/tracedesk.js';
 export { Warnings } from './service/warnings.js';
--- /dev/null
+++ b/packages/registry/src/service/coremetrics.ts
@@ -0,0 +1,34 @@
+import type { MetricFamily } from '@pumicebarrow/forms';
+import type { Core } from '../core.js';
+import { Views } from '../consensus/views.js';
+
+type Daemon = { core: ReturnType<typeof Core.make>; ident: { id: string; born: string } };
+
+/** How a core daemon stands, as metrics: its place in the view, its lease, and what it holds and knows to be passed. */
+export const CoreMetrics = {
+  families(d: Daemon): MetricFamily[] {
+    const view = d.core.view();
+    const { chain } = d.core;
+    const gauge = (name: string, help: string, value: number): MetricFamily => ({
+      ...{ name, help, kind: 'gauge' },
+      samples: [{ labels: {}, value }],
+    });
+    return [
+      gauge('view_epoch', 'epoch of the view', view?.epoch ?? 0),
+      gauge('chain_place', '1 is the head; 0 is out of the chain', view ? Views.place(view, d.ident) + 1 : 0),
+      gauge(
+        'chain_complete',
+        'members of the chain that hold all that was confirmed',
+        view ? Views.complete(view).length : 0,
+      ),
+      gauge('view_lease', '1 while it may speak for its view', d.core.live() ? 1 : 0),
+      gauge('state_sequence', 'sequence number of the state on disk', chain.state().seq),
+      gauge('state_configuration', 'configuration on disk', chain.state().charter?.version ?? 0),
+      gauge(
+        'passed_configuration',
+        'configuration known to be on all of the chain',
+        chain.passed()?.charter?.version ?? 0,
+      ),
+    ];
+  },
+};
--- a/packages/router/src/keeper.ts
+++ b/packages/router/src/keeper.ts
@@ -1,5 +1,6 @@
-import { Err, Hash, Ok, type Fault, type Result, type Routing, type Verdict, type World } from '@pumicebarrow/forms';
-import { Registrar, Views } from '@pumicebarrow/registry';
+import { Err, Hash, Ok } from '@pumicebarrow/forms';
+import type { Fault, MetricFamily, Result, Routing, Verdict, World } from '@pumicebarrow/forms';
+import { CoreMetrics, Registrar, Views } from '@pumicebarrow/registry';
 import { IntentDesk } from './intentdesk.js';
 import { KeeperDesk } from './keeperdesk.js';
 import type { Engine } from './engine.js';
@@ -85,6 +86,7 @@
         const intent = now.charter?.body ?? null;
         return Ok(intent && 'routes' in intent ? intent : null);
       },
+      metrics: (): MetricFamily[] => CoreMetrics.families(d),
       start(): void {
         d.start();
         duty.start();
--- /dev/null
+++ b/packages/router/src/outcomecounters.ts
@@ -0,0 +1,29 @@
+import type { MetricFamily } from '@pumicebarrow/forms';
+
+type Kind = 'requests' | 'prefills' | 'runs';
+const HELP: Readonly<Record<Kind, string>> = {
+  requests: 'requests by how they ended at this router',
+  prefills: 'prompts sent to a prefill server, by outcome',
+  runs: 'requests sent to a decode server, by outcome',
+};
+
+/** Counts how requests, prefills and runs ended since the start, by outcome: a code of this project. */
+export const OutcomeCounters = {
+  make() {
+    const counts: Record<Kind, Map<string, number>> = { requests: new Map(), prefills: new Map(), runs: new Map() };
+    const samples = (kind: Kind): MetricFamily['samples'] =>
+      [...counts[kind]].map(([outcome, value]) => ({ labels: { outcome }, value }));
+    return {
+      count(kind: Kind, outcome: string): void {
+        counts[kind].set(outcome, (counts[kind].get(outcome) ?? 0) + 1);
+      },
+      /** Requests by outcome, as of now. */
+      requests: (): ReadonlyMap<string, number> => new Map(counts.requests),
+      families: (): MetricFamily[] =>
+        (Object.keys(HELP) as Kind[]).map((kind) => ({
+          ...{ name: `${kind}_total`, help: HELP[kind], kind: 'counter' as const },
+          samples: samples(kind),
+        })),
+    };
+  },
+};
--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -1,6 +1,7 @@
 import type { Routing, Verdict } from '@pumicebarrow/forms';
 import { Budget } from './budget.js';
 import { KeptParts } from './keptparts.js';
+import { OutcomeCounters } from './outcomecounters.js';
 import { Pace } from './pace.js';
 import { Placement } from './placement.js';
 import type { Request } from './request.js';
@@ -79,6 +80,7 @@
   const steps = RequestLog.make(time.clock);
   const serve = Serve.make({
     log: steps,
+    counters: OutcomeCounters.make(),
     ...{
       world,
       list,
--- a/packages/router/src/reader.ts
+++ b/packages/router/src/reader.ts
@@ -50,6 +50,7 @@
       const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now(), job.first), signal: job.left.signal };
       const got = await t.engine.prefill(s, job.request, terms);
       free();
+      t.counters.count('prefills', got.ok ? 'ok' : got.val.code);
       if (got.ok && alone) t.pace.learn(fresh, now() - from);
       if (got.ok) {
         t.speed.note(s.id, now() - from, foreseen + HAND);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,4 +1,5 @@
-import { Awake, Dice, Post, Timer, Verdicts, type Ident, type Verdict, type World } from '@pumicebarrow/forms';
+import { Awake, Dice, Post, Timer, Verdicts } from '@pumicebarrow/forms';
+import type { Ident, MetricFamily, Verdict, World } from '@pumicebarrow/forms';
 import { DaemonLife, Newest } from '@pumicebarrow/counter';
 import { Purge, Shelf } from '@pumicebarrow/purge';
 import { ControlClient, TraceDesk, Views, type CharterBody, type Sighting } from '@pumicebarrow/registry';
@@ -14,6 +15,8 @@
 import type { ListSource } from './listsource.js';
 import { ListWatch } from './listwatch.js';
 import { LoadNews } from './loadnews.js';
+import { OutcomeCounters } from './outcomecounters.js';
+import { OutcomeLog } from './outcomelog.js';
 import { Pace } from './pace.js';
 import { Placement } from './placement.js';
 import type { Request } from './request.js';
@@ -28,6 +31,7 @@
 import { ServerHealth } from './serverhealth.js';
 import { ServerList } from './serverlist.js';
 import { ServerLoads } from './serverloads.js';
+import { ServerMetrics } from './servermetrics.js';
 import { ServerSpeed } from './serverspeed.js';
 import { SharedSound } from './sharedsound.js';
 import { Sightings } from './sightings.js';
@@ -122,7 +126,8 @@
     const turned = (s: Server): void => {
       if (health.turned(s.id) && loads.at(s.id).runs < s.slots / 2) sightings.tell(s.id);
     };
-    const steps = RequestLog.make(clock);
+    const steps = RequestLog.make(clock),
+      counters = OutcomeCounters.make();
     const tools = {
       world,
       engine,
@@ -139,8 +144,10 @@
       budgets,
       suspect,
       turned,
+      counters,
     };
     const serve = Serve.make({ ...tools, log: steps, routes: () => routes });
+    const serverMetrics = ServerMetrics.make(list, loads);
     const stops: (() => void)[] = [];
     const ears: ((now: Routes) => void)[] = [];
 
@@ -194,6 +201,7 @@
         ears.push(fn);
       },
       serve: (request: Request, sink: AnswerSink): Promise<Verdict | null> => serve(request, sink),
+      metrics: (): MetricFamily[] => [...counters.families(), ...serverMetrics.families()],
       /** Whether new clients are welcome. */
       ready: (): boolean => {
         awake.look();
@@ -207,6 +215,7 @@
         news.start();
         void ask();
         stops.push(Timer.every(clock, CHECKIN, head.tick));
+        stops.push(OutcomeLog.start({ clock, log, requests: counters.requests, servers: serverMetrics.text }));
       },
       /**
        * From here on it is not ready; what comes all the same is served. After `turned` ms, when clients should go
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -99,6 +99,7 @@
       const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now(), job.first), signal: stop.signal };
       const got = await t.engine.run(s, job.request, handle, job.after, terms, hearer(job, s, kept.stir, read));
       kept.stop();
+      t.counters.count('runs', got.ok ? 'ok' : got.val.code);
       const more = job.events - before;
       if (more > ENOUGH) t.speed.note(s.id, (now() - from) / more, GAP + beside * EACH);
       free();
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -122,6 +122,7 @@
     const told = (job: Job, verdict: Verdict): Verdict => {
       const { id } = job.request;
       t.log.note(id, 'done', { at: verdict.ran, word: verdict.code, why: verdict.why });
+      t.counters.count('requests', verdict.code);
       t.world.tell({ what: 'request', key: id, ran: verdict.ran, code: verdict.code, route: job.route.name });
       return verdict;
     };
@@ -151,6 +152,7 @@
       const job = start(request, sink);
       if ('ran' in job) {
         t.log.note(request.id, 'done', { at: job.ran, word: job.code, why: job.why });
+        t.counters.count('requests', job.code);
         return job;
       }
       const over = durations.begin(job.route.name);
--- a/packages/router/src/servetools.ts
+++ b/packages/router/src/servetools.ts
@@ -2,6 +2,7 @@
 import type { Budgets } from './budgets.js';
 import type { Engine } from './engine.js';
 import type { KeptParts } from './keptparts.js';
+import type { OutcomeCounters } from './outcomecounters.js';
 import type { Pace } from './pace.js';
 import type { Placement } from './placement.js';
 import type { ReadWait } from './readwait.js';
@@ -33,6 +34,7 @@
   budgets: ReturnType<typeof Budgets.make>;
   /** What was done with requests, step by step. */
   log: ReturnType<typeof RequestLog.make>;
+  counters: ReturnType<typeof OutcomeCounters.make>;
   /** This daemon saw a server fail. */
   suspect: (s: Server, why: string) => void;
   /** A server turned a request of this daemon away. */
