Load shedding: requests are turned away while servers of either stage are given too much

Cause: the work that waits before a request was weighed only where no prefill server was left. With one server of each stage under the work of six, all was admitted and read for clients that had left; what came back went before first tries, so these starved. Ruled out: state and configuration (every router served 0.2 s after the restart), the stages (one read, one decoded throughout), cold routers (as bad before the restart). Now: a request that would be read too late is refused at once; while a standing queue waits, a part of all is (PIE, RFC 8033); and meanwhile a second try goes before nobody.

--- a/packages/router/src/job.ts
+++ b/packages/router/src/job.ts
@@ -18,6 +18,8 @@
   due: number;
   /** Whether it is the client's first try, as far as that shows. */
   first: boolean;
+  /** Whether it goes before others at a server, because it was sent away once. */
+  ahead: boolean;
   arrivals: number;
   reads: number;
   /** Whether a send that counts could not be paid for: what would follow it is left. */
--- /dev/null
+++ b/packages/router/src/loadshedder.test.ts
@@ -0,0 +1,67 @@
+import { Dice } from '@pumicebarrow/forms';
+import { expect } from 'chai';
+import { LoadShedder } from './loadshedder.js';
+import { testClock } from './stand.test.js';
+
+/** Requests arrive each 10 ms for a time and find a given wait; gives the part of them that was turned away. */
+const arrivals = async (
+  time: ReturnType<typeof testClock>,
+  shedder: ReturnType<typeof LoadShedder.make>,
+  ms: number,
+  waits: number,
+): Promise<number> => {
+  let shed = 0;
+  for (let i = 0; i < ms / 10; i++) {
+    if (shedder.sheds(waits)) shed++;
+    await time.pass(10);
+  }
+  return shed / (ms / 10);
+};
+const make = (seed: number) => {
+  const time = testClock();
+  return { time, shedder: LoadShedder.make(time.clock, Dice.seeded(seed)) };
+};
+
+describe('load shedding', () => {
+  it('turns none away while little waits, however long', async () => {
+    const { time, shedder } = make(1);
+    expect(await arrivals(time, shedder, 20_000, 190)).to.equal(0);
+    expect(shedder.active()).to.equal(false);
+  });
+  it('hardly turns any away in a short crowd', async () => {
+    for (const seed of [1, 2, 3, 4, 5]) {
+      const { time, shedder } = make(seed);
+      expect(await arrivals(time, shedder, 400, 900), `seed ${seed}`).to.be.lessThan(0.2);
+    }
+  });
+  it('turns most away where much waits for seconds, never all, and none once that is over', async () => {
+    for (const seed of [1, 2, 3, 4, 5]) {
+      const { time, shedder } = make(seed);
+      await arrivals(time, shedder, 5000, 2000);
+      const part = await arrivals(time, shedder, 5000, 2000);
+      expect(part, `seed ${seed}`).to.be.within(0.8, 0.99);
+      await arrivals(time, shedder, 6000, 0);
+      expect(await arrivals(time, shedder, 2000, 300), `seed ${seed}, later`).to.be.lessThan(0.05);
+    }
+  });
+  it('holds the queue of a server that is given far more than it can do, and keeps it busy', async () => {
+    for (const seed of [1, 2, 3])
+      for (const load of [1.3, 2, 4]) {
+        const { time, shedder } = make(seed);
+        const sizes = Dice.seeded(seed + 100);
+        let queue = 0;
+        let idle = 0;
+        let sum = 0;
+        const steps = 6000;
+        for (let i = 0; i < steps; i++) {
+          if (!shedder.sheds(queue)) queue += sizes.real() * 20 * load;
+          if (i > steps / 2 && queue < 10) idle++;
+          queue = Math.max(0, queue - 10);
+          if (i > steps / 2) sum += queue;
+          await time.pass(10);
+        }
+        expect(sum / (steps / 2), `seed ${seed}, ${load} times the load`).to.be.within(150, 800);
+        expect(idle / (steps / 2), `seed ${seed}, ${load} times the load, idle`).to.be.lessThan(0.05);
+      }
+  });
+});
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -27,7 +27,7 @@
   wait: () => number;
 };
 const NONE: ReadonlySet<string> = new Set();
-const UNWEIGHED: Weighed = { read: null, ms: 0, alone: 0, beside: null };
+const UNWEIGHED: Weighed = { read: null, ms: 0, alone: 0, reading: null };
 type Where = { s: Server; ms: number };
 /** A decode server reads at this part of the pace, between the tokens of others. */
 const BESIDE = 0.5;
@@ -147,7 +147,7 @@
         if (!apart) {
           const pace = t.pace() * BESIDE;
           const own = p.tokens - t.kept.held(beside.s.id, p);
-          return { ...UNWEIGHED, beside: { waits: t.loads.at(beside.s.id).tokens / pace, own: own / pace } };
+          return { ...UNWEIGHED, reading: { waits: t.loads.at(beside.s.id).tokens / pace, own: own / pace } };
         }
         const crowded = t.loads.at(beside.s.id).runs >= CROWDED;
         const short = t.kept.held(beside.s.id, p) + SHORT > p.tokens;
@@ -159,11 +159,13 @@
         // What takes next to nothing is read before all that waits: the queue doesn't make it late.
         const soon = apart.fresh / t.pace() < Urgency.TINY;
         const ms = (crowded ? apart.ms : Math.min(apart.ms, beside.ms)) + HAND + START;
+        const reading = { waits: t.loads.at(apart.s.id).tokens / t.pace(), own: apart.fresh / t.pace() };
+        const readBeside = !crowded && beside.ms <= bar;
         return {
-          read: !crowded && beside.ms <= bar ? null : read,
+          read: readBeside ? null : read,
           ms: soon ? Math.min(ms, alone) : ms,
           alone,
-          beside: null,
+          reading: readBeside ? null : reading,
         };
       },
       /** Where it is decoded: few under way, near the memory. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -14,9 +14,11 @@
 import { ListRows } from './listrows.js';
 import type { ListSource } from './listsource.js';
 import { ListWatch } from './listwatch.js';
+import { LoadShedder } from './loadshedder.js';
 import { LoadNews } from './loadnews.js';
 import { OutcomeCounters } from './outcomecounters.js';
 import { OutcomeLog } from './outcomelog.js';
+import { PerService } from './perservice.js';
 import { Pace } from './pace.js';
 import { Placement } from './placement.js';
 import type { Request } from './request.js';
@@ -109,6 +111,7 @@
       wait: wait.now,
     });
     const budgets = Budgets.make(clock, () => startup.budget, head.routers);
+    const shedders = PerService.make(() => LoadShedder.make(clock, world.chance));
     const shut = (): Verdict | null => {
       awake.look();
       if (is() === 'serving' || (is() === 'draining' && certain)) return null;
@@ -145,6 +148,7 @@
       suspect,
       turned,
       counters,
+      shedders,
     };
     const serve = Serve.make({ ...tools, log: steps, routes: () => routes });
     const serverMetrics = ServerMetrics.make(list, loads);
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -96,7 +96,7 @@
       t.log.note(job.request.id, 'run', { at: s.id, word: handle?.server.id ?? '', tokens: fresh, ahead: beside - 1 });
       job.handle = null;
       const ms = Math.max(1, job.due - now());
-      const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now(), job.first), signal: stop.signal };
+      const terms = { ms, urgency: Urgency.of(job.route, fresh / t.pace.now(), job.ahead), signal: stop.signal };
       const got = await t.engine.run(s, job.request, handle, job.after, terms, hearer(job, s, kept.stir, read));
       kept.stop();
       t.counters.count('runs', got.ok ? 'ok' : got.val.code);
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -9,6 +9,7 @@
 import type { Request } from './request.js';
 import { Runner } from './runner.js';
 import type { ServeTools } from './servetools.js';
+import { Urgency } from './urgency.js';
 
 /** Less time than this is not worth a send. */
 const LEAST = 30;
@@ -58,6 +59,7 @@
       return {
         ...{ request, sink, service, left, route: found.route, after: request.after },
         first: firsts.is(found.route, request.wait),
+        ahead: false,
         due: Math.min(request.due, now() + found.route.timeout),
         ...{
           arrivals: 0,
@@ -92,9 +94,15 @@
       const wait = Deferral.of(c, t.world.chance.real());
       return wait === null ? null : wait / 1000;
     };
-    const drowned = (job: Job): boolean => {
-      const found = job.weighed?.beside;
-      return !!found && Relief.needed({ ...found, aim: job.route.aim, left: job.due - now() });
+    /**
+     * Whether the reading that waits before a request is too much for it, or for all: servers of either stage that are
+     * given more than they can read would else spend themselves on requests whose clients have left.
+     */
+    const shed = (job: Job): boolean => {
+      const found = job.weighed?.reading;
+      if (!found || found.own < Urgency.TINY) return false;
+      if (Relief.tooLate({ ...found, aim: job.route.aim, left: job.due - now() })) return true;
+      return t.shedders.of(job.service.name).sheds(found.waits);
     };
     /** Waits a little where every server is full; false if that did not help. */
     const admit = async (job: Job): Promise<boolean> => {
@@ -129,8 +137,9 @@
     const through = async (job: Job, sink: AnswerSink): Promise<Verdict | null> => {
       t.budgets.of(job.service.name).request();
       const later = deferred(job);
+      if (shed(job)) return told(job, Verdicts.not('overload', 'Too much waits before it.', LATER));
+      job.ahead = !job.first && !t.shedders.of(job.service.name).active();
       if (later !== null) return told(job, Verdicts.not('deferred', 'It would be late now.', later));
-      if (drowned(job)) return told(job, Verdicts.not('drowned', 'Too much waits before it.', LATER));
       if (!t.placement.room(job.service, job.request.prompt) && !(await admit(job)))
         return told(job, Verdicts.not('full', 'Every server is full.', LATER));
       await go(job);
--- a/packages/router/src/servetools.ts
+++ b/packages/router/src/servetools.ts
@@ -2,6 +2,7 @@
 import type { Budgets } from './budgets.js';
 import type { Engine } from './engine.js';
 import type { KeptParts } from './keptparts.js';
+import type { LoadShedder } from './loadshedder.js';
 import type { OutcomeCounters } from './outcomecounters.js';
 import type { Pace } from './pace.js';
 import type { Placement } from './placement.js';
@@ -34,6 +35,7 @@
   budgets: ReturnType<typeof Budgets.make>;
   /** What was done with requests, step by step. */
   log: ReturnType<typeof RequestLog.make>;
+  shedders: { of(service: string): ReturnType<typeof LoadShedder.make> };
   counters: ReturnType<typeof OutcomeCounters.make>;
   /** This daemon saw a server fail. */
   suspect: (s: Server, why: string) => void;
--- a/packages/router/src/urgency.ts
+++ b/packages/router/src/urgency.ts
@@ -18,10 +18,10 @@
  */
 export const Urgency = {
   TINY,
-  of(route: Route, ms: number, first: boolean): number {
+  of(route: Route, ms: number, ahead: boolean): number {
     const laxity = route.aim - ms - BESIDE;
     if (laxity < 0) return HOPELESS;
-    if (ms < TINY || !first) return SOON;
+    if (ms < TINY || ahead) return SOON;
     const step = STEPS.findIndex((s) => laxity < s);
     return FIRST + (step < 0 ? STEPS.length : step) + (route.rank > 1 ? 1 : 0);
   },
--- a/packages/router/src/weighed.ts
+++ b/packages/router/src/weighed.ts
@@ -7,6 +7,6 @@
   /** ms until its first event, and if nothing else were waiting. */
   ms: number;
   alone: number;
-  /** Where nothing reads apart: ms of reading that wait where it would run, and that it takes there itself. */
-  beside: { waits: number; own: number } | null;
+  /** ms of reading that wait where it would be read, and that it takes there itself; null where nothing is known. */
+  reading: { waits: number; own: number } | null;
 };
