A voter binds itself to no next view before the present one is on disk

Cause: a view took hold as it was written; one whose writing failed was never written again; and the vote of the next epoch takes the place of the acceptance of the present one on disk. So after a loss of power a member could stand in an old view, bound to a later one: it grants leases on the old view, and can vote for no view that others may propose. Now: promises and acceptances wait for the view on disk, a failed view is written again before a sick member is well, no lease is granted by a voter that is bound to any later view, and whoever lived before holds off the next view for a lease's term. Same cause looked for in the state, the vote and the identity: these are written before they count.

--- /dev/null
+++ b/packages/registry/src/consensus/viewfile.test.ts
@@ -0,0 +1,43 @@
+import { Err, Ok } from '@pumicebarrow/forms';
+import { expect } from 'chai';
+import type { Store } from '../state/store.js';
+import type { View } from './view.js';
+import { ViewFile } from './viewfile.js';
+
+const view = (epoch: number): View => ({ epoch, voters: [], chain: [] });
+const make = (loaded: View | null) => {
+  const disk = { full: false, epochs: [] as number[] };
+  const store = {
+    put: (_kind: string, v: View) => {
+      if (!disk.full) disk.epochs.push(v.epoch);
+      return Promise.resolve(disk.full ? Err('full') : Ok(undefined));
+    },
+  } as unknown as Store;
+  return { disk, file: ViewFile.make(store, loaded) };
+};
+
+describe('the file of the view', () => {
+  it('is settled where there is nothing to write', async () => {
+    for (const loaded of [null, view(4)]) {
+      const { disk, file } = make(loaded);
+      expect(await file.settled()).to.equal(true);
+      expect(disk.epochs).to.deep.equal([]);
+    }
+  });
+  it('is not settled while a view can not be written, and is written again when asked', async () => {
+    const { disk, file } = make(view(4));
+    disk.full = true;
+    expect(await file.put(view(5))).to.equal('full');
+    expect(await file.settled()).to.equal(false);
+    disk.full = false;
+    expect(await file.settled()).to.equal(true);
+    expect(disk.epochs).to.deep.equal([5]);
+  });
+  it('waits for writes under way, and ends with the newest', async () => {
+    const { disk, file } = make(null);
+    const writes = [file.put(view(1)), file.put(view(2))];
+    expect(await file.settled()).to.equal(true);
+    expect(disk.epochs.at(-1)).to.equal(2);
+    expect(await Promise.all(writes)).to.deep.equal([null, null]);
+  });
+});
--- /dev/null
+++ b/packages/registry/src/consensus/viewfile.ts
@@ -0,0 +1,40 @@
+import type { Result } from '@pumicebarrow/forms';
+import type { Store } from '../state/store.js';
+import type { View } from './view.js';
+
+/**
+ * The newest view of a daemon and whether it is on disk. Writes go one after the other; one that failed is made again.
+ */
+export const ViewFile = {
+  make(store: Store, loaded: View | null) {
+    let newest = loaded;
+    let saved = loaded?.epoch ?? 0;
+    let last: Promise<Result<void, string> | null> = Promise.resolve(null);
+    const isSaved = (): boolean => newest === null || saved >= newest.epoch;
+    /** Null where nothing had to be written. */
+    const write = async (): Promise<Result<void, string> | null> => {
+      const view = newest;
+      if (!view || isSaved()) return null;
+      const done = await store.put('view', view);
+      if (done.ok) saved = Math.max(saved, view.epoch);
+      return done;
+    };
+    const next = (): Promise<Result<void, string> | null> => {
+      last = last.then(write);
+      return last;
+    };
+    return {
+      /** Writes a view that is newer than any before it; gives the fault, or null once it is on disk. */
+      async put(view: View): Promise<string | null> {
+        newest = view;
+        const done = await next();
+        return done?.err ? done.val : null;
+      },
+      /** Whether the newest view is on disk, once what is under way has ended and what had failed was written again. */
+      async settled(): Promise<boolean> {
+        if (!isSaved()) await next();
+        return isSaved();
+      },
+    };
+  },
+};
--- a/packages/registry/src/consensus/voter.test.ts
+++ b/packages/registry/src/consensus/voter.test.ts
@@ -77,6 +77,16 @@
       ['accept', 2, 16, false],
     ],
   ],
+  [
+    'no lease on a view once bound to any later one',
+    [
+      ['prepare', 3, 8, true],
+      ['wait', 5000],
+      ['grant', 1, false],
+      ['grant', 2, false],
+      ['grant', 3, true],
+    ],
+  ],
   [
     'a late try for a view already in force holds nothing off',
     [
@@ -135,4 +145,24 @@
     now = 801;
     expect((await again.prepare(2, 8)).ok).to.equal(true);
   });
+  it('binds itself to no next view before the present one is on disk', async () => {
+    now = 0;
+    sick = false;
+    let settled = false;
+    const v = Voter.make(
+      store,
+      () => now,
+      null,
+      0,
+      () => Promise.resolve(settled),
+    );
+    v.moved(2);
+    expect((await v.prepare(3, 8)).ok).to.equal(false);
+    expect((await v.accept(3, 8, view(3))).ok).to.equal(false);
+    expect(v.grant(2, 800)).to.equal(true);
+    now = 801;
+    settled = true;
+    expect((await v.prepare(3, 8)).ok).to.equal(true);
+    expect((await v.accept(3, 8, view(3))).ok).to.equal(true);
+  });
 });
--- a/packages/registry/src/consensus/voter.ts
+++ b/packages/registry/src/consensus/voter.ts
@@ -13,10 +13,18 @@
  * One voter's part in choosing the next view: one single-decree agreement an epoch.
  * Invariants: a promise or an acceptance is synced before it is said; while a lease granted on the present
  * view may still be live, nothing is promised for the next; once something is, no lease on the present view is granted.
- * `until` is when the last lease ends that its life before this one may have granted.
+ * `until` is when the last lease ends that its life before this one may have granted. Nothing is promised or accepted
+ * for the next view before the present one is on disk (`settled`): else a promise would take the place of the only word
+ * of the present view.
  */
 export const Voter = {
-  make(store: Store, mono: () => number, kept: Vote | null, until = 0) {
+  make(
+    store: Store,
+    mono: () => number,
+    kept: Vote | null,
+    until = 0,
+    settled: () => Promise<boolean> = () => Promise.resolve(true),
+  ) {
     let vote: Vote | null = kept;
     const held = new Map([['', until]]);
     let moving = 0;
@@ -50,7 +58,7 @@
       },
       prepare: (epoch: number, ballot: number): Promise<Prepared> =>
         alone(async () => {
-          if (epoch <= present) return no(epoch, 0);
+          if (epoch <= present || !(await settled())) return no(epoch, 0);
           moving = mono() + 1500;
           if (mono() < last()) return no(epoch, last() - mono());
           const next = VoterRules.promise(vote, present, epoch, ballot, false);
@@ -60,6 +68,7 @@
         }),
       accept: (epoch: number, ballot: number, view: View): Promise<{ ok: boolean; promised: number }> =>
         alone(async () => {
+          if (!(await settled())) return { ok: false, promised: at(epoch).promised };
           const next = VoterRules.accept(vote, present, ballot, { ...view, epoch }, mono() < last());
           if (!next) return { ok: false, promised: at(epoch).promised };
           const done = await save(next);
--- a/packages/registry/src/consensus/voterrules.ts
+++ b/packages/registry/src/consensus/voterrules.ts
@@ -13,7 +13,9 @@
   /** Whether an epoch is over for a voter whose view is of the epoch `present`. */
   past: (vote: Vote | null, present: number, epoch: number): boolean =>
     epoch <= present || (vote !== null && epoch < vote.epoch),
-  mayGrant: (vote: Vote | null, epoch: number): boolean => VoterRules.at(vote, epoch + 1).promised === 0,
+  /** Whether a lease on the view of an epoch may be granted: not once the voter is bound to any later one. */
+  mayGrant: (vote: Vote | null, epoch: number): boolean =>
+    vote === null || vote.epoch <= epoch || (vote.epoch === epoch + 1 && vote.promised === 0),
   /** The vote with a ballot promised; null where it may not be. */
   promise(vote: Vote | null, present: number, epoch: number, ballot: number, leased: boolean): Vote | null {
     const now = VoterRules.at(vote, epoch);
--- a/packages/registry/src/core.ts
+++ b/packages/registry/src/core.ts
@@ -14,13 +14,14 @@
 import { LeaseRecall } from './consensus/leaserecall.js';
 import type { Store } from './state/store.js';
 import type { View } from './consensus/view.js';
+import { ViewFile } from './consensus/viewfile.js';
 import { Views } from './consensus/views.js';
 import { Voter } from './consensus/voter.js';
 import type { Vote } from './consensus/vote.js';
 import { FailureDetector } from './membership/failuredetector.js';
 import { AddressBook } from './membership/addressbook.js';
 
-type Kept = { view: View | null; vote: Vote | null; state: CoreState };
+type Kept = { born: string | null; view: View | null; vote: Vote | null; state: CoreState };
 type Hooks = {
   /** Where other core daemons may be met. */
   cores: () => readonly string[];
@@ -40,7 +41,10 @@
     const log = world.log('core');
     const me = (): Member => ({ id: ident().id, born: ident().born, addr: ident().addr });
     const life = interpret(CoreLife, () => undefined);
-    const voter = Voter.make(store, world.clock.mono, kept.vote, kept.view ? world.clock.mono() + CoreTimings.hold : 0);
+    const viewFile = ViewFile.make(store, kept.view);
+    // A daemon that lived before may have granted leases, also on a view that it had not on disk yet.
+    const until = kept.born === null ? 0 : world.clock.mono() + CoreTimings.hold;
+    const voter = Voter.make(store, world.clock.mono, kept.vote, until, viewFile.settled);
     const addresses = AddressBook.make(world, post, me, h.cores);
     const detector = FailureDetector.make(world, post, me, addresses, voter);
     let view: View | null = null;
@@ -74,8 +78,8 @@
     const adopt = async (next: View): Promise<boolean> => {
       if (view && next.epoch <= view.epoch) return next.epoch === view.epoch;
       place(next);
-      const done = await store.put('view', next);
-      if (done.err) ill(done.val);
+      const fault = await viewFile.put(next);
+      if (fault !== null) ill(fault);
       return true;
     };
     const viewChanger = ViewChanger.make(world, post, me, addresses, resting, adopt);
@@ -100,7 +104,7 @@
     const repair = RepairTask.make(me, world.clock.mono, detector, viewChanger, chain);
     const heal = async (): Promise<void> => {
       const done = await store.name(me().born, false);
-      if (done.ok) {
+      if (done.ok && (await viewFile.settled())) {
         log.say('The disk is well again.');
         life.send('well');
       }
--- a/packages/registry/src/index.ts
+++ b/packages/registry/src/index.ts
@@ -11,6 +11,7 @@
 export { NextViews } from './consensus/nextviews.js';
 export { View } from './consensus/view.js';
 export { ViewChanger } from './consensus/viewchanger.js';
+export { ViewFile } from './consensus/viewfile.js';
 export { ViewLimits } from './consensus/viewlimits.js';
 export { Views } from './consensus/views.js';
 export { Vote } from './consensus/vote.js';
--- a/packages/sim/src/drills/overlaps.ts
+++ b/packages/sim/src/drills/overlaps.ts
@@ -83,8 +83,8 @@
   {
     name: 'unkeptview',
     about:
-      "a member's disk is full as it writes a view and now and then after that; a change is confirmed; the member promises " +
-      'the next view and loses power, the other one loses its disk, and one that was cut off meanwhile comes back',
+      "a member's disk is full as it writes a view and now and then after that; a change is confirmed; the member " +
+      'promises the next view and loses power, the other loses its disk, and one that was cut off meanwhile comes back',
     async run(s) {
       const [head, middle, tail] = s.b.chain() as [string, string, string];
       const disk = s.b.disks.get(middle)!;
--- a/packages/sim/src/unkeptview.test.ts
+++ b/packages/sim/src/unkeptview.test.ts
@@ -5,8 +5,8 @@
 /**
  * Symptom: a change that had been confirmed could not be read back, and the core took no more changes, though one disk
  * alone was lost.
- * Sequence: a member's disk refused the file of view 2 and was well again 0.15 s later; change 2 was confirmed in view 2;
- * that member then promised view 3 on disk and lost power, and the other member of view 2 lost its disk.
+ * Sequence: a member's disk refused the file of view 2 and was well again 0.15 s later; change 2 was confirmed in
+ * view 2; that member then promised view 3 on disk and lost power, and the other member of view 2 lost its disk.
  * Cause: a view took hold before it was on disk, and one that could not be written was not written again. After the
  * restart the member stood in view 1, bound to view 3: it could vote for no view that the third member could propose.
  * Settled by: "view 2 is agreed; stored view: failed; stored vote: done; killed; start", and no view after that; at the
