--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -28,7 +28,7 @@
 };
 const NONE: ReadonlySet<string> = new Set();
 const UNWEIGHED: Weighed = { read: null, ms: 0, alone: 0, reading: null };
-type Where = { s: Server; ms: number };
+type Choice = { s: Server; ms: number };
 /** A decode server reads at this part of the pace, between the tokens of others. */
 const BESIDE = 0.5;
 /** Prompts with fewer tokens to read than this are read where they are decoded, unless that is busy reading. */
@@ -70,7 +70,7 @@
 export const Placement = {
   FULL,
   make(t: Tools) {
-    const able = (service: Service, stage: Server['stage'], not: ReadonlySet<string>): Server[] => {
+    const candidates = (service: Service, stage: Server['stage'], not: ReadonlySet<string>): Server[] => {
       const changing = t.changing();
       const all = t.list
         .all()
@@ -83,8 +83,8 @@
       const fair = all.filter((s) => t.health.fair(s.id));
       return fair.length > 0 ? fair : all;
     };
-    const least = (list: readonly Server[], cost: (s: Server) => number): Where | null => {
-      let best: Where | null = null;
+    const cheapest = (list: readonly Server[], cost: (s: Server) => number): Choice | null => {
+      let best: Choice | null = null;
       for (const s of list) {
         const ms = cost(s) + t.chance.real() * 0.01;
         if (!best || ms < best.ms) best = { s, ms };
@@ -93,56 +93,56 @@
     };
     const sharedOf = (p: Prompt): number => p.tokens - (p.parts.at(-1)?.tokens ?? p.tokens);
     /** Tokens that a server would have to read, if the home of a prefix holds it. */
-    const fresh = (s: Server, p: Prompt, home: Server | undefined): number =>
+    const tokensToRead = (s: Server, p: Prompt, home: Server | undefined): number =>
       Math.max(1, p.tokens - Math.max(t.kept.held(s.id, p), s === home ? sharedOf(p) : 0));
     /** Shared tokens that would be read again there. */
-    const again = (s: Server, p: Prompt, home: Server | undefined): number =>
+    const sharedTokensReadAgain = (s: Server, p: Prompt, home: Server | undefined): number =>
       s === home ? 0 : Math.max(0, sharedOf(p) - t.kept.held(s.id, p));
-    const cold = (s: Server): number => (s.warm > 0 ? WARM : 0) + (s.zone === t.zone ? 0 : FAR);
+    const entryCost = (s: Server): number => (s.warm > 0 ? WARM : 0) + (s.zone === t.zone ? 0 : FAR);
     /** Where it would be read soonest, and when; the home, if that is soon enough. */
-    const reader = (service: Service, route: Route, p: Prompt, not: ReadonlySet<string>) => {
-      const list = able(service, 'prefill', not);
+    const choosePrefill = (service: Service, route: Route, p: Prompt, not: ReadonlySet<string>) => {
+      const list = candidates(service, 'prefill', not);
       const home = Lot.first(KeptParts.home(p), list, (s) => s.id);
       const ms = (s: Server): number =>
-        ((t.loads.at(s.id).tokens + fresh(s, p, home)) / t.pace()) * t.speed(s.id) + cold(s);
+        ((t.loads.at(s.id).tokens + tokensToRead(s, p, home)) / t.pace()) * t.speed(s.id) + entryCost(s);
       const cost = (s: Server): number => AGAIN + (t.loads.at(s.id).reads * DELAYED) / t.pace();
-      const best = least(list, (s) => ms(s) + again(s, p, home) * cost(s));
+      const best = cheapest(list, (s) => ms(s) + sharedTokensReadAgain(s, p, home) * cost(s));
       if (!home || !best) return null;
       const there = ms(home);
       const chosen = there <= route.aim * CALM ? { s: home, ms: there } : best;
-      return { ...chosen, fresh: fresh(chosen.s, p, home), home: chosen.s === home };
+      return { ...chosen, fresh: tokensToRead(chosen.s, p, home), home: chosen.s === home };
     };
-    const decoder = (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>) => {
-      const list = able(service, service.engine ? 'decode' : null, not);
+    const chooseDecode = (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>) => {
+      const list = candidates(service, service.engine ? 'decode' : null, not);
       const near = from?.zone ?? t.zone;
       const most = Math.max(1, service.engine?.slots ?? 1);
       const home = p && !from ? Lot.first(KeptParts.home(p), list, (s) => s.id) : undefined;
-      const best = least(list, (s) => {
+      const best = cheapest(list, (s) => {
         const { runs, tokens } = t.loads.at(s.id);
         const busy = runs / Math.max(1, s.slots || most) + tokens / (t.pace() * BESIDE * 1000);
         const link = t.linked(s) ? 0 : CONNECT;
-        const own = p && !from ? fresh(s, p, home) / (t.pace() * BESIDE * 1000) : 0;
+        const own = p && !from ? tokensToRead(s, p, home) / (t.pace() * BESIDE * 1000) : 0;
         return (busy + own + IDLE) * t.speed(s.id) + (s.zone === near ? 0 : 0.12) + (s.warm > 0 ? 0.5 : 0) + link;
       });
       if (!best || !p || from) return best;
       const { runs, tokens } = t.loads.at(best.s.id);
-      const work = fresh(best.s, p, home) * DISTURB * (1 + runs / CROWD);
+      const work = tokensToRead(best.s, p, home) * DISTURB * (1 + runs / CROWD);
       // A part that is short has no home worth keeping to among decode servers.
-      const more = again(best.s, p, home) * AGAIN;
+      const more = sharedTokensReadAgain(best.s, p, home) * AGAIN;
       return { s: best.s, ms: (tokens + work) / (t.pace() * BESIDE) + more };
     };
     return {
       /** Whether some server has a place for one more run that is not brief. */
       room(service: Service, p: Prompt | null): boolean {
         if (!service.engine || !p || p.most < BRIEF) return true;
-        const list = able(service, 'decode', NONE);
+        const list = candidates(service, 'decode', NONE);
         const most = service.engine.slots;
         return list.length === 0 || list.some((s) => t.loads.at(s.id).runs < (s.slots || most) * FULL);
       },
       /** Where it is to be read first, and when it would begin; looked at once for both. */
       weigh(service: Service, route: Route, p: Prompt, not: ReadonlySet<string>): Weighed {
-        const apart = service.engine ? reader(service, route, p, not) : null;
-        const beside = service.engine ? decoder(service, p, null, not) : null;
+        const apart = service.engine ? choosePrefill(service, route, p, not) : null;
+        const beside = service.engine ? chooseDecode(service, p, null, not) : null;
         if (!beside) return UNWEIGHED;
         if (!apart) {
           const pace = t.pace() * BESIDE;
@@ -170,7 +170,7 @@
       },
       /** Where it is decoded: few under way, near the memory. */
       decode: (service: Service, p: Prompt | null, from: Server | null, not: ReadonlySet<string>): Server | null =>
-        decoder(service, p, from, not)?.s ?? null,
+        chooseDecode(service, p, from, not)?.s ?? null,
       /** Tokens that the server must read if it is given the prompt without its memory. */
       fresh: (s: Server, p: Prompt): number => Math.max(1, p.tokens - t.kept.held(s.id, p)),
     };
--- a/packages/router/src/relief.test.ts
+++ b/packages/router/src/readdeadline.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { play } from './play.test.js';
-import { Relief } from './relief.js';
+import { ReadDeadline } from './readdeadline.js';
 import { prompt, server } from './stand.test.js';
 
 describe('requests that would be read too late', () => {
@@ -14,7 +14,7 @@
     ['nor one whose caller has little time left', { left: 1200 }, true],
     ['a longer aim is waited for longer', { waits: 2600, aim: 1500 }, false],
   ];
-  for (const [name, more, want] of cases) it(name, () => expect(Relief.tooLate({ ...c, ...more })).to.equal(want));
+  for (const [name, more, want] of cases) it(name, () => expect(ReadDeadline.missed({ ...c, ...more })).to.equal(want));
   const lone = () => ({ servers: [server('d1', 'decode')], script: [{ run: 'ok' as const, events: 1 }] });
   for (const [name, tokens, own, code] of [
     ['are refused at once where a decode server is alone', 90_000, 800, 'overload'],
--- a/packages/router/src/relief.ts
+++ b/packages/router/src/readdeadline.ts
@@ -1,8 +1,9 @@
 /** What a client surely waits for a first event, in ms and in aims, and the part of it that is counted on. */
-const WAITED = 2000;
-const AIMS = 4;
+const SURE_WAIT = 2000;
+const SURE_AIMS = 4;
 const COUNTED = 0.8;
-type Case = {
+
+type Reading = {
   /** ms of reading that wait before it, and that it takes itself. */
   waits: number;
   own: number;
@@ -12,9 +13,10 @@
 };
 
 /** Which requests would be read too late for their callers, so that the reading would be lost. */
-export const Relief = {
-  tooLate(c: Case): boolean {
-    const patience = Math.min(c.left, Math.max(WAITED, c.aim * AIMS)) * COUNTED;
-    return c.waits > 0 && c.waits + c.own > patience;
+export const ReadDeadline = {
+  missed(reading: Reading): boolean {
+    const { waits, own, aim, left } = reading;
+    const patience = Math.min(left, Math.max(SURE_WAIT, aim * SURE_AIMS)) * COUNTED;
+    return waits > 0 && waits + own > patience;
   },
 };
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -5,23 +5,23 @@
 import { FirstTries } from './firsttries.js';
 import type { Job } from './job.js';
 import { Reader } from './reader.js';
-import { Relief } from './relief.js';
+import { ReadDeadline } from './readdeadline.js';
 import type { Request } from './request.js';
 import { Runner } from './runner.js';
 import type { ServeTools } from './servetools.js';
 import { Urgency } from './urgency.js';
 
 /** Less time than this is not worth a send. */
-const LEAST = 30;
+const LEAST_TIME = 30;
 /** Seconds after which a refused request may come again. */
-const SOON = 0.15;
+const RETRY_SOON = 0.15;
 /** The part of the aim for which a request waits for a place, and how often that is looked at. */
-const WAIT = 0.2;
-const LOOK = 20;
-const LATER = 0.4;
+const ROOM_WAIT = 0.2;
+const POLL = 20;
+const RETRY_LATER = 0.4;
 /** ms that a request waits for what this daemon doesn't know yet: once it has served, and before that. */
-const UNSURE = 150;
-const BEGINNING = 500;
+const READY_WAIT = 150;
+const FIRST_READY_WAIT = 500;
 
 /**
  * One request, from its arrival to its answer, written straight down.
@@ -36,8 +36,8 @@
       run = Runner.make(t);
     const firsts = FirstTries.make();
     const durations = Durations.make(t.world.clock);
-    const refuse = (code: string, why: string): Verdict => Verdicts.not(code, why, SOON);
-    const start = (request: Request, sink: AnswerSink): Job | Verdict => {
+    const refuse = (code: string, why: string): Verdict => Verdicts.not(code, why, RETRY_SOON);
+    const accept = (request: Request, sink: AnswerSink): Job | Verdict => {
       const shut = t.shut();
       if (shut) return shut;
       const routes = t.routes();
@@ -76,16 +76,16 @@
         avoid: new Set(),
       };
     };
-    let begun = false;
-    const sure = (): boolean => t.shut() === null && t.routes() !== null && t.list.young();
-    /** Waits a little for the newest configuration and a young list; what is still missing then is told by `start`. */
-    const settle = async (sink: AnswerSink): Promise<void> => {
-      const until = now() + (begun ? UNSURE : BEGINNING);
-      while (!sure() && now() < until && !sink.gone()) await Timer.nap(t.world.clock, LOOK);
-      begun ||= sure();
+    let hasServed = false;
+    const isReady = (): boolean => t.shut() === null && t.routes() !== null && t.list.young();
+    /** Waits a little for the newest configuration and a young list; what is still missing then is told by `accept`. */
+    const waitUntilReady = async (sink: AnswerSink): Promise<void> => {
+      const until = now() + (hasServed ? READY_WAIT : FIRST_READY_WAIT);
+      while (!isReady() && now() < until && !sink.gone()) await Timer.nap(t.world.clock, POLL);
+      hasServed ||= isReady();
     };
     /** Seconds after which a request had better come back, because it would miss its aim now; null if it stays. */
-    const deferred = (job: Job): number | null => {
+    const deferral = (job: Job): number | null => {
       const p = job.request.prompt;
       if (!p) return null;
       job.weighed = t.placement.weigh(job.service, job.route, p, job.avoid);
@@ -99,27 +99,27 @@
      * given more than they can read would else spend themselves on requests whose clients have left.
      */
     const shed = (job: Job): boolean => {
-      const found = job.weighed?.reading;
-      if (!found || found.own < Urgency.TINY) return false;
-      if (Relief.tooLate({ ...found, aim: job.route.aim, left: job.due - now() })) return true;
-      return t.shedders.of(job.service.name).sheds(found.waits);
+      const reading = job.weighed?.reading;
+      if (!reading || reading.own < Urgency.TINY) return false;
+      if (ReadDeadline.missed({ ...reading, aim: job.route.aim, left: job.due - now() })) return true;
+      return t.shedders.of(job.service.name).sheds(reading.waits);
     };
     /** Waits a little where every server is full; false if that did not help. */
-    const admit = async (job: Job): Promise<boolean> => {
-      const until = now() + job.route.aim * WAIT;
+    const waitForRoom = async (job: Job): Promise<boolean> => {
+      const until = now() + job.route.aim * ROOM_WAIT;
       job.weighed = null;
       t.log.note(job.request.id, 'queued');
       while (!t.placement.room(job.service, job.request.prompt)) {
         if (now() >= until || job.left.signal.aborted) return false;
-        await Timer.nap(t.world.clock, LOOK);
+        await Timer.nap(t.world.clock, POLL);
       }
       return true;
     };
     /** Reads and runs, again and again where that is safe, until there is an answer or no way on. */
-    const go = async (job: Job): Promise<void> => {
+    const readAndRun = async (job: Job): Promise<void> => {
       const p = job.request.prompt;
       for (;;) {
-        if (job.left.signal.aborted || job.due - now() < LEAST || job.arrivals >= job.route.tries) return;
+        if (job.left.signal.aborted || job.due - now() < LEAST_TIME || job.arrivals >= job.route.tries) return;
         // A second read counts as a try, and so needs a third for the run itself.
         const may = job.reads === 0 || job.arrivals + 2 <= job.route.tries;
         if (!job.handle && may && p) await read(job);
@@ -127,38 +127,38 @@
         if (await run(job)) return;
       }
     };
-    const told = (job: Job, verdict: Verdict): Verdict => {
+    const finish = (job: Job, verdict: Verdict): Verdict => {
       const { id } = job.request;
       t.log.note(id, 'done', { at: verdict.ran, word: verdict.code, why: verdict.why });
       t.counters.count('requests', verdict.code);
       t.world.tell({ what: 'request', key: id, ran: verdict.ran, code: verdict.code, route: job.route.name });
       return verdict;
     };
-    const through = async (job: Job, sink: AnswerSink): Promise<Verdict | null> => {
+    const handle = async (job: Job, sink: AnswerSink): Promise<Verdict | null> => {
       t.budgets.of(job.service.name).request();
-      const later = deferred(job);
-      if (shed(job)) return told(job, Verdicts.not('overload', 'Too much waits before it.', LATER));
+      const later = deferral(job);
+      if (shed(job)) return finish(job, Verdicts.not('overload', 'Too much waits before it.', RETRY_LATER));
       job.ahead = !job.first && !t.shedders.of(job.service.name).active();
-      if (later !== null) return told(job, Verdicts.not('deferred', 'It would be late now.', later));
-      if (!t.placement.room(job.service, job.request.prompt) && !(await admit(job)))
-        return told(job, Verdicts.not('full', 'Every server is full.', LATER));
-      await go(job);
+      if (later !== null) return finish(job, Verdicts.not('deferred', 'It would be late now.', later));
+      if (!t.placement.room(job.service, job.request.prompt) && !(await waitForRoom(job)))
+        return finish(job, Verdicts.not('full', 'Every server is full.', RETRY_LATER));
+      await readAndRun(job);
       if (job.handle) void t.engine.free(job.handle);
       if (job.begun) {
         const whole = job.fault === null && job.arrivals > 0;
         if (whole) sink.end();
         else sink.cut();
-        told(job, whole ? Verdicts.ran('whole', 'Whole.') : Verdicts.maybe('cut', job.fault?.why ?? 'cut'));
+        finish(job, whole ? Verdicts.ran('whole', 'Whole.') : Verdicts.maybe('cut', job.fault?.why ?? 'cut'));
         return null;
       }
-      if (sink.gone()) return told(job, Verdicts.maybe('gone', 'The client went.'));
-      if (job.maybe) return told(job, Verdicts.maybe('broken', job.fault?.why ?? 'It may have run.'));
-      return told(job, refuse('noserver', job.fault?.why ?? 'No server can take this now.'));
+      if (sink.gone()) return finish(job, Verdicts.maybe('gone', 'The client went.'));
+      if (job.maybe) return finish(job, Verdicts.maybe('broken', job.fault?.why ?? 'It may have run.'));
+      return finish(job, refuse('noserver', job.fault?.why ?? 'No server can take this now.'));
     };
     /** Null once the sink has had its answer; else why there is none, for the client to be told at once. */
     return async (request: Request, sink: AnswerSink): Promise<Verdict | null> => {
-      await settle(sink);
-      const job = start(request, sink);
+      await waitUntilReady(sink);
+      const job = accept(request, sink);
       if ('ran' in job) {
         t.log.note(request.id, 'done', { at: job.ran, word: job.code, why: job.why });
         t.counters.count('requests', job.code);
@@ -166,7 +166,7 @@
       }
       const over = durations.begin(job.route.name);
       try {
-        return await through(job, sink);
+        return await handle(job, sink);
       } finally {
         over(job.begun);
       }
