--- a/packages/yard/src/routed/routedplant.ts
+++ b/packages/yard/src/routed/routedplant.ts
@@ -97,10 +97,15 @@
         held.proc.kill(how);
         return held.gone;
       },
+      /** Sends a signal that does not end it. */
+      signal(id: string, how: 'SIGHUP' | 'SIGSTOP' | 'SIGCONT'): void {
+        up.get(id)?.proc.kill(how);
+      },
       async stop(): Promise<Record<string, number | null>> {
         const codes: Record<string, number | null> = {};
         await Promise.all(
           [...up].map(async ([id, held]) => {
+            held.proc.kill('SIGCONT');
             held.proc.kill('SIGTERM');
             const late = setTimeout(() => held.proc.kill('SIGKILL'), LATE);
             codes[id] = await held.gone;
