--- a/packages/yard/src/child.ts
+++ b/packages/yard/src/child.ts
@@ -21,7 +21,8 @@
       proc.once('exit', () => done(''));
     });
     const gone = new Promise<number | null>((done) => {
-      proc.once('exit', (code) => {
+      // Only once its output is closed has all that it said been read.
+      proc.once('close', (code) => {
         out.end();
         done(code);
       });
--- a/packages/yard/src/routed/routedplant.ts
+++ b/packages/yard/src/routed/routedplant.ts
@@ -17,6 +17,8 @@
 const SLOTS = 64;
 const ZONES = ['north', 'south'] as const;
 const LATE = 15_000;
+/** ms after which a process that ended by itself is started again, as a platform does. */
+const RESTART = 300;
 
 /**
  * A fleet of routers and keepers as real processes on this machine, of the same bundle as everywhere, with stand-in
@@ -62,14 +64,25 @@
     const standIns = new Map<string, Awaited<ReturnType<typeof ModelStandIn.make>>>();
     const up = new Map<string, Held>();
     let listHost: { close(): Promise<void> } | null = null;
+    const ended: string[] = [];
     const flags = RunFlags.read();
     const rise = (id: string): void => {
       const d = daemons.find((x) => x.id === id)!;
       const env = { PUMICEBARROW_CONFIG: d.file };
-      up.set(id, Child.node([...flags, PROGRAM, d.role], join(dir, `${id}.log`), env));
+      const held = Child.node([...flags, PROGRAM, d.role], join(dir, `${id}.log`), env);
+      up.set(id, held);
+      void held.gone.then((code) => {
+        if (up.get(id) !== held) return;
+        if (code !== null) ended.push(`${id} ended by itself with ${code}`);
+        clock.after(RESTART, () => {
+          if (up.get(id) === held) rise(id);
+        });
+      });
     };
     return {
       dir,
+      /** Processes that ended with a code of their own, without being told to. */
+      ended: ended as readonly string[],
       keepers,
       routers,
       /** A first configuration, and how a request is sent. */
@@ -103,8 +116,10 @@
       },
       async stop(): Promise<Record<string, number | null>> {
         const codes: Record<string, number | null> = {};
+        const all = [...up];
+        up.clear();
         await Promise.all(
-          [...up].map(async ([id, held]) => {
+          all.map(async ([id, held]) => {
             held.proc.kill('SIGCONT');
             held.proc.kill('SIGTERM');
             const late = setTimeout(() => held.proc.kill('SIGKILL'), LATE);
@@ -112,7 +127,6 @@
             clearTimeout(late);
           }),
         );
-        up.clear();
         await Promise.all([...standIns.values()].map((s) => s.close()));
         standIns.clear();
         await listHost?.close();
--- a/packages/yard/src/routed/soak.ts
+++ b/packages/yard/src/routed/soak.ts
@@ -36,6 +36,7 @@
       while (served < SERVED && Date.now() < end) served = await clients.served(TRIES);
       if (served < SERVED)
         report.faults.push(`${served} of ${TRIES} requests were served ${RECOVERY} ms after the last fault`);
+      report.faults.push(...plant.ended);
       return { ...report, events, changes: operator.acked() };
     } finally {
       await plant.stop();
--- a/packages/yard/src/routed/soakclients.ts
+++ b/packages/yard/src/routed/soakclients.ts
@@ -9,7 +9,6 @@
 const REST = 150;
 const GIVE_UP = 9000;
 const ALLOWED: ReadonlySet<number> = new Set([200, 429, 502, 503, 504]);
-const ECHO = 'x-pumicebarrow-request-id';
 const WHOLE = Array.from({ length: EVENTS }, (_, i) => String(i + 1)).join();
 
 type Target = { id: string; front: string };
@@ -38,7 +37,8 @@
         if (answer.statusCode !== 200) return true;
         const ids = [...text.matchAll(/^id: (\d+)$/gm)].map((m) => m[1]).join();
         if (ids !== WHOLE) report.faults.push(`${id} at ${router}: ended as complete with events ${ids}`);
-        if (answer.headers[ECHO] !== id) report.faults.push(`${id} at ${router}: got ${String(answer.headers[ECHO])}`);
+        if (answer.headers[SampleCall.echo] !== id)
+          report.faults.push(`${id} at ${router}: got ${String(answer.headers[SampleCall.echo])}`);
         return true;
       } catch {
         count('no answer');
--- a/packages/yard/src/routed/soakoperator.ts
+++ b/packages/yard/src/routed/soakoperator.ts
@@ -4,7 +4,6 @@
 import { request } from 'undici';
 import type { SoakReport } from './soakreport.js';
 
-const BASE = 'x-pumicebarrow-base-version';
 const WAIT = 4500;
 const PATIENCE = 40_000;
 const BETWEEN = 150;
@@ -28,7 +27,7 @@
     /** The status of one call at any keeper, and its text; 0 where there was no answer. */
     const call = async (path: string, body?: string): Promise<{ status: number; text: string }> => {
       try {
-        const headers = { [BASE]: String(acked) };
+        const headers = { [SampleCall.base]: String(acked) };
         const more = body === undefined ? {} : ({ method: 'POST', headers, body } as const);
         const answer = await request(at(path), { ...limits, ...more, signal: AbortSignal.timeout(WAIT) });
         return { status: answer.statusCode, text: await answer.body.text() };
@@ -40,7 +39,7 @@
       const revision = acked + 1;
       const body = SampleCall.configuration(revision, plant.service, plant.slots);
       for (const end = Date.now() + PATIENCE; Date.now() < end; await pause(BETWEEN)) {
-        const { status, text } = await call('/api/Config.Replace', body);
+        const { status, text } = await call(SampleCall.replace, body);
         if (status >= 400 && status < 500) report.faults.push(`change ${revision} was refused: ${status} ${text}`);
         if (status !== 200) continue;
         acked = revision;
