A daemon is not ended by SIGHUP while it starts

Cause: the handler was set once the settings were watched, some 100 ms after the start; before that the signal's default ends the process. Now the program's first line sets one. Before: the test ends by the signal; after: it passes.

--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -104,6 +104,8 @@
 writeFileSync(
   `${target}/pumicebarrow.js`,
   `'use strict';
+// Settings that change while the program starts are read in any case; the signal must not end it.
+process.on('SIGHUP', () => undefined);
 const { existsSync, readFileSync } = require('node:fs');
 const { Script } = require('node:vm');
 const file = \`\${__dirname}/program.js\`;
