--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -147,7 +147,10 @@
         if (!apart) {
           const pace = t.pace() * BESIDE;
           const own = p.tokens - t.kept.held(beside.s.id, p);
-          return { ...UNWEIGHED, reading: { waits: t.loads.at(beside.s.id).tokens / pace, own: own / pace } };
+          return {
+            ...UNWEIGHED,
+            reading: { waits: t.loads.at(beside.s.id).tokens / pace, own: own / pace, beside: true },
+          };
         }
         const crowded = t.loads.at(beside.s.id).runs >= CROWDED;
         const short = t.kept.held(beside.s.id, p) + SHORT > p.tokens;
@@ -159,7 +162,8 @@
         // What takes next to nothing is read before all that waits: the queue doesn't make it late.
         const soon = apart.fresh / t.pace() < Urgency.TINY;
         const ms = (crowded ? apart.ms : Math.min(apart.ms, beside.ms)) + HAND + START;
-        const reading = { waits: t.loads.at(apart.s.id).tokens / t.pace(), own: apart.fresh / t.pace() };
+        const waits = t.loads.at(apart.s.id).tokens / t.pace();
+        const reading = { waits, own: apart.fresh / t.pace(), beside: false };
         const readBeside = !crowded && beside.ms <= bar;
         return {
           read: readBeside ? null : read,
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -100,9 +100,9 @@
      */
     const shed = (job: Job): boolean => {
       const reading = job.weighed?.reading;
-      if (!reading || reading.own < Urgency.TINY) return false;
+      if (!reading || (!reading.beside && reading.own < Urgency.TINY)) return false;
       if (ReadDeadline.missed({ ...reading, aim: job.route.aim, left: job.due - now() })) return true;
-      return t.shedders.of(job.service.name).sheds(reading.waits);
+      return !reading.beside && t.shedders.of(job.service.name).sheds(reading.waits);
     };
     /** Waits a little where every server is full; false if that did not help. */
     const waitForRoom = async (job: Job): Promise<boolean> => {
--- a/packages/router/src/weighed.ts
+++ b/packages/router/src/weighed.ts
@@ -7,6 +7,9 @@
   /** ms until its first event, and if nothing else were waiting. */
   ms: number;
   alone: number;
-  /** ms of reading that wait where it would be read, and that it takes there itself; null where nothing is known. */
-  reading: { waits: number; own: number } | null;
+  /**
+   * ms of reading that wait where it would be read, and that it takes there itself, and whether it would be read by a
+   * decode server for want of any other; null where nothing is known.
+   */
+  reading: { waits: number; own: number; beside: boolean } | null;
 };
