A leaving router tells how long an answer may take by what it may put out

Cause: the longest of the route lately, twice, whatever its size; a brief that may put out three times as many tokens took 4.1 s. Now the slowest time for each token lately counts too.

--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -47,7 +47,8 @@
       const service = routes.pick(found, t.world.chance.real());
       if (!service) return refuse('noservice', `Route ${found.route.name} leads nowhere.`);
       const { name, timeout } = found.route;
-      if (t.left() < durations.ample(name, timeout)) return refuse('leaving', 'This daemon ends before it.');
+      const output = request.prompt?.most ?? 0;
+      if (t.left() < durations.ample(name, timeout, output)) return refuse('leaving', 'This daemon ends before it.');
       if (!t.list.young()) return refuse('oldlist', "The platform's list is too old to send by.");
       t.log.note(request.id, 'taken', {
         at: service.name,
@@ -164,7 +165,7 @@
         t.counters.count('requests', job.code);
         return job;
       }
-      const over = durations.begin(job.route.name);
+      const over = durations.begin(job.route.name, job.request.prompt?.most ?? 0);
       try {
         return await handle(job, sink);
       } finally {
