--- a/packages/router/src/leaving.test.ts
+++ b/packages/router/src/leaving.test.ts
@@ -77,7 +77,7 @@
   });
   /**
    * Symptom: a router cut an answer 7.3 s after SIGTERM, midway, that it had taken 3.1 s after it.
-   * Sequence: the answers of that route had been short lately; this one might put out far more tokens, and ran for 4.1 s
+   * Sequence: the answers of that route had been short lately; this one might put out far more tokens and ran for 4.1 s
    * of the 4.2 s that the router had left.
    * Cause: how long an answer may take was told by the longest lately, whatever their size and its own.
    * Settled by: taken at 6.802 s with the end at 10.96 s, first token at 6.890 s, cut at 10.976 s.
