--- a/packages/registry/src/consensus/bootstrap.ts
+++ b/packages/registry/src/consensus/bootstrap.ts
@@ -15,6 +15,8 @@
   /** How many machines may be lost at once. */
   losses: number;
   cores: () => readonly string[];
+  /** The addresses that every daemon was given at the first start. */
+  seeds: () => readonly string[];
   view: () => View | null;
   /** Whether this daemon may be one of the first view. */
   stands: () => boolean;
@@ -22,12 +24,14 @@
 };
 const LIVES = 64;
 const text = (list: readonly Member[]): string => JSON.stringify(list.map((m) => [m.id, m.born, m.addr]));
+type Reply = Static<typeof CoreMessages.met>;
 
 /**
- * How the first view comes about, among candidates that know each other by a few seeds.
- * Invariants: whoever proposes it has heard in that very turn, from every one of exactly 2 * losses + 1 candidates,
- * that it holds no view, has taken none and knows the same candidates; a first round needs the promises of them all
- * (ViewChanger). So two first views would need more than `losses` candidates to change between two turns.
+ * How the first view comes about, among candidates that know each other by a few seeds, which need not be candidates.
+ * Invariants: whoever proposes it has heard in that very turn, from more than half of the seeds and from every
+ * candidate known to any of them, that it holds no view, has taken none and knows the same candidates, at least
+ * 2 * losses + 1 of them; the first so many of these vote, and a first round needs the promises of all candidates
+ * (ViewChanger). Two proposers share a seed, so the later one knows the earlier one, and asks its voters too.
  */
 export const Bootstrap = {
   make(world: World, post: PostBox, voter: Voter, viewChanger: ViewChanger, h: Hooks) {
@@ -44,11 +48,30 @@
       note(body.me);
       return { view: h.view(), took: voter.took(), me: h.me(), met: known() };
     });
-    const ask = async <S extends TSchema>(kind: string, body: unknown, form: S): Promise<NoInfer<Static<S>>[]> => {
+    const ask = async <S extends TSchema>(
+      kind: string,
+      body: unknown,
+      form: S,
+    ): Promise<{ addr: string; reply: NoInfer<Static<S>> }[]> => {
       const addrs = new Set([...h.cores(), ...told, ...met.all().map((m) => m.addr)]);
       addrs.delete(h.me().addr);
-      const got = await Promise.all([...addrs].map((a) => post.ask(a, '', kind, body, form, CoreTimings.ask)));
-      return got.flatMap((r) => (r.ok ? [r.val] : []));
+      const got = await Promise.all(
+        [...addrs].map(async (addr) => ({ addr, r: await post.ask(addr, '', kind, body, form, CoreTimings.ask) })),
+      );
+      return got.flatMap(({ addr, r }) => (r.ok ? [{ addr, reply: r.val }] : []));
+    };
+    const seedsHeard = (replied: readonly string[]): boolean => {
+      const seeds = h.seeds();
+      const heard = seeds.filter((a) => a === h.me().addr || replied.includes(a));
+      return heard.length * 2 > seeds.length || seeds.length === 0;
+    };
+    /** Whether everyone that replied knows these candidates and no other, each candidate in the same words. */
+    const agreed = (list: readonly Member[], all: readonly Reply[]): boolean => {
+      const names = new Set(list.map((m) => text([m])));
+      const noneElse = all.every((s) => s.took === null && s.met.every((m) => names.has(text([m]))));
+      const same = (m: Member): boolean =>
+        Views.same(m, h.me()) || all.some((s) => Views.same(s.me, m) && text(s.met) === text(list));
+      return noneElse && list.every(same);
     };
     const newest = (list: readonly { view: View | null }[]): View | undefined =>
       list
@@ -65,8 +88,9 @@
           await h.addresses.search(took);
           return;
         }
-        const held = newest(await ask('core.look', {}, CoreMessages.seen));
-        const all = held || !h.stands() ? [] : await ask('core.meet', { me }, CoreMessages.met);
+        const held = newest((await ask('core.look', {}, CoreMessages.seen)).map((r) => r.reply));
+        const answers = held || !h.stands() ? [] : await ask('core.meet', { me }, CoreMessages.met);
+        const all = answers.map((r) => r.reply);
         const view = held ?? newest(all);
         if (view) {
           await h.adopt(view);
@@ -75,11 +99,10 @@
         told = all.flatMap((s) => s.met.map((m) => m.addr)).slice(0, LIVES);
         for (const s of all) if (s.met.some((m) => Views.same(m, s.me))) note(s.me);
         const list = known();
-        if (list.length !== 2 * h.losses + 1 || !Views.same(list[0], me)) return;
-        const same = (m: Member): boolean =>
-          Views.same(m, me) || all.some((s) => Views.same(s.me, m) && text(s.met) === text(list));
-        if (all.every((s) => s.took === null) && list.every(same))
-          await viewChanger.propose(list, { epoch: 1, voters: list, chain: list }, 'The first view.');
+        const voters = list.slice(0, 2 * h.losses + 1);
+        if (voters.length !== 2 * h.losses + 1 || !Views.same(list[0], me)) return;
+        if (!seedsHeard(answers.map((r) => r.addr)) || !agreed(list, all)) return;
+        await viewChanger.propose(voters, { epoch: 1, voters, chain: voters }, 'The first view.', list);
       },
     };
   },
--- a/packages/registry/src/consensus/viewchanger.ts
+++ b/packages/registry/src/consensus/viewchanger.ts
@@ -26,7 +26,7 @@
 /**
  * Proposes the next view to the voters of the present one.
  * Invariants: at most one view is chosen for an epoch, whoever proposes and however often; the first one, which has no
- * voters before it, is put to those it names: all must promise it before any takes it.
+ * voters before it, is put to all that could be among them: all must promise it before any voter takes it.
  */
 export const ViewChanger = {
   make(
@@ -64,11 +64,11 @@
             if (--left === 0 || got.filter((x) => x.ok).length >= need) done([...got]);
           });
       });
-    const round = async (voters: readonly Member[], next: View): Promise<View | null> => {
+    const round = async (voters: readonly Member[], next: View, promisers: readonly Member[]): Promise<View | null> => {
       const n = ballot(voters),
         epoch = next.epoch,
         most = Math.floor(voters.length / 2) + 1;
-      const first = await poll(voters, epoch === 1 ? voters.length : most, async (m) => {
+      const first = await poll(promisers, epoch === 1 ? promisers.length : most, async (m) => {
         if (Views.same(m, me())) return { ...(await voter.prepare(epoch, n)), view: null };
         const r = await post.ask(
           addresses.of(m),
@@ -88,7 +88,9 @@
       }
       const yes = first.filter((v) => v.ok);
       const taken = yes.some((v) => v.took);
-      if (yes.length < (epoch === 1 && !taken ? voters.length : most)) {
+      // Whoever took a first view goes on with it among its voters alone; nobody else may count those that promised.
+      if (taken && promisers.length > voters.length) return null;
+      if (yes.length < (epoch === 1 && !taken ? promisers.length : most)) {
         const wait = Math.min(CoreTimings.hold, Math.max(...first.map((v) => v.wait ?? 0), 0));
         await Timer.nap(world.clock, wait + Dice.int(world.chance, 60));
         return null;
@@ -115,13 +117,21 @@
       busy: (): boolean => busy,
       /** Settles when all members of the view agreed last have been told of it, or could not be. */
       told: (): Promise<unknown> => told,
-      /** Tries for a while; true once some view of that epoch is in force here. */
-      async propose(voters: readonly Member[], next: View, why: string): Promise<boolean> {
+      /**
+       * Tries for a while; true once some view of that epoch is in force here. The first view may have to be promised
+       * by more daemons than will vote: `promisers`.
+       */
+      async propose(
+        voters: readonly Member[],
+        next: View,
+        why: string,
+        promisers: readonly Member[] = voters,
+      ): Promise<boolean> {
         if (busy) return false;
         busy = true;
         try {
           for (let i = 0; i < 6; i++) {
-            const view = await round(voters, next);
+            const view = await round(voters, next, promisers);
             if (view) {
               log.say(`View ${view.epoch} is agreed: ${view.chain.map((m) => m.id).join(' > ')}. ${why}`);
               world.tell({ what: 'view', epoch: view.epoch, chain: view.chain.map((m) => `${m.id}/${m.born}`) });
--- a/packages/registry/src/core.ts
+++ b/packages/registry/src/core.ts
@@ -25,6 +25,8 @@
 type Hooks = {
   /** Where other core daemons may be met. */
   cores: () => readonly string[];
+  /** The addresses that every daemon was given at the first start. */
+  seeds: () => readonly string[];
   /** How many machines may be lost at once; it sizes the first view, and later ones keep its size. */
   losses: number;
   /** Whether a daemon with nothing on disk may have a part in making the first view. */
--- a/packages/registry/src/index.ts
+++ b/packages/registry/src/index.ts
@@ -7,6 +7,7 @@
 export { Ruling } from './chain/ruling.js';
 export { StateHandover } from './chain/statehandover.js';
 export { Bootstrap } from './consensus/bootstrap.js';
+export { Introducer } from './consensus/introducer.js';
 export { LeaseRecall } from './consensus/leaserecall.js';
 export { NextViews } from './consensus/nextviews.js';
 export { View } from './consensus/view.js';
--- a/packages/registry/src/registrar.ts
+++ b/packages/registry/src/registrar.ts
@@ -67,6 +67,7 @@
     ];
     const core = Core.make(world, post, () => ident, store, kept.val, {
       cores,
+      seeds,
       losses: settings.losses ?? 1,
       first: settings.first ?? true,
       passed: (s) => {
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -4,6 +4,7 @@
 export { Budgets } from './budgets.js';
 export { ChangesBody } from './changesbody.js';
 export { Changing } from './changing.js';
+export { ConfigurationCalls } from './configurationcalls.js';
 export { DaemonStatus } from './daemonstatus.js';
 export { Deferral } from './deferral.js';
 export { Durations } from './durations.js';
--- a/packages/router/src/keeper.ts
+++ b/packages/router/src/keeper.ts
@@ -1,6 +1,7 @@
-import { Err, Hash, Ok } from '@pumicebarrow/forms';
-import type { Fault, MetricFamily, Result, Routing, Verdict, World } from '@pumicebarrow/forms';
+import { Ok } from '@pumicebarrow/forms';
+import type { Fault, MetricFamily, Result, Routing, World } from '@pumicebarrow/forms';
 import { CoreMetrics, Registrar, Views } from '@pumicebarrow/registry';
+import { ConfigurationCalls } from './configurationcalls.js';
 import { IntentDesk } from './intentdesk.js';
 import { KeeperDesk } from './keeperdesk.js';
 import type { Engine } from './engine.js';
@@ -74,18 +75,7 @@
         duty,
         stages,
       },
-      /** One configuration takes the place of another in one step; the same one again is told the same again. */
-      async replace(base: number, intent: Routing): Promise<Verdict> {
-        const id = Hash.of([base, intent.source]);
-        const { ruling } = await d.line.write({ do: 'replace', id, base, intent }, 3500);
-        return ruling.verdict;
-      },
-      async read(): Promise<Result<Routing | null, string>> {
-        const now = await d.line.read(undefined, 2500);
-        if (!now) return Err('The core does not reply; nothing was read.');
-        const intent = now.charter?.body ?? null;
-        return Ok(intent && 'routes' in intent ? intent : null);
-      },
+      ...ConfigurationCalls.make(d.line),
       metrics: (): MetricFamily[] => CoreMetrics.families(d),
       start(): void {
         d.start();
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -2,11 +2,12 @@
 import type { Ident, MetricFamily, Verdict, World } from '@pumicebarrow/forms';
 import { DaemonLife, Newest } from '@pumicebarrow/counter';
 import { Purge, Shelf } from '@pumicebarrow/purge';
-import { ControlClient, TraceDesk, Views, type CharterBody, type Sighting } from '@pumicebarrow/registry';
+import { ControlClient, Introducer, TraceDesk, Views, type CharterBody, type Sighting } from '@pumicebarrow/registry';
 import { interpret } from 'robot3';
 import type { AnswerSink } from './answersink.js';
 import { Budgets } from './budgets.js';
 import { Changing } from './changing.js';
+import { ConfigurationCalls } from './configurationcalls.js';
 import type { Engine } from './engine.js';
 import { HeadLine } from './headline.js';
 import { KeptParts } from './keptparts.js';
@@ -190,6 +191,7 @@
       seeking = false;
     };
     TraceDesk.make(post, self, purge, shelf, () => certain);
+    Introducer.make({ clock, post, me: () => ({ id: ident.id, born: ident.born, addr: ident.addr }), view: line.view });
     RequestDesk.make(post, steps);
     StatusDesk.make({
       ...{ clock, post, shelf, self, state: is, sure: () => certain, view: line.view, head: () => false },
@@ -204,6 +206,7 @@
       heed(fn: (now: Routes) => void): void {
         ears.push(fn);
       },
+      configuration: ConfigurationCalls.make(line),
       serve: (request: Request, sink: AnswerSink): Promise<Verdict | null> => serve(request, sink),
       metrics: (): MetricFamily[] => [...counters.families(), ...serverMetrics.families()],
       /** Whether new clients are welcome. */
