--- a/packages/registry/src/consensus/introducer.ts
+++ b/packages/registry/src/consensus/introducer.ts
@@ -1,23 +1,27 @@
 import { Fading, type Clock, type PostBox } from '@pumicebarrow/forms';
-import { CoreTimings } from '../coretimings.js';
 import type { Member } from '../membership/member.js';
 import { CoreMessages } from '../service/coremessages.js';
 import type { View } from './view.js';
 
 /** Candidates that are remembered at once. */
 const LIVES = 64;
+/**
+ * How long they are, in ms: longer than candidates that have a view by now may be cut off from those that have none.
+ * Whoever meets here late is so told of them, and asks them for their view.
+ */
+const REMEMBERED = 60_000;
 type Hooks = { clock: Clock; post: PostBox; me: () => Member; view: () => View | null };
 
 /**
  * How a daemon that is no member of the core, but may be a seed, lets candidates for the first view find each other.
- * Invariant: it is never a candidate itself; it tells of every candidate that met it within the last CoreTimings.met.
+ * Invariant: it is never a candidate itself; it tells of every candidate that met it while it is REMEMBERED.
  */
 export const Introducer = {
   make(h: Hooks): void {
     const met = Fading.make<Member>(h.clock.mono, LIVES);
     h.post.on('core.look', CoreMessages.look, () => ({ view: h.view(), took: null, me: h.me() }));
     h.post.on('core.meet', CoreMessages.meet, ({ me }) => {
-      met.set(me.id, me, CoreTimings.met);
+      met.set(me.id, me, REMEMBERED);
       const known = met.all().sort((a, b) => (a.id < b.id ? -1 : 1));
       return { view: h.view(), took: null, me: h.me(), met: known };
     });
--- a/packages/sim/src/bench.ts
+++ b/packages/sim/src/bench.ts
@@ -1,6 +1,7 @@
-import { Err, Post, type Charter, type Deed, type Ident, type Result } from '@pumicebarrow/forms';
+import { Err, Post, type Charter, type Deed, type Ident, type Result, type World } from '@pumicebarrow/forms';
 import { Tuned } from '@pumicebarrow/purge';
-import { ControlClient, Registrar } from '@pumicebarrow/registry';
+import { ControlClient, Introducer, Registrar } from '@pumicebarrow/registry';
+import type { Box } from './box.js';
 import type { Size } from './size.js';
 import { Host } from './host.js';
 import type { Motor } from './motor.js';
@@ -13,6 +14,15 @@
 const SEEDS = 3;
 const THREE: Size = { losses: 1, spares: 0 };
 
+/** A daemon that may be a seed and is no member of the core, as a router is. */
+const introduce = (world: World, box: Box, seeds: readonly string[]): void => {
+  const me: Ident = { id: box.id, born: 'i', addr: box.addr(), site: 's1', role: 'counter' };
+  const post = Post.make(world, () => me);
+  const control = ControlClient.make(world, post, () => seeds);
+  const member = { id: me.id, born: me.born, addr: me.addr };
+  Introducer.make({ clock: world.clock, post, me: () => member, view: control.view });
+};
+
 /**
  * The core alone on simulated machines, and two machines that ask things of it. The first three are everyone's seeds;
  * spares are machines that only ever join, and are started by the script.
@@ -20,7 +30,7 @@
 export const Bench = {
   ids: IDS,
   make(motor: Motor, pace: number, tell: (d: Deed) => void, size: Size = THREE) {
-    const ids = Array.from({ length: 2 * size.losses + 1 }, (_, i) => `c${i + 1}`);
+    const ids = Array.from({ length: 2 * size.losses + 1 + (size.more ?? 0) }, (_, i) => `c${i + 1}`);
     const spares = Array.from({ length: size.spares }, (_, i) => `n${i + 1}`);
     const every = [...ids, ...spares];
     const net = Net.make(motor);
@@ -30,9 +40,15 @@
     );
     const desks = ['o1', 'o2'].map((id, i) => Host.make(motor, id, `10.3.0.${i + 1}:7000`, 's1', null, tell));
     const cores = new Map<string, Core>();
-    const seeds = ids.slice(0, SEEDS).map((_, i) => `10.0.0.${i + 1}:7000`);
+    const introducers = Array.from({ length: size.introducers ? SEEDS : 0 }, (_, i) =>
+      Host.make(motor, `i${i + 1}`, `10.4.0.${i + 1}:7000`, 's1', null, tell),
+    );
+    const seeds = size.introducers
+      ? introducers.map((b) => b.addr())
+      : ids.slice(0, SEEDS).map((_, i) => `10.0.0.${i + 1}:7000`);
     let spare = 10;
-    for (const b of [...boxes.values(), ...desks]) net.add(b);
+    for (const b of [...boxes.values(), ...desks, ...introducers]) net.add(b);
+    for (const b of introducers) introduce(net.world(b), b, seeds);
     const start = async (id: string): Promise<void> => {
       const b = boxes.get(id)!;
       if (b.up()) return;
--- a/packages/sim/src/founding.test.ts
+++ b/packages/sim/src/founding.test.ts
@@ -37,6 +37,37 @@
       }
     });
   }
+  const crowded: [string, Size, number][] = [
+    ['six of which five vote', { losses: 2, spares: 0, more: 1 }, 5],
+    ['six that meet at daemons which are no members', { losses: 2, spares: 0, more: 1, introducers: true }, 5],
+    ['five that meet at daemons which are no members', { losses: 2, spares: 0, introducers: true }, 5],
+    ['twelve of which three vote', { losses: 1, spares: 0, more: 9, introducers: true }, 3],
+  ];
+  for (const [name, size, voters] of crowded) {
+    it(`is made once by ${name}`, async () => {
+      for (let seed = 1; seed <= 12; seed++) {
+        const ids = Array.from({ length: 2 * size.losses + 1 + (size.more ?? 0) }, (_, i) => `c${i + 1}`);
+        const { b, views } = await stand(seed, size, ids);
+        expect(views.filter((d) => d['epoch'] === 1).length, `seed ${seed}`).to.equal(1);
+        for (const id of ids)
+          expect(b.cores.get(id)!.core.view()?.voters.length, `${id} seed ${seed}`).to.equal(voters);
+        expect(new Set(ids.map((id) => JSON.stringify(b.cores.get(id)!.core.view()?.voters))).size).to.equal(1);
+      }
+    });
+  }
+  it('is never made twice where two halves of the candidates meet late', async () => {
+    for (let seed = 1; seed <= 12; seed++) {
+      const motor = Engine.make(seed),
+        deeds: Deed[] = [];
+      const b = Bench.make(motor, 3, (d) => deeds.push(d), { losses: 1, spares: 0, more: 5, introducers: true });
+      const heal = b.net.cut(['c1', 'c2', 'c3', 'c4', 'i1'], ['c5', 'c6', 'c7', 'c8', 'i2', 'i3']);
+      for (const id of b.ids) void b.start(id);
+      for (let t = 500; t <= 8000; t += 500) await motor.run(t);
+      heal();
+      for (let t = 8500; t <= 20_000; t += 500) await motor.run(t);
+      expect(deeds.filter((d) => d.what === 'view' && d['epoch'] === 1).length, `seed ${seed}`).to.equal(1);
+    }
+  });
   it('and one more that was not among them only joins', async () => {
     const { b, motor } = await stand(3, five, ['c1', 'c2', 'c3', 'c4', 'c5']);
     void b.start('n1');
