--- a/packages/router/src/keeper.ts
+++ b/packages/router/src/keeper.ts
@@ -5,6 +5,7 @@
 import { IntentDesk } from './intentdesk.js';
 import { KeeperDesk } from './keeperdesk.js';
 import type { Engine } from './engine.js';
+import { LoadTable } from './loadtable.js';
 import { ListDuty } from './listduty.js';
 import type { ListSource } from './listsource.js';
 import type { RouterStartup } from './routerstartup.js';
@@ -52,6 +53,7 @@
       ...{ clock, log: world.log('stages'), engine, purge: d.purge, shelf: d.shelf, fence, self: d.ident.id },
       ...{ servers: duty.servers, load: desk.load, lease: startup.lease, away },
     });
+    const loadTable = LoadTable.make(clock, d.post);
     IntentDesk.make(d.post, d.line, startup.read ?? null);
     StatusDesk.make({
       ...{ clock, post: d.post, shelf: d.shelf, self: () => d.ident, view, head: speaks },
@@ -81,6 +83,7 @@
         d.start();
         duty.start();
         stages.start();
+        loadTable.start();
       },
       async leave(): Promise<void> {
         duty.stop();
@@ -90,6 +93,7 @@
       stop(): void {
         duty.stop();
         stages.stop();
+        loadTable.stop();
         d.stop();
       },
     });
--- /dev/null
+++ b/packages/router/src/loadbroker.ts
@@ -0,0 +1,103 @@
+import { Lot, Timer, type Clock, type PostBox } from '@pumicebarrow/forms';
+import type { View } from '@pumicebarrow/registry';
+import type { ServerLoads } from './serverloads.js';
+import { Words } from './words.js';
+
+type Tools = {
+  clock: Clock;
+  post: PostBox;
+  loads: ReturnType<typeof ServerLoads.make>;
+  view: () => View | null;
+  /** Whether the fleet is so large that a router hears of a part of the others only. */
+  large: () => boolean;
+};
+type WireRow = [string, number, number, number];
+/** ms that the reply may take, and for which nothing is asked after one that did not come. */
+const REPLY_TIMEOUT = 40;
+const BACKOFF = 1000;
+/** ms for which what was asked last is as good as asked now. */
+const RECENT = 15;
+/** ms after which all rows are told again although none changed. */
+const REFRESH = 700;
+/** Tokens of a unit on the wire. */
+const UNIT = 100;
+const KEY = 'loads';
+
+/**
+ * A router's line to the member of the core that adds up the loads of all servers: the same one for all routers, by
+ * rendezvous over the view. Invariants: what changed here is told before anything is asked; a member that does not
+ * reply in time costs one short wait, and is left alone for a while; nothing depends on the reply but the choice.
+ */
+export const LoadBroker = {
+  make(t: Tools) {
+    const changed = new Set<string>();
+    let member = '';
+    let toldAt = -Infinity;
+    let askedAt = -Infinity;
+    let silentUntil = -Infinity;
+    let waiting = false;
+    let stop: () => void = () => undefined;
+    const count = { asked: 0, missed: 0, told: 0 };
+    const broker = () => {
+      const view = t.view();
+      return view && t.large() ? Lot.first(KEY, view.chain, (m) => m.id) : undefined;
+    };
+    const row = (server: string): WireRow => {
+      const own = t.loads.mine().get(server);
+      return [server, own?.runs ?? 0, own?.reads ?? 0, Math.round((own?.tokens ?? 0) / UNIT)];
+    };
+    const flush = (): void => {
+      waiting = false;
+      const to = broker();
+      if (!to) {
+        changed.clear();
+        return;
+      }
+      const whole = to.id !== member || t.clock.mono() - toldAt > REFRESH;
+      if (!whole && changed.size === 0) return;
+      const names = whole ? t.loads.mine().keys() : changed;
+      const rows = [...names].map(row);
+      changed.clear();
+      member = to.id;
+      if (whole) toldAt = t.clock.mono();
+      count.told++;
+      t.post.tell(to.addr, to.id, 'loads.own', { whole, rows });
+    };
+    t.loads.heed((server) => {
+      changed.add(server);
+      if (waiting) return;
+      waiting = true;
+      t.clock.after(0, flush);
+    });
+    return {
+      /** Whether choices rest on what the member tells. */
+      works: (): boolean => t.clock.mono() - askedAt < BACKOFF && t.clock.mono() >= silentUntil,
+      /** Learns what all have under way, unless that was just learnt or can't be. */
+      async refresh(): Promise<void> {
+        const now = t.clock.mono();
+        if (now - askedAt < RECENT || now < silentUntil) return;
+        const to = broker();
+        if (!to) return;
+        flush();
+        const own = t.loads.snapshot();
+        count.asked++;
+        const got = await t.post.ask(to.addr, to.id, 'loads.ask', {}, Words.allLoads, REPLY_TIMEOUT);
+        if (!got.ok) {
+          count.missed++;
+          silentUntil = t.clock.mono() + BACKOFF;
+          return;
+        }
+        askedAt = now;
+        const rows = got.val.rows.map(
+          ([id, runs, reads, tokens]) => [id, { runs, reads, tokens: tokens * UNIT }] as const,
+        );
+        t.loads.exact(new Map(rows), own, t.clock.mono());
+      },
+      start(): void {
+        stop = Timer.every(t.clock, REFRESH, flush);
+      },
+      stop: (): void => stop(),
+      count: () => ({ ...count }),
+    };
+  },
+};
--- a/packages/router/src/play.test.ts
+++ b/packages/router/src/play.test.ts
@@ -84,6 +84,7 @@
     log: steps,
     counters: OutcomeCounters.make(),
     shedders: { of: () => shedder },
+    broker: { refresh: () => Promise.resolve() },
     ...{
       world,
       list,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -16,6 +16,7 @@
 import type { ListSource } from './listsource.js';
 import { ListWatch } from './listwatch.js';
 import { LoadShedder } from './loadshedder.js';
+import { LoadBroker } from './loadbroker.js';
 import { LoadNews } from './loadnews.js';
 import { OutcomeCounters } from './outcomecounters.js';
 import { OutcomeLog } from './outcomelog.js';
@@ -87,10 +88,13 @@
     );
     const version = (): number => shelf.mark('charter')?.[0] ?? 0;
     const newest = Newest.make({ world, post, line, purge, shelf, self, known: peers, slept: () => awake.slept() });
-    const loads = ServerLoads.make();
+    const loads = ServerLoads.make(clock.mono);
     const load = () => loads.total((id) => list.stage(id) === 'prefill');
     const head = HeadLine.make({ clock, post, line, shelf, purge, list, version, load, tail: newest.tail });
-    const news = LoadNews.make({ clock, post, loads, peers: head.peers, routers: head.routers });
+    const peers16 = (): readonly Ident[] => (broker.works() ? [] : head.peers());
+    const news = LoadNews.make({ clock, post, loads, peers: peers16, routers: head.routers });
+    const large = (): boolean => (head.routers() ?? 0) > LoadNews.SEEN;
+    const broker = LoadBroker.make({ clock, post, loads, view: line.view, large });
     const watch = ListWatch.make({
       ...{ world, post, list, source, peers },
       mark: () => (list.shared() ? shelf.mark('list') : null),
@@ -100,7 +104,7 @@
     const health = ServerHealth.make(clock),
       pace = Pace.make(),
       speed = ServerSpeed.make(clock),
-      wait = ReadWait.make(clock, () => (head.routers() ?? 0) > LoadNews.SEEN);
+      wait = ReadWait.make(clock, large);
     const memory = (): number => routes?.services().find((s) => (s.engine?.memory ?? 0) > 0)?.engine?.memory ?? MEMORY;
     const kept = KeptParts.make(memory);
     const placement = Placement.make({
@@ -150,6 +154,7 @@
       turned,
       counters,
       shedders,
+      broker,
     };
     const serve = Serve.make({ ...tools, log: steps, routes: () => routes });
     const serverMetrics = ServerMetrics.make(list, loads);
@@ -220,6 +225,7 @@
         purge.start();
         watch.start();
         news.start();
+        broker.start();
         void ask();
         stops.push(Timer.every(clock, CHECKIN, head.tick));
         stops.push(OutcomeLog.start({ clock, log, requests: counters.requests, servers: serverMetrics.text }));
@@ -239,6 +245,7 @@
         awake.stop();
         watch.stop();
         news.stop();
+        broker.stop();
         purge.stop();
         post.close();
       },
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -124,6 +124,7 @@
         // A second read counts as a try, and so needs a third for the run itself.
         const may = job.reads === 0 || job.arrivals + 2 <= job.route.tries;
         if (!job.handle && may && p) await read(job);
+        await t.broker.refresh();
         if (job.left.signal.aborted || job.unpaid || job.arrivals >= job.route.tries) return;
         if (await run(job)) return;
       }
@@ -137,6 +138,7 @@
     };
     const handle = async (job: Job, sink: AnswerSink): Promise<Verdict | null> => {
       t.budgets.of(job.service.name).request();
+      await t.broker.refresh();
       const later = deferral(job);
       if (shed(job)) return finish(job, Verdicts.not('overload', 'Too much waits before it.', RETRY_LATER));
       job.ahead = !job.first && !t.shedders.of(job.service.name).active();
--- a/packages/router/src/servetools.ts
+++ b/packages/router/src/servetools.ts
@@ -2,6 +2,7 @@
 import type { Budgets } from './budgets.js';
 import type { Engine } from './engine.js';
 import type { KeptParts } from './keptparts.js';
+import type { LoadBroker } from './loadbroker.js';
 import type { LoadShedder } from './loadshedder.js';
 import type { OutcomeCounters } from './outcomecounters.js';
 import type { Pace } from './pace.js';
@@ -26,6 +27,7 @@
   routes: () => Routes | null;
   list: ServerListing;
   loads: ReturnType<typeof ServerLoads.make>;
+  broker: Pick<ReturnType<typeof LoadBroker.make>, 'refresh'>;
   health: ReturnType<typeof ServerHealth.make>;
   kept: ReturnType<typeof KeptParts.make>;
   pace: ReturnType<typeof Pace.make>;
--- a/packages/router/src/words.ts
+++ b/packages/router/src/words.ts
@@ -5,6 +5,11 @@
 const shut = { additionalProperties: false } as const;
 const maybeMark = Type.Union([Mark, Type.Null()]);
 
+/** Server, runs, reads, and hundreds of tokens to be read. */
+const LoadRows = Type.Array(Type.Tuple([Type.String(), Type.Integer(), Type.Integer(), Type.Integer()]), {
+  maxItems: 4096,
+});
+
 /** What routers and keepers say to each other, beside purge and the core's own words. */
 export const Words = {
   /** A router tells what it holds. */
@@ -36,11 +41,12 @@
   /** The list and its age; where it is the one held, its mark and no rows. */
   list: Type.Object({ mark: maybeMark, age: Type.Number(), servers: Type.Union([Type.Unknown(), Type.Null()]) }, shut),
   /** What a router has under way at servers, in rows of id, runs, reads, tokens. */
-  loads: Type.Object(
-    {
-      rows: Type.Array(Type.Tuple([Type.String(), Type.Integer(), Type.Integer(), Type.Integer()]), { maxItems: 4096 }),
-    },
-    shut,
-  ),
+  loads: Type.Object({ rows: LoadRows }, shut),
+  /** The rows of a router that changed, or all of them, as they are now, to the member that adds up a service's loads. */
+  ownLoads: Type.Object({ whole: Type.Boolean(), rows: LoadRows }, shut),
+  /** A router asks for the loads of all servers before it chooses. */
+  askLoads: Type.Object({}, shut),
+  /** What all routers together have under way, at the servers where that is anything. */
+  allLoads: Type.Object({ rows: LoadRows }, shut),
   done: Type.Object({ ok: Type.Boolean() }, shut),
 };
