--- a/packages/router/src/loadbroker.ts
+++ b/packages/router/src/loadbroker.ts
@@ -15,8 +15,6 @@
 /** ms that the reply may take, and for which nothing is asked after one that did not come. */
 const REPLY_TIMEOUT = 40;
 const BACKOFF = 1000;
-/** ms for which what was asked last is as good as asked now. */
-const RECENT = 15;
 /** ms after which all rows are told again although none changed. */
 const REFRESH = 700;
 /** Tokens of a unit on the wire. */
@@ -72,10 +70,10 @@
     return {
       /** Whether choices rest on what the member tells. */
       works: (): boolean => t.clock.mono() - askedAt < BACKOFF && t.clock.mono() >= silentUntil,
-      /** Learns what all have under way, unless that was just learnt or can't be. */
-      async refresh(): Promise<void> {
+      /** Learns what all have under way, unless that was learnt at most `recent` ms ago or can't be. */
+      async refresh(recent: number): Promise<void> {
         const now = t.clock.mono();
-        if (now - askedAt < RECENT || now < silentUntil) return;
+        if (now - askedAt < recent || now < silentUntil) return;
         const to = broker();
         if (!to) return;
         flush();
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -19,6 +19,9 @@
 const ROOM_WAIT = 0.2;
 const POLL = 20;
 const RETRY_LATER = 0.4;
+/** ms after which the loads of all servers are asked for anew: before a reader is chosen, and before a run is sent. */
+const LOADS_FOR_READING = 15;
+const LOADS_FOR_RUNNING = 200;
 /** ms that a request waits for what this daemon doesn't know yet: once it has served, and before that. */
 const READY_WAIT = 150;
 const FIRST_READY_WAIT = 500;
@@ -124,7 +127,7 @@
         // A second read counts as a try, and so needs a third for the run itself.
         const may = job.reads === 0 || job.arrivals + 2 <= job.route.tries;
         if (!job.handle && may && p) await read(job);
-        await t.broker.refresh();
+        await t.broker.refresh(LOADS_FOR_RUNNING);
         if (job.left.signal.aborted || job.unpaid || job.arrivals >= job.route.tries) return;
         if (await run(job)) return;
       }
@@ -138,7 +141,7 @@
     };
     const handle = async (job: Job, sink: AnswerSink): Promise<Verdict | null> => {
       t.budgets.of(job.service.name).request();
-      await t.broker.refresh();
+      if (job.request.prompt) await t.broker.refresh(LOADS_FOR_READING);
       const later = deferral(job);
       if (shed(job)) return finish(job, Verdicts.not('overload', 'Too much waits before it.', RETRY_LATER));
       job.ahead = !job.first && !t.shedders.of(job.service.name).active();
