--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -116,7 +116,8 @@
       const list = candidates(service, service.engine ? 'decode' : null, not);
       const near = from?.zone ?? t.zone;
       const most = Math.max(1, service.engine?.slots ?? 1);
-      const home = p && !from ? Lot.first(KeptParts.home(p), list, (s) => s.id) : undefined;
+      // Long shared parts are read by readers: a decode server has one only where it was seen to.
+      const home = p && !from && sharedOf(p) < SHORT ? Lot.first(KeptParts.home(p), list, (s) => s.id) : undefined;
       const best = cheapest(list, (s) => {
         const { runs, tokens } = t.loads.at(s.id);
         const busy = runs / Math.max(1, s.slots || most) + tokens / (t.pace() * BESIDE * 1000);
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -21,7 +21,7 @@
 const RETRY_LATER = 0.4;
 /** ms after which the loads of all servers are asked for anew: before a reader is chosen, and before a run is sent. */
 const LOADS_FOR_READING = 15;
-const LOADS_FOR_RUNNING = 200;
+const LOADS_FOR_RUNNING = 15;
 /** ms that a request waits for what this daemon doesn't know yet: once it has served, and before that. */
 const READY_WAIT = 150;
 const FIRST_READY_WAIT = 500;
