--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -53,6 +53,7 @@
 export { Serve } from './serve.js';
 export { Server } from './server.js';
 export { ServerHealth } from './serverhealth.js';
+export { ServerIndex } from './serverindex.js';
 export { ServerList } from './serverlist.js';
 export { type ServerListing } from './serverlisting.js';
 export { ServerLoads } from './serverloads.js';
--- a/packages/router/src/keeper.ts
+++ b/packages/router/src/keeper.ts
@@ -53,7 +53,7 @@
       ...{ clock, log: world.log('stages'), engine, purge: d.purge, shelf: d.shelf, fence, self: d.ident.id },
       ...{ servers: duty.servers, load: desk.load, lease: startup.lease, away },
     });
-    const loadTable = LoadTable.make(clock, d.post);
+    const loadTable = LoadTable.make(clock, d.post, d.shelf);
     IntentDesk.make(d.post, d.line, startup.read ?? null);
     StatusDesk.make({
       ...{ clock, post: d.post, shelf: d.shelf, self: () => d.ident, view, head: speaks },
--- a/packages/router/src/loadbroker.test.ts
+++ b/packages/router/src/loadbroker.test.ts
@@ -1,11 +1,14 @@
 import { Dice } from '@pumicebarrow/forms';
+import { Shelf, type Holding } from '@pumicebarrow/purge';
 import type { View } from '@pumicebarrow/registry';
 import { expect } from 'chai';
+import { ListRows } from './listrows.js';
 import { LoadBroker } from './loadbroker.js';
 import { LoadTable } from './loadtable.js';
 import { daemon, testTown } from './post.test.js';
 import { ServerLoads } from './serverloads.js';
-import { testClock } from './stand.test.js';
+import { SharedSound } from './sharedsound.js';
+import { server, testClock } from './stand.test.js';
 
 const RECENT = 15;
 
@@ -15,14 +18,28 @@
       town = testTown();
     const members = ['k1', 'k2', 'k3'].map((id) => daemon(id, 'registry'));
     const view: View = { epoch: 1, voters: members, chain: members.map(({ id, born, addr }) => ({ id, born, addr })) };
-    const tables = members.map((who) => LoadTable.make(time.clock, town.post(who)));
+    const shelves = new Map<string, Holding>();
+    const shelf = (id: string): Holding => {
+      const made = shelves.get(id) ?? Shelf.make(SharedSound.doc);
+      shelves.set(id, made);
+      return made;
+    };
+    const tables = members.map((who) => LoadTable.make(time.clock, town.post(who), shelf(who.id)));
     const all = Array.from({ length: routers }, (_, i) => {
       const post = town.post(daemon(`r${i + 1}`));
       const loads = ServerLoads.make(time.clock.mono);
-      const broker = LoadBroker.make({ clock: time.clock, post, loads, view: () => view, large: () => large });
+      const broker = LoadBroker.make({
+        ...{ clock: time.clock, post, loads, view: () => view, large: () => large },
+        shelf: shelf(`r${i + 1}`),
+      });
       return { loads, broker };
     });
-    return { time, town, members, tables, all };
+    /** Puts a list of these servers on the shelves of some daemons. */
+    const list = (step: number, servers: readonly string[], who: readonly string[]): void => {
+      const body = ListRows.pack(servers.map((id) => server(id, 'prefill')));
+      for (const id of who) shelf(id).offer({ name: 'list', mark: [1, step], body });
+    };
+    return { time, town, members, tables, all, list };
   };
   it('are known to whoever asks, with what it began since it asked', async () => {
     const { time, all } = make(2);
@@ -84,6 +101,24 @@
     await broker.refresh(RECENT);
     expect(broker.works()).to.equal(true);
   });
+  it('are told by places in the list where both hold the same one, and by name elsewhere', async () => {
+    const { time, all, list } = make(2);
+    const daemons = ['k1', 'k2', 'k3', 'r1'];
+    const known = async (): Promise<number[]> => {
+      await time.pass(50);
+      await all[0]!.broker.refresh(RECENT);
+      return ['p0', 'p1', 'p2'].map((id) => all[0]!.loads.at(id).tokens);
+    };
+    all[1]!.loads.read('p0', 300);
+    all[1]!.loads.read('p2', 800);
+    list(1, ['p0', 'p1'], daemons);
+    expect(await known()).to.deep.equal([300, 0, 800]);
+    // The member has a later list, in which places differ, than the router that asks.
+    list(2, ['p1', 'p2'], ['k1', 'k2', 'k3']);
+    expect(await known()).to.deep.equal([300, 0, 800]);
+    list(2, ['p1', 'p2'], ['r1']);
+    expect(await known()).to.deep.equal([300, 0, 800]);
+  });
   it('count for a short while only', async () => {
     const { time, all } = make(2);
     all[0]!.loads.read('p1', 5000);
--- a/packages/router/src/loadbroker.ts
+++ b/packages/router/src/loadbroker.ts
@@ -1,5 +1,7 @@
 import { Lot, Timer, type Clock, type PostBox } from '@pumicebarrow/forms';
+import type { Holding } from '@pumicebarrow/purge';
 import type { View } from '@pumicebarrow/registry';
+import { ServerIndex } from './serverindex.js';
 import type { ServerLoads } from './serverloads.js';
 import { Words } from './words.js';
 
@@ -8,9 +10,11 @@
   post: PostBox;
   loads: ReturnType<typeof ServerLoads.make>;
   view: () => View | null;
+  shelf: Holding;
   /** Whether the fleet is so large that a router hears of a part of the others only. */
   large: () => boolean;
 };
+type Load = { runs: number; reads: number; tokens: number };
 type WireRow = [string, number, number, number];
 /** ms that the reply may take, and for which nothing is asked after one that did not come. */
 const REPLY_TIMEOUT = 40;
@@ -19,6 +23,8 @@
 const REFRESH = 700;
 /** Tokens of a unit on the wire. */
 const UNIT = 100;
+/** Numbers that tell of one server by its place. */
+const FIELDS = 4;
 const KEY = 'loads';
 
 /**
@@ -28,6 +34,7 @@
  */
 export const LoadBroker = {
   make(t: Tools) {
+    const index = ServerIndex.make(t.shelf);
     const changed = new Set<string>();
     let member = '';
     let toldAt = -Infinity;
@@ -79,17 +86,23 @@
         flush();
         const own = t.loads.snapshot();
         count.asked++;
-        const got = await t.post.ask(to.addr, to.id, 'loads.ask', {}, Words.allLoads, REPLY_TIMEOUT);
+        const held = index.now();
+        const question = { list: held?.mark ?? null };
+        const got = await t.post.ask(to.addr, to.id, 'loads.ask', question, Words.allLoads, REPLY_TIMEOUT);
         if (!got.ok) {
           count.missed++;
           silentUntil = t.clock.mono() + BACKOFF;
           return;
         }
         askedAt = now;
-        const rows = got.val.rows.map(
-          ([id, runs, reads, tokens]) => [id, { runs, reads, tokens: tokens * UNIT }] as const,
-        );
-        t.loads.exact(new Map(rows), own, t.clock.mono());
+        const all = new Map<string, Load>();
+        const put = (id: string | undefined, runs = 0, reads = 0, units = 0): void => {
+          if (id !== undefined) all.set(id, { runs, reads, tokens: units * UNIT });
+        };
+        const { places, rows } = got.val;
+        for (let i = 0; i < places.length; i += FIELDS) put(held?.ids[places[i]!], ...places.slice(i + 1, i + FIELDS));
+        for (const [id, ...load] of rows) put(id, ...load);
+        t.loads.exact(all, own, t.clock.mono());
       },
       start(): void {
         stop = Timer.every(t.clock, REFRESH, flush);
--- a/packages/router/src/loadtable.ts
+++ b/packages/router/src/loadtable.ts
@@ -1,4 +1,6 @@
-import { Timer, type Clock, type PostBox } from '@pumicebarrow/forms';
+import { Order, Timer, type Clock, type PostBox } from '@pumicebarrow/forms';
+import type { Holding } from '@pumicebarrow/purge';
+import { ServerIndex } from './serverindex.js';
 import { Words } from './words.js';
 
 type Load = { runs: number; reads: number; tokens: number };
@@ -15,7 +17,8 @@
  * of the rows held; all of it is soft, and is learnt anew within a second by the member that takes over.
  */
 export const LoadTable = {
-  make(clock: Clock, post: PostBox) {
+  make(clock: Clock, post: PostBox, shelf: Holding) {
+    const index = ServerIndex.make(shelf);
     const routers = new Map<string, Router>();
     const sums = new Map<string, Load>();
     const change = (server: string, was: Load, now: Load): void => {
@@ -49,9 +52,18 @@
       if (whole) for (const server of [...router.rows.keys()]) if (!named.has(server)) set(router, server, NONE);
       for (const [server, runs, reads, tokens] of rows) set(router, server, { runs, reads, tokens });
     });
-    post.on('loads.ask', Words.askLoads, () => ({
-      rows: [...sums].map(([server, s]): WireRow => [server, s.runs, s.reads, s.tokens]),
-    }));
+    post.on('loads.ask', Words.askLoads, ({ list }) => {
+      const held = index.now();
+      const known = held && list && Order.cmp(held.mark, list) === 0 ? held.places : null;
+      const places: number[] = [];
+      const rows: WireRow[] = [];
+      for (const [server, s] of sums) {
+        const place = known?.get(server);
+        if (place === undefined) rows.push([server, s.runs, s.reads, s.tokens]);
+        else places.push(place, s.runs, s.reads, s.tokens);
+      }
+      return { places, rows };
+    });
     let stop: () => void = () => undefined;
     return {
       start(): void {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -94,7 +94,7 @@
     const peers16 = (): readonly Ident[] => (broker.works() ? [] : head.peers());
     const news = LoadNews.make({ clock, post, loads, peers: peers16, routers: head.routers });
     const large = (): boolean => (head.routers() ?? 0) > LoadNews.SEEN;
-    const broker = LoadBroker.make({ clock, post, loads, view: line.view, large });
+    const broker = LoadBroker.make({ clock, post, loads, shelf, view: line.view, large });
     const watch = ListWatch.make({
       ...{ world, post, list, source, peers },
       mark: () => (list.shared() ? shelf.mark('list') : null),
--- a/packages/router/src/words.ts
+++ b/packages/router/src/words.ts
@@ -44,9 +44,12 @@
   loads: Type.Object({ rows: LoadRows }, shut),
   /** The rows of a router that changed, or all of them, as they are now, to the member that adds up a service's loads. */
   ownLoads: Type.Object({ whole: Type.Boolean(), rows: LoadRows }, shut),
-  /** A router asks for the loads of all servers before it chooses. */
-  askLoads: Type.Object({}, shut),
-  /** What all routers together have under way, at the servers where that is anything. */
-  allLoads: Type.Object({ rows: LoadRows }, shut),
+  /** A router asks for the loads of all servers before it chooses one, and says which list it holds. */
+  askLoads: Type.Object({ list: maybeMark }, shut),
+  /**
+   * What all routers together have under way, at the servers where that is anything: by places in the list of that
+   * mark, in fours of place, runs, reads and hundreds of tokens, and by name those that it does not show.
+   */
+  allLoads: Type.Object({ places: Type.Array(Type.Integer(), { maxItems: 16384 }), rows: LoadRows }, shut),
   done: Type.Object({ ok: Type.Boolean() }, shut),
 };
