--- a/packages/routesim/src/drills/closings.ts
+++ b/packages/routesim/src/drills/closings.ts
@@ -30,7 +30,7 @@
     about: 'as many disks as may be lost are, and all other machines lose power',
     run: (s) =>
       close(s, 3000, () => {
-        const lost = s.trouble.some(s.f.keeperIds, (s.f.keeperIds.length - 1) / 2);
+        const lost = s.trouble.some(s.f.keeperIds, s.f.losses);
         s.trouble.kill(all(s), 3000, true);
         for (const id of lost) s.f.wipe(id);
       }),
--- a/packages/routesim/src/drills/coredrills.ts
+++ b/packages/routesim/src/drills/coredrills.ts
@@ -3,7 +3,7 @@
 import { Met } from '../met.js';
 
 const keepers = (s: Scene, n: number): string[] => s.trouble.some(s.f.keeperIds, n);
-const losses = (s: Scene): number => (s.f.keeperIds.length - 1) / 2;
+const losses = (s: Scene): number => s.f.losses;
 const leader = (s: Scene): string => s.f.head() ?? s.f.keeperIds[0]!;
 /** While it lasts, servers leave and configurations change. */
 const busy = async (s: Scene, rest: number): Promise<void> => {
--- a/packages/routesim/src/size.ts
+++ b/packages/routesim/src/size.ts
@@ -6,4 +6,6 @@
   losses: number;
   readers: number;
   decoders: number;
+  /** Whether each keeper shares its machine with a router, and the seeds are routers. */
+  shared?: boolean;
 };
--- a/packages/routesim/src/sizes.ts
+++ b/packages/routesim/src/sizes.ts
@@ -7,4 +7,6 @@
   /** Three servers of each stage, as on a small site. */
   even: { name: 'even', routers: 7, keepers: 3, losses: 1, readers: 3, decoders: 3 },
   many: { name: 'many', routers: 24, keepers: 5, losses: 2, readers: 4, decoders: 8 },
+  /** One class of machines: six of them carry a keeper too, one more than vote. */
+  shared: { name: 'shared', routers: 20, keepers: 6, losses: 2, readers: 3, decoders: 4, shared: true },
 } as const satisfies Record<string, Size>;
--- a/packages/routesim/src/troubles.ts
+++ b/packages/routesim/src/troubles.ts
@@ -33,15 +33,15 @@
     const t = {
       ...{ note, some, later, servers },
       kill(ids: readonly string[], ms: number, dark = false): void {
-        note('kill', ids, ms, { edges: ids.every((id) => f.keeperIds.includes(id)) });
+        note('kill', f.together(ids), ms, { edges: ids.every((id) => f.keeperIds.includes(id)) });
         for (const id of ids) {
           f.down(id, dark);
           later(ms, () => f.start(id));
         }
       },
       freeze(ids: readonly string[], ms: number, pause = false): void {
-        note('freeze', ids, ms, { edges: ids.every((id) => f.keeperIds.includes(id)) });
-        for (const id of ids) {
+        note('freeze', f.together(ids), ms, { edges: ids.every((id) => f.keeperIds.includes(id)) });
+        for (const id of f.together(ids)) {
           if (pause) f.boxes.get(id)!.pause(ms);
           else f.boxes.get(id)!.freeze(ms);
         }
@@ -49,7 +49,7 @@
       async term(ids: readonly string[], atOnce: number, gap: number): Promise<void> {
         for (let i = 0; i < ids.length; i += atOnce) {
           const part = ids.slice(i, i + atOnce);
-          note('term', part, Bounds.grace, { planned: true, edges: true });
+          note('term', f.together(part), Bounds.grace, { planned: true, edges: true });
           await Promise.all(
             part.map(async (id) => {
               await f.term(id);
@@ -61,8 +61,8 @@
         }
       },
       cut(a: readonly string[], b: readonly string[], ms: number, oneway = false): void {
-        note('cut', [...a], ms, { edges: a.every((id) => f.keeperIds.includes(id)) });
-        const lift = f.net.cut(a, b, oneway);
+        note('cut', f.together(a), ms, { edges: a.every((id) => f.keeperIds.includes(id)) });
+        const lift = f.net.cut(f.together(a), f.together(b), oneway);
         later(ms, lift);
       },
       step(ids: readonly string[], by: number, ms: number): void {
@@ -103,23 +103,23 @@
         }
       },
       wipe(id: string, ms: number): void {
-        note('wipe', [id], ms + Bounds.catchUp, { edges: true });
+        note('wipe', f.together([id]), ms + Bounds.catchUp, { edges: true });
         f.down(id, true);
         f.wipe(id);
         later(ms, () => f.start(id));
       },
       async replace(id: string, planned: boolean): Promise<void> {
-        note('replace', [id], 3000, { planned, edges: true });
+        note('replace', f.together([id]), 3000, { planned, edges: true });
         if (!planned) f.down(id, true);
         if (!planned) f.wipe(id);
         f.bar(id);
         if (!planned) await f.nap(1000);
         const next = f.replaceKeeper(id);
-        note('replace', [next], Bounds.catchUp, { planned, edges: true });
+        note('replace', f.together([next]), Bounds.catchUp, { planned, edges: true });
         f.start(next);
         if (!planned) return;
         await f.nap(4000);
-        note('replace', [id], Bounds.grace, { planned, edges: true });
+        note('replace', f.together([id]), Bounds.grace, { planned, edges: true });
         await f.term(id);
       },
     };
--- a/packages/routesim/src/virtualfleet.ts
+++ b/packages/routesim/src/virtualfleet.ts
@@ -46,11 +46,15 @@
     const addKeeper = (id: string, addr: string, i: number): void => add(id, addr, zone(i), SimDisk.make(motor, 3));
     keeperIds.forEach((id, i) => addKeeper(id, `10.0.0.${i + 1}:7000`, i));
     routerIds.forEach((id, i) => add(id, `10.1.0.${i + 1}:7000`, zone(i), null));
+    /** The router on the machine of each keeper, where they share one. */
+    const mates = new Map<string, string>(size.shared ? keeperIds.map((id, i) => [id, routerIds[i]!]) : []);
+    /** These daemons, and those that go down with them. */
+    const together = (ids: readonly string[]): string[] => [...ids, ...ids.flatMap((id) => mates.get(id) ?? [])];
     const listSeeds = (): void => {
-      seeds = keeperIds.slice(0, 3).map((id) => boxes.get(id)!.addr());
+      seeds = keeperIds.slice(0, 3).map((id) => boxes.get(mates.get(id) ?? id)!.addr());
     };
     listSeeds();
-    const down = (id: string, dark: boolean): void => {
+    const downOne = (id: string, dark: boolean): void => {
       const b = boxes.get(id)!;
       if (!b.up()) return;
       b.kill();
@@ -62,7 +66,10 @@
       tell({ what: 'life', id, up: false, at: motor.now() });
       for (const fn of ears) fn(id, dark);
     };
-    const start = (id: string): void => {
+    const down = (id: string, dark: boolean): void => {
+      for (const one of together([id])) downOne(one, dark);
+    };
+    const startOne = (id: string): void => {
       const b = boxes.get(id)!;
       if (b.up() || barred.has(id) || (bent === 'staysdown' && b.life() > 0)) return;
       const w = net.world(b),
@@ -89,16 +96,19 @@
         .then((made) => {
           if (b.life() !== life) return;
           if (made.err) {
-            down(id, false);
-            motor.at(motor.now() + AGAIN, () => start(id));
+            downOne(id, false);
+            motor.at(motor.now() + AGAIN, () => startOne(id));
             return;
           }
           keepers.set(id, made.val);
           made.val.start();
         });
     };
+    const start = (id: string): void => {
+      for (const one of together([id])) startOne(one);
+    };
     /** SIGTERM, as the programs take it: they leave in order and end, at the latest when their time is up. */
-    const term = async (id: string): Promise<void> => {
+    const termOne = async (id: string): Promise<void> => {
       const b = boxes.get(id)!,
         life = b.life();
       const here = (): boolean => b.life() === life && b.up();
@@ -108,7 +118,7 @@
       const r = routers.get(id),
         k = keepers.get(id);
       if (bent === 'rashterm') {
-        down(id, false);
+        downOne(id, false);
         return;
       }
       r?.leave(TURNED, Bounds.grace - SPARE);
@@ -118,7 +128,10 @@
       if (!here()) return;
       r?.stop();
       k?.stop();
-      down(id, false);
+      downOne(id, false);
+    };
+    const term = async (id: string): Promise<void> => {
+      await Promise.all(together([id]).map(termOne));
     };
     const desk = {
       /** One call at a keeper, as its control port answers it. */
@@ -144,7 +157,25 @@
       return (newest?.chain ?? []).map((m) => m.id);
     };
     return {
-      ...{ motor, net, platform, boxes, disks, routers, keepers, keeperIds, routerIds, open, desk, start, down, term },
+      ...{
+        motor,
+        net,
+        platform,
+        boxes,
+        disks,
+        routers,
+        keepers,
+        keeperIds,
+        routerIds,
+        open,
+        desk,
+        start,
+        down,
+        term,
+        together,
+      },
+      /** How many keepers' machines may be lost at once. */
+      losses: size.losses,
       startAll(): void {
         for (const id of [...keeperIds, ...routerIds]) start(id);
       },
@@ -162,6 +193,13 @@
         addKeeper(id, `10.0.1.${spare++}:7000`, spare);
         keeperIds.push(id);
         keeperIds.splice(keeperIds.indexOf(old), 1);
+        if (size.shared) {
+          const mate = `r${spare}`;
+          add(mate, `10.1.1.${spare}:7000`, zone(spare), null);
+          routerIds.push(mate);
+          mates.set(id, mate);
+          barred.add(mates.get(old)!);
+        }
         return id;
       },
       /** Tells of each process that ends, so that clients see their connections torn or fall silent. */
