--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -65,6 +65,7 @@
 export { StageDuty } from './stageduty.js';
 export { StageMix } from './stagemix.js';
 export { StatusDesk } from './statusdesk.js';
+export { Suspicions } from './suspicions.js';
 export { Urgency } from './urgency.js';
 export { type Weighed } from './weighed.js';
 export { Words } from './words.js';
--- a/packages/router/src/loadbroker.test.ts
+++ b/packages/router/src/loadbroker.test.ts
@@ -5,6 +5,7 @@
 import { ListRows } from './listrows.js';
 import { LoadBroker } from './loadbroker.js';
 import { LoadTable } from './loadtable.js';
+import { OutcomeCounters } from './outcomecounters.js';
 import { daemon, testTown } from './post.test.js';
 import { ServerLoads } from './serverloads.js';
 import { SharedSound } from './sharedsound.js';
@@ -27,12 +28,13 @@
     const tables = members.map((who) => LoadTable.make(time.clock, town.post(who), shelf(who.id)));
     const all = Array.from({ length: routers }, (_, i) => {
       const post = town.post(daemon(`r${i + 1}`));
-      const loads = ServerLoads.make(time.clock.mono);
+      const loads = ServerLoads.make(time.clock.mono),
+        counters = OutcomeCounters.make();
       const broker = LoadBroker.make({
-        ...{ clock: time.clock, post, loads, view: () => view, large: () => large },
+        ...{ clock: time.clock, post, loads, view: () => view, large: () => large, counters },
         shelf: shelf(`r${i + 1}`),
       });
-      return { loads, broker };
+      return { loads, broker, counters };
     });
     /** Puts a list of these servers on the shelves of some daemons. */
     const list = (step: number, servers: readonly string[], who: readonly string[]): void => {
@@ -88,13 +90,15 @@
   });
   it('are not asked for a while of a member that does not reply, and what was heard elsewhere counts', async () => {
     const { time, town, members, all } = make(1);
-    const { loads, broker } = all[0]!;
+    const { loads, broker, counters } = all[0]!;
     for (const m of members) town.down.add(m.addr);
     loads.heard(() => new Map([['p1', { runs: 0, reads: 1, tokens: 900 }]]));
     await broker.refresh(RECENT);
     await time.pass(100);
     await broker.refresh(RECENT);
-    expect([broker.count().asked, broker.count().missed, broker.works()]).to.deep.equal([1, 1, false]);
+    const queries = counters.families().find((f) => f.name === 'load_queries_total')!.samples;
+    expect(queries).to.deep.equal([{ labels: { outcome: 'unsent' }, value: 1 }]);
+    expect(broker.works()).to.equal(false);
     expect(loads.at('p1').tokens).to.equal(900);
     for (const m of members) town.down.delete(m.addr);
     await time.pass(1000);
--- a/packages/router/src/loadbroker.ts
+++ b/packages/router/src/loadbroker.ts
@@ -1,6 +1,7 @@
 import { Lot, Timer, type Clock, type PostBox } from '@pumicebarrow/forms';
 import type { Holding } from '@pumicebarrow/purge';
 import type { View } from '@pumicebarrow/registry';
+import type { OutcomeCounters } from './outcomecounters.js';
 import { ServerIndex } from './serverindex.js';
 import type { ServerLoads } from './serverloads.js';
 import { Words } from './words.js';
@@ -13,6 +14,7 @@
   shelf: Holding;
   /** Whether the fleet is so large that a router hears of a part of the others only. */
   large: () => boolean;
+  counters: Pick<ReturnType<typeof OutcomeCounters.make>, 'count'>;
 };
 type Load = { runs: number; reads: number; tokens: number };
 type WireRow = [string, number, number, number];
@@ -42,7 +44,6 @@
     let silentUntil = -Infinity;
     let waiting = false;
     let stop: () => void = () => undefined;
-    const count = { asked: 0, missed: 0, told: 0 };
     const broker = () => {
       const view = t.view();
       return view && t.large() ? Lot.first(KEY, view.chain, (m) => m.id) : undefined;
@@ -65,7 +66,6 @@
       changed.clear();
       member = to.id;
       if (whole) toldAt = t.clock.mono();
-      count.told++;
       t.post.tell(to.addr, to.id, 'loads.own', { whole, rows });
     };
     t.loads.heed((server) => {
@@ -85,12 +85,11 @@
         if (!to) return;
         flush();
         const own = t.loads.snapshot();
-        count.asked++;
         const held = index.now();
         const question = { list: held?.mark ?? null };
         const got = await t.post.ask(to.addr, to.id, 'loads.ask', question, Words.allLoads, REPLY_TIMEOUT);
+        t.counters.count('load_queries', got.ok ? 'ok' : got.val);
         if (!got.ok) {
-          count.missed++;
           silentUntil = t.clock.mono() + BACKOFF;
           return;
         }
@@ -108,7 +107,6 @@
         stop = Timer.every(t.clock, REFRESH, flush);
       },
       stop: (): void => stop(),
-      count: () => ({ ...count }),
     };
   },
 };
--- a/packages/router/src/outcomecounters.ts
+++ b/packages/router/src/outcomecounters.ts
@@ -1,16 +1,20 @@
 import type { MetricFamily } from '@pumicebarrow/forms';
 
-type Kind = 'requests' | 'prefills' | 'runs';
+type Kind = 'requests' | 'prefills' | 'runs' | 'load_queries';
 const HELP: Readonly<Record<Kind, string>> = {
   requests: 'requests by how they ended at this router',
   prefills: 'prompts sent to a prefill server, by outcome',
   runs: 'requests sent to a decode server, by outcome',
+  load_queries: 'loads of all servers asked of the member that adds them up, by outcome',
 };
 
-/** Counts how requests, prefills and runs ended since the start, by outcome: a code of this project. */
+/** Counts how requests, prefills, runs and questions about loads ended since the start, by outcome: a code of this project. */
 export const OutcomeCounters = {
   make() {
-    const counts: Record<Kind, Map<string, number>> = { requests: new Map(), prefills: new Map(), runs: new Map() };
+    const counts: Record<Kind, Map<string, number>> = {
+      ...{ requests: new Map(), prefills: new Map(), runs: new Map() },
+      load_queries: new Map(),
+    };
     const samples = (kind: Kind): MetricFamily['samples'] =>
       [...counts[kind]].map(([outcome, value]) => ({ labels: { outcome }, value }));
     return {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -31,7 +31,6 @@
 import type { Routes } from './routes.js';
 import { RouteTable } from './routetable.js';
 import { Serve } from './serve.js';
-import type { Server } from './server.js';
 import { ServerHealth } from './serverhealth.js';
 import { ServerList } from './serverlist.js';
 import { ServerLoads } from './serverloads.js';
@@ -40,6 +39,7 @@
 import { SharedSound } from './sharedsound.js';
 import { Sightings } from './sightings.js';
 import { StatusDesk } from './statusdesk.js';
+import { Suspicions } from './suspicions.js';
 
 const CHECKIN = 450;
 const WAIT = 100;
@@ -91,10 +91,11 @@
     const loads = ServerLoads.make(clock.mono);
     const load = () => loads.total((id) => list.stage(id) === 'prefill');
     const head = HeadLine.make({ clock, post, line, shelf, purge, list, version, load, tail: newest.tail });
-    const peers16 = (): readonly Ident[] => (broker.works() ? [] : head.peers());
-    const news = LoadNews.make({ clock, post, loads, peers: peers16, routers: head.routers });
+    const newsPeers = (): readonly Ident[] => (broker.works() ? [] : head.peers());
+    const news = LoadNews.make({ clock, post, loads, peers: newsPeers, routers: head.routers });
+    const counters = OutcomeCounters.make();
     const large = (): boolean => (head.routers() ?? 0) > LoadNews.SEEN;
-    const broker = LoadBroker.make({ clock, post, loads, shelf, view: line.view, large });
+    const broker = LoadBroker.make({ clock, post, loads, shelf, view: line.view, large, counters });
     const watch = ListWatch.make({
       ...{ world, post, list, source, peers },
       mark: () => (list.shared() ? shelf.mark('list') : null),
@@ -124,18 +125,8 @@
     };
     const left = (): number => (clock.mono() < leaving.turned ? Infinity : leaving.end - clock.mono());
     const sightings = Sightings.make({ clock, chance: world.chance, shelf, purge, self: ident.id });
-    /** A server failed here: it is told to all, once each time that it begins to, unless they just heard it. */
-    const suspect = (s: Server, why: string): void => {
-      if (!health.bad(s.id)) return;
-      log.warn(`${s.id} is under suspicion: ${why}.`);
-      sightings.tell(s.id);
-    };
-    /** One that should have room and turns requests away does so to all: it may be changing its stage. */
-    const turned = (s: Server): void => {
-      if (health.turned(s.id) && loads.at(s.id).runs < s.slots / 2) sightings.tell(s.id);
-    };
-    const steps = RequestLog.make(clock),
-      counters = OutcomeCounters.make();
+    const { suspect, turned } = Suspicions.make({ log, health, loads, sightings });
+    const steps = RequestLog.make(clock);
     const tools = {
       world,
       engine,
--- a/packages/router/src/words.ts
+++ b/packages/router/src/words.ts
@@ -42,7 +42,7 @@
   list: Type.Object({ mark: maybeMark, age: Type.Number(), servers: Type.Union([Type.Unknown(), Type.Null()]) }, shut),
   /** What a router has under way at servers, in rows of id, runs, reads, tokens. */
   loads: Type.Object({ rows: LoadRows }, shut),
-  /** The rows of a router that changed, or all of them, as they are now, to the member that adds up a service's loads. */
+  /** The rows of a router that changed, or all of them, as they are now, to the member that adds up loads. */
   ownLoads: Type.Object({ whole: Type.Boolean(), rows: LoadRows }, shut),
   /** A router asks for the loads of all servers before it chooses one, and says which list it holds. */
   askLoads: Type.Object({ list: maybeMark }, shut),
