--- a/packages/router/src/outcomecounters.ts
+++ b/packages/router/src/outcomecounters.ts
@@ -5,7 +5,7 @@
   requests: 'requests by how they ended at this router',
   prefills: 'prompts sent to a prefill server, by outcome',
   runs: 'requests sent to a decode server, by outcome',
-  load_queries: 'loads of all servers asked of the member that adds them up, by outcome',
+  load_queries: 'questions about the loads of all servers, by outcome',
 };
 
 /** Counts how requests, prefills, runs and questions about loads ended since the start, by outcome: a code of this project. */
