--- a/packages/router/src/outcomecounters.ts
+++ b/packages/router/src/outcomecounters.ts
@@ -8,7 +8,9 @@
   load_queries: 'questions about the loads of all servers, by outcome',
 };
 
-/** Counts how requests, prefills, runs and questions about loads ended since the start, by outcome: a code of this project. */
+/**
+ * Counts how requests, prefills, runs and questions about loads ended since the start, by outcome: a code of ours.
+ */
 export const OutcomeCounters = {
   make() {
     const counts: Record<Kind, Map<string, number>> = {
