--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -1,6 +1,6 @@
 import { Awake, Dice, Post, Timer, Verdicts, type Ident, type Verdict, type World } from '@pumicebarrow/forms';
 import { Purge, Shelf } from '@pumicebarrow/purge';
-import { ControlClient, RecordCheck, TraceDesk, Views } from '@pumicebarrow/registry';
+import { ControlClient, Introducer, RecordCheck, TraceDesk, Views } from '@pumicebarrow/registry';
 import { interpret } from 'robot3';
 import type { Back } from './back.js';
 import { Bucket } from './bucket.js';
@@ -182,6 +182,7 @@
       if (is() !== 'draining' && is() !== 'stopped') await checkin.tick();
     };
     TraceDesk.make(post, self, purge, shelf, sure);
+    Introducer.make({ clock: world.clock, post, me: self, view: line.view });
     RequestDesk.make(post, diary, ledger);
     const parts = { ident, admission, post, line, purge, shelf, sheet, watch, ledger, duty, shuns, lending };
     return {
--- a/packages/yard/src/ports.ts
+++ b/packages/yard/src/ports.ts
@@ -8,6 +8,13 @@
  * connections take theirs from, so that none is taken by one while its daemon is down.
  */
 export const Ports = {
+  /** The first of so many free ports that follow each other. */
+  async run(n: number): Promise<number> {
+    for (;;) {
+      const list = await Ports.free(n);
+      if (list.every((port, i) => port === list[0]! + i)) return list[0]!;
+    }
+  },
   async free(n: number): Promise<number[]> {
     const held: Server[] = [];
     let next = Math.floor(Math.random() * SPAN);
--- a/packages/yard/src/routed/commands/soak.ts
+++ b/packages/yard/src/routed/commands/soak.ts
@@ -14,6 +14,7 @@
     routers: some(4, 'how many routers'),
     clients: some(12, 'how many clients, each with a connection of its own'),
     seconds: some(15, 'how long faults strike'),
+    shared: Flags.boolean({ default: false, description: 'each keeper stands in one process with a router' }),
     dir: Flags.string({ default: '.yard', description: 'the folder for settings, data and logs; emptied first' }),
     build: Flags.boolean({ default: true, allowNo: true, description: 'bundle the program first' }),
   };
@@ -23,7 +24,7 @@
     if (flags.build) await RoutedPlant.build();
     let broken = 0;
     for (let seed = flags.from; seed <= flags.to; seed++) {
-      const size = { routers: flags.routers, clients: flags.clients, ms: flags.seconds * 1000 };
+      const size = { routers: flags.routers, clients: flags.clients, ms: flags.seconds * 1000, shared: flags.shared };
       const got = await Soak.run({ seed, ...size, dir: flags.dir });
       this.log(
         `seed ${seed}: ${got.changes} changes, answers ${JSON.stringify(got.counts)}, ${JSON.stringify(got.events)}`,
--- a/packages/yard/src/routed/routedplant.ts
+++ b/packages/yard/src/routed/routedplant.ts
@@ -8,15 +8,29 @@
 import { Ports } from '../ports.js';
 import { RunFlags } from './runflags.js';
 
+type Four = [number, number, number, number];
 type Held = ReturnType<typeof Child.node>;
-type Size = { keepers: number; routers: number; prefill: number; decode: number };
-type Daemon = { id: string; role: 'router' | 'keeper'; addr: string; file: string; front: string };
+type Size = { keepers: number; routers: number; prefill: number; decode: number } & {
+  /** Whether each keeper stands in one process with a router. */
+  shared?: boolean;
+};
+type Daemon = { id: string; role: 'router' | 'keeper'; addr: string; file: string } & {
+  /** Where its callers come: clients to a router, the operator to a keeper. */
+  front: string;
+  /** Where clients come to a keeper that stands in one process with a router. */
+  clients?: string;
+};
 const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
 const PROGRAM = join(ROOT, 'target', 'pumicebarrow.js');
 const SERVICE = 'llm';
 const SLOTS = 64;
 const ZONES = ['north', 'south'] as const;
+/** Internal ports of a daemon, and those that daemons serve others at. */
+const INTERNAL = 3;
+const OWN = 4;
 const LATE = 15_000;
+/** What its process is started as. */
+const started = (d: Daemon): Daemon['role'] => (d.clients === undefined ? d.role : 'router');
 /** ms after which a process that ended by itself is started again, as a platform does. */
 const RESTART = 300;
 
@@ -41,26 +55,31 @@
     await mkdir(dir, { recursive: true });
     const clock = RealClock.make();
     const models = size.prefill + size.decode;
-    const ports = await Ports.free(models + 4);
-    const [internal, front, ready, list] = ports.splice(0, 4) as [number, number, number, number];
+    const first = await Ports.run(INTERNAL + OWN + models);
+    const internal = first;
+    const [front, ready, list, clients] = Array.from({ length: OWN }, (_, i) => first + INTERNAL + i) as Four;
+    const ports = Array.from({ length: models }, (_, i) => first + INTERNAL + OWN + i);
     const zone = (i: number): string => ZONES[i % ZONES.length]!;
     const daemons: Daemon[] = Array.from({ length: size.keepers + size.routers }, (_, i) => {
       const keeper = i < size.keepers;
       const id = keeper ? `k${i + 1}` : `r${i - size.keepers + 1}`;
       const ip = `127.0.0.${10 + i}`;
-      const at = { addr: `${ip}:${internal}`, front: `${ip}:${front}` };
+      const shared = keeper && size.shared ? { clients: `${ip}:${clients}` } : {};
+      const at = { addr: `${ip}:${internal}`, front: `${ip}:${front}`, ...shared };
       return { id, role: keeper ? 'keeper' : 'router', file: join(dir, `${id}.toml`), ...at };
     });
     const keepers = daemons.filter((d) => d.role === 'keeper');
     const routers = daemons.filter((d) => d.role === 'router');
-    const settings = (d: Daemon, i: number): string =>
-      SettingsText.of({
-        ...{ id: d.id, role: d.role, addr: d.addr, zone: zone(i), list: `127.0.0.1:${list}`, first: true },
+    const settings = (d: Daemon, i: number): string => {
+      const serves = d.role === 'router' ? d.front : d.clients;
+      return SettingsText.of({
+        ...{ id: d.id, addr: d.addr, zone: zone(i), list: `127.0.0.1:${list}`, first: true },
+        ...{ role: started(d), shared: d.clients !== undefined },
         seeds: keepers.map((k) => k.addr),
-        ...(d.role === 'keeper'
-          ? { control: d.front, data: join(dir, d.id) }
-          : { front: d.front, ready: d.addr.replace(/\d+$/, String(ready)) }),
+        ...(d.role === 'keeper' ? { control: d.front, data: join(dir, d.id) } : {}),
+        ...(serves === undefined ? {} : { front: serves, ready: d.addr.replace(/\d+$/, String(ready)) }),
       });
+    };
     const standIns = new Map<string, Awaited<ReturnType<typeof ModelStandIn.make>>>();
     const up = new Map<string, Held>();
     let listHost: { close(): Promise<void> } | null = null;
@@ -69,7 +88,7 @@
     const rise = (id: string): void => {
       const d = daemons.find((x) => x.id === id)!;
       const env = { PUMICEBARROW_CONFIG: d.file };
-      const held = Child.node([...flags, PROGRAM, d.role], join(dir, `${id}.log`), env);
+      const held = Child.node([...flags, PROGRAM, started(d)], join(dir, `${id}.log`), env);
       up.set(id, held);
       void held.gone.then((code) => {
         if (up.get(id) !== held) return;
@@ -85,6 +104,10 @@
       ended: ended as readonly string[],
       keepers,
       routers,
+      /** Where clients come in. */
+      entries: daemons.flatMap((d) =>
+        d.role === 'router' ? [d] : d.clients === undefined ? [] : [{ ...d, front: d.clients }],
+      ),
       /** A first configuration, and how a request is sent. */
       configuration: join(dir, 'configuration.json'),
       call: (id: string): string => SampleCall.line(routers[0]!.front, id),
--- a/packages/yard/src/routed/soak.ts
+++ b/packages/yard/src/routed/soak.ts
@@ -6,7 +6,7 @@
 import { SoakOperator } from './soakoperator.js';
 import type { SoakReport } from './soakreport.js';
 
-type Options = { seed: number; routers: number; clients: number; ms: number; dir: string };
+type Options = { seed: number; routers: number; clients: number; ms: number; dir: string; shared?: boolean };
 const RECOVERY = 12_000;
 const TRIES = 20;
 const SERVED = 18;
@@ -16,12 +16,15 @@
   async run(o: Options): Promise<SoakReport & { events: Record<string, number>; changes: number }> {
     const chance = Dice.seeded(o.seed);
     const report: SoakReport = { faults: [], counts: {} };
-    const plant = await RoutedPlant.make({ keepers: 3, routers: o.routers, prefill: 2, decode: 2 }, o.dir);
+    const plant = await RoutedPlant.make(
+      { keepers: 3, routers: o.routers, prefill: 2, decode: 2, shared: o.shared ?? false },
+      o.dir,
+    );
     try {
       await plant.start();
       const operator = SoakOperator.start(plant.keepers, RoutedPlant, chance, report);
       for (const end = Date.now() + RECOVERY; operator.acked() === 0 && Date.now() < end;) await pause(50);
-      const clients = SoakClients.start(plant.routers, chance, o.clients, report);
+      const clients = SoakClients.start(plant.entries, chance, o.clients, report);
       const events = await SoakFaults.run(plant, chance, o.ms);
       await clients.stop();
       await operator.stop();
