--- a/packages/forms/src/index.ts
+++ b/packages/forms/src/index.ts
@@ -29,6 +29,7 @@
 export { Limits } from './limits.js';
 export { type Log } from './log.js';
 export { Logs } from './logs.js';
+export { LoopDelay } from './loopdelay.js';
 export { Lot } from './lot.js';
 export { Machine } from './machine.js';
 export { Mail } from './mail.js';
--- a/packages/registry/src/consensus/bootstrap.ts
+++ b/packages/registry/src/consensus/bootstrap.ts
@@ -3,6 +3,7 @@
 import { CoreMessages } from '../service/coremessages.js';
 import type { Member } from '../membership/member.js';
 import { CoreTimings } from '../coretimings.js';
+import { BootstrapRules } from './bootstraprules.js';
 import type { ViewChanger } from './viewchanger.js';
 import type { AddressBook } from '../membership/addressbook.js';
 import type { View } from './view.js';
@@ -23,8 +24,6 @@
   adopt: (v: View) => Promise<boolean>;
 };
 const LIVES = 64;
-const text = (list: readonly Member[]): string => JSON.stringify(list.map((m) => [m.id, m.born, m.addr]));
-type Reply = Static<typeof CoreMessages.met>;
 
 /**
  * How the first view comes about, among candidates that know each other by a few seeds, which need not be candidates.
@@ -42,7 +41,7 @@
       if (m.id !== h.me().id) met.set(m.id, m, CoreTimings.met);
     };
     /** The candidates that this one knows, itself among them; none if it is none. */
-    const known = (): Member[] => (h.stands() ? [h.me(), ...met.all()].sort((a, b) => (a.id < b.id ? -1 : 1)) : []);
+    const known = (): Member[] => (h.stands() ? BootstrapRules.ordered([h.me(), ...met.all()]) : []);
     post.on('core.look', CoreMessages.look, () => ({ view: h.view(), took: voter.took(), me: h.me() }));
     post.on('core.meet', CoreMessages.meet, (body) => {
       note(body.me);
@@ -60,19 +59,6 @@
       );
       return got.flatMap(({ addr, r }) => (r.ok ? [{ addr, reply: r.val }] : []));
     };
-    const seedsHeard = (replied: readonly string[]): boolean => {
-      const seeds = h.seeds();
-      const heard = seeds.filter((a) => a === h.me().addr || replied.includes(a));
-      return heard.length * 2 > seeds.length || seeds.length === 0;
-    };
-    /** Whether everyone that replied knows these candidates and no other, each candidate in the same words. */
-    const agreed = (list: readonly Member[], all: readonly Reply[]): boolean => {
-      const names = new Set(list.map((m) => text([m])));
-      const noneElse = all.every((s) => s.took === null && s.met.every((m) => names.has(text([m]))));
-      const same = (m: Member): boolean =>
-        Views.same(m, h.me()) || all.some((s) => Views.same(s.me, m) && text(s.met) === text(list));
-      return noneElse && list.every(same);
-    };
     const newest = (list: readonly { view: View | null }[]): View | undefined =>
       list
         .map((s) => s.view)
@@ -99,10 +85,11 @@
         told = all.flatMap((s) => s.met.map((m) => m.addr)).slice(0, LIVES);
         for (const s of all) if (s.met.some((m) => Views.same(m, s.me))) note(s.me);
         const list = known();
-        const voters = list.slice(0, 2 * h.losses + 1);
-        if (voters.length !== 2 * h.losses + 1 || !Views.same(list[0], me)) return;
-        if (!seedsHeard(answers.map((r) => r.addr)) || !agreed(list, all)) return;
-        await viewChanger.propose(voters, { epoch: 1, voters, chain: voters }, 'The first view.', list);
+        const first = BootstrapRules.firstView(list, me, h.losses);
+        const replied = answers.map((r) => r.addr);
+        if (!first || !BootstrapRules.heardSeeds(h.seeds(), me.addr, replied)) return;
+        if (!BootstrapRules.agreed(list, me, all)) return;
+        await viewChanger.propose(first.voters, first, 'The first view.', list);
       },
     };
   },
--- a/packages/registry/src/consensus/introducer.ts
+++ b/packages/registry/src/consensus/introducer.ts
@@ -1,6 +1,7 @@
 import { Fading, type Clock, type PostBox } from '@pumicebarrow/forms';
 import type { Member } from '../membership/member.js';
 import { CoreMessages } from '../service/coremessages.js';
+import { BootstrapRules } from './bootstraprules.js';
 import type { View } from './view.js';
 
 /** Candidates that are remembered at once. */
@@ -22,7 +23,7 @@
     h.post.on('core.look', CoreMessages.look, () => ({ view: h.view(), took: null, me: h.me() }));
     h.post.on('core.meet', CoreMessages.meet, ({ me }) => {
       met.set(me.id, me, REMEMBERED);
-      const known = met.all().sort((a, b) => (a.id < b.id ? -1 : 1));
+      const known = BootstrapRules.ordered(met.all());
       return { view: h.view(), took: null, me: h.me(), met: known };
     });
   },
--- a/packages/registry/src/consensus/viewchanger.ts
+++ b/packages/registry/src/consensus/viewchanger.ts
@@ -1,6 +1,7 @@
 import { Dice, Timer, type PostBox, type World } from '@pumicebarrow/forms';
 import { CoreMessages } from '../service/coremessages.js';
 import type { Member } from '../membership/member.js';
+import { BootstrapRules } from './bootstraprules.js';
 import { ViewLimits } from './viewlimits.js';
 import { CoreTimings } from '../coretimings.js';
 import type { AddressBook } from '../membership/addressbook.js';
@@ -68,7 +69,9 @@
       const n = ballot(voters),
         epoch = next.epoch,
         most = Math.floor(voters.length / 2) + 1;
-      const first = await poll(promisers, epoch === 1 ? promisers.length : most, async (m) => {
+      const needed = (taken: boolean): number =>
+        epoch === 1 ? BootstrapRules.promisesNeeded(promisers.length, voters.length, taken) : most;
+      const first = await poll(promisers, needed(false), async (m) => {
         if (Views.same(m, me())) return { ...(await voter.prepare(epoch, n)), view: null };
         const r = await post.ask(
           addresses.of(m),
@@ -88,9 +91,9 @@
       }
       const yes = first.filter((v) => v.ok);
       const taken = yes.some((v) => v.took);
-      // Whoever took a first view goes on with it among its voters alone; nobody else may count those that promised.
-      if (taken && promisers.length > voters.length) return null;
-      if (yes.length < (epoch === 1 && !taken ? promisers.length : most)) {
+      // Nobody else may count those that promised.
+      if (BootstrapRules.isTakenOver(promisers.length, voters.length, taken)) return null;
+      if (yes.length < needed(taken)) {
         const wait = Math.min(CoreTimings.hold, Math.max(...first.map((v) => v.wait ?? 0), 0));
         await Timer.nap(world.clock, wait + Dice.int(world.chance, 60));
         return null;
--- a/packages/registry/src/consensus/voter.ts
+++ b/packages/registry/src/consensus/voter.ts
@@ -60,9 +60,9 @@
         alone(async () => {
           if (epoch <= present || !(await settled())) return no(epoch, 0);
           moving = mono() + 1500;
-          if (mono() < last()) return no(epoch, last() - mono());
-          const next = VoterRules.promise(vote, present, epoch, ballot, false);
-          if (!next) return no(epoch, 0);
+          const leasedFor = last() - mono();
+          const next = VoterRules.promise(vote, present, epoch, ballot, leasedFor > 0);
+          if (!next) return no(epoch, Math.max(0, leasedFor));
           const done = await save(next);
           return done.ok ? { ok: true, wait: 0, promised: ballot, took: next.took } : no(epoch, 0);
         }),
--- a/packages/registry/src/index.ts
+++ b/packages/registry/src/index.ts
@@ -9,6 +9,7 @@
 export { Bootstrap } from './consensus/bootstrap.js';
 export { Introducer } from './consensus/introducer.js';
 export { LeaseRecall } from './consensus/leaserecall.js';
+export { BootstrapRules } from './consensus/bootstraprules.js';
 export { NextViews } from './consensus/nextviews.js';
 export { View } from './consensus/view.js';
 export { ViewChanger } from './consensus/viewchanger.js';
--- a/packages/router/src/leaving.test.ts
+++ b/packages/router/src/leaving.test.ts
@@ -49,7 +49,7 @@
     }
   });
   /**
-   * Symptom: a router cut an answer 7.3 s after SIGTERM, midway, that it had taken 3.1 s after it; twice, at two fleets.
+   * Symptom: a router cut an answer 7.3 s after SIGTERM, midway, that it had taken 3.1 s after it; at two fleets.
    * Sequence: all answers of that route had been short lately; this one ran for 4.1 s of the 4.2 s that were left.
    * Cause: how long an answer may take was foreseen from answers before it. No foresight bounds it; only the client's
    * wait and the route's timeout do.
