--- a/packages/clerk/src/commands/trace.ts
+++ b/packages/clerk/src/commands/trace.ts
@@ -15,13 +15,14 @@
   ];
   static override args = {
     name: Args.string({
-      description: 'charter, mix, row:SERVER or sight:SERVER; of routers and keepers configuration, list, or the same',
+      description:
+        'charter, mix, row:SERVER or sight:SERVER; of routers and control replicas configuration, list, or the same',
     }),
   };
   static override flags = {
     ...Common,
     version: Flags.integer({ description: 'the version (for a row: the fence); the newest if left out', min: 1 }),
-    step: Flags.integer({ description: 'of routers and keepers: the step under that fence', min: 0 }),
+    step: Flags.integer({ description: 'of routers and control replicas: the step under that fence', min: 0 }),
   };
 
   async run(): Promise<void> {
--- a/packages/clerk/src/common.ts
+++ b/packages/clerk/src/common.ts
@@ -8,7 +8,7 @@
     multipleNonGreedy: true,
   }),
   daemon: Flags.string({
-    description: "IP:PORT of a router's or keeper's own wire; more may be given; else PUMICEBARROW_DAEMONS",
+    description: "IP:PORT of a router's or control replica's own wire; more may be given; else PUMICEBARROW_DAEMONS",
     multiple: true,
     multipleNonGreedy: true,
     exclusive: ['at'],
--- a/packages/clerk/src/fleet/fleet.ts
+++ b/packages/clerk/src/fleet/fleet.ts
@@ -14,11 +14,11 @@
 const FAULTS: Record<WireFault, string> = {
   unsent: 'nothing listens there',
   lost: 'no reply came',
-  wrong: 'no router or keeper replied there',
+  wrong: 'no router or control replica replied there',
 };
 const unread = (): Told => ({ verdict: Verdicts.not('unready', 'The core does not reply; nothing was read.', 1) });
 
-/** A fleet of routers and keepers, asked over their own wire. Invariant: nothing but `plan` and `settle` changes it. */
+/** A fleet of routers and replicas, asked over their own wire. Invariant: nothing but `plan` and `settle` changes it. */
 const ask = (
   c: ReturnType<typeof Caller.make>,
   first: readonly DaemonStatus[],
@@ -90,7 +90,7 @@
         return { verdict: Verdicts.not('unknown', `No router that replied remembers a request ${id}.`), daemons: rows };
       return { verdict: Verdicts.ran('read', 'As the routers say.'), request: id, daemons: rows };
     },
-    /** The keepers are tried in order; the same name makes the same plan, whoever hears of it first. */
+    /** The control replicas are tried in order; the same name makes the same plan, whoever hears of it first. */
     async plan(text: string): Promise<Told> {
       if (!line.view()) await line.look();
       const view = line.view();
@@ -103,7 +103,7 @@
       }
       const verdict = lost
         ? Verdicts.maybe('silent', `Plan ${id} may be stored; it takes hold only when it is confirmed.`)
-        : Verdicts.not('unready', 'No keeper could store the plan; nothing was done.', 1);
+        : Verdicts.not('unready', 'No control replica could store the plan; nothing was done.', 1);
       return { verdict, plan: id };
     },
     async settle(what: 'confirm' | 'drop', plan: string): Promise<Told> {
--- a/packages/clerk/src/fleet/fleetwellness.test.ts
+++ b/packages/clerk/src/fleet/fleetwellness.test.ts
@@ -50,13 +50,13 @@
     [
       'no head speaks',
       one('k1', { head: false }),
-      ['no keeper speaks as the head: no list goes round, and no stage can change'],
+      ['no control replica speaks as the head: no list goes round, and no stage can change'],
     ],
     ['two heads speak', one('k2', { head: true }), ['k1 and k2 both say that they are the head']],
     [
-      'a keeper has left the chain',
+      'a control replica has left the chain',
       { ...well, view: { ...view, chain: view.chain.slice(0, 2) } },
-      ['keeper k3 is out of the chain'],
+      ['control replica k3 is out of the chain'],
     ],
     [
       'there is no configuration',
--- a/packages/clerk/src/fleet/fleetwellness.ts
+++ b/packages/clerk/src/fleet/fleetwellness.ts
@@ -8,10 +8,11 @@
   const heads = s.daemons.filter((d) => d.told?.head);
   const out: string[] = [];
   if (s.core === null) out.push('the core does not reply: no configuration can change');
-  if (heads.length === 0) out.push('no keeper speaks as the head: no list goes round, and no stage can change');
+  if (heads.length === 0)
+    out.push('no control replica speaks as the head: no list goes round, and no stage can change');
   if (heads.length > 1) out.push(`${heads.map((h) => h.id).join(' and ')} both say that they are the head`);
   const gone = (s.view?.voters ?? []).filter((v) => !s.view!.chain.some((m) => m.id === v.id));
-  return [...out, ...gone.map((v) => `keeper ${v.id} is out of the chain`)];
+  return [...out, ...gone.map((v) => `control replica ${v.id} is out of the chain`)];
 };
 const services = (s: FleetState): string[] => {
   if (s.core && !s.core.routing) return ['there is no configuration: plan and confirm one'];
@@ -34,7 +35,7 @@
 const daemon = (s: FleetState, d: Daemon): string[] => {
   const t = d.told;
   if (!t) return [`${d.role} ${d.id} can not be reached`];
-  if (!t.sure && d.role === 'keeper') return [`keeper ${d.id} has no claim on the chain, and says nothing`];
+  if (!t.sure && d.role === 'keeper') return [`control replica ${d.id} has no claim on the chain, and says nothing`];
   if (!t.sure) return [`router ${d.id} is learning the newest configuration, and refuses requests`];
   const out: string[] = [];
   const held = t.configuration;
--- a/packages/clerk/src/where.ts
+++ b/packages/clerk/src/where.ts
@@ -25,7 +25,9 @@
       return (await http(given.length > 0 ? given : [HOME])).body;
     }
     if (!wire)
-      return { verdict: Verdicts.bad([{ path: '--at', why: 'is needed: routers and keepers do not know this' }]) };
+      return {
+        verdict: Verdicts.bad([{ path: '--at', why: 'is needed: routers and control replicas do not know this' }]),
+      };
     const faults = wires
       .filter((a) => !IP.test(a) || SettingsReader.ports(a).length > 0)
       .map((a) => ({ path: a, why: 'is no IP number and port' }));
--- a/packages/registry/src/consensus/nextviews.test.ts
+++ b/packages/registry/src/consensus/nextviews.test.ts
@@ -104,11 +104,11 @@
           if (!next) continue;
           expect(Views.complete(next).map((m) => m.id)).to.include(Views.head(next).id);
           const holders = [...Views.complete(v), ...(v.reserve ?? [])];
-          const keepers = [...Views.complete(next), ...(next.reserve ?? [])];
+          const replicas = [...Views.complete(next), ...(next.reserve ?? [])];
           if (Views.complete(next).length < Views.most(next))
             for (const h of holders)
               expect(
-                keepers.some((m) => Views.same(m, h)),
+                replicas.some((m) => Views.same(m, h)),
                 h.id,
               ).to.equal(true);
           v = next;
--- a/packages/router/src/keeper.ts
+++ b/packages/router/src/controlreplica.ts
@@ -3,7 +3,7 @@
 import { CoreMetrics, Registrar, Views } from '@pumicebarrow/registry';
 import { ConfigurationCalls } from './configurationcalls.js';
 import { IntentDesk } from './intentdesk.js';
-import { KeeperDesk } from './keeperdesk.js';
+import { ReplicaHandler } from './replicahandler.js';
 import type { Engine } from './engine.js';
 import { LoadTable } from './loadtable.js';
 import { ListDuty } from './listduty.js';
@@ -19,7 +19,7 @@
 };
 
 /** A core daemon of a routed fleet put together: the registry, the duties, and the operators' desk. */
-export const Keeper = {
+export const ControlReplica = {
   async make(world: World, startup: RouterStartup & Core, source: ListSource, engine: Engine) {
     const made = await Registrar.make(world, {
       ...{ id: startup.id, addr: startup.addr, site: startup.zone, seeds: startup.seeds, tunes: startup.tunes },
@@ -42,7 +42,7 @@
       every: Math.max(400, startup.drain / 4),
     });
     const version = (): number => d.core.chain.passed()?.charter?.version ?? 0;
-    const desk = KeeperDesk.make({ clock, post: d.post, view, speaks, version, list: duty.now });
+    const desk = ReplicaHandler.make({ clock, post: d.post, view, speaks, version, list: duty.now });
     /** ms that a server of a service is away while it changes its stage, as the configuration says. */
     const away = (service: string): number => {
       const intent = d.core.chain.passed()?.charter?.body;
--- a/packages/router/src/duties.test.ts
+++ b/packages/router/src/duties.test.ts
@@ -3,7 +3,7 @@
 import type { ControlClient, View } from '@pumicebarrow/registry';
 import { expect } from 'chai';
 import { HeadLine } from './headline.js';
-import { KeeperDesk } from './keeperdesk.js';
+import { ReplicaHandler } from './replicahandler.js';
 import { ListDuty } from './listduty.js';
 import { ListRows } from './listrows.js';
 import { daemon, testTown } from './post.test.js';
@@ -89,7 +89,7 @@
       tails: 0,
     };
     const head = town.post(daemon('k1', 'registry'));
-    const desk = KeeperDesk.make({
+    const desk = ReplicaHandler.make({
       ...{ clock: time.clock, post: head, view: () => view, speaks: () => state.speaks },
       ...{ version: () => state.version, list: () => state.list },
     });
--- a/packages/router/src/keeperdesk.test.ts
+++ b/packages/router/src/replicahandler.test.ts
@@ -1,6 +1,6 @@
 import { Dice, Hash, Lot, type Ident } from '@pumicebarrow/forms';
 import { expect } from 'chai';
-import { KeeperDesk } from './keeperdesk.js';
+import { ReplicaHandler } from './replicahandler.js';
 import { daemon, testTown } from './post.test.js';
 import { testClock } from './stand.test.js';
 import { Words } from './words.js';
@@ -16,7 +16,7 @@
       count.clock++;
       return time.clock.mono();
     };
-    KeeperDesk.make({
+    ReplicaHandler.make({
       ...{ clock: { ...time.clock, mono }, post: town.post(daemon('k1', 'registry')), view: () => null },
       ...{ speaks: () => true, version: () => 1, list: () => null },
     });
--- a/packages/router/src/keeperdesk.ts
+++ b/packages/router/src/replicahandler.ts
@@ -27,7 +27,7 @@
  * Where routers check in with the head. What it knows of them is soft: lost with the head, and learnt again.
  * Invariant: rows lie in the order of their ends, as each is set for the same time.
  */
-export const KeeperDesk = {
+export const ReplicaHandler = {
   make(t: Tools) {
     const seen = new Map<string, Seen>();
     const nearest = Nearest.make({ mono: t.clock.mono, many: FEW });
--- a/packages/router/src/routerstartup.ts
+++ b/packages/router/src/routerstartup.ts
@@ -1,6 +1,6 @@
 import type { Tunes } from '@pumicebarrow/purge';
 
-/** What a router or keeper is started with; what may change while it lives is asked for. */
+/** What a router or control replica is started with; what may change while it lives is asked for. */
 export type RouterStartup = {
   id: string;
   addr: string;
--- a/packages/router/src/statusdesk.ts
+++ b/packages/router/src/statusdesk.ts
@@ -24,7 +24,7 @@
 };
 const finite = (ms: number | null): number | null => (ms !== null && Number.isFinite(ms) ? ms : null);
 
-/** Where a router or keeper tells operators how it stands. Invariant: nothing is gathered or sent unasked. */
+/** Where a router or control replica tells operators how it stands. Invariant: nothing is gathered or sent unasked. */
 export const StatusDesk = {
   forms: {
     ask: Type.Object({ servers: Type.Boolean() }, { additionalProperties: false }),
--- a/packages/router/src/words.ts
+++ b/packages/router/src/words.ts
@@ -10,7 +10,7 @@
   maxItems: 4096,
 });
 
-/** What routers and keepers say to each other, beside purge and the core's own words. */
+/** What routers and control replicas say to each other, beside purge and the core's own words. */
 export const Words = {
   /** A router tells what it holds. */
   checkin: Type.Object(
--- a/packages/routesim/src/capacity/deskworks.ts
+++ b/packages/routesim/src/capacity/deskworks.ts
@@ -1,5 +1,5 @@
 import { Lot, type Clock, type Ident, type PostBox } from '@pumicebarrow/forms';
-import { KeeperDesk } from '@pumicebarrow/router';
+import { ReplicaHandler } from '@pumicebarrow/router';
 import { Timed, type Figure } from '@pumicebarrow/sim';
 import { RoutedWorks } from './routedworks.js';
 import { Weighings } from './weighings.js';
@@ -11,7 +11,7 @@
 /** The head's desk for check-ins, alone, by how many routers there are. */
 export const DeskWorks = {
   head: (post: PostBox, mono: () => number) =>
-    KeeperDesk.make({
+    ReplicaHandler.make({
       ...{ clock: { ...clock, mono }, post, view: () => null, speaks: () => true, version: () => 1, list: () => null },
     }),
   /** What the head keeps of routers that checked in until all have their peers. */
--- a/packages/routesim/src/capacity/hollowfleet.ts
+++ b/packages/routesim/src/capacity/hollowfleet.ts
@@ -1,6 +1,6 @@
 import { Err, Logs, type Clock, type World } from '@pumicebarrow/forms';
 import { Tuned } from '@pumicebarrow/purge';
-import { Keeper, Router, type Engine } from '@pumicebarrow/router';
+import { ControlReplica, Router, type Engine } from '@pumicebarrow/router';
 import { Design, Host, SimDisk, type Box } from '@pumicebarrow/sim';
 import { Bounds } from '../bounds.js';
 import { CountedWire } from './countedwire.js';
@@ -8,8 +8,8 @@
 import type { Metered } from './metered.js';
 
 type Routed = ReturnType<typeof Router.make>;
-type Keeping = Extract<Awaited<ReturnType<typeof Keeper.make>>, { ok: true }>['val'];
-type Asked = { routers: number; keepers: number; servers: number; slow: number };
+type Keeping = Extract<Awaited<ReturnType<typeof ControlReplica.make>>, { ok: true }>['val'];
+type Asked = { routers: number; replicas: number; servers: number; slow: number };
 type Told = {
   exchange: (kind: string, from: string, to: string, sent: number, back: number) => void;
   held: (who: string, name: string, mark: readonly number[], via: string) => void;
@@ -17,7 +17,7 @@
 const PACE = 3;
 
 /**
- * Routers and keepers without requests, many to a process: their own code, each daemon's work under its own name.
+ * Routers and replicas without requests, many to a process: their own code, each daemon's work under its own name.
  * Invariant: what a daemon does begins in a timer of its clock, a mail that it hears, a reply, its disk or the list.
  */
 export const HollowFleet = {
@@ -39,12 +39,12 @@
     } as unknown as Engine;
     const boxes = new Map<string, Box>();
     const routers = new Map<string, Routed>();
-    const keepers = new Map<string, Keeping>();
+    const replicas = new Map<string, Keeping>();
     const zone = (i: number): string => `zone-${i % Design.zones}`;
-    const keeperIds = Array.from({ length: a.keepers }, (_, i) => `k${i + 1}`);
+    const replicaIds = Array.from({ length: a.replicas }, (_, i) => `k${i + 1}`);
     const routerIds = Array.from({ length: a.routers }, (_, i) => `r${i + 1}`);
     const address = (kind: number, i: number): string => `10.${kind}.${Math.floor(i / 250)}.${(i % 250) + 1}:7000`;
-    const seeds = keeperIds.slice(0, 3).map((_, i) => address(0, i));
+    const seeds = replicaIds.slice(0, 3).map((_, i) => address(0, i));
     const host = (id: string, addr: string, i: number, disk: boolean): { box: Box; world: World } => {
       const own = { ...motor, at: (ms: number, fn: () => void) => later(id)(ms - motor.now(), fn) };
       const kept = disk ? SimDisk.make(own, PACE).disk : null;
@@ -75,12 +75,12 @@
         return list.source().poll();
       },
     });
-    const core = { losses: Math.floor((a.keepers - 1) / 2), first: true, lease: Bounds.lease };
-    const making = keeperIds.map(async (id, i) => {
+    const core = { losses: Math.floor((a.replicas - 1) / 2), first: true, lease: Bounds.lease };
+    const making = replicaIds.map(async (id, i) => {
       const { box, world } = host(id, address(0, i), i, true);
-      const made = await Keeper.make(world, { ...startup(id, box), ...core }, source(id), engine);
+      const made = await ControlReplica.make(world, { ...startup(id, box), ...core }, source(id), engine);
       if (made.err) throw new Error(made.val);
-      keepers.set(id, made.val);
+      replicas.set(id, made.val);
       made.val.start();
     });
     await motor.run(1000);
@@ -96,13 +96,13 @@
       later(id)(motor.chance.real() * 1000, made.start);
     });
     return {
-      ...{ motor, routers, keepers, routerIds, keeperIds, list },
+      ...{ motor, routers, replicas, routerIds, replicaIds, list },
       /** These end at once, as by a loss of power. */
       kill(ids: readonly string[]): void {
         for (const id of ids) {
           boxes.get(id)!.kill();
           routers.delete(id);
-          keepers.delete(id);
+          replicas.delete(id);
         }
       },
       cut: net.cut,
@@ -114,7 +114,7 @@
       },
       orders: (): number => orders,
       head(): string {
-        const views = [...keepers.values()].flatMap((k) => k.core.view() ?? []);
+        const views = [...replicas.values()].flatMap((k) => k.core.view() ?? []);
         return views.sort((x, y) => y.epoch - x.epoch)[0]!.chain[0]!.id;
       },
     };
--- a/packages/routesim/src/capacity/newhead.ts
+++ b/packages/routesim/src/capacity/newhead.ts
@@ -1,5 +1,5 @@
 import type { Ident } from '@pumicebarrow/forms';
-import { KeeperDesk } from '@pumicebarrow/router';
+import { ReplicaHandler } from '@pumicebarrow/router';
 import { Hollow, type Figure } from '@pumicebarrow/sim';
 import { RoutedWorks } from './routedworks.js';
 
@@ -53,7 +53,7 @@
     const { post, hear } = RoutedWorks.post();
     const all: Ident[] = Array.from({ length: n }, (_, i) => RoutedWorks.ident(i));
     let time = 0;
-    KeeperDesk.make({
+    ReplicaHandler.make({
       clock: { mono: () => time, wall: () => time, after: () => () => undefined },
       ...{ post, view: () => null, speaks: () => true, version: () => 1, list: () => null },
     });
--- a/packages/routesim/src/capacity/routedfleet.ts
+++ b/packages/routesim/src/capacity/routedfleet.ts
@@ -24,7 +24,7 @@
   /** ms that is measured. */
   span?: number | undefined;
 };
-const KEEPERS = 5;
+const REPLICAS = 5;
 const ROUTES = 8;
 const SETTLE = 8000;
 const SPAN = 16_000;
@@ -43,14 +43,14 @@
     const force = InForce.make(motor.now, () => ids);
     const f = await HollowFleet.make(
       motor,
-      { routers: a.routers, keepers: KEEPERS, servers: a.servers, slow: a.slow ?? 0 },
+      { routers: a.routers, replicas: REPLICAS, servers: a.servers, slow: a.slow ?? 0 },
       { exchange: tally.add, held: (who, name, mark, via) => force.held(who, name, mark as Mark, via) },
     );
-    ids.push(...f.routerIds, ...f.keeperIds);
+    ids.push(...f.routerIds, ...f.replicaIds);
     let revision = 0;
     const change = (): void => {
-      const keeper = f.keepers.get(f.keeperIds.at(-1)!)!;
-      void keeper.replace(revision++, HollowRouting.make(revision, a.routes ?? ROUTES));
+      const replica = f.replicas.get(f.replicaIds.at(-1)!)!;
+      void replica.replace(revision++, HollowRouting.make(revision, a.routes ?? ROUTES));
     };
     motor.at(3000, change);
     motor.at(4000, () => {
@@ -78,7 +78,7 @@
     for (const [role, some] of [
       ['router', f.routerIds],
       ['head', [head]],
-      ['keeper', f.keeperIds.filter((id) => id !== head)],
+      ['keeper', f.replicaIds.filter((id) => id !== head)],
     ] as const) {
       const sum = { mails: 0, bytes: 0 };
       for (const [what, s] of [...tally.mean(some)].sort()) {
--- a/packages/routesim/src/capacity/routedlosses.ts
+++ b/packages/routesim/src/capacity/routedlosses.ts
@@ -20,14 +20,14 @@
       tally = Tally.make();
     const f = await HollowFleet.make(
       motor,
-      { routers, keepers: 5, servers: SERVERS, slow: 0 },
+      { routers, replicas: 5, servers: SERVERS, slow: 0 },
       { exchange: tally.add, held: () => undefined },
     );
     let revision = 0;
-    /** A change by a keeper that lives; true once it is acknowledged. */
+    /** A change by a control replica that lives; true once it is acknowledged. */
     const change = async (by: string): Promise<boolean> => {
-      const got = await f.keepers.get(by)!.replace(revision, HollowRouting.make(revision + 1, ROUTES));
-      const now = await f.keepers.get(by)!.read();
+      const got = await f.replicas.get(by)!.replace(revision, HollowRouting.make(revision + 1, ROUTES));
+      const now = await f.replicas.get(by)!.read();
       if (now.ok && now.val) revision = now.val.revision;
       return got.ran === 'yes';
     };
@@ -74,12 +74,12 @@
       },
     };
   },
-  /** A rack takes the head and one more keeper with it, a zone one keeper that isn't the head. */
+  /** A rack takes the head and one more control replica with it, a zone one control replica that isn't the head. */
   async power(n: number, seed: number, what: 'rack' | 'zone'): Promise<Figure[]> {
     const w = await RoutedLosses.make(n, seed, what);
     const { f, motor } = w,
       head = f.head();
-    const others = f.keeperIds.filter((id) => id !== head);
+    const others = f.replicaIds.filter((id) => id !== head);
     const many = what === 'rack' ? Math.min(RACK, Math.floor(n / 4)) : Math.max(1, Math.round(n / Design.zones));
     const lost = f.routerIds.slice(-many),
       rest = f.routerIds.slice(0, -many);
@@ -113,7 +113,7 @@
       w.one('all others hold it', 'ms', held),
     ];
   },
-  /** A region of routers without a keeper, which still gets the platform's own list; the rest is changed meanwhile. */
+  /** A region of routers without a replica, which still gets the platform's own list; the rest is changed meanwhile. */
   async region(n: number, seed: number, span: number): Promise<Figure[]> {
     const w = await RoutedLosses.make(n, seed, span >= 3_600_000 ? 'region, an hour' : 'region, a minute');
     const { f, motor } = w;
--- a/packages/routesim/src/capacity/routedruns.ts
+++ b/packages/routesim/src/capacity/routedruns.ts
@@ -35,7 +35,7 @@
 /** The runs of `routesim capacity`, by name, each with the sizes it is made at. */
 export const RoutedRuns: Record<string, Run> = {
   routers: {
-    about: 'routers before 16 servers, five keepers, no requests',
+    about: 'routers before 16 servers, five control replicas, no requests',
     sizes,
     job: (n, seed, span) => RoutedFleet.run({ span, ...routers(n, seed), routers: n, servers: 16 }),
   },
--- a/packages/routesim/src/capacity/routedstart.ts
+++ b/packages/routesim/src/capacity/routedstart.ts
@@ -14,10 +14,10 @@
       tally = Tally.make();
     const f = await HollowFleet.make(
       motor,
-      { routers: 25, keepers: 5, servers, slow },
+      { routers: 25, replicas: 5, servers, slow },
       { exchange: tally.add, held: () => undefined },
     );
-    motor.at(3000, () => void f.keepers.get('k5')!.replace(0, HollowRouting.make(1, 8)));
+    motor.at(3000, () => void f.replicas.get('k5')!.replace(0, HollowRouting.make(1, 8)));
     await motor.run(SETTLE);
     tally.reset();
     const late = f.join();
--- a/packages/routesim/src/contact.ts
+++ b/packages/routesim/src/contact.ts
@@ -2,11 +2,11 @@
 import type { Seen } from './seen.js';
 
 type Trouble = Extract<Seen, { what: 'trouble' }>;
-const keeper = (id: string): boolean => id.startsWith('k');
+const replica = (id: string): boolean => id.startsWith('k');
 
 /**
  * Which machines were in touch, by the trouble that was brought. Invariant: one is in touch at a moment if for
- * `contact` before it neither it nor the core was in trouble; a keeper that is away troubles the core only as it goes
+ * `contact` before it neither it nor the core was in trouble; a replica that is away troubles the core only as it goes
  * and comes.
  */
 export const Contact = {
@@ -17,7 +17,7 @@
       t.edges ? (t.at >= from && t.at <= to) || (t.until >= from && t.until <= to) : t.at <= to && t.until >= from;
     const own = (t: Trouble, from: number, to: number): boolean => t.at <= to && t.until >= from;
     const settled = (from: number, to: number): boolean =>
-      !all.some((t) => t.ids.some(keeper) && met(t, from, to)) &&
+      !all.some((t) => t.ids.some(replica) && met(t, from, to)) &&
       !(closed && to >= closed.at && from <= closed.at + Bounds.contact * 2 + 4000);
     const calm = (ids: readonly string[], from: number, to: number): boolean =>
       !all.some((t) => t.ids.some((id) => ids.includes(id)) && own(t, from, to));
--- a/packages/routesim/src/drills/closings.ts
+++ b/packages/routesim/src/drills/closings.ts
@@ -3,7 +3,7 @@
 import type { Scene } from '../scene.js';
 
 const AFTER = 17_000;
-const all = (s: Scene): string[] => [...s.f.keeperIds, ...s.f.routerIds];
+const all = (s: Scene): string[] => [...s.f.replicaIds, ...s.f.routerIds];
 const close = async (s: Scene, ms: number, strike: () => void): Promise<void> => {
   await s.operators.change();
   s.clients.closed(ms);
@@ -30,7 +30,7 @@
     about: 'as many disks as may be lost are, and all other machines lose power',
     run: (s) =>
       close(s, 3000, () => {
-        const lost = s.trouble.some(s.f.keeperIds, s.f.losses);
+        const lost = s.trouble.some(s.f.replicaIds, s.f.losses);
         s.trouble.kill(all(s), 3000, true);
         for (const id of lost) s.f.wipe(id);
       }),
--- a/packages/routesim/src/drills/coredrills.ts
+++ b/packages/routesim/src/drills/coredrills.ts
@@ -2,9 +2,9 @@
 import type { Scene } from '../scene.js';
 import { Met } from '../met.js';
 
-const keepers = (s: Scene, n: number): string[] => s.trouble.some(s.f.keeperIds, n);
+const replicas = (s: Scene, n: number): string[] => s.trouble.some(s.f.replicaIds, n);
 const losses = (s: Scene): number => s.f.losses;
-const leader = (s: Scene): string => s.f.head() ?? s.f.keeperIds[0]!;
+const leader = (s: Scene): string => s.f.head() ?? s.f.replicaIds[0]!;
 /** While it lasts, servers leave and configurations change. */
 const busy = async (s: Scene, rest: number): Promise<void> => {
   const end = s.trouble.release(0.3, 500);
@@ -15,9 +15,9 @@
 };
 const disk = (how: 'slow' | 'full' | 'stall'): Drill => ({
   name: `disk_${how}`,
-  about: `a keeper's disk is ${how}`,
+  about: `a control replica's disk is ${how}`,
   async run(s) {
-    for (const id of keepers(s, losses(s))) s.trouble.disk(how, id, 5000);
+    for (const id of replicas(s, losses(s))) s.trouble.disk(how, id, 5000);
     await busy(s, 10_000);
   },
   meets: Met.kind(`disk ${how}`),
@@ -27,9 +27,9 @@
 export const CoreDrills: readonly Drill[] = [
   {
     name: 'core_kill',
-    about: 'keepers are killed, and come back',
+    about: 'control replicas are killed, and come back',
     async run(s) {
-      s.trouble.kill(keepers(s, losses(s)), 2500);
+      s.trouble.kill(replicas(s, losses(s)), 2500);
       await busy(s, 8000);
     },
     meets: Met.kind('kill'),
@@ -66,9 +66,9 @@
   },
   {
     name: 'core_term',
-    about: 'keepers get SIGTERM, one after the other',
+    about: 'control replicas get SIGTERM, one after the other',
     async run(s) {
-      const end = s.trouble.term([...s.f.keeperIds], 1, 4000);
+      const end = s.trouble.term([...s.f.replicaIds], 1, 4000);
       await s.f.nap(300);
       await s.operators.change();
       await end;
@@ -78,9 +78,9 @@
   },
   {
     name: 'core_herd',
-    about: 'every keeper is killed at once, and is back within a second',
+    about: 'every control replica is killed at once, and is back within a second',
     async run(s) {
-      s.trouble.kill([...s.f.keeperIds], 900);
+      s.trouble.kill([...s.f.replicaIds], 900);
       await s.f.nap(1000);
       await busy(s, 8000);
     },
@@ -88,10 +88,10 @@
   },
   {
     name: 'replace_core',
-    about: 'a keeper is gone for good, an empty one with another name comes',
+    about: 'a control replica is gone for good, an empty one with another name comes',
     async run(s) {
       for (let i = 0; i < 2; i++) {
-        await s.trouble.replace(i === 0 ? leader(s) : s.f.keeperIds[0]!, false);
+        await s.trouble.replace(i === 0 ? leader(s) : s.f.replicaIds[0]!, false);
         await s.operators.change();
         await s.f.nap(8000);
       }
@@ -100,7 +100,7 @@
   },
   {
     name: 'replace_planned',
-    about: 'the new keeper comes first, then the old one gets SIGTERM',
+    about: 'the new control replica comes first, then the old one gets SIGTERM',
     async run(s) {
       await s.trouble.replace(leader(s), true);
       await s.operators.change();
@@ -110,9 +110,9 @@
   },
   {
     name: 'seed_turnover',
-    about: 'keepers are replaced until no first seed is left, and then routers start with new seeds',
+    about: 'control replicas are replaced until no first seed is left, and then routers start with new seeds',
     async run(s) {
-      for (const id of [...s.f.keeperIds]) {
+      for (const id of [...s.f.replicaIds]) {
         await s.trouble.replace(id, true);
         s.f.reseed();
         await s.f.nap(5000);
@@ -125,7 +125,7 @@
   },
   {
     name: 'after_ack_wipe',
-    about: 'the keeper that has just acknowledged loses its disk',
+    about: 'the control replica that has just acknowledged loses its disk',
     async run(s) {
       for (let i = 0; i < 2; i++) {
         await s.operators.change();
@@ -137,10 +137,10 @@
   },
   {
     name: 'lots_wipe',
-    about: 'as many keepers as may be lost lose their disks just after an acknowledgement',
+    about: 'as many control replicas as may be lost lose their disks just after an acknowledgement',
     async run(s) {
       await s.operators.change();
-      for (const id of keepers(s, losses(s))) s.trouble.wipe(id, 1500);
+      for (const id of replicas(s, losses(s))) s.trouble.wipe(id, 1500);
       await s.f.nap(12_000);
       await s.operators.change();
     },
@@ -151,12 +151,12 @@
   disk('stall'),
   {
     name: 'core_cut',
-    about: 'a keeper is cut off from the others, not from the routers',
+    about: 'a control replica is cut off from the others, not from the routers',
     async run(s) {
       const id = leader(s);
       s.trouble.cut(
         [id],
-        s.f.keeperIds.filter((x) => x !== id),
+        s.f.replicaIds.filter((x) => x !== id),
         5000,
       );
       await busy(s, 9000);
@@ -165,15 +165,15 @@
   },
   {
     name: 'core_oneway',
-    about: 'what a keeper sends to the others is lost; then what they send to it',
+    about: 'what a control replica sends to the others is lost; then what they send to it',
     async run(s) {
       const id = leader(s),
-        rest = s.f.keeperIds.filter((x) => x !== id);
+        rest = s.f.replicaIds.filter((x) => x !== id);
       s.trouble.cut([id], rest, 5000, true);
       await busy(s, 7000);
       const other = leader(s);
       s.trouble.cut(
-        s.f.keeperIds.filter((x) => x !== other),
+        s.f.replicaIds.filter((x) => x !== other),
         [other],
         5000,
         true,
--- a/packages/routesim/src/drills/machinedrills.ts
+++ b/packages/routesim/src/drills/machinedrills.ts
@@ -73,7 +73,7 @@
     name: 'clock_step',
     about: 'the time of day jumps on some machines, and back',
     async run(s) {
-      const all = [...s.f.routerIds, ...s.f.keeperIds];
+      const all = [...s.f.routerIds, ...s.f.replicaIds];
       s.trouble.step(s.trouble.some(all, 3), 2000, 4000);
       s.trouble.step(s.trouble.some(all, 3), -2000, 4000);
       await s.operators.change();
@@ -85,7 +85,7 @@
     name: 'node_cut',
     about: 'routers are cut off from the core while servers leave and configurations change',
     async run(s) {
-      s.trouble.cut(routers(s, 2), s.f.keeperIds, 6000);
+      s.trouble.cut(routers(s, 2), s.f.replicaIds, 6000);
       const end = s.trouble.release(0.4, 400);
       await s.operators.change();
       await end;
@@ -98,7 +98,7 @@
     about: 'routers are cut off from all other machines but the servers',
     async run(s) {
       const some = routers(s, 2);
-      const rest = [...s.f.keeperIds, 'platform', ...s.f.routerIds.filter((id) => !some.includes(id))];
+      const rest = [...s.f.replicaIds, 'platform', ...s.f.routerIds.filter((id) => !some.includes(id))];
       s.trouble.cut(some, rest, 7000);
       const end = s.trouble.release(0.5, 300);
       await s.operators.change();
@@ -125,7 +125,7 @@
     name: 'loss',
     about: 'a tenth of the mail between daemons is lost',
     async run(s) {
-      s.trouble.note('loss', [...s.f.routerIds, ...s.f.keeperIds], 6000);
+      s.trouble.note('loss', [...s.f.routerIds, ...s.f.replicaIds], 6000);
       s.f.net.lose(0.1);
       await s.operators.change();
       await s.f.nap(5000);
--- a/packages/routesim/src/drills/overloaddrills.ts
+++ b/packages/routesim/src/drills/overloaddrills.ts
@@ -43,7 +43,7 @@
       await leaveTwo(s);
       await s.f.nap(LAST);
       s.clients.closed(DOWN);
-      s.trouble.kill([...s.f.keeperIds, ...s.f.routerIds], DOWN);
+      s.trouble.kill([...s.f.replicaIds, ...s.f.routerIds], DOWN);
       await s.f.nap(DOWN + AFTER);
     },
     meets: Met.what('closed'),
--- a/packages/routesim/src/drills/serverdrills.ts
+++ b/packages/routesim/src/drills/serverdrills.ts
@@ -163,7 +163,7 @@
     name: 'list_cut',
     about: 'the platform says nothing for a time',
     async run(s) {
-      const lift = s.f.net.cut(['platform'], [...s.f.keeperIds, ...s.f.routerIds]);
+      const lift = s.f.net.cut(['platform'], [...s.f.replicaIds, ...s.f.routerIds]);
       s.trouble.note('list', ['platform'], 5000);
       await s.trouble.release(0.3, 500);
       await s.f.nap(4000);
--- a/packages/routesim/src/drills/suredrills.ts
+++ b/packages/routesim/src/drills/suredrills.ts
@@ -62,7 +62,7 @@
     async run(s) {
       for (let i = 0; i < 3; i++) {
         const some = s.trouble.some(s.f.routerIds, 3);
-        const rest = [...s.f.keeperIds, 'platform', ...s.f.routerIds.filter((id) => !some.includes(id))];
+        const rest = [...s.f.replicaIds, 'platform', ...s.f.routerIds.filter((id) => !some.includes(id))];
         s.trouble.cut(some, rest, 4000);
         await s.operators.change();
         await marks(s, 2500);
--- a/packages/routesim/src/drills/worstdrills.ts
+++ b/packages/routesim/src/drills/worstdrills.ts
@@ -3,15 +3,15 @@
 import type { Scene } from '../scene.js';
 import type { Seen } from '../seen.js';
 
-/** ms for which a keeper is cut off: longer than any lease, list or detector lasts. */
+/** ms for which a control replica is cut off: longer than any lease, list or detector lasts. */
 const LONG = 21_000;
 type Place = 'head' | 'middle' | 'tail';
 const at = (s: Scene, place: Place): string => {
   const chain = s.f.chain();
   const i = place === 'head' ? 0 : place === 'tail' ? chain.length - 1 : Math.floor(chain.length / 2);
-  return chain[i] ?? s.f.keeperIds[0]!;
+  return chain[i] ?? s.f.replicaIds[0]!;
 };
-/** Changes, races and reads while time runs; the reads are asked of one keeper all the while. */
+/** Changes, races and reads while time runs; the reads are asked of one control replica all the while. */
 const press = async (s: Scene, ms: number, id: string): Promise<void> => {
   const end = s.f.motor.now() + ms;
   const reads = async (): Promise<void> => {
@@ -37,7 +37,7 @@
   about: `the ${place} is cut off for ${LONG / 1000} s (${from}), and is asked for the configuration all the while`,
   async run(s) {
     const id = at(s, place);
-    const core = s.f.keeperIds.filter((x) => x !== id);
+    const core = s.f.replicaIds.filter((x) => x !== id);
     s.trouble.cut([id], from === 'all' ? [...core, ...s.f.routerIds] : core, LONG, from === 'one_way');
     await press(s, LONG, id);
     await s.f.nap(6000);
@@ -53,7 +53,7 @@
   longCut('head', 'one_way'),
   {
     name: 'race_lost_answers',
-    about: 'operators race on one number, most answers to them are lost, and repeats go to any keeper',
+    about: 'operators race on one number, most answers to them are lost, and repeats go to any control replica',
     async run(s) {
       s.operators.losing(0.7);
       for (let i = 0; i < 3; i++) {
@@ -66,7 +66,7 @@
   },
   {
     name: 'many_changes',
-    about: 'some hundred changes while keepers are killed, frozen, stalled and wiped in turn',
+    about: 'some hundred changes while control replicas are killed, frozen, stalled and wiped in turn',
     async run(s) {
       const end = s.f.motor.now() + 30_000;
       const change = async (): Promise<void> => {
@@ -89,7 +89,7 @@
   {
     name: 'overlap_wipe',
     about:
-      'one keeper is behind, another stops as it comes back, and the third loses its disk; all power goes after it',
+      'one replica is behind, another stops as it comes back, and the third loses its disk; all power goes after it',
     async run(s) {
       const [head, middle, tail] = s.f.chain() as [string, string, string];
       s.trouble.kill([tail], 3000, true);
--- a/packages/routesim/src/modeloperators.ts
+++ b/packages/routesim/src/modeloperators.ts
@@ -25,7 +25,7 @@
 
 /**
  * Two operators. Invariants: each configuration has a path of its own, and moves `/flip/` from one service to the
- * other; one that got no clear answer is sent again unchanged, to any keeper, with a pause that grows.
+ * other; one that got no clear answer is sent again unchanged, to any control replica, with a pause that grows.
  */
 export const ModelOperators = {
   make(f: Playing, tell: (x: Seen) => void) {
@@ -34,7 +34,7 @@
     const outcomes = new Map<number, Ruled>();
     let acker: string | null = null;
     let lost = 0;
-    const any = (): string => f.keeperIds[Dice.int(motor.chance, f.keeperIds.length)]!;
+    const any = (): string => f.replicaIds[Dice.int(motor.chance, f.replicaIds.length)]!;
     const make = (base: number, revision: number, fault: Fault = 'none'): Proposal => {
       const n = proposals.length + 1,
         mark = `/mark-${n}/`;
@@ -63,7 +63,7 @@
       proposals.push(p);
       return p;
     };
-    /** Calls one keeper; null where nothing clear comes back in time. */
+    /** Calls one control replica; null where nothing clear comes back in time. */
     const call = <T>(id: string, ms: number, fn: () => Promise<T | null>): Promise<T | null> =>
       new Promise((done) => {
         const b = f.boxes.get(id)!,
@@ -96,7 +96,7 @@
       tell({ what: 'ruled', n: p.n, outcome: out, at: motor.now() });
       return out;
     };
-    /** The newest revision as a keeper reads it back; null where none does for a time. */
+    /** The newest revision as a control replica reads it back; null where none does for a time. */
     const read = async (): Promise<Routing | 'none' | null> => {
       const until = motor.now() + GIVE_UP;
       while (motor.now() < until) {
@@ -111,11 +111,11 @@
       const now = await read();
       return now === null ? null : now === 'none' ? 0 : now.revision;
     };
-    /** One read at one keeper, told of if it replied; one that can't be sure of the newest says so and is no reply. */
+    /** One read at one replica, told of if it replied; one that can't be sure of the newest says so and is no reply. */
     const peek = async (id: string): Promise<void> => {
       const from = motor.now();
       const got = await call(id, 3000, () => f.desk.read(id));
-      if (got?.ok) tell({ what: 'read', keeper: id, from, revision: got.val?.revision ?? 0, at: motor.now() });
+      if (got?.ok) tell({ what: 'read', replica: id, from, revision: got.val?.revision ?? 0, at: motor.now() });
     };
     return {
       peek,
@@ -125,7 +125,7 @@
       },
       proposals,
       outcome: (n: number): Ruled | null => outcomes.get(n) ?? null,
-      /** The keeper that acknowledged last. */
+      /** The control replica that acknowledged last. */
       acker: (): string | null => acker,
       /** Several operators on one base at once, each under the number that the others have too. */
       async crowd(n: number): Promise<void> {
--- a/packages/routesim/src/play.ts
+++ b/packages/routesim/src/play.ts
@@ -47,7 +47,7 @@
     const reads = async (): Promise<void> => {
       while (!over) {
         await f.nap(250);
-        void operators.peek(f.keeperIds[Math.floor(motor.chance.real() * f.keeperIds.length)]!);
+        void operators.peek(f.replicaIds[Math.floor(motor.chance.real() * f.replicaIds.length)]!);
       }
     };
     const script = async (): Promise<void> => {
--- a/packages/routesim/src/seen.ts
+++ b/packages/routesim/src/seen.ts
@@ -45,7 +45,7 @@
     | { what: 'listed'; server: string; state: 'draining' | 'gone' }
     | { what: 'proposed'; n: number }
     | { what: 'ruled'; n: number; outcome: 'acked' | 'lost' | 'bad' | 'unclear' }
-    | { what: 'read'; keeper: string; from: number; revision: number }
+    | { what: 'read'; replica: string; from: number; revision: number }
     | { what: 'readback'; revision: number | null; source: string | null }
     | { what: 'trouble'; kind: string; ids: readonly string[]; until: number; planned: boolean; edges: boolean }
     | { what: 'life'; id: string; up: boolean }
--- a/packages/routesim/src/size.ts
+++ b/packages/routesim/src/size.ts
@@ -2,10 +2,10 @@
 export type Size = {
   name: string;
   routers: number;
-  keepers: number;
+  replicas: number;
   losses: number;
   readers: number;
   decoders: number;
-  /** Whether each keeper shares its machine with a router, and the seeds are routers. */
+  /** Whether each control replica shares its machine with a router, and the seeds are routers. */
   shared?: boolean;
 };
--- a/packages/routesim/src/troubles.ts
+++ b/packages/routesim/src/troubles.ts
@@ -33,14 +33,14 @@
     const t = {
       ...{ note, some, later, servers },
       kill(ids: readonly string[], ms: number, dark = false): void {
-        note('kill', f.together(ids), ms, { edges: ids.every((id) => f.keeperIds.includes(id)) });
+        note('kill', f.together(ids), ms, { edges: ids.every((id) => f.replicaIds.includes(id)) });
         for (const id of ids) {
           f.down(id, dark);
           later(ms, () => f.start(id));
         }
       },
       freeze(ids: readonly string[], ms: number, pause = false): void {
-        note('freeze', f.together(ids), ms, { edges: ids.every((id) => f.keeperIds.includes(id)) });
+        note('freeze', f.together(ids), ms, { edges: ids.every((id) => f.replicaIds.includes(id)) });
         for (const id of f.together(ids)) {
           if (pause) f.boxes.get(id)!.pause(ms);
           else f.boxes.get(id)!.freeze(ms);
@@ -61,7 +61,7 @@
         }
       },
       cut(a: readonly string[], b: readonly string[], ms: number, oneway = false): void {
-        note('cut', f.together(a), ms, { edges: a.every((id) => f.keeperIds.includes(id)) });
+        note('cut', f.together(a), ms, { edges: a.every((id) => f.replicaIds.includes(id)) });
         const lift = f.net.cut(f.together(a), f.together(b), oneway);
         later(ms, lift);
       },
@@ -114,7 +114,7 @@
         if (!planned) f.wipe(id);
         f.bar(id);
         if (!planned) await f.nap(1000);
-        const next = f.replaceKeeper(id);
+        const next = f.replaceReplica(id);
         note('replace', f.together([next]), Bounds.catchUp, { planned, edges: true });
         f.start(next);
         if (!planned) return;
--- a/packages/routesim/src/virtualfleet.ts
+++ b/packages/routesim/src/virtualfleet.ts
@@ -1,6 +1,6 @@
 import { Err, Ok, Verdicts, type Result, type Routing, type Verdict } from '@pumicebarrow/forms';
 import { Tuned } from '@pumicebarrow/purge';
-import { Keeper, Router } from '@pumicebarrow/router';
+import { ControlReplica, Router } from '@pumicebarrow/router';
 import { Host, Net, SimDisk, type Box, type Motor, type Platter } from '@pumicebarrow/sim';
 import type { Bent } from './bent.js';
 import { Bounds } from './bounds.js';
@@ -10,7 +10,7 @@
 import type { Size } from './size.js';
 
 type Routed = ReturnType<typeof Router.make>;
-type Keeping = Extract<Awaited<ReturnType<typeof Keeper.make>>, { ok: true }>['val'];
+type Keeping = Extract<Awaited<ReturnType<typeof ControlReplica.make>>, { ok: true }>['val'];
 type Port = ReturnType<typeof ModelEngine.make>;
 const TURNED = 2600;
 const SPARE = 700;
@@ -18,7 +18,7 @@
 const AGAIN = 500;
 const ZONES = ['z1', 'z2'];
 
-/** Routers and keepers on simulated machines: the daemons' own code, and round it what the programs do. */
+/** Routers and control replicas on simulated machines: the daemons' own code, and round it what the programs do. */
 export const VirtualFleet = {
   make(motor: Motor, size: Size, bent: Bent, tell: (x: Seen) => void) {
     const net = Net.make(motor);
@@ -26,7 +26,7 @@
     const boxes = new Map<string, Box>();
     const disks = new Map<string, Platter>();
     const routers = new Map<string, Routed>();
-    const keepers = new Map<string, Keeping>();
+    const replicas = new Map<string, Keeping>();
     const ports = new Map<string, Port>();
     const open = new Map<string, number>();
     const ears: ((id: string, dark: boolean) => void)[] = [];
@@ -34,7 +34,7 @@
     let founded = false;
     let spare = 50;
     let seeds: readonly string[] = [];
-    const keeperIds = Array.from({ length: size.keepers }, (_, i) => `k${i + 1}`);
+    const replicaIds = Array.from({ length: size.replicas }, (_, i) => `k${i + 1}`);
     const routerIds = Array.from({ length: size.routers }, (_, i) => `r${i + 1}`);
     const add = (id: string, addr: string, zone: string, disk: Platter | null): void => {
       const b = Host.make(motor, id, addr, zone, disk?.disk ?? null, () => undefined);
@@ -43,15 +43,15 @@
       net.add(b);
     };
     const zone = (i: number): string => ZONES[i % ZONES.length]!;
-    const addKeeper = (id: string, addr: string, i: number): void => add(id, addr, zone(i), SimDisk.make(motor, 3));
-    keeperIds.forEach((id, i) => addKeeper(id, `10.0.0.${i + 1}:7000`, i));
+    const addReplica = (id: string, addr: string, i: number): void => add(id, addr, zone(i), SimDisk.make(motor, 3));
+    replicaIds.forEach((id, i) => addReplica(id, `10.0.0.${i + 1}:7000`, i));
     routerIds.forEach((id, i) => add(id, `10.1.0.${i + 1}:7000`, zone(i), null));
-    /** The router on the machine of each keeper, where they share one. */
-    const mates = new Map<string, string>(size.shared ? keeperIds.map((id, i) => [id, routerIds[i]!]) : []);
+    /** The router on the machine of each control replica, where they share one. */
+    const mates = new Map<string, string>(size.shared ? replicaIds.map((id, i) => [id, routerIds[i]!]) : []);
     /** These daemons, and those that go down with them. */
     const together = (ids: readonly string[]): string[] => [...ids, ...ids.flatMap((id) => mates.get(id) ?? [])];
     const listSeeds = (): void => {
-      seeds = keeperIds.slice(0, 3).map((id) => boxes.get(mates.get(id) ?? id)!.addr());
+      seeds = replicaIds.slice(0, 3).map((id) => boxes.get(mates.get(id) ?? id)!.addr());
     };
     listSeeds();
     const downOne = (id: string, dark: boolean): void => {
@@ -60,7 +60,7 @@
       b.kill();
       disks.get(id)?.stop();
       routers.delete(id);
-      keepers.delete(id);
+      replicas.delete(id);
       ports.get(id)?.reset();
       ports.delete(id);
       tell({ what: 'life', id, up: false, at: motor.now() });
@@ -91,7 +91,7 @@
         return;
       }
       const core = { losses: size.losses, first: !founded, lease: Bounds.lease };
-      void Keeper.make(w, { ...startup, ...core }, platform.source(b), engine)
+      void ControlReplica.make(w, { ...startup, ...core }, platform.source(b), engine)
         .catch((e: unknown): Result<never, string> => Err(String(e)))
         .then((made) => {
           if (b.life() !== life) return;
@@ -100,7 +100,7 @@
             motor.at(motor.now() + AGAIN, () => startOne(id));
             return;
           }
-          keepers.set(id, made.val);
+          replicas.set(id, made.val);
           made.val.start();
         });
     };
@@ -116,7 +116,7 @@
       const from = motor.now();
       const gone = (): number => motor.now() - from;
       const r = routers.get(id),
-        k = keepers.get(id);
+        k = replicas.get(id);
       if (bent === 'rashterm') {
         downOne(id, false);
         return;
@@ -134,9 +134,9 @@
       await Promise.all(together([id]).map(termOne));
     };
     const desk = {
-      /** One call at a keeper, as its control port answers it. */
+      /** One call at a control replica, as its control port answers it. */
       async replace(id: string, base: number, routing: Routing): Promise<Verdict | null> {
-        const k = keepers.get(id);
+        const k = replicas.get(id);
         if (!k) return null;
         if (bent === 'hollowack' && routing.revision % 3 === 0) return Verdicts.ran('confirmed', 'bent');
         const v = await k.replace(base, routing);
@@ -146,13 +146,13 @@
         return v;
       },
       async read(id: string): Promise<Result<Routing | null, string> | null> {
-        const got = (await keepers.get(id)?.read()) ?? null;
+        const got = (await replicas.get(id)?.read()) ?? null;
         if (bent === 'oldread' && got?.ok && got.val) return Ok({ ...got.val, revision: got.val.revision - 1 });
         return got;
       },
     };
     const chain = (): string[] => {
-      const views = [...keepers.values()].flatMap((k) => k.core.view() ?? []);
+      const views = [...replicas.values()].flatMap((k) => k.core.view() ?? []);
       const newest = views.sort((a, b) => b.epoch - a.epoch)[0];
       return (newest?.chain ?? []).map((m) => m.id);
     };
@@ -164,8 +164,8 @@
         boxes,
         disks,
         routers,
-        keepers,
-        keeperIds,
+        replicas,
+        replicaIds,
         routerIds,
         open,
         desk,
@@ -174,10 +174,10 @@
         term,
         together,
       },
-      /** How many keepers' machines may be lost at once. */
+      /** How many control replicas' machines may be lost at once. */
       losses: size.losses,
       startAll(): void {
-        for (const id of [...keeperIds, ...routerIds]) start(id);
+        for (const id of [...replicaIds, ...routerIds]) start(id);
       },
       /** From here on a start is not the first of the whole fleet. */
       found: (): void => {
@@ -187,12 +187,12 @@
       /** The seeds file is written anew for all. */
       reseed: listSeeds,
       wipe: (id: string): void => disks.get(id)?.wipe(),
-      /** A keeper under another name and address, with an empty disk, in the place of one that is gone for good. */
-      replaceKeeper(old: string): string {
+      /** A replica under another name and address, with an empty disk, in the place of one that is gone for good. */
+      replaceReplica(old: string): string {
         const id = `k${spare}`;
-        addKeeper(id, `10.0.1.${spare++}:7000`, spare);
-        keeperIds.push(id);
-        keeperIds.splice(keeperIds.indexOf(old), 1);
+        addReplica(id, `10.0.1.${spare++}:7000`, spare);
+        replicaIds.push(id);
+        replicaIds.splice(replicaIds.indexOf(old), 1);
         if (size.shared) {
           const mate = `r${spare}`;
           add(mate, `10.1.1.${spare}:7000`, zone(spare), null);
@@ -204,7 +204,7 @@
       },
       /** Tells of each process that ends, so that clients see their connections torn or fall silent. */
       torn: (fn: (id: string, dark: boolean) => void): void => void ears.push(fn),
-      /** The chain, head first, and its head, as any keeper last knew them. */
+      /** The chain, head first, and its head, as any control replica last knew them. */
       chain,
       head: (): string | null => chain()[0] ?? null,
       nap: (ms: number): Promise<void> => new Promise((done) => motor.at(motor.now() + ms, done)),
--- a/packages/yard/src/routed/clerkfleet.test.ts
+++ b/packages/yard/src/routed/clerkfleet.test.ts
@@ -24,14 +24,14 @@
   return { status: r.statusCode, text: await r.body.text() };
 };
 
-describe('clerk at a fleet of routers and keepers', () => {
+describe('clerk at a fleet of routers and control replicas', () => {
   it('plans, confirms, tells the state, the way of a configuration and the story of a request', async () => {
     const dir = await mkdtemp(join(tmpdir(), 'pb-'));
     await RoutedPlant.build();
-    const plant = await RoutedPlant.make({ keepers: 3, routers: 2, prefill: 1, decode: 1 }, dir);
+    const plant = await RoutedPlant.make({ replicas: 3, routers: 2, prefill: 1, decode: 1 }, dir);
     try {
       await plant.start();
-      const [k1, r1] = [plant.keepers[0]!.addr, plant.routers[0]!.addr];
+      const [k1, r1] = [plant.replicas[0]!.addr, plant.routers[0]!.addr];
       const clerk = (...args: string[]) => ClerkRun.run({ PUMICEBARROW_DAEMONS: `${k1},${r1}` }, ...args);
       const bare = 'The fleet is not well (1):\n  - there is no configuration: plan and confirm one\n';
       const before = await until(
@@ -57,7 +57,7 @@
       expect((await clerk('read')).text)
         .to.include('"prefix": "/try/"')
         .and.include(`from plan ${plan}.`);
-      const control = await call(`http://${plant.keepers[1]!.front}${SampleCall.read}`);
+      const control = await call(`http://${plant.replicas[1]!.front}${SampleCall.read}`);
       expect(await control.body.text()).to.equal(text);
 
       const well = await until(
--- a/packages/yard/src/routed/commands/soak.ts
+++ b/packages/yard/src/routed/commands/soak.ts
@@ -14,7 +14,7 @@
     routers: some(4, 'how many routers'),
     clients: some(12, 'how many clients, each with a connection of its own'),
     seconds: some(15, 'how long faults strike'),
-    shared: Flags.boolean({ default: false, description: 'each keeper stands in one process with a router' }),
+    shared: Flags.boolean({ default: false, description: 'each control replica stands in one process with a router' }),
     dir: Flags.string({ default: '.yard', description: 'the folder for settings, data and logs; emptied first' }),
     build: Flags.boolean({ default: true, allowNo: true, description: 'bundle the program first' }),
   };
--- a/packages/yard/src/routed/routedplant.ts
+++ b/packages/yard/src/routed/routedplant.ts
@@ -10,14 +10,14 @@
 
 type Four = [number, number, number, number];
 type Held = ReturnType<typeof Child.node>;
-type Size = { keepers: number; routers: number; prefill: number; decode: number } & {
-  /** Whether each keeper stands in one process with a router. */
+type Size = { replicas: number; routers: number; prefill: number; decode: number } & {
+  /** Whether each control replica stands in one process with a router. */
   shared?: boolean;
 };
-type Daemon = { id: string; role: 'router' | 'keeper'; addr: string; file: string } & {
-  /** Where its callers come: clients to a router, the operator to a keeper. */
+type Daemon = { id: string; role: 'router' | 'control'; addr: string; file: string } & {
+  /** Where its callers come: clients to a router, the operator to a control replica. */
   front: string;
-  /** Where clients come to a keeper that stands in one process with a router. */
+  /** Where clients come to a control replica that stands in one process with a router. */
   clients?: string;
 };
 const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
@@ -35,7 +35,7 @@
 const RESTART = 300;
 
 /**
- * A fleet of routers and keepers as real processes on this machine, of the same bundle as everywhere, with stand-in
+ * A fleet of routers and replicas as real processes on this machine, of the same bundle as everywhere, with stand-in
  * servers and a stand-in list in this process. Invariant: every daemon has an IP number of its own, as daemons of one
  * fleet have one internal port in common.
  */
@@ -60,23 +60,23 @@
     const [front, ready, list, clients] = Array.from({ length: OWN }, (_, i) => first + INTERNAL + i) as Four;
     const ports = Array.from({ length: models }, (_, i) => first + INTERNAL + OWN + i);
     const zone = (i: number): string => ZONES[i % ZONES.length]!;
-    const daemons: Daemon[] = Array.from({ length: size.keepers + size.routers }, (_, i) => {
-      const keeper = i < size.keepers;
-      const id = keeper ? `k${i + 1}` : `r${i - size.keepers + 1}`;
+    const daemons: Daemon[] = Array.from({ length: size.replicas + size.routers }, (_, i) => {
+      const replica = i < size.replicas;
+      const id = replica ? `k${i + 1}` : `r${i - size.replicas + 1}`;
       const ip = `127.0.0.${10 + i}`;
-      const shared = keeper && size.shared ? { clients: `${ip}:${clients}` } : {};
+      const shared = replica && size.shared ? { clients: `${ip}:${clients}` } : {};
       const at = { addr: `${ip}:${internal}`, front: `${ip}:${front}`, ...shared };
-      return { id, role: keeper ? 'keeper' : 'router', file: join(dir, `${id}.toml`), ...at };
+      return { id, role: replica ? 'control' : 'router', file: join(dir, `${id}.toml`), ...at };
     });
-    const keepers = daemons.filter((d) => d.role === 'keeper');
+    const replicas = daemons.filter((d) => d.role === 'control');
     const routers = daemons.filter((d) => d.role === 'router');
     const settings = (d: Daemon, i: number): string => {
       const serves = d.role === 'router' ? d.front : d.clients;
       return SettingsText.of({
         ...{ id: d.id, addr: d.addr, zone: zone(i), list: `127.0.0.1:${list}`, first: true },
         ...{ role: started(d), shared: d.clients !== undefined },
-        seeds: keepers.map((k) => k.addr),
-        ...(d.role === 'keeper' ? { control: d.front, data: join(dir, d.id) } : {}),
+        seeds: replicas.map((k) => k.addr),
+        ...(d.role === 'control' ? { control: d.front, data: join(dir, d.id) } : {}),
         ...(serves === undefined ? {} : { front: serves, ready: d.addr.replace(/\d+$/, String(ready)) }),
       });
     };
@@ -102,7 +102,7 @@
       dir,
       /** Processes that ended with a code of their own, without being told to. */
       ended: ended as readonly string[],
-      keepers,
+      replicas,
       routers,
       /** Where clients come in. */
       entries: daemons.flatMap((d) =>
--- a/packages/yard/src/routed/soak.test.ts
+++ b/packages/yard/src/routed/soak.test.ts
@@ -12,7 +12,7 @@
   const cases: [string, number, boolean][] = [
     ['seed 1', 1, false],
     ['seed 2', 2, false],
-    ['seed 1, keepers in one process with routers', 1, true],
+    ['seed 1, control replicas in one process with routers', 1, true],
   ];
   for (const [name, seed, shared] of cases)
     it(`keeps its promises under signals, restarts and changes that overlap: ${name}`, async () => {
--- a/packages/yard/src/routed/soak.ts
+++ b/packages/yard/src/routed/soak.ts
@@ -17,12 +17,12 @@
     const chance = Dice.seeded(o.seed);
     const report: SoakReport = { faults: [], counts: {} };
     const plant = await RoutedPlant.make(
-      { keepers: 3, routers: o.routers, prefill: 2, decode: 2, shared: o.shared ?? false },
+      { replicas: 3, routers: o.routers, prefill: 2, decode: 2, shared: o.shared ?? false },
       o.dir,
     );
     try {
       await plant.start();
-      const operator = SoakOperator.start(plant.keepers, RoutedPlant, chance, report);
+      const operator = SoakOperator.start(plant.replicas, RoutedPlant, chance, report);
       for (const end = Date.now() + RECOVERY; operator.acked() === 0 && Date.now() < end;) await pause(50);
       const clients = SoakClients.start(plant.entries, chance, o.clients, report);
       const events = await SoakFaults.run(plant, chance, o.ms);
--- a/packages/yard/src/routed/soakfaults.ts
+++ b/packages/yard/src/routed/soakfaults.ts
@@ -8,8 +8,8 @@
 const FROZEN = 2000;
 
 /**
- * Signals and restarts in series that overlap: routers and keepers are killed, stopped in order, frozen and told to
- * read their settings, and now and then all are killed at once. At most one keeper is away on its own at a time, and
+ * Signals and restarts in series that overlap: routers and replicas are killed, stopped in order, frozen and told to
+ * read their settings, and now and then all are killed at once. At most one replica is away on its own at a time, and
  * whoever goes comes back.
  */
 export const SoakFaults = {
@@ -17,7 +17,7 @@
     const counts: Record<string, number> = {};
     const busy = new Set<string>();
     const under: Promise<void>[] = [];
-    const keepers = plant.keepers.map((d) => d.id);
+    const replicas = plant.replicas.map((d) => d.id);
     const routers = plant.routers.map((d) => d.id);
     const away = (most: number): number => most * (0.1 + chance.real());
     const down = async (id: string, how: 'SIGKILL' | 'SIGTERM'): Promise<void> => {
@@ -41,18 +41,18 @@
     };
     const one = (): void => {
       const free = (ids: readonly string[]): string[] => ids.filter((id) => !busy.has(id));
-      const calm = free(keepers).length === keepers.length;
+      const calm = free(replicas).length === replicas.length;
       const [router] = Dice.some(chance, free(routers), 1);
-      const [keeper] = calm ? Dice.some(chance, keepers, 1) : [];
+      const [replica] = calm ? Dice.some(chance, replicas, 1) : [];
       const lot = chance.real();
-      if (lot < 0.06 && calm) strike('kill all', [...keepers, ...free(routers)], (id) => down(id, 'SIGKILL'));
-      else if (lot < 0.14 && keeper) strike('kill keeper', [keeper], (id) => down(id, 'SIGKILL'));
-      else if (lot < 0.22 && keeper) strike('stop keeper', [keeper], (id) => down(id, 'SIGTERM'));
-      else if (lot < 0.3 && keeper) strike('freeze keeper', [keeper], freeze);
+      if (lot < 0.06 && calm) strike('kill all', [...replicas, ...free(routers)], (id) => down(id, 'SIGKILL'));
+      else if (lot < 0.14 && replica) strike('kill control replica', [replica], (id) => down(id, 'SIGKILL'));
+      else if (lot < 0.22 && replica) strike('stop control replica', [replica], (id) => down(id, 'SIGTERM'));
+      else if (lot < 0.3 && replica) strike('freeze control replica', [replica], freeze);
       else if (lot < 0.5 && router) strike('kill router', [router], (id) => down(id, 'SIGKILL'));
       else if (lot < 0.7 && router) strike('stop router', [router], (id) => down(id, 'SIGTERM'));
       else if (lot < 0.85 && router) strike('freeze router', [router], freeze);
-      else for (const id of free([...keepers, ...routers])) plant.signal(id, 'SIGHUP');
+      else for (const id of free([...replicas, ...routers])) plant.signal(id, 'SIGHUP');
     };
     for (const end = Date.now() + ms; Date.now() < end; await pause(BETWEEN * chance.real())) one();
     await Promise.all(under);
--- a/packages/yard/src/routed/soakoperator.ts
+++ b/packages/yard/src/routed/soakoperator.ts
@@ -9,22 +9,22 @@
 const BETWEEN = 150;
 
 /**
- * One operator that changes the configuration again and again, and reads it at any keeper meanwhile. Each change is
+ * One operator that changes the configuration again and again, and reads it at any replica meanwhile. Each change is
  * sent unchanged until it is acknowledged; a read never shows one that is older than the last acknowledged before it
  * began.
  */
 export const SoakOperator = {
   start(
-    keepers: readonly { front: string }[],
+    replicas: readonly { front: string }[],
     plant: { service: string; slots: number },
     c: Chance,
     report: SoakReport,
   ) {
     let open = true;
     let acked = 0;
-    const at = (path: string): string => `http://${Dice.one(c, [...keepers])!.front}${path}`;
+    const at = (path: string): string => `http://${Dice.one(c, [...replicas])!.front}${path}`;
     const limits = { headersTimeout: WAIT, bodyTimeout: WAIT };
-    /** The status of one call at any keeper, and its text; 0 where there was no answer. */
+    /** The status of one call at any control replica, and its text; 0 where there was no answer. */
     const call = async (path: string, body?: string): Promise<{ status: number; text: string }> => {
       try {
         const headers = { [SampleCall.base]: String(acked) };
@@ -48,7 +48,7 @@
       report.faults.push(`change ${revision} was not acknowledged in ${PATIENCE} ms`);
       return false;
     };
-    /** The revision that a keeper shows; null where it shows none. */
+    /** The revision that a control replica shows; null where it shows none. */
     const read = async (): Promise<number | null> => {
       const least = acked;
       const { status, text } = await call(SampleCall.read);
--- a/tools/keepcode.cjs
+++ b/tools/keepcode.cjs
@@ -1,4 +1,4 @@
-// Keeps what V8 made of the program beside it, with the functions that a life goes through: keepers and a router
+// Keeps what V8 made of the program beside it, with the functions that a life goes through: control replicas and a router
 // run here on loopback, take a configuration and serve requests with a stand-in server and list. Where that can't be
 // done, what was made in loading is kept.
 'use strict';
@@ -63,7 +63,7 @@
 internal_port_range = [${port},${port}]
 seed_nodes = [${KEEPERS.map((ip) => `"${ip}:${port}"`).join(', ')}]
 bootstrap = true
-quorum_member = ${role === 'keeper'}
+quorum_member = ${role === 'control'}
 ${more}
 limits = { memory_mb = 250 }
 fault_tolerance = { machine_losses = 1 }
@@ -128,7 +128,7 @@
   const [port, control, front, ready] = await Promise.all([free(), free(), free(), free()]);
   for (const ip of KEEPERS) {
     const data = `data_dir = ${JSON.stringify(join(dir, `data-${ip}`))}`;
-    start('keeper', ip, settings(ip, 'keeper', ip, port, list, `control_plane = "${ip}:${control}"`, data));
+    start('control', ip, settings(ip, 'control', ip, port, list, `control_plane = "${ip}:${control}"`, data));
   }
   const binds = `front_http = "${HOST}:${front}"\nreadiness = "${HOST}:${ready}"`;
   start('router', 'r', settings('r', 'router', ROUTER, port, list, binds));
