--- a/packages/clerk/src/fleet/fleet.ts
+++ b/packages/clerk/src/fleet/fleet.ts
@@ -18,7 +18,7 @@
 };
 const unread = (): Told => ({ verdict: Verdicts.not('unready', 'The core does not reply; nothing was read.', 1) });
 
-/** A fleet of routers and replicas, asked over their own wire. Invariant: nothing but `plan` and `settle` changes it. */
+/** Routers and replicas, asked over their own wire. Invariant: nothing but `plan` and `settle` changes it. */
 const ask = (
   c: ReturnType<typeof Caller.make>,
   first: readonly DaemonStatus[],
