routesim: more control replicas dark than may be lost; many changes at five replicas

beyond_power: n+1 of the chain without power for 8 s, changes and reads asked on; nothing confirmed is lost or shown older, and the core goes on by itself.

--- a/packages/routesim/src/drills.test.ts
+++ b/packages/routesim/src/drills.test.ts
@@ -17,11 +17,11 @@
         expect((await Play.run(drill, Sizes.small, seed)).faults).to.deep.equal([]);
     });
   }
-  for (const name of ['core_oneway', 'wipe_after_ack'])
+  for (const name of ['core_oneway', 'wipe_after_ack', 'many_changes', 'beyond_power'])
     it(`breaks no rule with five control replicas: ${name}`, async () => {
       expect((await Play.run(Drills.get(name)!, Sizes.five, 2)).faults).to.deep.equal([]);
     });
-  for (const name of ['steady', 'leader_kill', 'core_oneway', 'roll_term', 'wipe_after_ack'])
+  for (const name of ['steady', 'leader_kill', 'core_oneway', 'roll_term', 'wipe_after_ack', 'beyond_power'])
     it(`breaks no rule where control replicas share machines with routers: ${name}`, async () => {
       for (const seed of [1, 2])
         expect((await Play.run(Drills.get(name)!, Sizes.shared, seed)).faults).to.deep.equal([]);
--- a/packages/routesim/src/drills/worstdrills.ts
+++ b/packages/routesim/src/drills/worstdrills.ts
@@ -104,4 +104,17 @@
     },
     meets: both(Met.kind('wipe'), Met.kind('kill')),
   },
+  {
+    name: 'beyond_power',
+    about: 'one control replica more than may be lost is without power for a while; changes and reads are asked on',
+    async run(s) {
+      const dark = s.f.chain().slice(0, s.f.losses + 1);
+      s.trouble.kill(dark, 8000, true);
+      const end = s.f.motor.now() + 8000;
+      for (; s.f.motor.now() < end; await s.f.nap(400)) void s.operators.change();
+      await s.f.nap(12_000);
+      await s.operators.change();
+    },
+    meets: both(Met.kind('kill'), acked(1)),
+  },
 ];
