Test: no lease outlives a blocked event loop

Every block of 0 to 3,000 ms in steps of 10: a member speaks exactly while its lease lasts by the steady clock.

--- a/packages/registry/src/membership/failuredetector.test.ts
+++ b/packages/registry/src/membership/failuredetector.test.ts
@@ -1,5 +1,6 @@
 import { Err, Ok, type PostBox, type World } from '@pumicebarrow/forms';
 import { expect } from 'chai';
+import { CoreTimings } from '../coretimings.js';
 import type { AddressBook } from './addressbook.js';
 import type { View } from '../consensus/view.js';
 import type { Voter } from '../consensus/voter.js';
@@ -62,6 +63,20 @@
     await b.beats(150);
     expect(b.detector.deaf(k1)).to.equal(0);
   });
+  /**
+   * A member may share its event loop with a router. However long something blocks that loop, the lease is over by the
+   * steady clock, counted from before the last beat: no timer or reply has to run first.
+   */
+  it('speaks under no lease that ended while the event loop was blocked', async () => {
+    const sinceBeat = 150;
+    for (let blocked = 0; blocked <= 3000; blocked += 10) {
+      const b = bench();
+      await b.beats(600);
+      expect(b.detector.live(VIEW)).to.equal(true);
+      b.sleep(blocked);
+      expect(b.detector.live(VIEW), `${blocked} ms`).to.equal(blocked + sinceBeat < CoreTimings.hold);
+    }
+  });
   it('counts nothing over a sleep of its own, and from a new view on afresh', async () => {
     const b = bench();
     b.reply(false);
