--- a/packages/routesim/src/commands/run.ts
+++ b/packages/routesim/src/commands/run.ts
@@ -27,7 +27,8 @@
     const seeds = Seeds.read(flags.seeds);
     const names = [...Drills.keys()];
     const known = args.drill === 'all' || args.drill === 'day' || Drills.has(args.drill);
-    if (!known) process.stderr.write(`unknown drill ${args.drill}; valid: all, day, ${names.join(', ')}\n`);
+    if (!known)
+      process.stderr.write(`unknown drill ${args.drill}; valid: all, day, and those that \`routesim list\` names\n`);
     if (!seeds) process.stderr.write(`bad seeds ${flags.seeds}; valid: 7, 1-20, 3,5,8\n`);
     if (!known || !seeds) return this.exit(2);
     const sizes = flags.size === 'both' ? Object.values(Sizes) : [Sizes[flags.size as keyof typeof Sizes]];
--- a/packages/sim/src/commands/run.ts
+++ b/packages/sim/src/commands/run.ts
@@ -49,7 +49,7 @@
     const guard = Guards.find((g) => g.name === flags.without) ?? null;
     const names = [...SETS, ...Drills.keys(), ...Alone.map((d) => d.name), ...LentWork.names];
     if (!names.includes(args.drill)) {
-      wrong.push(`unknown drill ${args.drill}; valid: ${names.join(', ')}`);
+      wrong.push(`unknown drill ${args.drill}; valid: ${SETS.join(', ')}, and those that \`sim list\` names`);
     }
     if (!seeds) wrong.push(`bad seeds ${flags.seeds}; valid: 7, 1-20, 3,5,8`);
     if (!FLEETS.includes(flags.fleet)) wrong.push(`unknown fleet ${flags.fleet}; valid: ${FLEETS.join(', ')}`);
