--- a/packages/sim/src/modelcheck.test.ts
+++ b/packages/sim/src/modelcheck.test.ts
@@ -19,20 +19,22 @@
   ['candidates', 'introduced'],
 ];
 
+const holds = (found: ReturnType<typeof ModelCheck.run>): void => {
+  expect(found.path, found.broken ?? '').to.deep.equal([]);
+  expect(found.whole, `${found.states} states`).to.equal(true);
+  expect(found.states).to.be.greaterThan(500);
+};
+const breaksWithout = async (guard: string, search: string): Promise<void> => {
+  const g = Guards.find((x) => x.name === guard)!;
+  const rows = await GuardRun.run({ ...g, drill: `model ${search}` }, 1);
+  expect(rows[0]?.seeds).to.equal(1);
+};
+
 describe('The model of the first view', () => {
   for (const [name, reach] of Object.entries(BootstrapSearches))
-    it(`holds in every state of the search ${name}`, () => {
-      const found = BootstrapCheck.run(reach);
-      expect(found.path, found.broken ?? '').to.deep.equal([]);
-      expect(found.whole, `${found.states} states`).to.equal(true);
-      expect(found.states).to.be.greaterThan(500);
-    });
+    it(`holds in every state of the search ${name}`, () => holds(BootstrapCheck.run(reach)));
   for (const [guard, search] of FOUND_FIRST)
-    it(`breaks without the guard ${guard}`, async () => {
-      const g = Guards.find((x) => x.name === guard)!;
-      const rows = await GuardRun.run({ ...g, drill: `model ${search}` }, 1);
-      expect(rows[0]?.seeds).to.equal(1);
-    });
+    it(`breaks without the guard ${guard}`, () => breaksWithout(guard, search));
   /**
    * Symptom: two first views, at 1 of 12 seeds of a run. Sequence: one half agreed on a view; introducers forgot whom
    * they had met; the other half met nobody but itself and agreed on another. Cause: introducers forgot after 2 s.
@@ -48,16 +50,6 @@
 
 describe('The model of the agreement', () => {
   for (const [name, reach] of Object.entries(ModelSearches))
-    it(`holds in every state of the search ${name}`, () => {
-      const found = ModelCheck.run(reach);
-      expect(found.path, found.broken ?? '').to.deep.equal([]);
-      expect(found.whole, `${found.states} states`).to.equal(true);
-      expect(found.states).to.be.greaterThan(500);
-    });
-  for (const [guard, search] of FOUND)
-    it(`breaks without the guard ${guard}`, async () => {
-      const g = Guards.find((x) => x.name === guard)!;
-      const rows = await GuardRun.run({ ...g, drill: `model ${search}` }, 1);
-      expect(rows[0]?.seeds).to.equal(1);
-    });
+    it(`holds in every state of the search ${name}`, () => holds(ModelCheck.run(reach)));
+  for (const [guard, search] of FOUND) it(`breaks without the guard ${guard}`, () => breaksWithout(guard, search));
 });
