--- a/packages/yard/src/routed/routedplant.ts
+++ b/packages/yard/src/routed/routedplant.ts
@@ -125,6 +125,8 @@
         for (const d of daemons) rise(d.id);
       },
       rise,
+      /** What the model servers were told of the client behind a request, each that it came to. */
+      received: (id: string) => [...standIns.values()].flatMap((s) => s.received().get(id) ?? []),
       /** Ends one of our own processes, by its id; gives its exit code. */
       async fall(id: string, how: 'SIGKILL' | 'SIGTERM'): Promise<number | null> {
         const held = up.get(id);
