routesim: keys of tenants in every run, revocation drills, rule UNASKED, four broken parts

Keys come and go with each configuration and probes show them; invalid ones share a key. CONFIG and ROUTE judge keys too.

--- a/packages/routesim/src/bent.ts
+++ b/packages/routesim/src/bent.ts
@@ -2,6 +2,9 @@
 export type Bent =
   | 'none'
   | 'denies'
+  | 'anykey'
+  | 'passeskey'
+  | 'wrongtenant'
   | 'nolife'
   | 'hidesdrain'
   | 'rashterm'
--- a/packages/routesim/src/drills/configdrills.ts
+++ b/packages/routesim/src/drills/configdrills.ts
@@ -40,6 +40,35 @@
     },
     meets: Met.ruled('lost', 2),
   },
+  {
+    name: 'revoke',
+    about: 'keys are taken away from connected clients and given back, in quick succession',
+    async run(s) {
+      for (let i = 0; i < 6; i++) {
+        await s.operators.revoke(i);
+        await s.f.nap(i % 2 === 0 ? 300 : 2500);
+        await s.operators.restore(i);
+        await s.f.nap(400);
+      }
+    },
+    meets: (seen) => Met.outcome('unauthorized')(seen) && Met.ruled('acked', 12)(seen),
+  },
+  {
+    name: 'revoke_apart',
+    about: 'keys are taken away while some routers stand still and others are cut off',
+    async run(s) {
+      for (let i = 0; i < 3; i++) {
+        const [still, apart] = s.trouble.some(s.f.routerIds, 2);
+        s.trouble.freeze([still!], 2500);
+        s.trouble.cut([apart!], s.f.replicaIds, 4000);
+        await s.operators.revoke(i);
+        await s.f.nap(5000);
+        await s.operators.restore(i);
+        await s.f.nap(4000);
+      }
+    },
+    meets: (seen) => Met.outcome('unauthorized')(seen) && Met.kind('freeze')(seen) && Met.kind('cut')(seen),
+  },
   {
     name: 'bad_config',
     about: 'invalid configurations',
--- a/packages/routesim/src/handlings.ts
+++ b/packages/routesim/src/handlings.ts
@@ -10,15 +10,20 @@
     const ran = [...e.ran.values()].flat().map((r) => ({ id: r.id, at: r.at, service: r.service }));
     const missing = [...e.answered.values()]
       .filter((a) => a.outcome === 'missing')
-      .map((a) => ({ id: a.id, at: a.at, service: null }));
-    return [...ran, ...missing]
+      .map((a) => ({ id: a.id, at: a.at, service: 'no route' as const }));
+    const unauthorized = [...e.answered.values()]
+      .filter((a) => a.outcome === 'unauthorized')
+      .map((a) => ({ id: a.id, at: a.at, service: 'no key' as const }));
+    return [...ran, ...missing, ...unauthorized]
       .flatMap(({ id, at, service }) => {
         const s = e.sent.get(id);
         if (!s) return [];
         const by = e.proposals.filter((p) => {
           const rows = route(p, s.path);
-          if (service === null) return rows.length === 0;
-          return rows.some((r) => r.split.some((x) => x.service === service));
+          if (service === 'no route') return rows.length === 0;
+          const held = p.routing.tenants?.some((t) => t.keys.includes(s.credentials)) ?? true;
+          if (service === 'no key') return rows.length > 0 && !held;
+          return held && rows.some((r) => r.split.some((x) => x.service === service));
         });
         return [{ id, router: s.router, life: s.life, sent: s.at, at, by }];
       })
--- a/packages/routesim/src/modelclients.ts
+++ b/packages/routesim/src/modelclients.ts
@@ -3,6 +3,7 @@
 import { Bounds } from './bounds.js';
 import type { ClientLoad } from './clientload.js';
 import { ClientLoads } from './clientloads.js';
+import { ModelTenants } from './modeltenants.js';
 import { Entry } from './entry.js';
 import { OneTry } from './onetry.js';
 import type { RequestKind } from './requestkind.js';
@@ -31,14 +32,24 @@
       const p = kind.prompt?.(motor.chance, keys) ?? null;
       const { path, resumable } = kind;
       return {
-        ...{ key: `w${++keys}`, path, kind: kind.kind, resumable, service, prompt: p },
+        ...{
+          credentials: ModelTenants.usual(keys),
+          key: `w${++keys}`,
+          path,
+          kind: kind.kind,
+          resumable,
+          service,
+          prompt: p,
+        },
         total: Math.ceil((p?.most ?? 8) / STRIDE),
       };
     };
     const may = (w: Wish, outcome: string): boolean =>
       outcome === 'refused' ||
       outcome === 'unreached' ||
-      (outcome !== 'missing' && (w.kind === 'idempotent' || (w.kind === 'stream' && w.resumable)));
+      (outcome !== 'missing' &&
+        outcome !== 'unauthorized' &&
+        (w.kind === 'idempotent' || (w.kind === 'stream' && w.resumable)));
     const run = async (w: Wish, deadline: number, tries: number): Promise<void> => {
       tell({ what: 'wish', key: w.key, at: motor.now() });
       const due = motor.now() + deadline;
@@ -85,8 +96,9 @@
         tell({ what: 'closed', back: motor.now() + ms, at: motor.now() });
       },
       /** A request sent directly to one router, which shows what is in force there. */
-      probe(router: string, path: string, service: string): void {
-        const w = wish({ path, kind: 'once', resumable: false, deadline: Bounds.deadline }, service);
+      probe(router: string, path: string, service: string, credentials?: string): void {
+        const usual = wish({ path, kind: 'once', resumable: false, deadline: Bounds.deadline }, service);
+        const w = { ...usual, credentials: credentials ?? usual.credentials };
         void once(w, router, 0, motor.now() + Bounds.deadline);
       },
     };
--- a/packages/routesim/src/modelengine.ts
+++ b/packages/routesim/src/modelengine.ts
@@ -114,13 +114,18 @@
       tell({ what: 'fetched', id, owner: held.owner, at: motor.now() });
       return ms;
     };
+    /** A request as a router that is broken on purpose would send it. */
+    const spoilt = (request: Request): Request => {
+      if (bent === 'passeskey') return { ...request, headers: [...request.headers, ['authorization', '']] };
+      return bent === 'wrongtenant' ? { ...request, tenant: 't1' } : request;
+    };
     return {
       reset(): void {
         for (const fn of [...open]) fn();
       },
       prefill: (server, request, terms) =>
         exchange<Handle>(server, terms, (to, _back, done) => {
-          const w = WorkOf.make(motor, request, box.id, 'read', terms, null);
+          const w = WorkOf.make(motor, spoilt(request), box.id, 'read', terms, null);
           w.done = (r) => done(r.ok ? Ok({ server, id: r.val, tokens: w.size }) : r);
           to.take(w, meant(server, to));
           return () => to.drop(w);
@@ -129,7 +134,7 @@
         const from = bent === 'swapshandles' && given && last ? last : given;
         last = given ?? last;
         return exchange<void>(server, terms, (to, back, done) => {
-          const w = WorkOf.make(motor, request, box.id, 'run', terms, bent === 'joins' ? null : after);
+          const w = WorkOf.make(motor, spoilt(request), box.id, 'run', terms, bent === 'joins' ? null : after);
           let headed = false;
           const head = (): void => {
             if (!headed) heard.head(200, [['run', w.run]]);
--- a/packages/routesim/src/modeloperators.ts
+++ b/packages/routesim/src/modeloperators.ts
@@ -1,13 +1,14 @@
 import { Dice, type Route, type Routing } from '@pumicebarrow/forms';
 import { Bounds } from './bounds.js';
 import type { EngineModel } from './enginemodel.js';
+import { ModelTenants } from './modeltenants.js';
 import type { Playing } from './playing.js';
 import type { Proposal } from './proposal.js';
 import type { Seen } from './seen.js';
 
 type Ruled = Extract<Seen, { what: 'ruled' }>['outcome'];
-type Fault = 'none' | 'service' | 'place' | 'weight' | 'timeout' | 'revision';
-const FAULTS: readonly Fault[] = ['service', 'place', 'weight', 'timeout', 'revision'];
+type Fault = 'none' | 'key' | 'service' | 'place' | 'weight' | 'timeout' | 'revision';
+const FAULTS: readonly Fault[] = ['service', 'place', 'weight', 'timeout', 'revision', 'key'];
 const GIVE_UP = 15_000;
 
 const route = (prefix: string, kind: Route['kind'], service: string, more: Partial<Route> = {}): Route => ({
@@ -32,6 +33,7 @@
     const { motor } = f;
     const proposals: Proposal[] = [];
     const outcomes = new Map<number, Ruled>();
+    const revoked = new Set<string>();
     let acker: string | null = null;
     let lost = 0;
     const any = (): string => f.replicaIds[Dice.int(motor.chance, f.replicaIds.length)]!;
@@ -50,6 +52,7 @@
         ...(fault === 'timeout' ? [route('/bad/', 'once', 'alpha', { timeout: 0 })] : []),
         ...(fault === 'weight' ? [route('/bad/', 'once', 'alpha', { split: [{ service: 'alpha', weight: 0 }] })] : []),
       ];
+      const tenants = ModelTenants.make(n, revoked);
       const limits = { header: 16_384, body: 4_194_304, headerWait: 3000, idle: 15_000 };
       const at = fault === 'revision' ? Math.max(1, base) : revision;
       const routing = {
@@ -57,6 +60,7 @@
         routes,
         services: ['alpha', 'beta'].map((name) => service(name, f.platform.engine())),
         limits,
+        tenants: fault === 'key' ? ModelTenants.shared(tenants) : tenants,
         source: `text ${n}`,
       };
       const p = { n, base, revision: at, valid: fault === 'none', mark, routing };
@@ -111,6 +115,10 @@
       const now = await read();
       return now === null ? null : now === 'none' ? 0 : now.revision;
     };
+    const change = async (step?: number): Promise<boolean> => {
+      const on = await base();
+      return on !== null && (await send(make(on, on + (step ?? 1 + Dice.int(motor.chance, 3))))) === 'acked';
+    };
     /** One read at one replica, told of if it replied; one that can't be sure of the newest says so and is no reply. */
     const peek = async (id: string): Promise<void> => {
       const from = motor.now();
@@ -132,9 +140,15 @@
         const on = await base();
         if (on !== null) await Promise.all(Array.from({ length: n }, () => send(make(on, on + 1))));
       },
-      async change(step?: number): Promise<boolean> {
-        const on = await base();
-        return on !== null && (await send(make(on, on + (step ?? 1 + Dice.int(motor.chance, 3))))) === 'acked';
+      change,
+      /** The usual key of a tenant's clients is taken away, or given back, by the changes from here on. */
+      async revoke(n: number): Promise<boolean> {
+        revoked.add(ModelTenants.usual(n));
+        return change();
+      },
+      async restore(n: number): Promise<boolean> {
+        revoked.delete(ModelTenants.usual(n));
+        return change();
       },
       async race(): Promise<void> {
         const on = await base();
--- a/packages/routesim/src/mutants.ts
+++ b/packages/routesim/src/mutants.ts
@@ -6,6 +6,10 @@
 export const Mutants: readonly Mutant[] = [
   { bent: 'denies', drill: 'answers_lost', rule: 'TWICE', says: 'ran at' },
   { bent: 'denies', drill: 'garbles', rule: 'REFUSED', says: 'ran at' },
+  { bent: 'anykey', drill: 'revoke', rule: 'CONFIG in force', says: 'less than' },
+  { bent: 'anykey', drill: 'config_change', rule: 'ROUTE', says: 'never held' },
+  { bent: 'passeskey', drill: 'steady', rule: 'UNASKED', says: 'with the key' },
+  { bent: 'wrongtenant', drill: 'steady', rule: 'UNASKED', says: 'as of' },
   { bent: 'nolife', drill: 'addr_taken', rule: 'ROUTE', says: 'ran at' },
   { bent: 'hidesdrain', drill: 'release_all', rule: 'DRAIN', says: 'reached' },
   { bent: 'rashterm', drill: 'roll_term', rule: 'LOST', says: 'was cut' },
--- a/packages/routesim/src/onetry.ts
+++ b/packages/routesim/src/onetry.ts
@@ -1,6 +1,7 @@
 import type { AnswerSink, Request } from '@pumicebarrow/router';
 import type { Bent } from './bent.js';
 import { Bounds } from './bounds.js';
+import { ModelTenants } from './modeltenants.js';
 import { Deliveries } from './deliveries.js';
 import type { Piece } from './piece.js';
 import type { Playing } from './playing.js';
@@ -10,6 +11,10 @@
 type Outcome = Extract<Seen, { what: 'answered' }>['outcome'];
 type Tried = { outcome: Outcome; pieces: readonly Piece[]; after: number };
 const NEVER = 1e12;
+/** Verdicts after which a client does not try again. */
+const OUTCOMES: Readonly<Record<string, Outcome>> = {
+  ...{ unknownroute: 'missing', nokey: 'unauthorized', unknownkey: 'unauthorized', revokedkey: 'unauthorized' },
+};
 
 /**
  * One try of a client at one router. Invariants: it ends once; a process that is killed tears it, one that goes dark
@@ -37,6 +42,7 @@
         let heard = motor.now();
         let leave: () => void = () => undefined;
         tell({
+          credentials: w.credentials,
           ...{ what: 'sent', id, key: w.key, router, life: f.boxes.get(router)!.life(), path: w.path, kind: w.kind },
           ...{ resumable: w.resumable, service: w.service, after, total: w.total, due, at: motor.now() },
         });
@@ -105,9 +111,10 @@
           }
           life = box.life();
           const request: Request = {
-            ...{ id, method: 'POST', host: 'fleet.example', path: w.path, headers: [] },
+            ...{ id, method: 'POST', host: 'fleet.example', path: w.path },
+            headers: [['authorization', w.credentials]],
             ...{ body: new TextEncoder().encode(w.key), prompt: w.prompt, after: after > 0 ? String(after) : null },
-            ...{ key: null, tenant: null },
+            ...{ key: bent === 'anykey' ? ModelTenants.usualOf(w.credentials) : w.credentials, tenant: null },
             due: motor.now() + (due - motor.now()),
             wait: due - motor.now(),
           };
@@ -117,7 +124,7 @@
             f.open.set(box.id, (f.open.get(box.id) ?? 1) - 1);
             if (!v) return;
             again = (v.after ?? 0.2) * 1000;
-            say(() => end(v.code === 'unknownroute' ? 'missing' : v.ran === 'no' ? 'refused' : 'broken'));
+            say(() => end(OUTCOMES[v.code] ?? (v.ran === 'no' ? 'refused' : 'broken')));
           });
         });
       });
--- a/packages/routesim/src/play.ts
+++ b/packages/routesim/src/play.ts
@@ -3,6 +3,7 @@
 import type { Drill } from './drill.js';
 import { Evidence } from './evidence.js';
 import { ModelClients } from './modelclients.js';
+import { ModelTenants } from './modeltenants.js';
 import { ModelOperators } from './modeloperators.js';
 import { Rules } from './rules.js';
 import type { Scene } from './scene.js';
@@ -15,6 +16,9 @@
 const CALM = 5000;
 const END = 300_000;
 const SERVED = 0.3;
+/** Of so many probes one shows the key of a late configuration, or of one up to so many before it. */
+const KEY_PROBES = 3;
+const OLDER = 11;
 
 /** Plays one drill over a fleet with one seed, and judges what was seen. */
 export const Play = {
@@ -35,6 +39,7 @@
       }
     let over = false;
     let done = false;
+    let rounds = 0;
     const probes = async (): Promise<void> => {
       while (!over) {
         await f.nap(60);
@@ -42,6 +47,8 @@
         const p = operators.proposals.slice(-4)[Math.floor(motor.chance.real() * 4)];
         if (motor.chance.real() < 0.5) clients.probe(r, '/flip/', p && p.n % 2 === 1 ? 'beta' : 'alpha');
         else if (p) clients.probe(r, p.mark, 'alpha');
+        if (p && ++rounds % KEY_PROBES === 0)
+          clients.probe(r, '/once/', 'alpha', ModelTenants.own(p.n - (rounds % OLDER)));
       }
     };
     const reads = async (): Promise<void> => {
--- a/packages/routesim/src/rules.ts
+++ b/packages/routesim/src/rules.ts
@@ -12,10 +12,11 @@
 import { RefusedRule } from './rules/refused.js';
 import { RoutedRule } from './rules/routed.js';
 import { TornRule } from './rules/torn.js';
+import { UnaskedRule } from './rules/unasked.js';
 import { TwiceRule } from './rules/twice.js';
 
 /** All that is judged. */
 export const Rules: readonly Rule[] = [
   ...[TwiceRule, RefusedRule, RoutedRule, DrainingRule, TornRule, ConfigLateRule, ConfigBackRule, ConfigAcksRule],
-  ...[BudgetedRule, OrderedRule, MixedRule, OneHolderRule, RecoveredRule, HistoryRule],
+  ...[BudgetedRule, OrderedRule, MixedRule, OneHolderRule, RecoveredRule, HistoryRule, UnaskedRule],
 ];
--- a/packages/routesim/src/seen.ts
+++ b/packages/routesim/src/seen.ts
@@ -13,6 +13,7 @@
         what: 'sent';
         id: string;
         key: string;
+        credentials: string;
         router: string;
         life: number;
         path: string;
@@ -26,7 +27,7 @@
     | {
         what: 'answered';
         id: string;
-        outcome: 'whole' | 'refused' | 'missing' | 'broken' | 'cut' | 'unreached' | 'left';
+        outcome: 'whole' | 'refused' | 'missing' | 'unauthorized' | 'broken' | 'cut' | 'unreached' | 'left';
         pieces: readonly Piece[];
       }
     | {
@@ -38,7 +39,16 @@
         step: 'read' | 'run';
         turned: 'taken' | 'refused' | 'misdirected';
       }
-    | { what: 'ran'; id: string; server: string; service: string; router: string }
+    | {
+        what: 'ran';
+        id: string;
+        server: string;
+        service: string;
+        router: string;
+        /** The tenant that the server was told of, and whether the client's key came with it. */
+        tenant: string | null;
+        withKey: boolean;
+      }
     | { what: 'fetched'; id: string; owner: string }
     | { what: 'spoilt'; id: string; server: string }
     | { what: 'ordered'; server: string; holder: string; fence: number; from: string }
--- a/packages/routesim/src/serverwork.ts
+++ b/packages/routesim/src/serverwork.ts
@@ -4,7 +4,7 @@
 
 /** One read or run at a model server. Invariant: `done` is called once; `out` and `made` count tokens of the answer. */
 export type ServerWork = {
-  from: { id: string; router: string };
+  from: { id: string; router: string; tenant: string | null; withKey: boolean };
   step: 'read' | 'run';
   key: string;
   run: string;
--- a/packages/routesim/src/workof.ts
+++ b/packages/routesim/src/workof.ts
@@ -4,6 +4,7 @@
 
 const STRIDE = 4;
 const OUT = 8;
+const CREDENTIALS = 'authorization';
 let runs = 0;
 
 /** What a server is asked to do, read from a request as it came. */
@@ -19,7 +20,13 @@
     const p = request.prompt,
       made = Number(after ?? 0) * STRIDE;
     return {
-      ...{ from: { id: request.id, router }, step, run: `r${++runs}`, key: new TextDecoder().decode(request.body) },
+      from: {
+        id: request.id,
+        router,
+        tenant: request.tenant,
+        withKey: request.headers.some(([k]) => k === CREDENTIALS),
+      },
+      ...{ step, run: `r${++runs}`, key: new TextDecoder().decode(request.body) },
       ...{ prompt: p, size: (p?.tokens ?? 20) + made, out: p?.most ?? OUT, made, left: 0, moved: false, begun: false },
       ...{ urgency: terms.urgency, order: runs, until: motor.now() + terms.ms },
       event: () => undefined,
