--- a/packages/routesim/src/clientloads.ts
+++ b/packages/routesim/src/clientloads.ts
@@ -57,4 +57,9 @@
     ...{ perSecond: 40, tries: 2 },
     kinds: [REVIEW, REVIEW, BRIEF, BRIEF, BRIEF, BRIEF, VERDICT, VERDICT, VERDICT],
   },
+  /** The same, and most of it by one tenant. */
+  crowded: {
+    ...{ perSecond: 40, tries: 2, crowd: 7 },
+    kinds: [REVIEW, REVIEW, BRIEF, BRIEF, BRIEF, BRIEF, VERDICT, VERDICT, VERDICT],
+  },
 } as const satisfies Record<string, ClientLoad>;
--- a/packages/routesim/src/drills/overloaddrills.ts
+++ b/packages/routesim/src/drills/overloaddrills.ts
@@ -10,6 +10,8 @@
 /** ms from the kill until the processes are back, and for which the run goes on after that. */
 const DOWN = 1000;
 const AFTER = 17_000;
+/** ms for which one tenant crowds the others. */
+const CROWD = 25_000;
 
 /** Servers leave one after the other until two are left, which are given the work of six. */
 const leaveTwo = async (s: Scene): Promise<void> => {
@@ -48,4 +50,15 @@
     },
     meets: Met.what('closed'),
   },
+  {
+    name: 'tenant_crowd',
+    about: 'two of six servers are left, and most of what they are given far too much of is of one tenant',
+    engine: EngineModels.large,
+    async run(s) {
+      await leaveTwo(s);
+      s.clients.use(ClientLoads.crowded);
+      await s.f.nap(CROWD);
+    },
+    meets: Met.outcome('refused'),
+  },
 ];
--- a/packages/routesim/src/modelclients.ts
+++ b/packages/routesim/src/modelclients.ts
@@ -33,7 +33,7 @@
       const { path, resumable } = kind;
       return {
         ...{
-          credentials: ModelTenants.usual(keys),
+          credentials: ModelTenants.usual(keys % 10 < (load.crowd ?? 0) ? 0 : keys),
           key: `w${++keys}`,
           path,
           kind: kind.kind,
