--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -68,7 +68,6 @@
 export { StatusDesk } from './statusdesk.js';
 export { Suspicions } from './suspicions.js';
 export { TenantDirectory } from './tenantdirectory.js';
-export { TenantShares } from './tenantshares.js';
 export { Urgency } from './urgency.js';
 export { type Weighed } from './weighed.js';
 export { Words } from './words.js';
--- a/packages/router/src/loadshedder.ts
+++ b/packages/router/src/loadshedder.ts
@@ -1,5 +1,4 @@
 import type { Chance, Clock } from '@pumicebarrow/forms';
-import { TenantShares } from './tenantshares.js';
 
 /** ms between two updates of the probability. */
 const UPDATE = 100;
@@ -16,12 +15,11 @@
 /**
  * Random early rejection with a proportional integral controller, as PIE (RFC 8033) does it for packets: while requests
  * wait longer than a target, a growing part of them is turned away on arrival, whatever their kind and size; so queues
- * stay short, and what is admitted is served in time. Tenants that ask for more than their share are turned away more. Invariants: a short crowd hardly raises the probability; none is
+ * stay short, and what is admitted is served in time. Invariants: a short crowd hardly raises the probability; none is
  * turned away while hardly anything waits.
  */
 export const LoadShedder = {
   make(clock: Clock, chance: Chance) {
-    const shares = TenantShares.make(clock);
     let probability = 0;
     /** The shortest wait seen since the last update, and in the one before. */
     let least = Infinity;
@@ -38,12 +36,11 @@
       least = Infinity;
     };
     return {
-      /** Whether a request of a tenant, of so much work, is turned away, for which this many ms of work wait. */
-      sheds(waits: number, tenant: string, work: number): boolean {
-        shares.note(tenant, work);
+      /** Whether a request is turned away, for which this many ms of work wait. */
+      sheds(waits: number): boolean {
         least = Math.min(least, waits);
         update();
-        return waits > TARGET / 2 && chance.real() < shares.refused(tenant, probability);
+        return waits > TARGET / 2 && chance.real() < probability;
       },
       /** Whether requests are being turned away, now and then at least. */
       active: (): boolean => probability > 0,
--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -114,9 +114,7 @@
       const reading = job.weighed?.reading;
       if (!reading || (!reading.beside && reading.own < Urgency.TINY)) return false;
       if (ReadDeadline.missed({ ...reading, aim: job.route.aim, left: job.due - now() })) return true;
-      if (reading.beside) return false;
-      const { tenant, prompt } = job.request;
-      return t.shedders.of(job.service.name).sheds(reading.waits, tenant ?? '', prompt?.tokens ?? 0);
+      return !reading.beside && t.shedders.of(job.service.name).sheds(reading.waits);
     };
     /** Waits a little where every server is full; false if that did not help. */
     const waitForRoom = async (job: Job): Promise<boolean> => {
