--- a/packages/forms/src/tenant.ts
+++ b/packages/forms/src/tenant.ts
@@ -1,8 +1,8 @@
 import { Type, type Static } from 'typebox';
 
 /**
- * Whose requests are served, and by which keys they are known. Invariants: a key is held by one tenant at the most; here
- * it stands as its digest (`KeyDigest`), never as itself.
+ * Whose requests are served, and by which keys they are known. Invariants: a key is held by one tenant at the most; it
+ * stands here as its digest (`KeyDigest`), never as itself.
  */
 export const Tenant = Type.Object(
   {
--- a/packages/router/src/headline.ts
+++ b/packages/router/src/headline.ts
@@ -99,7 +99,7 @@
       peers: (): readonly Ident[] => peers,
       /** ms since the head last replied as such, counted from before it was asked. */
       silent: (): number => t.clock.mono() - told,
-      /** ms since the head last said that no configuration is newer than the one held, counted from before it was asked. */
+      /** ms since the head last said that nothing is newer than the configuration held, from before it was asked. */
       unconfirmed: (): number => t.clock.mono() - confirmed,
       count: () => ({ ...count }),
     };
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -2,6 +2,7 @@
 export { Blame } from './blame.js';
 export { Budget } from './budget.js';
 export { Budgets } from './budgets.js';
+export { Certainty } from './certainty.js';
 export { ChangesBody } from './changesbody.js';
 export { Changing } from './changing.js';
 export { ConfigurationCalls } from './configurationcalls.js';
--- a/packages/router/src/keycheck.ts
+++ b/packages/router/src/keycheck.ts
@@ -12,7 +12,7 @@
 export const KeyCheck = {
   /** Whether a request needs a key. */
   needed: (routes: Routes, route: Route): boolean => routes.tenants.required && route.open !== true,
-  /** The tenant that a request is of; null where the configuration knows no tenants, or none holds the key of an open route. */
+  /** The tenant that a request is of; null where no key is needed and no tenant holds the one shown. */
   holder(routes: Routes, route: Route, key: string | null): Result<Tenant | null, Verdict> {
     if (!routes.tenants.required) return Ok(null);
     const tenant = routes.tenants.holder(key);
--- a/packages/router/src/keyrevocation.ts
+++ b/packages/router/src/keyrevocation.ts
@@ -6,8 +6,8 @@
 
 /**
  * Ends what is still under way with a key that was taken away. New requests and further sends are refused as soon as
- * the configuration is here; an answer that has begun may go on until shortly before the bound. Invariant: one whose key
- * is held again by then goes on.
+ * the configuration is here; an answer that has begun may go on until shortly before the bound. Invariant: one whose
+ * key is held again by then goes on.
  */
 export const KeyRevocation = {
   make(clock: Clock, routes: () => Routes | null, bound: () => number) {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -6,6 +6,7 @@
 import { interpret } from 'robot3';
 import type { AnswerSink } from './answersink.js';
 import { Budgets } from './budgets.js';
+import { Certainty } from './certainty.js';
 import { Changing } from './changing.js';
 import { ConfigurationCalls } from './configurationcalls.js';
 import type { Engine } from './engine.js';
@@ -43,7 +44,6 @@
 import { Suspicions } from './suspicions.js';
 
 const CHECKIN = 450;
-const WAIT = 100;
 /** Parts of `drain` after which a list is too old to send by, and after which another way to it is sought. */
 const OLDEST = 0.72;
 const WORRY = 0.5;
@@ -64,7 +64,6 @@
     const self = (): Ident => ident;
     const life = interpret(DaemonLife, () => undefined);
     const is = (): string => life.machine.current;
-    let certain = false;
     /** When no new clients are sent here any more, and when this daemon ends. */
     let leaving = { turned: Infinity, end: Infinity };
     let routes: Routes | null = null;
@@ -76,11 +75,11 @@
     const peers = (): readonly Ident[] => purge.peers().filter((p) => p.role === 'counter' && p.id !== ident.id);
     const awake = Awake.make(clock, () => {
       list.drop();
-      certain = false;
+      certainty.lose();
       if (is() !== 'serving' && is() !== 'draining') return;
       log.warn('This daemon slept. Asking for the newest configuration.');
       life.send('woke');
-      void ask();
+      void certainty.seek();
     });
     const list = ServerList.make(
       clock,
@@ -89,6 +88,17 @@
     );
     const version = (): number => shelf.mark('charter')?.[0] ?? 0;
     const newest = Newest.make({ world, post, line, purge, shelf, self, known: peers, slept: () => awake.slept() });
+    const certainty = Certainty.make({
+      clock,
+      // One that leaves serves what comes all the same, and asks too.
+      wanted: () => is() === 'asking' || is() === 'draining',
+      ask: newest.sure,
+      found(): void {
+        life.send('sure');
+        log.say('Serving.');
+        void head.tick();
+      },
+    });
     const loads = ServerLoads.make(clock.mono);
     const load = () => loads.total((id) => list.stage(id) === 'prefill');
     const head = HeadLine.make({ clock, post, line, shelf, purge, list, version, load, tail: newest.tail });
@@ -121,7 +131,7 @@
     const shedders = PerService.make(() => LoadShedder.make(clock, world.chance));
     const shut = (): Verdict | null => {
       awake.look();
-      if (is() === 'serving' || (is() === 'draining' && certain)) return null;
+      if (is() === 'serving' || (is() === 'draining' && certainty.is())) return null;
       return Verdicts.not('asking', 'This daemon is learning the newest configuration.', 0.2);
     };
     const revocation = KeyRevocation.make(
@@ -181,26 +191,11 @@
       health.only(ids);
       speed.only(ids);
     });
-    let seeking = false;
-    /** Until this daemon is sure of its configuration: one that leaves serves what comes all the same, and asks too. */
-    const ask = async (): Promise<void> => {
-      if (seeking) return;
-      seeking = true;
-      while (!certain && (is() === 'asking' || is() === 'draining')) {
-        if (await newest.sure()) {
-          certain = true;
-          life.send('sure');
-          log.say('Serving.');
-          void head.tick();
-        } else await Timer.nap(clock, WAIT);
-      }
-      seeking = false;
-    };
-    TraceDesk.make(post, self, purge, shelf, () => certain);
+    TraceDesk.make(post, self, purge, shelf, certainty.is);
     Introducer.make({ clock, post, me: () => ({ id: ident.id, born: ident.born, addr: ident.addr }), view: line.view });
     RequestDesk.make(post, steps);
     StatusDesk.make({
-      ...{ clock, post, shelf, self, state: is, sure: () => certain, view: line.view, head: () => false },
+      ...{ clock, post, shelf, self, state: is, sure: certainty.is, view: line.view, head: () => false },
       list: () => ({ age: list.age(), young: list.young() }),
       ...{ silent: head.silent, suspected: health.suspected },
       known: () => [...purge.peers(), ...head.peers()],
@@ -227,7 +222,7 @@
         watch.start();
         news.start();
         broker.start();
-        void ask();
+        void certainty.seek();
         stops.push(Timer.every(clock, CHECKIN, head.tick));
         stops.push(OutcomeLog.start({ clock, log, requests: counters.requests, servers: serverMetrics.text }));
       },
--- a/packages/routesim/src/clientload.ts
+++ b/packages/routesim/src/clientload.ts
@@ -5,6 +5,6 @@
   perSecond: number;
   kinds: readonly RequestKind[];
   tries: number;
-  /** Of ten requests so many are of the first tenant, the others of all in turn; of all in turn where it is left out. */
+  /** Of ten requests so many are of the first tenant, the others of all in turn; none where it is left out. */
   crowd?: number;
 };
