--- a/packages/yard/src/index.ts
+++ b/packages/yard/src/index.ts
@@ -14,6 +14,7 @@
 export { Soak } from './routed/soak.js';
 export { SoakClients } from './routed/soakclients.js';
 export { SoakFaults } from './routed/soakfaults.js';
+export { SoakKeys } from './routed/soakkeys.js';
 export { SoakOperator } from './routed/soakoperator.js';
 export { type SoakReport } from './routed/soakreport.js';
 export { Tale } from './tale.js';
--- a/packages/yard/src/routed/soak.ts
+++ b/packages/yard/src/routed/soak.ts
@@ -3,6 +3,7 @@
 import { RoutedPlant } from './routedplant.js';
 import { SoakClients } from './soakclients.js';
 import { SoakFaults } from './soakfaults.js';
+import { SoakKeys } from './soakkeys.js';
 import { SoakOperator } from './soakoperator.js';
 import type { SoakReport } from './soakreport.js';
 
@@ -39,7 +40,7 @@
       while (served < SERVED && Date.now() < end) served = await clients.served(TRIES);
       if (served < SERVED)
         report.faults.push(`${served} of ${TRIES} requests were served ${RECOVERY} ms after the last fault`);
-      report.faults.push(...plant.ended);
+      report.faults.push(...plant.ended, ...SoakKeys.faults(plant, clients.sent()));
       return { ...report, events, changes: operator.acked() };
     } finally {
       await plant.stop();
--- a/packages/yard/src/routed/soakoperator.ts
+++ b/packages/yard/src/routed/soakoperator.ts
@@ -2,6 +2,7 @@
 import { SampleCall } from '@pumicebarrow/platform';
 import { setTimeout as pause } from 'node:timers/promises';
 import { request } from 'undici';
+import { SoakKeys } from './soakkeys.js';
 import type { SoakReport } from './soakreport.js';
 
 const WAIT = 4500;
@@ -37,7 +38,7 @@
     };
     const change = async (): Promise<boolean> => {
       const revision = acked + 1;
-      const body = SampleCall.configuration(revision, plant.service, plant.slots);
+      const body = SampleCall.configuration(revision, plant.service, plant.slots, SoakKeys.tenants(revision));
       for (const end = Date.now() + PATIENCE; Date.now() < end; await pause(BETWEEN)) {
         const { status, text } = await call(SampleCall.replace, body);
         if (status >= 400 && status < 500) report.faults.push(`change ${revision} was refused: ${status} ${text}`);
