--- a/packages/router/src/serve.ts
+++ b/packages/router/src/serve.ts
@@ -191,7 +191,7 @@
         return job;
       }
       const { key } = job.request;
-      const over = key === null ? null : t.revocation.begin(key, job.left);
+      const over = key === null || job.route.open === true ? null : t.revocation.begin(key, job.left);
       const verdict = await handle(job, sink);
       over?.();
       return verdict;
--- a/packages/router/src/tenantkeys.test.ts
+++ b/packages/router/src/tenantkeys.test.ts
@@ -109,6 +109,19 @@
     });
     expect([before, got.log.at(-1)]).to.deep.equal(['1;', 'cut']);
   });
+  it('on an open route goes on without its key', async () => {
+    const got = await play({
+      script: [{ run: 'ok', events: 1, hang: true }],
+      route: { resumable: false, open: true },
+      ...{ tenants, request: asking(MINE), later: { ms: 20, tenants: without } },
+      async after(t, out) {
+        await t.pass(BOUND);
+        expect(out.log.at(-1)).to.equal('1;');
+        out.leave();
+      },
+    });
+    expect(got.log.at(-1)).to.equal('cut');
+  });
   it('goes on where its key is held again by then', async () => {
     const got = await play({
       script: [{ run: 'ok', events: 1, hang: true }],
