--- a/packages/routesim/src/clientloads.ts
+++ b/packages/routesim/src/clientloads.ts
@@ -41,6 +41,8 @@
   prompt: longPrompt('verdict', 58, 568, 1800, 22),
 };
 
+const PRODUCTION = [REVIEW, REVIEW, BRIEF, BRIEF, BRIEF, BRIEF, VERDICT, VERDICT, VERDICT] as const;
+
 /** What clients ask for in a run. */
 export const ClientLoads = {
   light: {
@@ -55,11 +57,11 @@
   /** Long reviews, short briefs and brief verdicts: what six large servers bear. */
   production: {
     ...{ perSecond: 40, tries: 2 },
-    kinds: [REVIEW, REVIEW, BRIEF, BRIEF, BRIEF, BRIEF, VERDICT, VERDICT, VERDICT],
+    kinds: PRODUCTION,
   },
   /** The same, and most of it by one tenant. */
   crowded: {
     ...{ perSecond: 40, tries: 2, crowd: 7 },
-    kinds: [REVIEW, REVIEW, BRIEF, BRIEF, BRIEF, BRIEF, VERDICT, VERDICT, VERDICT],
+    kinds: PRODUCTION,
   },
 } as const satisfies Record<string, ClientLoad>;
--- a/packages/routesim/src/modeltenants.ts
+++ b/packages/routesim/src/modeltenants.ts
@@ -1,7 +1,7 @@
 import type { Tenant } from '@pumicebarrow/forms';
 
 const NAMES = ['t1', 't2', 't3'] as const;
-/** A configuration's own key is held by so many configurations that are proposed after it. */
+/** The key that comes with a configuration is held by so many of them, that one included. */
 const KEPT = 8;
 const nameOf = (n: number): string => NAMES[((n % NAMES.length) + NAMES.length) % NAMES.length]!;
 
--- a/packages/yard/src/routed/soakkeys.ts
+++ b/packages/yard/src/routed/soakkeys.ts
@@ -2,7 +2,7 @@
 
 type Plant = Awaited<ReturnType<typeof RoutedPlant.make>>;
 const TENANTS = ['one', 'two'] as const;
-/** A configuration holds its own key and those of so many before it. */
+/** A configuration holds so many keys that come and go: its own, and those of the ones before it. */
 const KEPT = 3;
 /** One request of so many shows a key that no configuration ever held. */
 const STRANGE = 25;
