--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -5,6 +5,8 @@
 const TROUBLE = process.env.TROUBLE !== '0';
 /** A stream: so many events, so far apart, and the pause in the middle of it while its prompt is read anew. */
 const MANY = 12, EVENTS = 10, GAP = 60, PAUSE = 1900;
+/** The newest half of the streams is put back, the others go on. */
+const isPutBack = (id) => TROUBLE && Number(id.slice(1)) >= MANY / 2;
 const log = lib.recorder(fileURLToPath(new URL('.', import.meta.url)));
 const runs = new Map();
 const stream = (req, res, seen) => {
@@ -20,7 +22,7 @@
     }
     res.write(`id: ${++n}\ndata: word ${n}\n\n`);
     if (n === EVENTS) res.end();
-    else setTimeout(next, TROUBLE && n === EVENTS / 2 && after === 0 ? PAUSE : GAP);
+    else setTimeout(next, isPutBack(seen.id) && n === EVENTS / 2 && after === 0 ? PAUSE : GAP);
   };
   setTimeout(next, GAP);
 };
