--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -8,6 +8,8 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
+/** A case that isn't over by then could not run. */
+const LIMIT_MS = 115_000;
 export const ROOT = fileURLToPath(new URL('../../', import.meta.url));
 export const sleep = (ms) => new Promise((done) => setTimeout(done, ms));
 export const until = async (fits, ms, step = 25) => {
@@ -124,7 +126,7 @@
  * Control replicas, routers, servers and the platform's list. Every daemon has an address of its own; those named in
  * `later` are not started yet.
  */
-export const fleet = async ({ log, controls = 3, routers = 1, servers = [], later = [], zoneOf = null, zoneLosses = 0 }) => {
+export const fleet = async ({ log, controls = 3, routers = 1, servers = [], later = [] }) => {
   const dir = mkdtempSync(join(tmpdir(), 'review-'));
   const net2 = 1 + Math.floor(Math.random() * 250);
   const ips = Array.from({ length: controls + routers }, (_, i) => `127.77.${net2}.${10 + i}`);
@@ -147,7 +149,7 @@
     const role = i < controls ? 'control' : 'router';
     const id = role === 'control' ? `core-${i + 1}` : `edge-${i - controls + 1}`;
     return { id, ip, role, file: join(dir, `${id}.toml`), front: `${ip}:${port.front}`, ready: `${ip}:${port.ready}`,
-      control: `${ip}:${port.control}`, zone: zoneOf?.[i] ?? zones[i % 2] };
+      control: `${ip}:${port.control}`, zone: zones[i % 2] };
   });
   const settings = (d, { bootstrap, seeds }) => {
     const core = d.role === 'control';
@@ -155,8 +157,8 @@
       ID: d.id, ROLE: d.role, CLASS: core ? 'core' : 'edge', SERVES: core ? '"control"' : '"edge", "control"', IP: d.ip,
       ZONE: d.zone, FIRST: port.internal, LAST: port.last, SEEDS: seeds.map((x) => `"${x.control}"`).join(', '),
       BOOTSTRAP: bootstrap, COUNTS: core, FOLDER: join(dir, d.id), FRONT: d.front, READY: d.ready, CONTROL: d.control,
-      DISK: core ? 128 : 0, ZONELOSSES: zoneLosses, LIST: `127.0.0.1:${port.list}`,
-      ZONES: [...new Set([...zones, ...(zoneOf ?? [])])].map((z) => `${z} = "land"`).join('\n'),
+      DISK: core ? 128 : 0, LIST: `127.0.0.1:${port.list}`,
+      ZONES: zones.map((z) => `${z} = "land"`).join('\n'),
     };
     // Lines that only machines with a disk, or only those that clients reach, have.
     const lines = wire.settings
@@ -186,6 +188,13 @@
   };
   rewrite({ bootstrap: true, seeds: daemons.slice(0, Math.min(3, controls)) });
   daemons.filter((d) => !later.includes(d.id)).forEach(start);
+  // However this process ends, and after LIMIT_MS at the latest, nothing that it started is left.
+  process.once('exit', () => {
+    for (const d of daemons) if (d.proc && !d.ended) d.proc.kill('SIGKILL');
+    rmSync(dir, { recursive: true, force: true });
+  });
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.once(signal, () => process.exit(2));
+  setTimeout(() => process.exit(2), LIMIT_MS).unref();
   const stop = async () => {
     for (const d of daemons)
       if (d.proc && !d.ended) {
