--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -18,6 +18,18 @@
 /** A copy of a form of the wire, with what stands between at signs filled in. */
 const filled = (form, values) => JSON.parse(JSON.stringify(form), (_, v) => (typeof v === 'string' && /^@[A-Z]+@$/.test(v) ? values[v.slice(1, -1)] : v));
 
+/** A fault of the script itself, or a script that takes too long, ends what was started, and means that it could not run. */
+const LIMIT = 115_000;
+const started = new Set();
+const giveUp = (why) => {
+  for (const proc of started) proc.kill('SIGKILL');
+  console.log(`could not run: ${why instanceof Error ? why.message : why}`);
+  process.exit(2);
+};
+for (const name of ['uncaughtException', 'unhandledRejection']) process.on(name, giveUp);
+for (const name of ['SIGTERM', 'SIGINT']) process.on(name, () => giveUp(name));
+setTimeout(giveUp, LIMIT, 'it took too long').unref();
+
 /** Writes record.txt: a line for each thing that was sent, answered, run or done, with the time since the start. */
 export const Record = {
   make(folder) {
@@ -388,6 +400,8 @@
     for (const k of ['PATH', 'HOME', 'LANG']) if (process.env[k] !== undefined) env[k] = process.env[k];
     const proc = spawn(line[0], line.slice(1), { cwd: ROOT, env, stdio: ['ignore', 'pipe', 'pipe'] });
     const log = createWriteStream(join(this.dir, `${n.name}.log`), { flags: 'a' });
+    started.add(proc);
+    proc.once('exit', () => started.delete(proc));
     proc.stdout.pipe(log);
     proc.stderr.pipe(log);
     const held = { proc, startedAt: now(), told: false };
