--- a/packages/registry/src/core.ts
+++ b/packages/registry/src/core.ts
@@ -199,9 +199,15 @@
       return { ok: next !== null };
     });
 
+    const recordRun = async (): Promise<void> => {
+      const written = await store.recordRun();
+      if (written.err) onDiskFault(written.val);
+    };
+
     return {
       start(): void {
         if (restored.view) installView(restored.view);
+        void recordRun();
         stop = Timer.every(world.clock, CoreTimings.heartbeatIntervalMs, tick);
       },
       /**
@@ -222,6 +228,7 @@
         stop();
       },
       view: (): View | null => view,
+      runNumber: (): number | null => store.runNumber(),
       lifecycleState: (): string => lifecycle.machine.current,
       holdsLease,
       chain,
--- a/packages/router/src/controlreplica.ts
+++ b/packages/router/src/controlreplica.ts
@@ -22,6 +22,9 @@
   parseConfiguration?: (text: string) => Result<Routing, Fault[]>;
 };
 
+/** Steps of version stamps that one run of a replica may use under one fencing token. */
+const STEPS_PER_RUN = 1e9;
+
 /**
  * Assembles a control replica: the replicated registry, the duties of the acting head (publishing the server list,
  * balancing stages, answering router check-ins) and the handlers for operators.
@@ -53,12 +56,15 @@
     const isActingHead = (): boolean => isHead() && node.core.holdsLease();
     /**
      * Fencing token of the head's duties: the epoch of the agreed view, or null unless this replica is the head and
-     * holds its lease. At most one replica has a token at any time, and tokens only increase.
+     * holds its lease. At most one replica has a token at any time, and tokens only increase. A head that restarts
+     * keeps the token, so each of its runs has steps of its own, and no token before its run number is on disk.
      */
-    const fence = (): number | null => (isActingHead() ? (currentView()?.epoch ?? null) : null);
+    const fence = (): number | null =>
+      isActingHead() && node.core.runNumber() !== null ? (currentView()?.epoch ?? null) : null;
+    const firstStep = (): number => ((node.core.runNumber() ?? 1) - 1) * STEPS_PER_RUN;
     const listPublisher = ServerListPublisher.make({
-      ...{ clock, listSource, purge: node.purge },
-      fence,
+      ...{ clock, listSource, purge: node.purge, store: node.recordStore, log: world.log('list') },
+      ...{ fence, firstStep },
       intervalMs: Math.max(400, options.drain / 4),
     });
     const version = (): number => node.core.chain.committed()?.charter?.version ?? 0;
@@ -84,6 +90,7 @@
         gossip: node.purge,
         store: node.recordStore,
         fence,
+        firstStep,
         self: node.ident.id,
       },
       ...{ servers: listPublisher.servers, load: checkinHandler.load, lease: options.lease, away: stageChangeMs },
--- a/packages/router/src/headduties.test.ts
+++ b/packages/router/src/headduties.test.ts
@@ -1,4 +1,4 @@
-import { Err, Hash, Ok, type Doc, type VersionStamp } from '@pumicebarrow/forms';
+import { Err, Hash, Logs, Ok, VersionOrder, type Doc, type VersionStamp } from '@pumicebarrow/forms';
 import { InMemoryRecordStore, type GossipNode } from '@pumicebarrow/purge';
 import type { ControlClient, View } from '@pumicebarrow/registry';
 import { expect } from 'chai';
@@ -13,7 +13,7 @@
 import { server, testClock } from './fixtures.test.js';
 
 describe('publishing of the server list', () => {
-  const make = () => {
+  const make = (firstStep = 0) => {
     const time = testClock();
     const recordStore = InMemoryRecordStore.make(SharedDocumentCheck.isValid);
     const state = { fence: 3 as number | null, list: [server('a', 'decode')] as Server[] | null, polls: 0 };
@@ -26,7 +26,8 @@
     };
     const purge = { publish: (d: Doc) => recordStore.offer(d) } as unknown as GossipNode;
     const publisher = ServerListPublisher.make({
-      ...{ clock: time.clock, listSource: source, purge, intervalMs: 1000, fence: () => state.fence },
+      ...{ clock: time.clock, log: Logs.silent(), listSource: source, purge, store: recordStore },
+      ...{ intervalMs: 1000, fence: () => state.fence, firstStep: () => firstStep },
     });
     return { time, recordStore, state, duty: publisher };
   };
@@ -66,6 +67,38 @@
     await asked;
     expect(recordStore.stamp('list')).to.equal(null);
   });
+  // Routers compare version stamps only: under a stamp of two lists they keep the old one and take it for fresh.
+  it('does not use the stamp of an earlier run under the same fencing token for another list', async () => {
+    const earlier = make(),
+      later = make(1000);
+    await earlier.duty.tick();
+    later.state.list = [server('a', 'decode', { state: 'draining' })];
+    await later.duty.tick();
+    const stamps = [later, earlier].map((run) => run.recordStore.stamp('list'));
+    expect(VersionOrder.isNewer(stamps[0], stamps[1])).to.equal(true);
+  });
+  it('publishes a list that is newer than one of an earlier run that gossip brought', async () => {
+    const { time, recordStore, duty } = make();
+    recordStore.offer({ name: 'list', mark: [3, 4], body: ServerListRows.pack([server('b', 'decode')]) });
+    await duty.tick();
+    await time.advance(1000);
+    expect([recordStore.stamp('list'), duty.current()?.mark]).to.deep.equal([
+      [3, 5],
+      [3, 5],
+    ]);
+  });
+  it('goes on publishing once it has the fencing token again that it had lost for a while', async () => {
+    const { time, recordStore, state, duty } = make();
+    await duty.tick();
+    state.fence = null;
+    await time.advance(1000);
+    await duty.tick();
+    state.fence = 3;
+    state.list = [server('a', 'decode', { state: 'draining' })];
+    await time.advance(1000);
+    await duty.tick();
+    expect([recordStore.stamp('list'), duty.current()]).to.deep.equal([[3, 1], { mark: [3, 1], age: 0 }]);
+  });
   it('reports a growing list age while the platform rejects its polls', async () => {
     const { time, state, duty } = make();
     await duty.tick();
--- a/packages/router/src/stagebalancer.ts
+++ b/packages/router/src/stagebalancer.ts
@@ -18,6 +18,8 @@
   store: RecordStore;
   /** The fence under which this daemon holds the duty at this instant; null if it does not hold it. */
   fence: () => number | null;
+  /** The lowest step that this run may use under any fencing token. */
+  firstStep: () => number;
   self: string;
   servers: () => readonly Server[];
   load: () => Load;
@@ -75,13 +77,13 @@
     const now = (): number => deps.clock.mono();
     const publishRow = (fence: number, server: Server, part: Stage, stage: StageAssignment['stage']): void => {
       const name = `row:${server.id}`;
-      const mark = VersionOrder.next(deps.store.stamp(name), fence);
+      const mark = VersionOrder.next(deps.store.stamp(name), fence, deps.firstStep());
       if (mark)
         deps.gossip.publish({ name, mark, body: { server: server.id, born: server.id, part, stage, by: deps.self } });
     };
     /** Publishes which servers change together. */
     const publishBatch = (fence: number): void => {
-      const mark = VersionOrder.next(deps.store.stamp('changes'), fence);
+      const mark = VersionOrder.next(deps.store.stamp('changes'), fence, deps.firstStep());
       const rows = [...changes.values()].filter((c) => c.isBatch).map((c) => [c.server.id, c.stage] as const);
       if (mark) deps.gossip.publish({ name: 'changes', mark, body: { rows, by: deps.self } });
     };
--- a/packages/router/src/stagebalancerfixture.test.ts
+++ b/packages/router/src/stagebalancerfixture.test.ts
@@ -31,7 +31,7 @@
   const gossip = { publish: (d: Doc) => store.offer(d) } as unknown as GossipNode;
   const duty = StageBalancer.make({
     ...{ clock: time.clock, log: Logs.silent(), engine, gossip, store, self: 'k1', lease: 3000 },
-    ...{ fence: () => state.fence, servers: () => state.servers, load: () => state.load },
+    ...{ fence: () => state.fence, firstStep: () => 0, servers: () => state.servers, load: () => state.load },
     away: () => state.away,
   });
   const pass = async (ms: number): Promise<void> => {
--- a/packages/routesim/src/capacity/routedworks.ts
+++ b/packages/routesim/src/capacity/routedworks.ts
@@ -108,6 +108,7 @@
       },
       ...{
         fence: () => 1,
+        firstStep: () => 0,
         self: 'k1',
         servers: () => servers,
         load: () => ({ read: 0, beside: 0, run: 0 }),
--- a/packages/routesim/src/drills/worstdrills.ts
+++ b/packages/routesim/src/drills/worstdrills.ts
@@ -1,3 +1,5 @@
+import { Random } from '@pumicebarrow/forms';
+import { Bounds } from '../bounds.js';
 import type { Drill } from '../drill.js';
 import { Met } from '../met.js';
 import type { Scene } from '../scene.js';
@@ -5,6 +7,10 @@
 
 /** ms for which a control replica is cut off: longer than any lease, list or detector lasts. */
 const LONG = 21_000;
+/** Time in which a round of failure reports reaches all daemons. */
+const REPORT_GAP_MS = 2500;
+/** How long the head's process is away: less than it takes the others to remove it from the view. */
+const QUICK_RESTART_MS = 200;
 type Place = 'head' | 'middle' | 'tail';
 const at = (s: Scene, place: Place): string => {
   const chain = s.f.chain();
@@ -23,6 +29,19 @@
   };
   await Promise.all([reads(), changes()]);
 };
+/** Failure reports of all servers, as routers send them. They evict older notices from the gossip caches. */
+const reportServers = async (s: Scene, rounds: number): Promise<void> => {
+  for (let round = 1; round <= rounds; round++) {
+    s.trouble.note('reports', ['platform'], REPORT_GAP_MS);
+    for (const server of s.f.platform.up()) {
+      const reporter = s.f.replicas.get(Random.pick(s.f.motor.chance, s.f.replicaIds)!)!;
+      const name = `sight:${server.id}`;
+      const step = (reporter.recordStore.stamp(name)?.[0] ?? 0) + 1;
+      reporter.purge.publish({ name, mark: [step, 0], body: { server: server.id, born: server.id, by: 'r1' } });
+    }
+    await s.f.nap(REPORT_GAP_MS);
+  }
+};
 const acked =
   (least: number) =>
   (seen: readonly Seen[]): boolean =>
@@ -117,4 +136,18 @@
     },
     meets: both(Met.kind('kill'), acked(1)),
   },
+  // Guards against a restarted head that gives a new list the stamp of the old one, which routers then take for fresh.
+  {
+    name: 'head_back_soon',
+    about: 'servers are reported as failed; then the head is killed and back at once, while a server begins to leave',
+    async run(s) {
+      await reportServers(s, 3);
+      const leaving = s.f.platform.up().find((x) => x.stage() === 'decode' && x.service === 'alpha')!;
+      s.f.platform.retire(leaving, false);
+      await s.f.nap(Bounds.lag);
+      s.trouble.kill([at(s, 'head')], QUICK_RESTART_MS);
+      await s.f.nap(8000);
+    },
+    meets: both(Met.kind('kill'), Met.listed('draining')),
+  },
 ];
--- a/packages/sim/src/store.test.ts
+++ b/packages/sim/src/store.test.ts
@@ -72,6 +72,29 @@
       expect(points).to.be.greaterThan(8);
     });
   }
+  it('has a run number at each start that no earlier run used, wherever a start is stopped', async () => {
+    for (let seed = 1; seed <= 12; seed++) {
+      const l = await begin(seed);
+      const used: number[] = [];
+      let complete = 0;
+      for (let at = 1; complete < 3; at++) {
+        let stopped = false;
+        l.sim.snare(at, () => {
+          stopped = true;
+          l.sim.stop();
+        });
+        const store = l.open();
+        await l.end(store.load());
+        await l.end(store.recordRun());
+        l.sim.disarm();
+        if (store.runNumber() !== null) used.push(store.runNumber()!);
+        if (!stopped) complete++;
+      }
+      expect(used.length, `seed ${seed}`).to.be.at.least(complete);
+      expect(used, `seed ${seed}`).to.deep.equal([...new Set(used)].sort((a, b) => a - b));
+      expect(used[0]!, `seed ${seed}`).to.be.greaterThan(1);
+    }
+  });
   it('keeps its name, and all that it said, where nothing is lost', async () => {
     for (let seed = 1; seed <= 20; seed++) {
       const l = await begin(seed);
