--- a/packages/registry/src/consensus/bootstrap.ts
+++ b/packages/registry/src/consensus/bootstrap.ts
@@ -6,6 +6,8 @@
 import { BootstrapRules } from './bootstraprules.js';
 import type { ViewChanger } from './viewchanger.js';
 import type { AddressBook } from '../membership/addressbook.js';
+import type { FaultTolerance } from './faulttolerance.js';
+import type { MemberLocations } from '../membership/memberlocations.js';
 import type { View } from './view.js';
 import { Views } from './views.js';
 import type { Voter } from './voter.js';
@@ -13,8 +15,9 @@
 type Hooks = {
   me: () => Member;
   addresses: AddressBook;
-  /** Number of machines that may be lost at the same time. */
-  losses: number;
+  /** What may be lost at the same time. */
+  tolerance: FaultTolerance;
+  locations: MemberLocations;
   coreAddresses: () => readonly string[];
   /** The addresses given to every daemon at its first start. */
   seeds: () => readonly string[];
@@ -24,20 +27,25 @@
   adopt: (v: View) => Promise<boolean>;
 };
 const MAX_CANDIDATES = 64;
+/** How long a first view that does not bear the tolerated losses is put off, for candidates that start later. */
+const PLACEMENT_WAIT_MS = 1500;
 
 /**
  * Agrees on the first view among candidates that find each other through a few seed addresses; seeds need not be
  * candidates. Invariants: before a candidate proposes the first view, it has, within one round, received replies from
  * more than half of the seeds and from every candidate known to any of them; each holds no view, has accepted none and
- * knows the same candidates, at least 2 * losses + 1 of them. The first 2 * losses + 1 candidates are the voters, and a
- * first round needs the promises of all candidates (see ViewChanger). Any two proposers share a seed, so the later one
- * knows the earlier one and also asks its voters.
+ * knows the same candidates, enough for the tolerated losses. The voters are chosen among them (see VoterPlacement),
+ * and a first round needs the promises of all candidates (see ViewChanger). Any two proposers share a seed, so the
+ * later one knows the earlier one and also asks its voters.
  */
 export const Bootstrap = {
   make(world: World, post: Messenger, voter: Voter, viewChanger: ViewChanger, hooks: Hooks) {
     const recentCandidates = ExpiringMap.make<Member>(world.clock.mono, MAX_CANDIDATES);
     /** Addresses of candidates reported by others; they are asked in the next round. */
     let reportedAddresses: readonly string[] = [];
+    const log = world.log('view');
+    /** Since when a first view could be proposed that does not bear the tolerated losses. */
+    let deferredSince: number | null = null;
     const recordCandidate = (member: Member): void => {
       if (member.id !== hooks.me().id) recentCandidates.set(member.id, member, CoreTimings.candidateTtlMs);
     };
@@ -49,8 +57,9 @@
       took: voter.acceptedView(),
       me: hooks.me(),
     }));
-    post.on('core.meet', CoreMessages.meet, (body) => {
+    post.on('core.meet', CoreMessages.meet, (body, from) => {
       recordCandidate(body.me);
+      hooks.locations.record(from);
       return { view: hooks.view(), took: voter.acceptedView(), me: hooks.me(), met: knownCandidates() };
     });
     const askAll = async <S extends TSchema>(
@@ -77,6 +86,12 @@
         .map((s) => s.view)
         .filter((v): v is View => v !== null)
         .sort((a, b) => b.epoch - a.epoch)[0];
+    /** Whether to wait for candidates with which the first view bears the tolerated losses. */
+    const isDeferred = (proposal: View): boolean => {
+      if (BootstrapRules.bearsTolerance(proposal, { ...hooks, locate: hooks.locations.locate })) return false;
+      deferredSince ??= world.clock.mono();
+      return world.clock.mono() - deferredSince < PLACEMENT_WAIT_MS;
+    };
     return {
       /**
        * Runs one round on a daemon without a view: adopts a view that others hold, or helps to agree on the first one.
@@ -104,10 +119,11 @@
         reportedAddresses = replies.flatMap((s) => s.met.map((m) => m.addr)).slice(0, MAX_CANDIDATES);
         for (const s of replies) if (s.met.some((m) => Views.sameMember(m, s.me))) recordCandidate(s.me);
         const candidates = knownCandidates();
-        const proposal = BootstrapRules.firstView(candidates, me, hooks.losses);
+        const proposal = BootstrapRules.firstView(candidates, me, { ...hooks, locate: hooks.locations.locate });
         const repliedAddresses = meetReplies.map((r) => r.addr);
         if (!proposal || !BootstrapRules.seedMajorityReplied(hooks.seeds(), me.addr, repliedAddresses)) return;
-        if (!BootstrapRules.candidatesAgree(candidates, me, replies)) return;
+        if (!BootstrapRules.candidatesAgree(candidates, me, replies) || isDeferred(proposal)) return;
+        if (deferredSince !== null) log.info('The first view was put off for candidates in other zones.');
         await viewChanger.propose(proposal.voters, proposal, 'The first view.', candidates);
       },
     };
--- a/packages/registry/src/consensus/bootstraprules.ts
+++ b/packages/registry/src/consensus/bootstraprules.ts
@@ -1,9 +1,17 @@
 import type { Member } from '../membership/member.js';
+import type { MemberLocation } from '../membership/memberlocation.js';
+import type { FaultTolerance } from './faulttolerance.js';
 import type { View } from './view.js';
 import { Views } from './views.js';
+import { VoterPlacement } from './voterplacement.js';
 
 /** What a candidate or an introducer reports about itself in reply to `core.meet`. */
 type MeetReply = { me: Member; took: View | null; met: readonly Member[] };
+type PlacementKnowledge = {
+  tolerance: FaultTolerance;
+  /** Where a candidate is; null if that is not known. */
+  locate: (member: Member) => MemberLocation | null;
+};
 const serialize = (members: readonly Member[]): string => JSON.stringify(members.map((m) => [m.id, m.born, m.addr]));
 
 /**
@@ -28,12 +36,24 @@
       replies.some((r) => Views.sameMember(r.me, m) && serialize(r.met) === serialize(candidates));
     return noOthers && candidates.every(confirmed);
   },
-  /** The first view that this candidate may propose; null if it must not propose one. */
-  firstView(candidates: readonly Member[], me: Member, toleratedLosses: number): View | null {
-    const voters = candidates.slice(0, 2 * toleratedLosses + 1);
-    if (voters.length !== 2 * toleratedLosses + 1 || !Views.sameMember(candidates[0], me)) return null;
+  /**
+   * The first view that this candidate may propose; null if it must not propose one. It has the number of voters that
+   * the tolerated losses need, or fewer if there are not as many candidates, but always enough for the tolerated loss
+   * of machines.
+   */
+  firstView(candidates: readonly Member[], me: Member, { tolerance, locate }: PlacementKnowledge): View | null {
+    const least = VoterPlacement.leastVoterCount(tolerance);
+    if (candidates.length < least || !Views.sameMember(candidates[0], me)) return null;
+    const largestOdd = candidates.length - ((candidates.length + 1) % 2);
+    const count = Math.min(VoterPlacement.voterCount(tolerance), Math.max(least, largestOdd));
+    const voters = VoterPlacement.choose(candidates, count, tolerance, locate);
     return { epoch: 1, voters, chain: voters };
   },
+  /** Whether a first view bears every tolerated loss, as far as it is known where its voters are. */
+  bearsTolerance(view: View, { tolerance, locate }: PlacementKnowledge): boolean {
+    if (tolerance.zones === 0 && tolerance.regions === 0) return true;
+    return view.voters.every((m) => locate(m) !== null) && VoterPlacement.isTolerant(view.voters, tolerance, locate);
+  },
   /**
    * Whether a round that asks all candidates must stop: one of them has accepted a view, which its voters now complete
    * alone.
--- a/packages/registry/src/consensus/nextviews.ts
+++ b/packages/registry/src/consensus/nextviews.ts
@@ -55,6 +55,15 @@
     const next = nextView(view, chain, knowledge, complete);
     return next && { ...next, voters: view.voters.map((x) => (Views.sameMember(x, newcomer) ? newcomer : x)) };
   },
+  /**
+   * Adds a member at the tail in the place of another one; null if too few complete members would remain. Used where
+   * there is no room for a newcomer that may take a vote, and `removed` has none.
+   */
+  withTailInPlaceOf(view: View, newcomer: Member, removed: Identity, knowledge: Knowledge): View | null {
+    const chain = view.chain.filter((m) => !Views.sameMember(m, removed));
+    const next = NextViews.withTail({ ...view, chain }, newcomer, knowledge);
+    return next && Views.completeMembers(next).length >= Views.majority(view) ? next : null;
+  },
   /** Gives another member's vote to a chain member that has caught up. */
   withVoter(view: View, newVoter: Member, oldVoter: Identity, knowledge: Knowledge): View | null {
     const next = nextView(view, view.chain, knowledge, completeNow(view, knowledge));
--- a/packages/registry/src/consensus/view.ts
+++ b/packages/registry/src/consensus/view.ts
@@ -15,7 +15,7 @@
 export const View = Type.Object(
   {
     epoch: Type.Integer({ minimum: 1 }),
-    voters: Type.Array(Member, { minItems: 3, maxItems: ViewLimits.maxVoters }),
+    voters: Type.Array(Member, { minItems: 1, maxItems: ViewLimits.maxVoters }),
     chain: Type.Array(Member, { minItems: 1, maxItems: ViewLimits.maxChainLength }),
     joining: Type.Optional(
       Type.Array(Member, { ...members, description: 'chain members not known to hold everything that was committed' }),
--- a/packages/registry/src/core.ts
+++ b/packages/registry/src/core.ts
@@ -17,9 +17,12 @@
 import { ViewFile } from './consensus/viewfile.js';
 import { Views } from './consensus/views.js';
 import { Voter } from './consensus/voter.js';
+import { VotePlacer } from './membership/voteplacer.js';
 import type { Vote } from './consensus/vote.js';
 import { FailureDetector } from './membership/failuredetector.js';
+import type { FaultTolerance } from './consensus/faulttolerance.js';
 import { AddressBook } from './membership/addressbook.js';
+import { MemberLocations } from './membership/memberlocations.js';
 
 /** What was loaded from disk at startup; `born` is the incarnation, null on an empty disk. */
 type RestoredState = { born: string | null; view: View | null; vote: Vote | null; state: CoreState };
@@ -28,11 +31,10 @@
   coreAddresses: () => readonly string[];
   /** The addresses given to every daemon at its first start. */
   seeds: () => readonly string[];
-  /**
-   * Number of machines that may be lost at the same time. It sets the size of the first view; later views keep that
-   * size.
-   */
-  losses: number;
+  /** What may be lost at the same time. It sets the size of the first view; later views keep that size. */
+  tolerance: FaultTolerance;
+  /** The region of a zone. */
+  regionOf: (zone: string) => string;
   /** Whether a daemon with nothing on disk may help to form the first view. */
   mayFormFirstView: boolean;
   /** Called with each committed state. */
@@ -53,6 +55,7 @@
     const earlierLeasesUntil = restored.born === null ? 0 : world.clock.mono() + CoreTimings.viewLeaseMs;
     const voter = Voter.make(store, world.clock.mono, restored.vote, earlierLeasesUntil, viewFile.ensureSaved);
     const addresses = AddressBook.make(world, post, me, hooks.coreAddresses);
+    const locations = MemberLocations.make(world.clock, ident, hooks.regionOf);
     const detector = FailureDetector.make(world, post, me, addresses, voter);
     let view: View | null = null;
     const recallingVoter = LeaseRecall.make(world, post, me, addresses, () => view, detector, voter);
@@ -104,6 +107,7 @@
       ...hooks,
       me,
       addresses,
+      locations,
       view: () => view,
       isCandidate,
       adopt,
@@ -124,7 +128,8 @@
           CoreTimings.requestTimeoutMs,
         );
     };
-    const repair = RepairTask.make(me, world.clock.mono, detector, viewChanger, chain);
+    const votes = VotePlacer.make(hooks.tolerance, locations, world.log('view'));
+    const repair = RepairTask.make(me, world.clock.mono, detector, viewChanger, chain, votes);
     const recoverDisk = async (): Promise<void> => {
       const written = await store.saveIdentity(me().born, false);
       if (written.ok && (await viewFile.ensureSaved())) {
@@ -149,8 +154,9 @@
       }
     };
 
-    post.on('core.beat', CoreMessages.heartbeat, (body) => {
+    post.on('core.beat', CoreMessages.heartbeat, (body, from) => {
       addresses.record(body.me);
+      locations.record(from);
       detector.recordHeartbeat(body.me, { sick: body.sick, fresh: body.fresh, epoch: body.epoch });
       const leaseGranted =
         !!view &&
@@ -170,10 +176,11 @@
     });
     post.on('core.view', CoreMessages.viewNotice, async (body) => ({ ok: await adopt(body.view) }));
     post.on('core.hint', CoreMessages.empty, () => ({ view }));
-    post.on('core.join', CoreMessages.join, (body) => {
+    post.on('core.join', CoreMessages.join, (body, from) => {
       const currentView = view,
         newcomer = body.me;
       addresses.record(newcomer);
+      locations.record(from);
       if (
         !currentView ||
         !hasPosition(currentView) ||
@@ -183,11 +190,7 @@
       )
         return { ok: false };
       const namesake = currentView.chain.find((x) => x.id === newcomer.id);
-      if (
-        !Views.hasRoomFor(currentView, newcomer) ||
-        (namesake?.addr === newcomer.addr && Views.sameMember(namesake, newcomer))
-      )
-        return { ok: false };
+      if (namesake?.addr === newcomer.addr && Views.sameMember(namesake, newcomer)) return { ok: false };
       if (
         namesake &&
         !Views.sameMember(namesake, newcomer) &&
--- a/packages/registry/src/membership/repairtask.test.ts
+++ b/packages/registry/src/membership/repairtask.test.ts
@@ -1,7 +1,11 @@
+import { Logs } from '@pumicebarrow/forms';
 import { expect } from 'chai';
 import type { Chain } from '../chain/chain.js';
 import type { FailureDetector } from './failuredetector.js';
+import type { FaultTolerance } from '../consensus/faulttolerance.js';
 import type { Member } from './member.js';
+import type { MemberLocation } from './memberlocation.js';
+import { VotePlacer } from './voteplacer.js';
 import { RepairTask } from './repairtask.js';
 import type { ViewChanger } from '../consensus/viewchanger.js';
 import type { View } from '../consensus/view.js';
@@ -15,6 +19,8 @@
   silent?: readonly string[];
   fresh?: readonly string[];
   emptied?: readonly string[];
+  tolerance?: FaultTolerance;
+  zones?: Readonly<Record<string, MemberLocation>>;
 };
 /** The repair task of one member with the given observations of the others, and the views it proposes. */
 const setUp = (me: string, observations: Observations) => {
@@ -38,6 +44,11 @@
     detector as unknown as FailureDetector,
     viewChanger as unknown as ViewChanger,
     chain as unknown as Chain,
+    VotePlacer.make(
+      observations.tolerance ?? { machines: 1, zones: 0, regions: 0 },
+      { locate: (m) => observations.zones?.[m.id] ?? null },
+      Logs.silent(),
+    ),
   );
   return {
     task,
@@ -131,6 +142,81 @@
     other.task.takeOverFromReserve(degradedView);
     expect(other.proposed, 'a member outside the reserve').to.deep.equal([]);
   });
+  /** Members named by their zone and a number; the loss of one zone is tolerated. */
+  const inZones = (
+    chain: string,
+    voters: string,
+    { known = chain, ...observations }: Observations & { known?: string } = {},
+  ) => {
+    const members = (text: string): Member[] => text.split(' ').map(member);
+    const view: View = { epoch: 3, chain: members(chain), voters: members(voters) };
+    const zones = Object.fromEntries(known.split(' ').map((id) => [id, { zone: id[0]!, region: id[0]! }]));
+    const fixture = setUp(chain.split(' ')[0]!, {
+      ...{ tolerance: { machines: 1, zones: 1, regions: 0 }, zones, fresh: chain.split(' ') },
+      ...observations,
+    });
+    return { view, fixture };
+  };
+  const ids = (members: readonly Member[] | undefined): string => (members ?? []).map((m) => m.id).join(' ');
+  // Guards against votes of which one zone holds the majority after a repair: its loss would stop the core.
+  const transferCases: [string, ReturnType<typeof inZones>, string][] = [
+    ['moves a vote out of a zone that holds two of three', inZones('a1 a2 b1 c1', 'a1 a2 b1'), 'c1 a2 b1'],
+    ['moves no vote if each zone holds one', inZones('a1 b1 c1 c2', 'a1 b1 c1'), ''],
+    ['moves no vote to a member that has not caught up', inZones('a1 a2 b1 c1', 'a1 a2 b1', { fresh: ['b1'] }), ''],
+    [
+      'moves no vote while it is not known where a voter is',
+      inZones('a1 a2 b1 c1', 'a1 a2 b1', { known: 'a1 a2 c1' }),
+      '',
+    ],
+    [
+      'gives the vote of a silent member to the one in another zone',
+      inZones('a1 b1 b2 c2', 'a1 b1 c1', { silent: ['c1'] }),
+      'a1 b1 c2',
+    ],
+    [
+      'gives that vote to a member of a zone with one, if there is no other',
+      inZones('a1 b1 b2', 'a1 b1 c1', { silent: ['c1'] }),
+      'a1 b1 b2',
+    ],
+  ];
+  for (const [name, { view, fixture }, expected] of transferCases) {
+    it(name, () => {
+      fixture.runChecks(view, 300);
+      expect(ids(fixture.proposed[0]?.voters)).to.equal(expected);
+    });
+  }
+  const newcomerCases: [string, string, string, string, string | null][] = [
+    [
+      'takes a newcomer that may have a vote in the place of one that has none',
+      'a1 a2 b1 b2',
+      'a1 a2 b1',
+      'c1',
+      'a1 a2 b1 c1',
+    ],
+    ['takes no newcomer without room if it would get no vote', 'a1 b1 c1 b2', 'a1 b1 c1', 'c2', null],
+    ['keeps a member that is to get a vote itself', 'a1 a2 b1 c1', 'a1 a2 b1', 'd1', null],
+    ['takes a newcomer if there is room', 'a1 a2 b1', 'a1 a2 b1', 'b2', 'a1 a2 b1 b2'],
+  ];
+  for (const [name, chain, voters, newcomer, expected] of newcomerCases) {
+    it(name, () => {
+      const { view, fixture } = inZones(chain, voters, { known: `${chain} ${newcomer}` });
+      const next = fixture.task.viewWithNewcomer(view, member(newcomer));
+      expect(next && ids(next.chain)).to.equal(expected);
+      if (next) expect(ids(next.joining)).to.equal(newcomer);
+    });
+  }
+  it('reports once for each view that the machines do not bear a tolerated loss', () => {
+    const warnings: string[] = [];
+    const placer = VotePlacer.make(
+      { machines: 1, zones: 1, regions: 0 },
+      { locate: (m) => ({ zone: m.id[0]!, region: 'r' }) },
+      { info: () => undefined, warn: (text) => warnings.push(text) },
+    );
+    const { view } = inZones('a1 a2 b1', 'a1 a2 b1');
+    for (let now = 0; now < 60_000; now += 150) placer.warnIfUnbearable(view, now);
+    expect(warnings.length).to.equal(1);
+    expect(warnings[0]).to.include('a1 in a, a2 in a, b1 in b');
+  });
   it('proposes to leave only if enough complete members remain', async () => {
     const leaves = async (view: View): Promise<boolean> => setUp('k1', {}).task.leave(view);
     expect(await leaves(VIEW)).to.equal(true);
--- a/packages/registry/src/membership/repairtask.ts
+++ b/packages/registry/src/membership/repairtask.ts
@@ -5,6 +5,7 @@
 import type { ViewChanger } from '../consensus/viewchanger.js';
 import type { View } from '../consensus/view.js';
 import { NextViews } from '../consensus/nextviews.js';
+import type { VotePlacer } from './voteplacer.js';
 import { Views } from '../consensus/views.js';
 
 /** Time without a lease, though heartbeats arrive from all members, after which the view is renewed. */
@@ -17,10 +18,18 @@
  * votes go to members that have caught up. Invariants: a daemon's vote goes to a chain member with the same id, if
  * there is one; otherwise only once its owner is out of the chain and silent, or leaves. A view change that was
  * promised and then abandoned blocks every lease for good, so a voter that gets no lease for a long time renews the
- * view.
+ * view. While all voters are in the chain, a vote also goes to a member in another zone if the tolerated losses then
+ * leave more voters.
  */
 export const RepairTask = {
-  make(me: () => Member, mono: () => number, detector: FailureDetector, viewChanger: ViewChanger, chain: Chain) {
+  make(
+    me: () => Member,
+    mono: () => number,
+    detector: FailureDetector,
+    viewChanger: ViewChanger,
+    chain: Chain,
+    votes: VotePlacer,
+  ) {
     const isSelf = (member: Member): boolean => Views.sameMember(member, me());
     const isFaulty = (member: Member): boolean =>
       detector.lastHeartbeat(member)?.sick === true || detector.hasLostDisk(member);
@@ -81,7 +90,9 @@
       const oldVoter = view.voters.find(
         (x) => !isSelf(x) && !hasNamesake(x) && detector.silentForMs(x) > CoreTimings.suspectAfterMs,
       );
-      return caughtUp[0] && oldVoter ? { newVoter: caughtUp[0], oldVoter } : null;
+      if (!oldVoter) return votes.bestSwap(view, caughtUp);
+      const newVoter = votes.bestSuccessor(view, caughtUp, oldVoter);
+      return newVoter && { newVoter, oldVoter };
     };
     let noLeaseSince: number | null = null;
     const renewView = (view: View): void => {
@@ -105,9 +116,12 @@
         propose(view, next, 'Enough members are complete again.');
     };
     return {
-      /** The view with a joining member at the tail; null if there is none. */
-      viewWithNewcomer: (view: View, newcomer: Member): View | null =>
-        NextViews.withTail(view, newcomer, knowledge(view)),
+      /** The view with a joining member at the tail; null if there is no room for it. */
+      viewWithNewcomer(view: View, newcomer: Member): View | null {
+        if (Views.hasRoomFor(view, newcomer)) return NextViews.withTail(view, newcomer, knowledge(view));
+        const dispensable = votes.dispensableMember(view, newcomer);
+        return dispensable && NextViews.withTailInPlaceOf(view, newcomer, dispensable, knowledge(view));
+      },
       /** Run by a member of the reserve: it becomes the head once every chain member that could lead is unavailable. */
       takeOverFromReserve(view: View): void {
         if (viewChanger.isBusy() || !Views.isVoter(view, me()) || !Views.isInReserve(view, me())) return;
@@ -127,12 +141,13 @@
         if (viewChanger.isBusy()) return;
         const transfer = voteTransfer(view);
         if (transfer) {
-          const reason = `${transfer.newVoter.id} has caught up and becomes a voter.`;
+          const reason = `${transfer.newVoter.id} has caught up and takes the vote of ${transfer.oldVoter.id}.`;
           propose(view, NextViews.withVoter(view, transfer.newVoter, transfer.oldVoter, knowledge(view)), reason);
           return;
         }
         recordCompletion(view);
         if (viewChanger.isBusy()) return;
+        if (isSelf(Views.head(view))) votes.warnIfUnbearable(view, mono());
         const behind = peers.some((m) => {
           const heartbeat = detector.lastHeartbeat(m);
           return heartbeat && !heartbeat.fresh && heartbeat.epoch === view.epoch;
@@ -143,7 +158,7 @@
       async leave(view: View): Promise<boolean> {
         const next = NextViews.withoutMembers(view, [me()], knowledge(view));
         if (!next || Views.completeMembers(next).length < Views.majority(view)) return false;
-        const newVoter = Views.isVoter(view, me()) ? caughtUpNonVoters(view)[0] : undefined;
+        const newVoter = Views.isVoter(view, me()) ? votes.bestSuccessor(view, caughtUpNonVoters(view), me()) : null;
         const voters = newVoter ? view.voters.map((x) => (isSelf(x) ? newVoter : x)) : view.voters;
         return viewChanger.propose(view.voters, { ...next, voters }, `${me().id} leaves.`);
       },
--- a/packages/registry/src/registrynode.ts
+++ b/packages/registry/src/registrynode.ts
@@ -13,6 +13,11 @@
 type Settings = { id: string; addr: string; site: string; seeds: Seeds; tunes: GossipSettings } & {
   /** Number of machines that may be lost at the same time: the first view has twice as many members plus one. */
   losses?: number;
+  /** Numbers of zones and of regions that may be lost at the same time; none if absent. */
+  zoneLosses?: number;
+  regionLosses?: number;
+  /** The region of each zone; a zone that is absent is a region of its own. */
+  regions?: Readonly<Record<string, string>>;
   /** Whether this daemon, with an empty data folder, may help to form the first view; otherwise it only joins one. */
   first?: boolean;
   /** Accepts the shared documents that this daemon stores, where that is more than the registry's own. */
@@ -76,7 +81,12 @@
     const core = Core.make(world, post, () => ident, store, restored.val, {
       coreAddresses,
       seeds,
-      losses: settings.losses ?? 1,
+      tolerance: {
+        machines: settings.losses ?? 1,
+        zones: settings.zoneLosses ?? 0,
+        regions: settings.regionLosses ?? 0,
+      },
+      regionOf: (zone) => settings.regions?.[zone] ?? zone,
       mayFormFirstView: settings.first ?? true,
       onCommitted: (state) => {
         if (!state.charter || state.charter.version <= (recordStore.stamp('charter')?.[0] ?? 0)) return;
--- a/packages/router/src/controlreplica.ts
+++ b/packages/router/src/controlreplica.ts
@@ -18,6 +18,11 @@
  * first view (otherwise it only joins an existing one), and the lease duration in ms.
  */
 type CoreOptions = { losses: number; first: boolean; lease: number } & {
+  /** Numbers of zones and of regions that may be lost at once; none if absent. */
+  zoneLosses?: number;
+  regionLosses?: number;
+  /** The region of each zone; a zone that is absent is a region of its own. */
+  regions?: Readonly<Record<string, string>>;
   /** Parses an operator's configuration text; without it this replica rejects configuration plans. */
   parseConfiguration?: (text: string) => Result<Routing, Fault[]>;
 };
@@ -40,6 +45,8 @@
       ...{ id: options.id, addr: options.addr, site: options.zone, seeds: options.seeds, tunes: options.tunes },
       ...{
         losses: options.losses,
+        ...{ zoneLosses: options.zoneLosses ?? 0, regionLosses: options.regionLosses ?? 0 },
+        regions: options.regions ?? {},
         first: options.first,
         sound: SharedDocumentCheck.isValid,
         known: () => checkinHandler.routers(),
--- a/packages/routesim/src/drills.ts
+++ b/packages/routesim/src/drills.ts
@@ -6,10 +6,11 @@
 import { ServerDrills } from './drills/serverdrills.js';
 import { WorstDrills } from './drills/worstdrills.js';
 import { SureDrills } from './drills/suredrills.js';
+import { ZoneDrills } from './drills/zonedrills.js';
 
 /** All drills, by name. */
 export const Drills: ReadonlyMap<string, Drill> = new Map(
-  [...ConfigDrills, ...ServerDrills, ...MachineDrills, ...CoreDrills, ...Closings, ...SureDrills, ...WorstDrills].map(
-    (d) => [d.name, d],
-  ),
+  [
+    ...[ConfigDrills, ServerDrills, MachineDrills, CoreDrills, Closings, SureDrills, WorstDrills, ZoneDrills].flat(),
+  ].map((d) => [d.name, d]),
 );
--- a/packages/routesim/src/play.ts
+++ b/packages/routesim/src/play.ts
@@ -22,7 +22,8 @@
 
 /** Plays one drill over a fleet with one seed, and judges what was seen. */
 export const Play = {
-  async run(drill: Drill, size: Size, seed: number, bent: Bent = 'none') {
+  async run(drill: Drill, chosenSize: Size, seed: number, bent: Bent = 'none') {
+    const size = drill.size ?? chosenSize;
     const motor = Engine.make(seed);
     const seen: Seen[] = [];
     const tell = (x: Seen): void => void seen.push(x);
--- a/packages/routesim/src/virtualfleet.ts
+++ b/packages/routesim/src/virtualfleet.ts
@@ -43,8 +43,9 @@
       net.add(b);
     };
     const zone = (i: number): string => ZONES[i % ZONES.length]!;
-    const addReplica = (id: string, addr: string, i: number): void => add(id, addr, zone(i), SimDisk.make(motor, 3));
-    replicaIds.forEach((id, i) => addReplica(id, `10.0.0.${i + 1}:7000`, i));
+    const addReplica = (id: string, addr: string, inZone: string): void =>
+      add(id, addr, inZone, SimDisk.make(motor, 3));
+    replicaIds.forEach((id, i) => addReplica(id, `10.0.0.${i + 1}:7000`, size.zones?.[i] ?? zone(i)));
     routerIds.forEach((id, i) => add(id, `10.1.0.${i + 1}:7000`, zone(i), null));
     /** The router on the machine of each control replica, where they share one. */
     const mates = new Map<string, string>(size.shared ? replicaIds.map((id, i) => [id, routerIds[i]!]) : []);
@@ -90,7 +91,10 @@
         r.start();
         return;
       }
-      const core = { losses: size.losses, first: !founded, lease: Bounds.lease };
+      const core = {
+        ...{ losses: size.losses, zoneLosses: size.zoneLosses ?? 0, regionLosses: size.regionLosses ?? 0 },
+        ...{ regions: size.regions ?? {}, first: !founded, lease: Bounds.lease },
+      };
       void ControlReplica.make(w, { ...startup, ...core }, platform.source(b), engine)
         .catch((e: unknown): Result<never, string> => Err(String(e)))
         .then((made) => {
@@ -190,7 +194,8 @@
       /** A replica under another name and address, with an empty disk, in the place of one that is gone for good. */
       replaceReplica(old: string): string {
         const id = `k${spare}`;
-        addReplica(id, `10.0.1.${spare++}:7000`, spare);
+        const inZone = size.zones ? boxes.get(old)!.site : zone(spare + 1);
+        addReplica(id, `10.0.1.${spare++}:7000`, inZone);
         replicaIds.push(id);
         replicaIds.splice(replicaIds.indexOf(old), 1);
         if (size.shared) {
--- a/packages/sim/src/founding.test.ts
+++ b/packages/sim/src/founding.test.ts
@@ -41,6 +41,8 @@
     ['six of which five vote', { losses: 2, spares: 0, more: 1 }, 5],
     ['six that meet at daemons which are no members', { losses: 2, spares: 0, more: 1, introducers: true }, 5],
     ['five that meet at daemons which are no members', { losses: 2, spares: 0, introducers: true }, 5],
+    ['four of which one votes, as nothing may be lost', { losses: 0, spares: 0, more: 3 }, 1],
+    ['ten of which nine vote', { losses: 4, spares: 0, more: 1 }, 9],
     ['twelve of which three vote', { losses: 1, spares: 0, more: 9, introducers: true }, 3],
   ];
   for (const [name, size, voters] of crowded) {
--- a/packages/sim/src/modelcheck/bootstrapactions.ts
+++ b/packages/sim/src/modelcheck/bootstrapactions.ts
@@ -61,7 +61,10 @@
   const met = { name: `${c.id} meets ${replies.map((r) => r.me.id).join(' ')}`, next: put(after, self) };
   const me = member(c.id);
   const list = BootstrapRules.sortedById(known(self).map(member));
-  const first = BootstrapRules.firstView(list, me, w.losses);
+  const first = BootstrapRules.firstView(list, me, {
+    tolerance: { machines: w.losses, zones: 0, regions: 0 },
+    locate: () => null,
+  });
   const replied = replies.map((r) => r.me.addr);
   const may =
     first &&
