Runs of a folder that the release before wrote are counted from the second on

Cause: a folder without a count began at run 1, the range of steps that a head of the release before uses; a kill of it and a start of this release within one view could give two lists one stamp. After: it begins at run 2 (store.test, 1 new case). Found by reading.

--- a/packages/registry/src/state/corestore.ts
+++ b/packages/registry/src/state/corestore.ts
@@ -12,6 +12,8 @@
   runs: Type.Optional(Type.Integer({ minimum: 0 })),
 });
 type Identity = Static<typeof IdentitySchema>;
+/** A folder of the previous release has no count, but one run at the least. */
+const earlierRuns = (identity: Identity | null): number => (identity ? (identity.runs ?? 1) : 0);
 const SCHEMAS = [
   ['self', IdentitySchema],
   ['view', Type.Union([View, Type.Null()])],
@@ -50,7 +52,7 @@
       return result;
     };
     const saveSelf = async (identity: Identity): Promise<Result<void, string>> => {
-      const runs = (restoredIdentity?.runs ?? 0) + 1;
+      const runs = earlierRuns(restoredIdentity) + 1;
       const result = await put('self', { ...identity, runs });
       if (result.ok) recordedRun = runs;
       return result;
--- a/packages/sim/src/store.test.ts
+++ b/packages/sim/src/store.test.ts
@@ -95,6 +95,16 @@
       expect(used[0]!, `seed ${seed}`).to.be.greaterThan(1);
     }
   });
+  it('has a run number of its own in a folder of a release that did not count runs', async () => {
+    const l = await begin(1);
+    const store = l.open();
+    await l.end(store.load());
+    await l.end(store.put('self', { born: l.born, whole: true }));
+    const next = l.open();
+    await l.end(next.load());
+    await l.end(next.recordRun());
+    expect(next.runNumber()).to.equal(2);
+  });
   it('keeps its name, and all that it said, where nothing is lost', async () => {
     for (let seed = 1; seed <= 20; seed++) {
       const l = await begin(seed);
