--- a/packages/routesim/src/day.ts
+++ b/packages/routesim/src/day.ts
@@ -19,16 +19,16 @@
     return {
       name: 'day',
       about: [...core, ...side].map((d) => d.name).join(' '),
-      async run(s) {
+      async run(scene) {
         for (let i = 0; i < PARTS; i++) {
-          if (chance.real() < 0.5) await Promise.all([core[i]!.run(s), side[i]!.run(s)]);
+          if (chance.real() < 0.5) await Promise.all([core[i]!.run(scene), side[i]!.run(scene)]);
           else {
-            await core[i]!.run(s);
-            await side[i]!.run(s);
+            await core[i]!.run(scene);
+            await side[i]!.run(scene);
           }
-          await s.f.nap(5000);
+          await scene.fleet.nap(5000);
         }
-        await closing!.run(s);
+        await closing!.run(scene);
       },
       meets: () => true,
     };
--- a/packages/routesim/src/drill.ts
+++ b/packages/routesim/src/drill.ts
@@ -11,6 +11,6 @@
   engine?: EngineModel;
   /** The fleet it needs; any, where it names none. */
   size?: Size;
-  run(s: Scene): Promise<void>;
+  run(scene: Scene): Promise<void>;
   meets(seen: readonly Seen[]): boolean;
 };
--- a/packages/routesim/src/drills/configdrills.ts
+++ b/packages/routesim/src/drills/configdrills.ts
@@ -3,14 +3,14 @@
 
 /** The operators. */
 export const ConfigDrills: readonly Drill[] = [
-  { name: 'steady', about: 'nothing at all', run: (s) => s.f.nap(3000), meets: () => true },
+  { name: 'steady', about: 'nothing at all', run: (scene) => scene.fleet.nap(3000), meets: () => true },
   {
     name: 'config_change',
     about: 'a change now and then',
-    async run(s) {
+    async run(scene) {
       for (let i = 0; i < 4; i++) {
-        await s.operators.change();
-        await s.f.nap(2500);
+        await scene.operators.change();
+        await scene.fleet.nap(2500);
       }
     },
     meets: Met.ruled('acked', 5),
@@ -18,11 +18,11 @@
   {
     name: 'config_storm',
     about: 'change upon change, by two operators',
-    async run(s) {
+    async run(scene) {
       const one = async (): Promise<void> => {
         for (let i = 0; i < 8; i++) {
-          await s.operators.change();
-          await s.f.nap(150);
+          await scene.operators.change();
+          await scene.fleet.nap(150);
         }
       };
       await Promise.all([one(), one()]);
@@ -32,10 +32,10 @@
   {
     name: 'config_race',
     about: 'pairs of changes on one version',
-    async run(s) {
+    async run(scene) {
       for (let i = 0; i < 5; i++) {
-        await s.operators.race();
-        await s.f.nap(1000);
+        await scene.operators.race();
+        await scene.fleet.nap(1000);
       }
     },
     meets: Met.ruled('lost', 2),
@@ -43,12 +43,12 @@
   {
     name: 'revoke',
     about: 'keys are taken away from connected clients and given back, in quick succession',
-    async run(s) {
+    async run(scene) {
       for (let i = 0; i < 6; i++) {
-        await s.operators.revoke(i);
-        await s.f.nap(i % 2 === 0 ? 300 : 2500);
-        await s.operators.restore(i);
-        await s.f.nap(400);
+        await scene.operators.revoke(i);
+        await scene.fleet.nap(i % 2 === 0 ? 300 : 2500);
+        await scene.operators.restore(i);
+        await scene.fleet.nap(400);
       }
     },
     meets: (seen) => Met.outcome('unauthorized')(seen) && Met.ruled('acked', 12)(seen),
@@ -56,15 +56,15 @@
   {
     name: 'revoke_apart',
     about: 'keys are taken away while some routers stand still and others are cut off',
-    async run(s) {
+    async run(scene) {
       for (let i = 0; i < 3; i++) {
-        const [still, apart] = s.trouble.some(s.f.routerIds, 2);
-        s.trouble.freeze([still!], 2500);
-        s.trouble.cut([apart!], s.f.replicaIds, 4000);
-        await s.operators.revoke(i);
-        await s.f.nap(5000);
-        await s.operators.restore(i);
-        await s.f.nap(4000);
+        const [still, apart] = scene.trouble.some(scene.fleet.routerIds, 2);
+        scene.trouble.freeze([still!], 2500);
+        scene.trouble.cut([apart!], scene.fleet.replicaIds, 4000);
+        await scene.operators.revoke(i);
+        await scene.fleet.nap(5000);
+        await scene.operators.restore(i);
+        await scene.fleet.nap(4000);
       }
     },
     meets: (seen) => Met.outcome('unauthorized')(seen) && Met.kind('freeze')(seen) && Met.kind('cut')(seen),
@@ -72,10 +72,10 @@
   {
     name: 'bad_config',
     about: 'invalid configurations',
-    async run(s) {
+    async run(scene) {
       for (let i = 0; i < 6; i++) {
-        await s.operators.bad();
-        await s.f.nap(700);
+        await scene.operators.bad();
+        await scene.fleet.nap(700);
       }
     },
     meets: Met.ruled('bad', 4),
--- a/packages/routesim/src/drills/coredrills.ts
+++ b/packages/routesim/src/drills/coredrills.ts
@@ -2,23 +2,23 @@
 import type { Scene } from '../scene.js';
 import { Met } from '../met.js';
 
-const replicas = (s: Scene, n: number): string[] => s.trouble.some(s.f.replicaIds, n);
-const losses = (s: Scene): number => s.f.losses;
-const leader = (s: Scene): string => s.f.head() ?? s.f.replicaIds[0]!;
+const replicas = (scene: Scene, n: number): string[] => scene.trouble.some(scene.fleet.replicaIds, n);
+const losses = (scene: Scene): number => scene.fleet.losses;
+const leader = (scene: Scene): string => scene.fleet.head() ?? scene.fleet.replicaIds[0]!;
 /** While it lasts, servers leave and configurations change. */
-const busy = async (s: Scene, rest: number): Promise<void> => {
-  const end = s.trouble.release(0.3, 500);
-  await s.operators.change();
-  await s.operators.race();
+const busy = async (scene: Scene, rest: number): Promise<void> => {
+  const end = scene.trouble.release(0.3, 500);
+  await scene.operators.change();
+  await scene.operators.race();
   await end;
-  await s.f.nap(rest);
+  await scene.fleet.nap(rest);
 };
 const disk = (how: 'slow' | 'full' | 'stall'): Drill => ({
   name: `disk_${how}`,
   about: `a control replica's disk is ${how}`,
-  async run(s) {
-    for (const id of replicas(s, losses(s))) s.trouble.disk(how, id, 5000);
-    await busy(s, 10_000);
+  async run(scene) {
+    for (const id of replicas(scene, losses(scene))) scene.trouble.disk(how, id, 5000);
+    await busy(scene, 10_000);
   },
   meets: Met.kind(`disk ${how}`),
 });
@@ -28,20 +28,20 @@
   {
     name: 'core_kill',
     about: 'control replicas are killed, and come back',
-    async run(s) {
-      s.trouble.kill(replicas(s, losses(s)), 2500);
-      await busy(s, 8000);
+    async run(scene) {
+      scene.trouble.kill(replicas(scene, losses(scene)), 2500);
+      await busy(scene, 8000);
     },
     meets: Met.kind('kill'),
   },
   {
     name: 'leader_kill',
     about: 'the head is killed, again and again',
-    async run(s) {
+    async run(scene) {
       for (let i = 0; i < 3; i++) {
-        s.trouble.kill([leader(s)], 1500);
-        await s.operators.change();
-        await s.f.nap(5000);
+        scene.trouble.kill([leader(scene)], 1500);
+        await scene.operators.change();
+        await scene.fleet.nap(5000);
       }
     },
     meets: Met.kind('kill'),
@@ -49,51 +49,51 @@
   {
     name: 'leader_freeze',
     about: 'the head stands still',
-    async run(s) {
-      s.trouble.freeze([leader(s)], 5000);
-      await busy(s, 9000);
+    async run(scene) {
+      scene.trouble.freeze([leader(scene)], 5000);
+      await busy(scene, 9000);
     },
     meets: Met.kind('freeze'),
   },
   {
     name: 'leader_pause',
     about: "the head's machine is paused, its steady clock too",
-    async run(s) {
-      s.trouble.freeze([leader(s)], 4000, true);
-      await busy(s, 9000);
+    async run(scene) {
+      scene.trouble.freeze([leader(scene)], 4000, true);
+      await busy(scene, 9000);
     },
     meets: Met.kind('freeze'),
   },
   {
     name: 'core_term',
     about: 'control replicas get SIGTERM, one after the other',
-    async run(s) {
-      const end = s.trouble.term([...s.f.replicaIds], 1, 4000);
-      await s.f.nap(300);
-      await s.operators.change();
+    async run(scene) {
+      const end = scene.trouble.term([...scene.fleet.replicaIds], 1, 4000);
+      await scene.fleet.nap(300);
+      await scene.operators.change();
       await end;
-      await s.f.nap(4000);
+      await scene.fleet.nap(4000);
     },
     meets: Met.kind('term'),
   },
   {
     name: 'core_herd',
     about: 'every control replica is killed at once, and is back within a second',
-    async run(s) {
-      s.trouble.kill([...s.f.replicaIds], 900);
-      await s.f.nap(1000);
-      await busy(s, 8000);
+    async run(scene) {
+      scene.trouble.kill([...scene.fleet.replicaIds], 900);
+      await scene.fleet.nap(1000);
+      await busy(scene, 8000);
     },
     meets: Met.kind('kill'),
   },
   {
     name: 'replace_core',
     about: 'a control replica is gone for good, an empty one with another name comes',
-    async run(s) {
+    async run(scene) {
       for (let i = 0; i < 2; i++) {
-        await s.trouble.replace(i === 0 ? leader(s) : s.f.replicaIds[0]!, false);
-        await s.operators.change();
-        await s.f.nap(8000);
+        await scene.trouble.replace(i === 0 ? leader(scene) : scene.fleet.replicaIds[0]!, false);
+        await scene.operators.change();
+        await scene.fleet.nap(8000);
       }
     },
     meets: Met.kind('replace'),
@@ -101,36 +101,36 @@
   {
     name: 'replace_planned',
     about: 'the new control replica comes first, then the old one gets SIGTERM',
-    async run(s) {
-      await s.trouble.replace(leader(s), true);
-      await s.operators.change();
-      await s.f.nap(6000);
+    async run(scene) {
+      await scene.trouble.replace(leader(scene), true);
+      await scene.operators.change();
+      await scene.fleet.nap(6000);
     },
     meets: Met.kind('replace'),
   },
   {
     name: 'seed_turnover',
     about: 'control replicas are replaced until no first seed is left, and then routers start with new seeds',
-    async run(s) {
-      for (const id of [...s.f.replicaIds]) {
-        await s.trouble.replace(id, true);
-        s.f.reseed();
-        await s.f.nap(5000);
+    async run(scene) {
+      for (const id of [...scene.fleet.replicaIds]) {
+        await scene.trouble.replace(id, true);
+        scene.fleet.reseed();
+        await scene.fleet.nap(5000);
       }
-      s.trouble.kill(s.trouble.some(s.f.routerIds, 2), 1000);
-      await s.operators.change();
-      await s.f.nap(7000);
+      scene.trouble.kill(scene.trouble.some(scene.fleet.routerIds, 2), 1000);
+      await scene.operators.change();
+      await scene.fleet.nap(7000);
     },
     meets: Met.kind('replace'),
   },
   {
     name: 'after_ack_wipe',
     about: 'the control replica that has just acknowledged loses its disk',
-    async run(s) {
+    async run(scene) {
       for (let i = 0; i < 2; i++) {
-        await s.operators.change();
-        s.trouble.wipe(s.operators.acker() ?? leader(s), 1500);
-        await s.f.nap(10_000);
+        await scene.operators.change();
+        scene.trouble.wipe(scene.operators.acker() ?? leader(scene), 1500);
+        await scene.fleet.nap(10_000);
       }
     },
     meets: Met.kind('wipe'),
@@ -138,11 +138,11 @@
   {
     name: 'lots_wipe',
     about: 'as many control replicas as may be lost lose their disks just after an acknowledgement',
-    async run(s) {
-      await s.operators.change();
-      for (const id of replicas(s, losses(s))) s.trouble.wipe(id, 1500);
-      await s.f.nap(12_000);
-      await s.operators.change();
+    async run(scene) {
+      await scene.operators.change();
+      for (const id of replicas(scene, losses(scene))) scene.trouble.wipe(id, 1500);
+      await scene.fleet.nap(12_000);
+      await scene.operators.change();
     },
     meets: Met.kind('wipe'),
   },
@@ -152,33 +152,33 @@
   {
     name: 'core_cut',
     about: 'a control replica is cut off from the others, not from the routers',
-    async run(s) {
-      const id = leader(s);
-      s.trouble.cut(
+    async run(scene) {
+      const id = leader(scene);
+      scene.trouble.cut(
         [id],
-        s.f.replicaIds.filter((x) => x !== id),
+        scene.fleet.replicaIds.filter((x) => x !== id),
         5000,
       );
-      await busy(s, 9000);
+      await busy(scene, 9000);
     },
     meets: Met.kind('cut'),
   },
   {
     name: 'core_oneway',
     about: 'what a control replica sends to the others is lost; then what they send to it',
-    async run(s) {
-      const id = leader(s),
-        rest = s.f.replicaIds.filter((x) => x !== id);
-      s.trouble.cut([id], rest, 5000, true);
-      await busy(s, 7000);
-      const other = leader(s);
-      s.trouble.cut(
-        s.f.replicaIds.filter((x) => x !== other),
+    async run(scene) {
+      const id = leader(scene),
+        rest = scene.fleet.replicaIds.filter((x) => x !== id);
+      scene.trouble.cut([id], rest, 5000, true);
+      await busy(scene, 7000);
+      const other = leader(scene);
+      scene.trouble.cut(
+        scene.fleet.replicaIds.filter((x) => x !== other),
         [other],
         5000,
         true,
       );
-      await busy(s, 9000);
+      await busy(scene, 9000);
     },
     meets: Met.kind('cut'),
   },
--- a/packages/routesim/src/drills/machinedrills.ts
+++ b/packages/routesim/src/drills/machinedrills.ts
@@ -2,18 +2,18 @@
 import type { Scene } from '../scene.js';
 import { Met } from '../met.js';
 
-const routers = (s: Scene, n: number): string[] => s.trouble.some(s.f.routerIds, n);
-const servers = (s: Scene): string[] => s.f.platform.up().map((x) => x.id);
+const routers = (scene: Scene, n: number): string[] => scene.trouble.some(scene.fleet.routerIds, n);
+const servers = (scene: Scene): string[] => scene.fleet.platform.up().map((x) => x.id);
 
 /** Trouble at the machines of routers. */
 export const MachineDrills: readonly Drill[] = [
   {
     name: 'node_kill',
     about: 'routers are killed and start again',
-    async run(s) {
+    async run(scene) {
       for (let i = 0; i < 3; i++) {
-        s.trouble.kill(routers(s, 2), 1000);
-        await s.f.nap(2500);
+        scene.trouble.kill(routers(scene, 2), 1000);
+        await scene.fleet.nap(2500);
       }
     },
     meets: Met.outcome('cut'),
@@ -21,116 +21,116 @@
   {
     name: 'node_power',
     about: 'machines of routers go dark',
-    async run(s) {
-      s.trouble.kill(routers(s, 2), 4000, true);
-      await s.f.nap(7000);
+    async run(scene) {
+      scene.trouble.kill(routers(scene, 2), 4000, true);
+      await scene.fleet.nap(7000);
     },
     meets: Met.kind('kill'),
   },
   {
     name: 'node_freeze',
     about: 'routers stand still while servers leave and configurations change',
-    async run(s) {
-      s.trouble.freeze(routers(s, 3), 5000);
-      const end = s.trouble.release(0.4, 400);
-      await s.operators.change();
-      await s.operators.change();
+    async run(scene) {
+      scene.trouble.freeze(routers(scene, 3), 5000);
+      const end = scene.trouble.release(0.4, 400);
+      await scene.operators.change();
+      await scene.operators.change();
       await end;
-      await s.f.nap(9000);
+      await scene.fleet.nap(9000);
     },
     meets: Met.kind('freeze'),
   },
   {
     name: 'node_pause',
     about: 'machines are paused, their steady clock too',
-    async run(s) {
-      s.trouble.freeze(routers(s, 3), 4000, true);
-      await s.trouble.release(0.4, 400);
-      await s.operators.change();
-      await s.f.nap(9000);
+    async run(scene) {
+      scene.trouble.freeze(routers(scene, 3), 4000, true);
+      await scene.trouble.release(0.4, 400);
+      await scene.operators.change();
+      await scene.fleet.nap(9000);
     },
     meets: Met.kind('freeze'),
   },
   {
     name: 'roll_term',
     about: 'all routers get SIGTERM, two at a time',
-    async run(s) {
-      await s.trouble.term(s.f.routerIds, 2, 500);
-      await s.f.nap(2000);
+    async run(scene) {
+      await scene.trouble.term(scene.fleet.routerIds, 2, 500);
+      await scene.fleet.nap(2000);
     },
     meets: Met.kind('term'),
   },
   {
     name: 'herd_kill',
     about: 'more than half of the routers are killed at once',
-    async run(s) {
-      s.trouble.kill(routers(s, Math.ceil(s.f.routerIds.length * 0.6)), 1200);
-      await s.f.nap(6000);
+    async run(scene) {
+      scene.trouble.kill(routers(scene, Math.ceil(scene.fleet.routerIds.length * 0.6)), 1200);
+      await scene.fleet.nap(6000);
     },
     meets: Met.outcome('cut'),
   },
   {
     name: 'clock_step',
     about: 'the time of day jumps on some machines, and back',
-    async run(s) {
-      const all = [...s.f.routerIds, ...s.f.replicaIds];
-      s.trouble.step(s.trouble.some(all, 3), 2000, 4000);
-      s.trouble.step(s.trouble.some(all, 3), -2000, 4000);
-      await s.operators.change();
-      await s.f.nap(8000);
+    async run(scene) {
+      const all = [...scene.fleet.routerIds, ...scene.fleet.replicaIds];
+      scene.trouble.step(scene.trouble.some(all, 3), 2000, 4000);
+      scene.trouble.step(scene.trouble.some(all, 3), -2000, 4000);
+      await scene.operators.change();
+      await scene.fleet.nap(8000);
     },
     meets: Met.kind('clock'),
   },
   {
     name: 'node_cut',
     about: 'routers are cut off from the core while servers leave and configurations change',
-    async run(s) {
-      s.trouble.cut(routers(s, 2), s.f.replicaIds, 6000);
-      const end = s.trouble.release(0.4, 400);
-      await s.operators.change();
+    async run(scene) {
+      scene.trouble.cut(routers(scene, 2), scene.fleet.replicaIds, 6000);
+      const end = scene.trouble.release(0.4, 400);
+      await scene.operators.change();
       await end;
-      await s.f.nap(10_000);
+      await scene.fleet.nap(10_000);
     },
     meets: Met.kind('cut'),
   },
   {
     name: 'node_island',
     about: 'routers are cut off from all other machines but the servers',
-    async run(s) {
-      const some = routers(s, 2);
-      const rest = [...s.f.replicaIds, 'platform', ...s.f.routerIds.filter((id) => !some.includes(id))];
-      s.trouble.cut(some, rest, 7000);
-      const end = s.trouble.release(0.5, 300);
-      await s.operators.change();
+    async run(scene) {
+      const some = routers(scene, 2);
+      const rest = [...scene.fleet.replicaIds, 'platform', ...scene.fleet.routerIds.filter((id) => !some.includes(id))];
+      scene.trouble.cut(some, rest, 7000);
+      const end = scene.trouble.release(0.5, 300);
+      await scene.operators.change();
       await end;
-      await s.f.nap(11_000);
+      await scene.fleet.nap(11_000);
     },
     meets: Met.kind('cut'),
   },
   {
     name: 'server_cut',
     about: 'routers are cut off from some servers, later one way only',
-    async run(s) {
-      const some = routers(s, 4);
-      s.trouble.cut(some, s.trouble.some(servers(s), 3), 3000);
-      await s.f.nap(5000);
-      s.trouble.cut(some, s.trouble.some(servers(s), 3), 3000, true);
-      await s.f.nap(5000);
-      s.trouble.cut(s.trouble.some(servers(s), 3), some, 3000, true);
-      await s.f.nap(6000);
+    async run(scene) {
+      const some = routers(scene, 4);
+      scene.trouble.cut(some, scene.trouble.some(servers(scene), 3), 3000);
+      await scene.fleet.nap(5000);
+      scene.trouble.cut(some, scene.trouble.some(servers(scene), 3), 3000, true);
+      await scene.fleet.nap(5000);
+      scene.trouble.cut(scene.trouble.some(servers(scene), 3), some, 3000, true);
+      await scene.fleet.nap(6000);
     },
     meets: Met.kind('cut'),
   },
   {
     name: 'loss',
     about: 'a tenth of the mail between daemons is lost',
-    async run(s) {
-      s.trouble.note('loss', [...s.f.routerIds, ...s.f.replicaIds], 6000);
-      s.f.net.lose(0.1);
-      await s.operators.change();
-      await s.f.nap(5000);
-      s.f.net.lose(0);
-      await s.f.nap(4000);
+    async run(scene) {
+      scene.trouble.note('loss', [...scene.fleet.routerIds, ...scene.fleet.replicaIds], 6000);
+      scene.fleet.net.lose(0.1);
+      await scene.operators.change();
+      await scene.fleet.nap(5000);
+      scene.fleet.net.lose(0);
+      await scene.fleet.nap(4000);
     },
     meets: Met.kind('loss'),
   },
--- a/packages/routesim/src/drills/overloaddrills.ts
+++ b/packages/routesim/src/drills/overloaddrills.ts
@@ -14,24 +14,24 @@
 const CROWD = 25_000;
 
 /** Servers leave one after the other until two are left, which are given the work of six. */
-const leaveTwo = async (s: Scene): Promise<void> => {
-  s.clients.use(ClientLoads.production);
-  await s.f.nap(GAP);
+const leaveTwo = async (scene: Scene): Promise<void> => {
+  scene.clients.use(ClientLoads.production);
+  await scene.fleet.nap(GAP);
   for (;;) {
-    const left = s.f.platform.up().filter((x) => x.service === 'alpha' && !x.leaving());
+    const left = scene.fleet.platform.up().filter((x) => x.service === 'alpha' && !x.leaving());
     if (left.length <= 2) return;
     const stages = left.map((x) => x.stage());
     const twice = left.filter((x) => stages.filter((stage) => stage === x.stage()).length > 1);
-    const [leaving] = s.trouble.some(
+    const [leaving] = scene.trouble.some(
       twice.map((x) => x.id),
       1,
     );
-    s.trouble.note('release', [leaving!], 8000, { planned: true });
-    s.f.platform.retire(
+    scene.trouble.note('release', [leaving!], 8000, { planned: true });
+    scene.fleet.platform.retire(
       left.find((x) => x.id === leaving)!,
       false,
     );
-    await s.f.nap(GAP);
+    await scene.fleet.nap(GAP);
   }
 };
 
@@ -41,12 +41,12 @@
     name: 'last_two_servers',
     about: 'four of six servers leave, two are overloaded, and all processes are killed',
     engine: EngineModels.large,
-    async run(s) {
-      await leaveTwo(s);
-      await s.f.nap(LAST);
-      s.clients.closed(DOWN);
-      s.trouble.kill([...s.f.replicaIds, ...s.f.routerIds], DOWN);
-      await s.f.nap(DOWN + AFTER);
+    async run(scene) {
+      await leaveTwo(scene);
+      await scene.fleet.nap(LAST);
+      scene.clients.closed(DOWN);
+      scene.trouble.kill([...scene.fleet.replicaIds, ...scene.fleet.routerIds], DOWN);
+      await scene.fleet.nap(DOWN + AFTER);
     },
     meets: Met.what('closed'),
   },
@@ -54,10 +54,10 @@
     name: 'tenant_crowd',
     about: 'two of six servers are left, and most of what they are given far too much of is of one tenant',
     engine: EngineModels.large,
-    async run(s) {
-      await leaveTwo(s);
-      s.clients.use(ClientLoads.crowded);
-      await s.f.nap(CROWD);
+    async run(scene) {
+      await leaveTwo(scene);
+      scene.clients.use(ClientLoads.crowded);
+      await scene.fleet.nap(CROWD);
     },
     meets: Met.outcome('refused'),
   },
--- a/packages/routesim/src/drills/suredrills.ts
+++ b/packages/routesim/src/drills/suredrills.ts
@@ -4,21 +4,21 @@
 
 const LEAP = 31;
 /** All servers spoil answers while it lasts. */
-const spoil = async (s: Scene, ms: number, how: { lose?: number; spoil?: number }): Promise<void> => {
-  const all = s.f.platform.up();
+const spoil = async (scene: Scene, ms: number, how: { lose?: number; spoil?: number }): Promise<void> => {
+  const all = scene.fleet.platform.up();
   const ids = all.map((x) => x.id);
-  s.trouble.note('harm', ids, ms);
+  scene.trouble.note('harm', ids, ms);
   for (const x of all) Object.assign(x.trouble, how);
-  await s.f.nap(ms);
+  await scene.fleet.nap(ms);
   for (const x of all) Object.assign(x.trouble, { lose: 0, spoil: 0 });
 };
 /** Requests that show, at any router, whether the newest configuration or the one before it is in force there. */
-const marks = async (s: Scene, ms: number): Promise<void> => {
-  const end = s.f.motor.now() + ms;
-  for (let i = 0; s.f.motor.now() < end; i++) {
-    const p = s.operators.proposals.at(i % 2 === 0 ? -1 : -2);
-    if (p) s.clients.probe(s.trouble.some(s.f.routerIds, 1)[0]!, p.mark, 'alpha');
-    await s.f.nap(7);
+const marks = async (scene: Scene, ms: number): Promise<void> => {
+  const end = scene.fleet.motor.now() + ms;
+  for (let i = 0; scene.fleet.motor.now() < end; i++) {
+    const p = scene.operators.proposals.at(i % 2 === 0 ? -1 : -2);
+    if (p) scene.clients.probe(scene.trouble.some(scene.fleet.routerIds, 1)[0]!, p.mark, 'alpha');
+    await scene.fleet.nap(7);
   }
 };
 
@@ -27,31 +27,31 @@
   {
     name: 'answers_lost',
     about: 'all servers break many answers off, after the requests have begun to run',
-    run: (s) => spoil(s, 6000, { lose: 0.2 }),
+    run: (scene) => spoil(scene, 6000, { lose: 0.2 }),
     meets: Met.lost(3),
   },
   {
     name: 'garbles',
     about: 'at all servers answers of other requests come in the place of many, before a word of the right one',
-    run: (s) => spoil(s, 6000, { spoil: 0.4 }),
+    run: (scene) => spoil(scene, 6000, { spoil: 0.4 }),
     meets: Met.what('spoilt', 20),
   },
   {
     name: 'release_all',
     about: 'each server is replaced, one after the other',
-    async run(s) {
-      await s.trouble.release(1, 1000);
-      await s.f.nap(8000);
+    async run(scene) {
+      await scene.trouble.release(1, 1000);
+      await scene.fleet.nap(8000);
     },
     meets: Met.listed('draining', 6),
   },
   {
     name: 'config_leap',
     about: 'changes that each leap far ahead in revisions, over every remainder by three',
-    async run(s) {
+    async run(scene) {
       for (let i = 0; i < 3; i++) {
-        await s.operators.change(LEAP);
-        await s.f.nap(3000);
+        await scene.operators.change(LEAP);
+        await scene.fleet.nap(3000);
       }
     },
     meets: Met.ruled('acked', 5),
@@ -59,14 +59,18 @@
   {
     name: 'island_change',
     about: 'routers are cut off from all other machines but the servers just before a configuration changes',
-    async run(s) {
+    async run(scene) {
       for (let i = 0; i < 3; i++) {
-        const some = s.trouble.some(s.f.routerIds, 3);
-        const rest = [...s.f.replicaIds, 'platform', ...s.f.routerIds.filter((id) => !some.includes(id))];
-        s.trouble.cut(some, rest, 4000);
-        await s.operators.change();
-        await marks(s, 2500);
-        await s.f.nap(6000);
+        const some = scene.trouble.some(scene.fleet.routerIds, 3);
+        const rest = [
+          ...scene.fleet.replicaIds,
+          'platform',
+          ...scene.fleet.routerIds.filter((id) => !some.includes(id)),
+        ];
+        scene.trouble.cut(some, rest, 4000);
+        await scene.operators.change();
+        await marks(scene, 2500);
+        await scene.fleet.nap(6000);
       }
     },
     meets: Met.beside,
--- a/packages/routesim/src/drills/zonedrills.ts
+++ b/packages/routesim/src/drills/zonedrills.ts
@@ -12,15 +12,16 @@
 const SETTLING_MS = Bounds.catchUp + Bounds.contact;
 
 /** All machines of some zones lose power at once. */
-const loseZones = (s: Scene, zones: readonly string[], ms: number): void => {
-  const inZones = (ids: readonly string[]): string[] => ids.filter((id) => zones.includes(s.f.boxes.get(id)!.site));
-  s.trouble.kill(inZones(s.f.replicaIds), ms, true);
-  s.trouble.kill(inZones(s.f.routerIds), ms, true);
+const loseZones = (scene: Scene, zones: readonly string[], ms: number): void => {
+  const inZones = (ids: readonly string[]): string[] =>
+    ids.filter((id) => zones.includes(scene.fleet.boxes.get(id)!.site));
+  scene.trouble.kill(inZones(scene.fleet.replicaIds), ms, true);
+  scene.trouble.kill(inZones(scene.fleet.routerIds), ms, true);
 };
 /** The core serves a change once the time for recovery is over. */
-const recoverAndChange = async (s: Scene): Promise<void> => {
-  await s.f.nap(Bounds.recovery);
-  await s.operators.change();
+const recoverAndChange = async (scene: Scene): Promise<void> => {
+  await scene.fleet.nap(Bounds.recovery);
+  await scene.operators.change();
 };
 const changedAfterLastKill = (seen: readonly Seen[]): boolean => {
   const killedAt = seen.findLast((x) => x.what === 'trouble' && x.kind === 'kill')?.at ?? Infinity;
@@ -31,21 +32,21 @@
   meets: changedAfterLastKill,
 });
 const lostForGood = (zone: string): Drill =>
-  drill(`zone_lost_${zone}`, `zone ${zone} of three is lost for good`, Sizes.zoned, async (s) => {
-    loseZones(s, [zone], FOR_GOOD_MS);
-    await recoverAndChange(s);
+  drill(`zone_lost_${zone}`, `zone ${zone} of three is lost for good`, Sizes.zoned, async (scene) => {
+    loseZones(scene, [zone], FOR_GOOD_MS);
+    await recoverAndChange(scene);
   });
 const lostInTurn = (first: string, second: string): Drill =>
   drill(
     `zones_in_turn_${first}_${second}`,
     `zone ${first} is lost and comes back; then zone ${second} is lost for good`,
     Sizes.zoned,
-    async (s) => {
-      loseZones(s, [first], SHORT_LOSS_MS);
-      await s.f.nap(SHORT_LOSS_MS + SETTLING_MS);
-      await s.operators.change();
-      loseZones(s, [second], FOR_GOOD_MS);
-      await recoverAndChange(s);
+    async (scene) => {
+      loseZones(scene, [first], SHORT_LOSS_MS);
+      await scene.fleet.nap(SHORT_LOSS_MS + SETTLING_MS);
+      await scene.operators.change();
+      loseZones(scene, [second], FOR_GOOD_MS);
+      await recoverAndChange(scene);
     },
   );
 
@@ -65,29 +66,29 @@
     'zone_lost_after_replace',
     'control replicas are replaced, one planned and one not; then a zone is lost for good',
     Sizes.zoned,
-    async (s) => {
-      await s.trouble.replace(s.f.replicaIds[0]!, true);
-      await s.f.nap(SETTLING_MS);
-      await s.trouble.replace(s.f.replicaIds.at(-2)!, false);
-      await s.f.nap(SETTLING_MS);
-      await s.operators.change();
-      loseZones(s, ['z1'], FOR_GOOD_MS);
-      await recoverAndChange(s);
+    async (scene) => {
+      await scene.trouble.replace(scene.fleet.replicaIds[0]!, true);
+      await scene.fleet.nap(SETTLING_MS);
+      await scene.trouble.replace(scene.fleet.replicaIds.at(-2)!, false);
+      await scene.fleet.nap(SETTLING_MS);
+      await scene.operators.change();
+      loseZones(scene, ['z1'], FOR_GOOD_MS);
+      await recoverAndChange(scene);
     },
   ),
   drill(
     'zone_lost_after_leaves',
     'every control replica gets SIGTERM, one after the other; then a zone is lost for good',
     Sizes.zoned,
-    async (s) => {
-      await s.trouble.term([...s.f.replicaIds], 1, SETTLING_MS);
-      await s.operators.change();
-      loseZones(s, ['z2'], FOR_GOOD_MS);
-      await recoverAndChange(s);
+    async (scene) => {
+      await scene.trouble.term([...scene.fleet.replicaIds], 1, SETTLING_MS);
+      await scene.operators.change();
+      loseZones(scene, ['z2'], FOR_GOOD_MS);
+      await recoverAndChange(scene);
     },
   ),
-  drill('region_lost', 'a region with two of five zones is lost for good', Sizes.regional, async (s) => {
-    loseZones(s, ['z1', 'z3'], FOR_GOOD_MS);
-    await recoverAndChange(s);
+  drill('region_lost', 'a region with two of five zones is lost for good', Sizes.regional, async (scene) => {
+    loseZones(scene, ['z1', 'z3'], FOR_GOOD_MS);
+    await recoverAndChange(scene);
   }),
 ];
--- a/packages/routesim/src/playing.ts
+++ b/packages/routesim/src/fleet.ts
@@ -1,4 +1,4 @@
 import type { VirtualFleet } from './virtualfleet.js';
 
 /** A fleet that is played. */
-export type Playing = ReturnType<typeof VirtualFleet.make>;
+export type Fleet = ReturnType<typeof VirtualFleet.make>;
--- a/packages/routesim/src/modelclients.ts
+++ b/packages/routesim/src/modelclients.ts
@@ -7,7 +7,7 @@
 import { Entry } from './entry.js';
 import { OneTry } from './onetry.js';
 import type { RequestKind } from './requestkind.js';
-import type { Playing } from './playing.js';
+import type { Fleet } from './fleet.js';
 import type { Seen } from './seen.js';
 import type { Wish } from './wish.js';
 
@@ -19,10 +19,10 @@
  * own.
  */
 export const ModelClients = {
-  make(f: Playing, bent: Bent, tell: (x: Seen) => void) {
-    const { motor } = f;
-    const entry = Entry.make(f),
-      once = OneTry.make(f, bent, tell);
+  make(fleet: Fleet, bent: Bent, tell: (x: Seen) => void) {
+    const { motor } = fleet;
+    const entry = Entry.make(fleet),
+      once = OneTry.make(fleet, bent, tell);
     let on = false;
     let times = 1;
     let load: ClientLoad = ClientLoads.light;
@@ -61,13 +61,13 @@
         if (got.outcome === 'whole' || !may(w, got.outcome)) return;
         if (w.kind === 'stream') after = got.pieces.at(-1)?.n ?? after;
         const wait = got.outcome === 'refused' ? Math.min(got.after, (due - motor.now()) / 3) : 30;
-        await f.nap(wait);
+        await fleet.nap(wait);
       }
     };
     const loop = async (): Promise<void> => {
       while (on) {
         const wave = 1 + 0.5 * Math.sin(motor.now() / 4000);
-        await f.nap((1000 / (load.perSecond * wave * times)) * 2 * motor.chance.real());
+        await fleet.nap((1000 / (load.perSecond * wave * times)) * 2 * motor.chance.real());
         const clump = motor.chance.real() < 0.02 ? 10 : 1;
         for (let i = 0; i < clump && on; i++) {
           const kind = load.kinds[int(load.kinds.length)]!;
--- a/packages/routesim/src/modeloperators.ts
+++ b/packages/routesim/src/modeloperators.ts
@@ -2,7 +2,7 @@
 import { Bounds } from './bounds.js';
 import type { EngineModel } from './enginemodel.js';
 import { ModelTenants } from './modeltenants.js';
-import type { Playing } from './playing.js';
+import type { Fleet } from './fleet.js';
 import type { Proposal } from './proposal.js';
 import type { Seen } from './seen.js';
 
@@ -29,14 +29,14 @@
  * other; one that got no clear answer is sent again unchanged, to any control replica, with a pause that grows.
  */
 export const ModelOperators = {
-  make(f: Playing, tell: (x: Seen) => void) {
-    const { motor } = f;
+  make(fleet: Fleet, tell: (x: Seen) => void) {
+    const { motor } = fleet;
     const proposals: Proposal[] = [];
     const outcomes = new Map<number, Ruled>();
     const revoked = new Set<string>();
     let acker: string | null = null;
     let lost = 0;
-    const any = (): string => f.replicaIds[Random.int(motor.chance, f.replicaIds.length)]!;
+    const any = (): string => fleet.replicaIds[Random.int(motor.chance, fleet.replicaIds.length)]!;
     const make = (base: number, revision: number, fault: Fault = 'none'): Proposal => {
       const n = proposals.length + 1,
         mark = `/mark-${n}/`;
@@ -58,7 +58,7 @@
       const routing = {
         revision: at,
         routes,
-        services: ['alpha', 'beta'].map((name) => service(name, f.platform.engine())),
+        services: ['alpha', 'beta'].map((name) => service(name, fleet.platform.engine())),
         limits,
         tenants: fault === 'key' ? ModelTenants.shared(tenants) : tenants,
         source: `text ${n}`,
@@ -70,7 +70,7 @@
     /** Calls one control replica; null where nothing clear comes back in time. */
     const call = <T>(id: string, ms: number, fn: () => Promise<T | null>): Promise<T | null> =>
       new Promise((done) => {
-        const b = f.boxes.get(id)!,
+        const b = fleet.boxes.get(id)!,
           life = b.life();
         const back = (v: T | null): void => motor.at(motor.now() + 1, () => done(v));
         motor.at(motor.now() + ms, () => done(null));
@@ -89,11 +89,11 @@
       let out: Ruled = 'unclear';
       for (let pause = 100; motor.now() < until && out === 'unclear'; pause = Math.min(1000, pause * 2)) {
         const id = any();
-        const v = await call(id, 4200, () => f.desk.replace(id, p.base, p.routing));
+        const v = await call(id, 4200, () => fleet.desk.replace(id, p.base, p.routing));
         if (v?.ran === 'yes') out = 'acked';
         else if (v?.ran === 'no' && v.code === 'bad') out = 'bad';
         else if (v?.ran === 'no' && (v.code === 'lost' || v.code === 'stale')) out = 'lost';
-        else await f.nap(pause);
+        else await fleet.nap(pause);
         if (out === 'acked') acker = id;
       }
       outcomes.set(p.n, out);
@@ -105,9 +105,9 @@
       const until = motor.now() + GIVE_UP;
       while (motor.now() < until) {
         const id = any();
-        const got = await call(id, 3000, () => f.desk.read(id));
+        const got = await call(id, 3000, () => fleet.desk.read(id));
         if (got?.ok) return got.val ?? 'none';
-        await f.nap(200);
+        await fleet.nap(200);
       }
       return null;
     };
@@ -122,7 +122,7 @@
     /** One read at one replica, told of if it replied; one that can't be sure of the newest says so and is no reply. */
     const peek = async (id: string): Promise<void> => {
       const from = motor.now();
-      const got = await call(id, 3000, () => f.desk.read(id));
+      const got = await call(id, 3000, () => fleet.desk.read(id));
       if (got?.ok) tell({ what: 'read', replica: id, from, revision: got.val?.revision ?? 0, at: motor.now() });
     };
     return {
@@ -161,7 +161,7 @@
         await send(make(on, on + 1, FAULTS[Random.int(motor.chance, FAULTS.length)]));
       },
       async readBack(): Promise<void> {
-        for (const from = motor.now(); motor.now() - from < Bounds.contact; await f.nap(300)) {
+        for (const from = motor.now(); motor.now() - from < Bounds.contact; await fleet.nap(300)) {
           const now = await read();
           const some = now === null || now === 'none' ? null : now;
           tell({
--- a/packages/routesim/src/onetry.ts
+++ b/packages/routesim/src/onetry.ts
@@ -4,7 +4,7 @@
 import { ModelTenants } from './modeltenants.js';
 import { Deliveries } from './deliveries.js';
 import type { Piece } from './piece.js';
-import type { Playing } from './playing.js';
+import type { Fleet } from './fleet.js';
 import type { Seen } from './seen.js';
 import type { Wish } from './wish.js';
 
@@ -21,20 +21,20 @@
  * leaves it silent; the client goes at its deadline, or after a silence.
  */
 export const OneTry = {
-  make(f: Playing, bent: Bent, tell: (x: Seen) => void) {
-    const { motor } = f;
+  make(fleet: Fleet, bent: Bent, tell: (x: Seen) => void) {
+    const { motor } = fleet;
     const open = new Map<string, { router: string; torn: (dark: boolean) => void }>();
     let tries = 0;
-    f.torn((id, dark) => {
+    fleet.torn((id, dark) => {
       for (const t of [...open.values()]) if (t.router === id) t.torn(dark);
     });
     const delay = (): number => 0.4 + motor.chance.real();
     const front = (id: string): string =>
-      bent === 'mixedfronts' ? f.routerIds[Math.floor(motor.chance.real() * f.routerIds.length)]! : id;
+      bent === 'mixedfronts' ? fleet.routerIds[Math.floor(motor.chance.real() * fleet.routerIds.length)]! : id;
     return (w: Wish, router: string, after: number, due: number): Promise<Tried> =>
       new Promise((resolve) => {
         const id = `t${++tries}`,
-          box = f.boxes.get(front(router))!;
+          box = fleet.boxes.get(front(router))!;
         const pieces: Piece[] = [];
         let life = -1;
         let over = false;
@@ -43,7 +43,15 @@
         let leave: () => void = () => undefined;
         tell({
           credentials: w.credentials,
-          ...{ what: 'sent', id, key: w.key, router, life: f.boxes.get(router)!.life(), path: w.path, kind: w.kind },
+          ...{
+            what: 'sent',
+            id,
+            key: w.key,
+            router,
+            life: fleet.boxes.get(router)!.life(),
+            path: w.path,
+            kind: w.kind,
+          },
           ...{ resumable: w.resumable, service: w.service, after, total: w.total, due, at: motor.now() },
         });
         const end = (outcome: Outcome): void => {
@@ -100,7 +108,7 @@
         };
         motor.at(motor.now() + delay(), function arrive() {
           if (over) return;
-          const r = f.routers.get(box.id);
+          const r = fleet.routers.get(box.id);
           if (!r || !box.up()) {
             end('unreached');
             return;
@@ -122,10 +130,10 @@
             deadline: motor.now() + (due - motor.now()),
             clientTimeoutMs: due - motor.now(),
           };
-          f.open.set(box.id, (f.open.get(box.id) ?? 0) + 1);
+          fleet.open.set(box.id, (fleet.open.get(box.id) ?? 0) + 1);
           void r.serve(request, sink).then((v) => {
             if (box.life() !== life) return;
-            f.open.set(box.id, (f.open.get(box.id) ?? 1) - 1);
+            fleet.open.set(box.id, (fleet.open.get(box.id) ?? 1) - 1);
             if (!v) return;
             again = (v.after ?? 0.2) * 1000;
             say(() => end(OUTCOMES[v.code] ?? (v.ran === 'no' ? 'refused' : 'broken')));
--- a/packages/routesim/src/play.ts
+++ b/packages/routesim/src/play.ts
@@ -12,10 +12,10 @@
 import { Troubles } from './troubles.js';
 import { VirtualFleet } from './virtualfleet.js';
 
-const FOUND = 4000;
-const CALM = 5000;
-const END = 300_000;
-const SERVED = 0.3;
+const SETTLING_MS = 4000;
+const CALM_MS = 5000;
+const MAX_RUN_MS = 300_000;
+const MIN_SERVED_FRACTION = 0.3;
 /** Of so many probes one shows the key of a late configuration, or of one up to so many before it. */
 const KEY_PROBES = 3;
 const OLDER = 11;
@@ -27,24 +27,24 @@
     const motor = Engine.make(seed);
     const seen: Seen[] = [];
     const tell = (x: Seen): void => void seen.push(x);
-    const f = VirtualFleet.make(motor, size, bent, tell);
-    const clients = ModelClients.make(f, bent, tell),
-      operators = ModelOperators.make(f, tell),
-      trouble = Troubles.make(f, tell);
-    const s: Scene = { f, clients, operators, trouble };
-    if (drill.engine) f.platform.use(drill.engine);
+    const fleet = VirtualFleet.make(motor, size, bent, tell);
+    const clients = ModelClients.make(fleet, bent, tell),
+      operators = ModelOperators.make(fleet, tell),
+      trouble = Troubles.make(fleet, tell);
+    const s: Scene = { fleet, clients, operators, trouble };
+    if (drill.engine) fleet.platform.use(drill.engine);
     for (const service of ['alpha', 'beta'])
       for (let i = 0; i < size.readers + size.decoders; i++) {
         const stage = i < size.readers ? 'prefill' : 'decode';
-        f.platform.add({ service, addr: f.platform.address(), zone: `z${(i % 2) + 1}`, stage });
+        fleet.platform.add({ service, addr: fleet.platform.address(), zone: `z${(i % 2) + 1}`, stage });
       }
     let over = false;
     let done = false;
     let rounds = 0;
     const probes = async (): Promise<void> => {
       while (!over) {
-        await f.nap(60);
-        const r = f.routerIds[Math.floor(motor.chance.real() * f.routerIds.length)]!;
+        await fleet.nap(60);
+        const r = fleet.routerIds[Math.floor(motor.chance.real() * fleet.routerIds.length)]!;
         const p = operators.proposals.slice(-4)[Math.floor(motor.chance.real() * 4)];
         if (motor.chance.real() < 0.5) clients.probe(r, '/flip/', p && p.n % 2 === 1 ? 'beta' : 'alpha');
         else if (p) clients.probe(r, p.mark, 'alpha');
@@ -54,34 +54,34 @@
     };
     const reads = async (): Promise<void> => {
       while (!over) {
-        await f.nap(250);
-        void operators.peek(f.replicaIds[Math.floor(motor.chance.real() * f.replicaIds.length)]!);
+        await fleet.nap(250);
+        void operators.peek(fleet.replicaIds[Math.floor(motor.chance.real() * fleet.replicaIds.length)]!);
       }
     };
     const script = async (): Promise<void> => {
-      f.platform.start();
-      f.startAll();
-      await f.nap(1500);
-      for (let i = 0; i < 5 && !(await operators.change()); i++) await f.nap(500);
-      f.found();
-      await f.nap(FOUND);
+      fleet.platform.start();
+      fleet.startAll();
+      await fleet.nap(1500);
+      for (let i = 0; i < 5 && !(await operators.change()); i++) await fleet.nap(500);
+      fleet.found();
+      await fleet.nap(SETTLING_MS);
       clients.start();
       void probes();
       void reads();
-      await f.nap(CALM);
+      await fleet.nap(CALM_MS);
       await operators.change();
       await drill.run(s);
-      await f.nap(CALM);
+      await fleet.nap(CALM_MS);
       await operators.change();
-      await f.nap(CALM);
+      await fleet.nap(CALM_MS);
       clients.stop();
       over = true;
-      await f.nap(9000);
+      await fleet.nap(9000);
       await operators.readBack();
       done = true;
     };
     void script();
-    for (let t = 0; !done && t < END; t += 1000) await motor.run(t);
+    for (let t = 0; !done && t < MAX_RUN_MS; t += 1000) await motor.run(t);
     tell({ what: 'end', at: motor.now() });
     const e = Evidence.make(seen, operators.proposals);
     const rules = Rules.map((r) => ({ name: r.name, ...r.check(e) }));
@@ -96,7 +96,7 @@
     const faults = rules.flatMap((r) => r.faults.slice(0, 4).map((x) => `${r.name}: ${x}`));
     if (!done) faults.push('the run did not end');
     if (!drill.meets(seen)) faults.push('the drill did not bring its trouble about');
-    if (part < SERVED) faults.push(`only ${part} were served`);
+    if (part < MIN_SERVED_FRACTION) faults.push(`only ${part} were served`);
     return {
       faults,
       rules,
--- a/packages/routesim/src/scene.ts
+++ b/packages/routesim/src/scene.ts
@@ -1,11 +1,11 @@
 import type { ModelClients } from './modelclients.js';
 import type { ModelOperators } from './modeloperators.js';
-import type { Playing } from './playing.js';
+import type { Fleet } from './fleet.js';
 import type { Troubles } from './troubles.js';
 
 /** What a drill works with. */
 export type Scene = {
-  f: Playing;
+  fleet: Fleet;
   clients: ReturnType<typeof ModelClients.make>;
   operators: ReturnType<typeof ModelOperators.make>;
   trouble: ReturnType<typeof Troubles.make>;
--- a/packages/routesim/src/troubles.ts
+++ b/packages/routesim/src/troubles.ts
@@ -1,14 +1,14 @@
 import { Random } from '@pumicebarrow/forms';
 import { Bounds } from './bounds.js';
-import type { Playing } from './playing.js';
+import type { Fleet } from './fleet.js';
 import type { Seen } from './seen.js';
 
 type How = { planned?: boolean; edges?: boolean };
 
 /** Brings trouble, and says so. Invariant: a machine that was killed is started again by whoever killed it. */
 export const Troubles = {
-  make(f: Playing, tell: (x: Seen) => void) {
-    const { motor, platform } = f;
+  make(fleet: Fleet, tell: (x: Seen) => void) {
+    const { motor, platform } = fleet;
     const note = (kind: string, ids: readonly string[], ms: number, how: How = {}): void =>
       tell({
         ...{ what: 'trouble', kind, ids, until: motor.now() + ms, planned: how.planned ?? false },
@@ -33,49 +33,49 @@
     const t = {
       ...{ note, some, later, servers },
       kill(ids: readonly string[], ms: number, dark = false): void {
-        note('kill', f.together(ids), ms, { edges: ids.every((id) => f.replicaIds.includes(id)) });
+        note('kill', fleet.together(ids), ms, { edges: ids.every((id) => fleet.replicaIds.includes(id)) });
         for (const id of ids) {
-          f.down(id, dark);
-          later(ms, () => f.start(id));
+          fleet.down(id, dark);
+          later(ms, () => fleet.start(id));
         }
       },
       freeze(ids: readonly string[], ms: number, pause = false): void {
-        note('freeze', f.together(ids), ms, { edges: ids.every((id) => f.replicaIds.includes(id)) });
-        for (const id of f.together(ids)) {
-          if (pause) f.boxes.get(id)!.pause(ms);
-          else f.boxes.get(id)!.freeze(ms);
+        note('freeze', fleet.together(ids), ms, { edges: ids.every((id) => fleet.replicaIds.includes(id)) });
+        for (const id of fleet.together(ids)) {
+          if (pause) fleet.boxes.get(id)!.pause(ms);
+          else fleet.boxes.get(id)!.freeze(ms);
         }
       },
       async term(ids: readonly string[], atOnce: number, gap: number): Promise<void> {
         for (let i = 0; i < ids.length; i += atOnce) {
           const part = ids.slice(i, i + atOnce);
-          note('term', f.together(part), Bounds.grace, { planned: true, edges: true });
+          note('term', fleet.together(part), Bounds.grace, { planned: true, edges: true });
           await Promise.all(
             part.map(async (id) => {
-              await f.term(id);
-              await f.nap(400);
-              f.start(id);
+              await fleet.term(id);
+              await fleet.nap(400);
+              fleet.start(id);
             }),
           );
-          await f.nap(gap);
+          await fleet.nap(gap);
         }
       },
       cut(a: readonly string[], b: readonly string[], ms: number, oneway = false): void {
-        note('cut', f.together(a), ms, { edges: a.every((id) => f.replicaIds.includes(id)) });
-        const lift = f.net.cut(f.together(a), f.together(b), oneway);
+        note('cut', fleet.together(a), ms, { edges: a.every((id) => fleet.replicaIds.includes(id)) });
+        const lift = fleet.net.cut(fleet.together(a), fleet.together(b), oneway);
         later(ms, lift);
       },
       step(ids: readonly string[], by: number, ms: number): void {
         note('clock', ids, 0);
-        for (const id of ids) f.boxes.get(id)!.skew(by);
+        for (const id of ids) fleet.boxes.get(id)!.skew(by);
         later(ms, () => {
           note('clock', ids, 0);
-          for (const id of ids) f.boxes.get(id)!.skew(-by);
+          for (const id of ids) fleet.boxes.get(id)!.skew(-by);
         });
       },
       disk(how: 'slow' | 'full' | 'stall', id: string, ms: number): void {
         note(`disk ${how}`, [id], ms);
-        const d = f.disks.get(id)!;
+        const d = fleet.disks.get(id)!;
         if (how === 'slow') d.slow(250);
         if (how === 'full') d.fill(true);
         if (how === 'stall') d.stall(ms);
@@ -98,29 +98,29 @@
         for (const s of servers(part, false)) {
           note('release', [], 8000, { planned: true });
           platform.add({ service: s.service, addr: platform.address(), zone: s.zone, stage: s.stage() });
-          await f.nap(gap);
+          await fleet.nap(gap);
           platform.retire(s, reuse);
         }
       },
       wipe(id: string, ms: number): void {
-        note('wipe', f.together([id]), ms + Bounds.catchUp, { edges: true });
-        f.down(id, true);
-        f.wipe(id);
-        later(ms, () => f.start(id));
+        note('wipe', fleet.together([id]), ms + Bounds.catchUp, { edges: true });
+        fleet.down(id, true);
+        fleet.wipe(id);
+        later(ms, () => fleet.start(id));
       },
       async replace(id: string, planned: boolean): Promise<void> {
-        note('replace', f.together([id]), 3000, { planned, edges: true });
-        if (!planned) f.down(id, true);
-        if (!planned) f.wipe(id);
-        f.bar(id);
-        if (!planned) await f.nap(1000);
-        const next = f.replaceReplica(id);
-        note('replace', f.together([next]), Bounds.catchUp, { planned, edges: true });
-        f.start(next);
+        note('replace', fleet.together([id]), 3000, { planned, edges: true });
+        if (!planned) fleet.down(id, true);
+        if (!planned) fleet.wipe(id);
+        fleet.bar(id);
+        if (!planned) await fleet.nap(1000);
+        const next = fleet.replaceReplica(id);
+        note('replace', fleet.together([next]), Bounds.catchUp, { planned, edges: true });
+        fleet.start(next);
         if (!planned) return;
-        await f.nap(4000);
-        note('replace', f.together([id]), Bounds.grace, { planned, edges: true });
-        await f.term(id);
+        await fleet.nap(4000);
+        note('replace', fleet.together([id]), Bounds.grace, { planned, edges: true });
+        await fleet.term(id);
       },
     };
     return t;
--- a/packages/routesim/src/virtualfleet.ts
+++ b/packages/routesim/src/virtualfleet.ts
@@ -12,10 +12,10 @@
 type Routed = ReturnType<typeof Router.make>;
 type Keeping = Extract<Awaited<ReturnType<typeof ControlReplica.make>>, { ok: true }>['val'];
 type Port = ReturnType<typeof ModelEngine.make>;
-const TURNED = 2600;
-const SPARE = 700;
-const LOOK = 50;
-const AGAIN = 500;
+const ACCEPT_WHILE_LEAVING_MS = 2600;
+const GRACE_MARGIN_MS = 700;
+const POLL_INTERVAL_MS = 50;
+const RESTART_DELAY_MS = 500;
 const ZONES = ['z1', 'z2'];
 
 /** Routers and control replicas on simulated machines: the daemons' own code, and round it what the programs do. */
@@ -101,7 +101,7 @@
           if (b.life() !== life) return;
           if (made.err) {
             downOne(id, false);
-            motor.at(motor.now() + AGAIN, () => startOne(id));
+            motor.at(motor.now() + RESTART_DELAY_MS, () => startOne(id));
             return;
           }
           replicas.set(id, made.val);
@@ -125,9 +125,14 @@
         downOne(id, false);
         return;
       }
-      r?.leave(TURNED, Bounds.grace - SPARE);
+      r?.leave(ACCEPT_WHILE_LEAVING_MS, Bounds.grace - GRACE_MARGIN_MS);
       if (r)
-        while (here() && gone() < Bounds.grace - SPARE && (gone() < TURNED || (open.get(id) ?? 0) > 0)) await nap(LOOK);
+        while (
+          here() &&
+          gone() < Bounds.grace - GRACE_MARGIN_MS &&
+          (gone() < ACCEPT_WHILE_LEAVING_MS || (open.get(id) ?? 0) > 0)
+        )
+          await nap(POLL_INTERVAL_MS);
       if (k) await Promise.race([k.leave(), nap(Bounds.grace)]);
       if (!here()) return;
       r?.stop();
