--- a/packages/registry/src/consensus/voterplacement.ts
+++ b/packages/registry/src/consensus/voterplacement.ts
@@ -67,7 +67,7 @@
     return candidates.filter((m) => chosen.includes(m));
   },
   /**
-   * The transfer of one vote, from one of `oldVoters` to one of `newVoters`, after which the excess is lowest; null if
+   * The transfer of one vote, from one of `voters` to one of `newVoters`, after which the excess is lowest; null if
    * none lowers it.
    */
   bestSwap(
