--- a/packages/router/src/fixtures.test.ts
+++ b/packages/router/src/fixtures.test.ts
@@ -104,20 +104,40 @@
 
 /**
  * Result of the next call of the scripted client: a prefill (`read`) that returns a handle or fails, or a run that
- * sends events and then ends, fails or hangs.
+ * sends events and then ends, fails or hangs. A run with `pauseMs` sends nothing for so long, then one more event (none
+ * with `silentAtEnd`), and only then does it end or fail.
  */
 export type ScriptedResult =
   | { read: 'ok' | SendFault['code']; ran?: SendFault['ran'] }
-  | { run: 'ok' | SendFault['code']; ran?: SendFault['ran']; events?: number; hang?: boolean; status?: number };
+  | {
+      run: 'ok' | SendFault['code'];
+      ran?: SendFault['ran'];
+      events?: number;
+      hang?: boolean;
+      status?: number;
+      pauseMs?: number;
+      silentAtEnd?: boolean;
+    };
 
 /** A request as it was passed to the scripted client. */
 export type SentRequest = { request: ClientRequest; urgency: number };
 
-/** Model server client that follows a script and records its calls. */
+const pause = (clock: Clock | null, ms: number): Promise<'over'> =>
+  new Promise((done) => {
+    if (!clock) throw new Error('A scripted pause needs a clock.');
+    clock.after(ms, () => done('over'));
+  });
+
+/**
+ * Model server client that follows a script and records its calls, and the servers of runs that the caller ended.
+ * Pauses in the script need a clock.
+ */
 export const testModelServerClient = (
   script: ScriptedResult[],
   calls: string[],
   asked: SentRequest[] = [],
+  clock: Clock | null = null,
+  ended: string[] = [],
 ): ModelServerClient => {
   let handleCount = 0;
   const fault = (code: SendFault['code'], ran: SendFault['ran'] | undefined): Result<never, SendFault> =>
@@ -139,18 +159,29 @@
       const scripted = script.shift();
       calls.push(`run ${s.id}${from ? ` from ${from.id}` : ''}${after !== null ? ` after ${after}` : ''}`);
       if (!scripted || !('run' in scripted)) return fault('broken', 'maybe');
-      if (scripted.events) {
+      let last = Number(after ?? 0);
+      let headed = false;
+      /** Sends one event, and the head before the first; false if the response is not wanted. */
+      const sendEvent = (): boolean => {
         response.onActivity();
-        if (!response.onHead(scripted.status ?? 200, [['x-seal', s.id]])) return fault('gone', 'maybe');
-        const first = Number(after ?? 0);
-        for (let i = 1; i <= scripted.events; i++) response.onEvent(String(first + i), Buffer.from(`${first + i};`));
-      }
-      if (scripted.hang) {
-        return new Promise((done) => {
-          terms.signal.addEventListener('abort', () =>
-            done(fault(terms.signal.reason === 'gone' ? 'gone' : 'late', 'maybe')),
-          );
-        });
+        if (!headed && !response.onHead(scripted.status ?? 200, [['x-seal', s.id]])) return false;
+        headed = true;
+        last++;
+        return response.onEvent(String(last), Buffer.from(`${last};`));
+      };
+      for (let i = 0; i < (scripted.events ?? 0); i++) if (!sendEvent()) return fault('gone', 'maybe');
+      const aborted = new Promise<'aborted'>((done) =>
+        terms.signal.addEventListener('abort', () => {
+          ended.push(s.id);
+          done('aborted');
+        }),
+      );
+      const abortFault = (): Result<never, SendFault> =>
+        fault(terms.signal.reason === 'gone' ? 'gone' : 'late', 'maybe');
+      if (scripted.hang) return aborted.then(abortFault);
+      if (scripted.pauseMs !== undefined) {
+        if ((await Promise.race([aborted, pause(clock, scripted.pauseMs)])) === 'aborted') return abortFault();
+        if (!scripted.silentAtEnd && !sendEvent()) return fault('gone', 'maybe');
       }
       return scripted.run === 'ok' ? Ok(undefined) : fault(scripted.run, scripted.ran);
     },
--- a/packages/router/src/requesthandler.ts
+++ b/packages/router/src/requesthandler.ts
@@ -3,16 +3,16 @@
 import { Deferral } from './deferral.js';
 import { FirstAttempts } from './firstattempts.js';
 import type { Job } from './job.js';
+import { JobKey } from './jobkey.js';
 import { RequestAuthentication } from './requestauthentication.js';
 import { PrefillRunner } from './prefillrunner.js';
 import { PrefillDeadline } from './prefilldeadline.js';
 import type { ClientRequest } from './clientrequest.js';
 import { DecodeRunner } from './decoderunner.js';
 import type { RequestHandlerDependencies } from './requesthandlerdependencies.js';
+import { SendReservations } from './sendreservations.js';
 import { Urgency } from './urgency.js';
 
-/** A request with less time left than this is not sent. */
-const MIN_SEND_TIME_MS = 30;
 /** Retry-after of a refused request. */
 const RETRY_SOON_S = 0.15;
 /** Retry-after of a request that only this daemon cannot take: another router can take it at once. */
@@ -40,8 +40,9 @@
 export const RequestHandler = {
   make(deps: RequestHandlerDependencies) {
     const now = (): number => deps.world.clock.mono();
-    const prefill = PrefillRunner.make(deps),
-      decode = DecodeRunner.make(deps);
+    const sends = SendReservations.make(deps);
+    const prefill = PrefillRunner.make(deps);
+    const decode = DecodeRunner.make(deps, sends);
     const firstAttempts = FirstAttempts.make();
     const refuse = (code: string, why: string): Verdict => Verdicts.notRun(code, why, RETRY_SOON_S);
     const accept = (request: ClientRequest, writer: ResponseWriter): Job | Verdict => {
@@ -143,34 +144,14 @@
       }
       return true;
     };
-    /**
-     * Whether the request's key is still valid; if it now belongs to another tenant, the request becomes that tenant's.
-     */
-    const isKeyStillValid = (job: Job): boolean => {
-      const routes = deps.routes();
-      if (!routes?.tenants.keysRequired) return true;
-      const authenticated = RequestAuthentication.authenticate(routes, job.route, job.request.keyDigest);
-      if (authenticated.err) return false;
-      job.request = RequestAuthentication.withoutCredentials(routes, job.request, authenticated.val);
-      return true;
-    };
     /** Prefills and runs the request, with retries where that is safe, until it is answered or no option is left. */
     const prefillAndDecode = async (job: Job): Promise<void> => {
       const prompt = job.request.prompt;
-      for (;;) {
-        if (
-          job.cancellation.signal.aborted ||
-          job.deadline - now() < MIN_SEND_TIME_MS ||
-          job.countedSends >= job.route.tries
-        )
-          return;
-        if (!isKeyStillValid(job)) return;
+      while (sends.maySend(job)) {
         // A second prefill counts as a try, so it needs another try to be left for the run itself.
         const mayPrefill = job.prefillAttempts === 0 || job.countedSends + 2 <= job.route.tries;
         if (!job.handle && mayPrefill && prompt) await prefill(job);
         await deps.loadAggregator.refresh(DECODE_LOAD_MAX_AGE_MS);
-        if (job.cancellation.signal.aborted || job.budgetExhausted || job.countedSends >= job.route.tries) return;
-        if (!isKeyStillValid(job)) return;
         if (await decode(job)) return;
       }
     };
@@ -200,7 +181,7 @@
         return null;
       }
       if (writer.isClientGone()) return finish(job, Verdicts.maybeRun('gone', 'The client went.'));
-      if (!job.mayHaveRun && !isKeyStillValid(job))
+      if (!job.mayHaveRun && !JobKey.refresh(deps.routes(), job))
         return finish(job, Verdicts.notRun('revokedkey', 'Its key was taken away.'));
       if (job.mayHaveRun) return finish(job, Verdicts.maybeRun('broken', job.lastFault?.why ?? 'It may have run.'));
       return finish(job, refuse('noserver', job.lastFault?.why ?? 'No server can take this now.'));
--- a/packages/router/src/retrybudget.ts
+++ b/packages/router/src/retrybudget.ts
@@ -62,6 +62,11 @@
         level -= 1;
         return true;
       },
+      /** Gives back a retry that was taken for a send that never arrived. */
+      giveBack(): void {
+        accrue();
+        level = Math.min(maxLevel(), level + 1);
+      },
       /**
        * Whether one more send may be charged: the level may become negative as long as later requests can cover the
        * debt.
--- a/packages/router/src/scenario.test.ts
+++ b/packages/router/src/scenario.test.ts
@@ -35,6 +35,8 @@
   servers?: Server[];
   request?: Partial<ClientRequest>;
   budget?: number;
+  /** Slack of the retry budget, in retries; 0 if not given. */
+  budgetSlack?: number;
   tenants?: Tenant[];
   /** Tenants of a second configuration, which takes effect after `ms`. */
   secondTenants?: { ms: number; tenants: Tenant[] };
@@ -53,7 +55,11 @@
   queuedTokens?: Readonly<Record<string, number>>;
   /** Client timeout in ms of a retry that follows a first attempt with 8 s. */
   retryTimeoutMs?: number;
-  duringRequest?: (t: ReturnType<typeof testClock>, output: ReturnType<typeof testResponseWriter>) => Promise<void>;
+  duringRequest?: (
+    t: ReturnType<typeof testClock>,
+    output: ReturnType<typeof testResponseWriter>,
+    ended: readonly string[],
+  ) => Promise<void>;
 };
 const FLEET = [server('p1', 'prefill'), server('d1', 'decode'), server('d2', 'decode')];
 
@@ -62,6 +68,7 @@
   const time = testClock(),
     calls: string[] = [],
     asked: SentRequest[] = [],
+    ended: string[] = [],
     suspected: string[] = [],
     turned: string[] = [];
   const world = testWorld(time.clock);
@@ -78,7 +85,7 @@
     prefillRate = PrefillRate.make(),
     slowdown = ServerSlowdown.make(time.clock),
     prefillWait = UnexpectedPrefillWait.make(time.clock, () => true);
-  const terms = { ratio: 0.2, window: 10_000, slack: 0 };
+  const terms = { ratio: 0.2, window: 10_000, slack: scenario.budgetSlack ?? 0 };
   const budget = RetryBudget.make(
     time.clock,
     () => terms,
@@ -132,7 +139,7 @@
       slowdown,
       prefillWait,
       retryBudgets: { of: () => budget },
-      engine: testModelServerClient(scenario.script, calls, asked),
+      engine: testModelServerClient(scenario.script, calls, asked, time.clock, ended),
     },
     ...{
       unavailable: () => scenario.unavailable ?? null,
@@ -165,10 +172,11 @@
     revocation.configurationChanged();
   }
   if (scenario.listTooOld || scenario.unavailable) await time.advance(600);
-  if (scenario.duringRequest) await scenario.duringRequest(time, output);
+  if (scenario.duringRequest) await scenario.duringRequest(time, output, ended);
   const verdict = await done;
   return {
     calls,
+    ended,
     asked: asked.map((a) => a.request),
     urgencies: asked.map((a) => a.urgency),
     steps: requestLog.stepsOf('q1'),
--- a/packages/router/src/tenantkeys.test.ts
+++ b/packages/router/src/tenantkeys.test.ts
@@ -96,9 +96,14 @@
     const got = await runScenario({
       script: [{ run: 'late', hang: true }, run],
       ...{ tenants, request: withKey(MINE), secondTenants: { ms: 20, tenants: without } },
-      duringRequest: (t) => t.advance(2500),
+      async duringRequest(t, _output, ended) {
+        await t.advance(2500);
+        expect(ended).to.deep.equal([]);
+        await t.advance(BOUND - 2500);
+      },
     });
     expect(got.calls).to.have.length(1);
+    expect(got.ended).to.have.length(1);
     expect([got.verdict?.ran, got.verdict?.code]).to.deep.equal(['maybe', 'broken']);
   });
   it('whose response has started continues until shortly before the revocation bound and is then aborted', async () => {
