--- a/packages/router/src/decodeattempt.ts
+++ b/packages/router/src/decodeattempt.ts
@@ -1,4 +1,5 @@
 import type { ReservedSend } from './reservedsend.js';
+import type { ResponseHead } from './responsehead.js';
 import type { Server } from './server.js';
 
 /** One run of a request on a decode server. */
@@ -11,7 +12,7 @@
   /** Events that this run has contributed to the response. */
   events: number;
   /** The response head of this run while another run may still provide the response. */
-  heldHead: { status: number; headers: readonly (readonly [string, string])[] } | null;
+  heldHead: ResponseHead | null;
   /** Whether another run goes on in its place, so that the outcome of this one no longer decides anything. */
   replaced: boolean;
 };
--- a/packages/router/src/decodeoutcomes.ts
+++ b/packages/router/src/decodeoutcomes.ts
@@ -29,7 +29,8 @@
       recordSuccess(job: Job, server: Server, startedAt: number, handleOwner: Server | null): void {
         if (handleOwner) deps.health.recordHandleFetched(handleOwner.id);
         if (job.request.prompt) deps.prefixCache.record(server.id, job.request.prompt);
-        if (job.status >= SERVER_ERROR_STATUS) deps.suspect(server, `answered ${job.status}`);
+        const status = job.responseHead?.status ?? 0;
+        if (status >= SERVER_ERROR_STATUS) deps.suspect(server, `answered ${status}`);
         else deps.health.recordSuccess(server.id, startedAt);
       },
       /** Returns whether this failure leaves the request without any option. */
--- a/packages/router/src/decoderunner.ts
+++ b/packages/router/src/decoderunner.ts
@@ -47,21 +47,27 @@
         attempt.replaced = startSuccessor();
         return attempt.replaced;
       };
-      const responseOf = (attempt: DecodeAttempt): Pick<RunObserver, 'onHead' | 'onEvent'> => ({
-        onHead(status, headers) {
-          if (attempt.replaced || isErrorReplaced(attempt, status)) return false;
-          if (NOT_RUN_STATUSES.has(status) && !Repeatability.mayRunAgain(job)) return false;
-          return group.acceptHead(attempt, status, headers);
+      const responseOf = (attempt: DecodeAttempt): Omit<RunObserver, 'onActivity'> => ({
+        onHead(head) {
+          if (attempt.replaced || isErrorReplaced(attempt, head.status)) return false;
+          if (NOT_RUN_STATUSES.has(head.status) && !Repeatability.mayRunAgain(job)) return false;
+          return group.acceptHead(attempt, head);
         },
         onEvent(id, bytes) {
           if (attempt.replaced) return false;
           group.continueWith(attempt);
-          if (id !== null) job.lastEventId = id;
+          if (id === null) job.sentEventWithoutId = true;
+          else job.lastEventId = id;
           if (job.eventsSent === 0) deps.requestLog.record(job.request.id, 'first', { at: attempt.reserved.server.id });
           job.eventsSent++;
           attempt.events++;
           return job.writer.write(bytes);
         },
+        onBody(bytes) {
+          if (attempt.replaced) return false;
+          group.continueWith(attempt);
+          return job.writer.write(bytes);
+        },
       });
       /** Judges the outcome of a run; that of the last one left decides whether the request is finished. */
       const settle = (attempt: DecodeAttempt, result: Result<void, SendFault>, recordSuccess: () => void): void => {
--- a/packages/router/src/decodesend.ts
+++ b/packages/router/src/decodesend.ts
@@ -67,6 +67,10 @@
           endRead();
           return response.onEvent(id, bytes);
         },
+        onBody(bytes) {
+          endRead();
+          return response.onBody(bytes);
+        },
       });
       watch.stop();
       deps.counters.count('runs', result.ok ? 'ok' : result.val.code);
--- a/packages/router/src/fixtures.test.ts
+++ b/packages/router/src/fixtures.test.ts
@@ -4,6 +4,7 @@
 
 import type { Prompt } from './prompt.js';
 import type { ClientRequest } from './clientrequest.js';
+import type { ResponseHead } from './responsehead.js';
 import type { SendFault } from './sendfault.js';
 import type { Server } from './server.js';
 
@@ -105,7 +106,7 @@
 /**
  * Result of the next call of the scripted client: a prefill (`read`) that returns a handle or fails, or a run that
  * sends events and then ends, fails or hangs. A run with `pauseMs` sends nothing for so long, then one more event (none
- * with `silentAtEnd`), and only then does it end or fail.
+ * with `silentAtEnd`), and only then does it end or fail. With `plain` it answers with a plain body, each event a piece of it.
  */
 export type ScriptedResult =
   | { read: 'ok' | SendFault['code']; ran?: SendFault['ran'] }
@@ -117,6 +118,8 @@
       status?: number;
       pauseMs?: number;
       silentAtEnd?: boolean;
+      plain?: boolean;
+      withoutIds?: boolean;
     };
 
 /** A request as it was passed to the scripted client. */
@@ -161,13 +164,18 @@
       if (!scripted || !('run' in scripted)) return fault('broken', 'maybe');
       let last = Number(after ?? 0);
       let headed = false;
+      const head: ResponseHead = {
+        ...{ status: scripted.status ?? 200, headers: [['x-seal', s.id]] },
+        isEventStream: !scripted.plain,
+      };
       /** Sends one event, and the head before the first; false if the response is not wanted. */
       const sendEvent = (): boolean => {
         response.onActivity();
-        if (!headed && !response.onHead(scripted.status ?? 200, [['x-seal', s.id]])) return false;
+        if (!headed && !response.onHead(head)) return false;
         headed = true;
         last++;
-        return response.onEvent(String(last), Buffer.from(`${last};`));
+        if (scripted.plain) return response.onBody(Buffer.from(`${s.id}.${last};`));
+        return response.onEvent(scripted.withoutIds ? null : String(last), Buffer.from(`${last};`));
       };
       for (let i = 0; i < (scripted.events ?? 0); i++) if (!sendEvent()) return fault('gone', 'maybe');
       const aborted = new Promise<'aborted'>((done) =>
@@ -183,7 +191,8 @@
         if ((await Promise.race([aborted, pause(clock, scripted.pauseMs)])) === 'aborted') return abortFault();
         if (!scripted.silentAtEnd && !sendEvent()) return fault('gone', 'maybe');
       }
-      return scripted.run === 'ok' ? Ok(undefined) : fault(scripted.run, scripted.ran);
+      if (scripted.run !== 'ok') return fault(scripted.run, scripted.ran);
+      return headed || response.onHead(head) ? Ok(undefined) : fault('gone', 'maybe');
     },
     hasIdleConnection: () => false,
     releaseHandle(h) {
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -45,6 +45,7 @@
 export { RequestLogHandler } from './requestloghandler.js';
 export { RequestStep } from './requeststep.js';
 export { type ReservedSend } from './reservedsend.js';
+export { type ResponseHead } from './responsehead.js';
 export { type ResponseWriter } from './responsewriter.js';
 export { RetryBudget } from './retrybudget.js';
 export { RetryBudgets } from './retrybudgets.js';
--- a/packages/router/src/job.ts
+++ b/packages/router/src/job.ts
@@ -1,6 +1,7 @@
 import type { Route, Service } from '@pumicebarrow/forms';
 import type { ResponseWriter } from './responsewriter.js';
 import type { KvCacheHandle } from './kvcachehandle.js';
+import type { ResponseHead } from './responsehead.js';
 import type { ClientRequest } from './clientrequest.js';
 import type { SendFault } from './sendfault.js';
 import type { PlacementEstimate } from './placementestimate.js';
@@ -8,8 +9,8 @@
 /**
  * State of one request while it is being served. Invariants: `countedSends` counts each send that may have reached a
  * server and that counts towards the route's tries and the retry budget (the first prefill that a server accepted does
- * not); `lastEventId` is the last event passed on to the client; once `responseStarted`, the response head has been
- * sent and does not change.
+ * not); `lastEventId` is the last event passed on to the client; once `responseHead` is set, it
+ * has been sent and does not change.
  */
 export type Job = {
   request: ClientRequest;
@@ -35,10 +36,11 @@
   handle: KvCacheHandle | null;
   /** Id of the last event that the client has, here or from an earlier attempt. */
   lastEventId: string | null;
-  responseStarted: boolean;
+  /** Head of the response that has started. */
+  responseHead: ResponseHead | null;
   eventsSent: number;
-  /** HTTP status of the response that has started. */
-  status: number;
+  /** Whether an event without an id was passed on, after which no other server can tell where to go on. */
+  sentEventWithoutId: boolean;
   /** Whether some server may have run the request. */
   mayHaveRun: boolean;
   /** Servers that failed this request; they are not tried again for it. */
--- a/packages/router/src/requesthandler.ts
+++ b/packages/router/src/requesthandler.ts
@@ -90,8 +90,8 @@
           placementEstimate: null,
           eventsSent: 0,
           handle: null,
-          responseStarted: false,
-          status: 0,
+          responseHead: null,
+          sentEventWithoutId: false,
           mayHaveRun: false,
           lastFault: null,
         },
@@ -173,7 +173,7 @@
         return finish(job, Verdicts.notRun('full', 'Every server is full.', RETRY_LATER_S));
       await prefillAndDecode(job);
       if (job.handle) void deps.engine.releaseHandle(job.handle);
-      if (job.responseStarted) {
+      if (job.responseHead) {
         const complete = job.lastFault === null && job.countedSends > 0;
         if (complete) writer.end();
         else writer.abort();
--- a/packages/routesim/src/modelengine.ts
+++ b/packages/routesim/src/modelengine.ts
@@ -151,7 +151,7 @@
           const w = WorkOf.make(motor, spoilt(request), box.id, 'run', terms, bent === 'joins' ? null : after);
           let headed = false;
           const head = (): void => {
-            if (!headed) heard.onHead(200, [['run', w.run]]);
+            if (!headed) heard.onHead({ status: 200, headers: [['run', w.run]], isEventStream: true });
             headed = true;
           };
           w.event = (p) => {
