--- a/packages/router/src/fixtures.test.ts
+++ b/packages/router/src/fixtures.test.ts
@@ -106,7 +106,8 @@
 /**
  * Result of the next call of the scripted client: a prefill (`read`) that returns a handle or fails, or a run that
  * sends events and then ends, fails or hangs. A run with `pauseMs` sends nothing for so long, then one more event (none
- * with `silentAtEnd`), and only then does it end or fail. With `plain` it answers with a plain body, each event a piece of it.
+ * with `silentAtEnd`), and only then does it end or fail. With `plain` it answers with a plain body, each event a piece
+ * of it.
  */
 export type ScriptedResult =
   | { read: 'ok' | SendFault['code']; ran?: SendFault['ran'] }
