--- a/packages/routesim/src/drills.test.ts
+++ b/packages/routesim/src/drills.test.ts
@@ -6,7 +6,11 @@
 import { Sizes } from './sizes.js';
 
 /** Seeds that once broke a rule, beside the first. */
-const SEEDS: Record<string, readonly number[]> = { core_oneway: [1, 2], head_back_soon: [1, 2, 3, 4] };
+const SEEDS: Record<string, readonly number[]> = {
+  core_oneway: [1, 2],
+  head_back_soon: [1, 2, 3, 4],
+  roll_term_pauses: [1, 2, 3, 4],
+};
 /** Each has to catch what is broken on purpose; a drill that catches it by luck of the schedule is not sure enough. */
 const BROKEN = [1, 2];
 
--- a/packages/routesim/src/drills/machinedrills.ts
+++ b/packages/routesim/src/drills/machinedrills.ts
@@ -5,6 +5,11 @@
 const routers = (scene: Scene, n: number): string[] => scene.trouble.some(scene.fleet.routerIds, n);
 const servers = (scene: Scene): string[] => scene.fleet.platform.up().map((x) => x.id);
 
+/** Longer than a router waits before it looks for another server, shorter than clients wait. */
+const PAUSE_MS = 1900;
+const BETWEEN_PAUSES_MS = 1100;
+const PAUSES = 4;
+
 /** Trouble at the machines of routers. */
 export const MachineDrills: readonly Drill[] = [
   {
@@ -60,6 +65,21 @@
     },
     meets: Met.kind('term'),
   },
+  {
+    name: 'roll_term_pauses',
+    about:
+      'routers get SIGTERM, one at a time, while all decode servers pause in the middle of their streams and go on',
+    async run(scene) {
+      const leaving = scene.trouble.term(scene.fleet.routerIds, 1, 500);
+      for (let i = 0; i < PAUSES; i++) {
+        await scene.fleet.nap(BETWEEN_PAUSES_MS);
+        for (const server of scene.fleet.platform.up()) if (server.stage() === 'decode') server.pause(PAUSE_MS);
+        await scene.fleet.nap(PAUSE_MS);
+      }
+      await leaving;
+    },
+    meets: Met.kind('term'),
+  },
   {
     name: 'herd_kill',
     about: 'more than half of the routers are killed at once',
--- a/packages/routesim/src/modelserver.ts
+++ b/packages/routesim/src/modelserver.ts
@@ -32,6 +32,7 @@
     let ticking = false;
     let count = 0;
     const trouble = { hold: Bounds.hold, moves: 1, slow: 1, lose: 0, spoil: 0, shed: 0, hang: 0 };
+    let pausedUntil = 0;
     let linkFree = 0;
     const now = motor.now;
     const order = (a: ServerWork, b: ServerWork): number => a.urgency - b.urgency || a.order - b.order;
@@ -102,6 +103,10 @@
     const tick = (): void => {
       ticking = false;
       if (state !== 'up') return;
+      if (now() < pausedUntil) {
+        wake(pausedUntil - now());
+        return;
+      }
       lapse();
       for (const w of [...queue])
         if (w.until <= now())
@@ -201,6 +206,10 @@
       drain(): void {
         leaving = true;
       },
+      /** It sends nothing for so long, and then goes on with all it has. */
+      pause(ms: number): void {
+        pausedUntil = now() + ms;
+      },
       /** Its machine goes: connections break, or say nothing more. */
       stop(dark: boolean): void {
         state = dark ? 'dark' : 'dead';
