Crowds at each listener of both roles, with the bounds of a small machine (red)

Clients that are not ours ended a process: it ran out of memory. 35 cases start the system's own processes (3 control replicas, 1 router) on loopback with memory_mb 160 and max_fds 512, and send one crowd each: bodies in large or one-byte chunks without their end, of a told length that lack a byte, far over the limit; heads without an end; requests sent ahead with their answers unread; large answers unread; connections that rest; lines of the daemons' protocol without an end or that grow when parsed; the same at a process that leaves; one whole body in chunks of one byte.

Judged: the process lives, resident memory together with the kernel's queues of its sockets stays under 160 MB, descriptors under 512, an ordinary caller is answered beside the crowd and after it, one that leaves exits with 0. The bounds are what the settings file tells. No times, no shares.

Not steady on this code: control, internal: questions sent ahead failed at one of three such runs, router, internal: the same at three of four.

--- a/packages/yard/src/routed/routedplant.ts
+++ b/packages/yard/src/routed/routedplant.ts
@@ -13,6 +13,10 @@
 type Size = { replicas: number; routers: number; prefill: number; decode: number } & {
   /** Whether each control replica stands in one process with a router. */
   shared?: boolean;
+  /** What each daemon's machine allows it, and whether it has a port to serve metrics at. */
+  machine?: { memoryMb: number; maxDescriptors: number; servesMetrics: boolean };
+  /** Bytes that each event of an answer is padded by. */
+  padding?: number;
 };
 type Daemon = { id: string; role: 'router' | 'control'; addr: string; file: string } & {
   /** Where its callers come: clients to a router, the operator to a control replica. */
@@ -75,6 +79,7 @@
       return SettingsText.of({
         ...{ id: d.id, addr: d.addr, zone: zone(i), list: `127.0.0.1:${list}`, first: true },
         ...{ role: started(d), shared: d.clients !== undefined },
+        ...(size.machine === undefined ? {} : { machine: size.machine }),
         seeds: replicas.map((k) => k.addr),
         ...(d.role === 'control' ? { control: d.front, data: join(dir, d.id) } : {}),
         ...(serves === undefined ? {} : { front: serves, ready: d.addr.replace(/\d+$/, String(ready)) }),
@@ -119,12 +124,18 @@
             stage = i < size.prefill ? 'prefill' : 'decode';
           const addr = `127.0.0.1:${ports[i]!}`;
           const start = { id, addr, service: SERVICE, zone: zone(i), stage, slots: SLOTS, clock } as const;
-          standIns.set(id, await ModelStandIn.make(start));
+          const padding = size.padding ?? 0;
+          standIns.set(id, await ModelStandIn.make({ ...start, padding }));
         }
         listHost = await ListStandIn.make(`127.0.0.1:${list}`, () => [...standIns.values()].map((s) => s.listed()));
         for (const d of daemons) rise(d.id);
       },
       rise,
+      /** The process of a daemon; null while it has none. */
+      pid: (id: string): number | null => up.get(id)?.proc.pid ?? null,
+      /** Where a router says whether new connections are wanted, and where a daemon serves its metrics. */
+      readiness: (d: Daemon): string => d.addr.replace(/\d+$/, String(ready)),
+      metrics: (d: Daemon): string => d.addr.replace(/\d+$/, String(internal + INTERNAL - 1)),
       /** What the model servers were told of the client behind a request, each that it came to. */
       received: (id: string) => [...standIns.values()].flatMap((s) => s.received().get(id) ?? []),
       /** Ends one of our own processes, by its id; gives its exit code. */
