Parts that bound what peers make a process hold, over all of its connections

ProcessLimits divides the memory and the descriptors that a machine is told over the listeners of a process. MemoryBudget evicts the holder of most bytes once their sum outgrows its share; ConnectionTable (HTTP) and AcceptedPeers (between daemons) charge to it and bound connections and requests sent ahead. ByteCollector keeps bytes at their weight, JsonCost estimates what a text takes once parsed, GarbageCollector frees buffers that V8 would let pile up to 64 MB. Not wired to any listener yet.

--- /dev/null
+++ b/packages/forms/src/machinelimits.ts
@@ -0,0 +1,6 @@
+/** What the machine allows one process. */
+export type MachineLimits = {
+  memoryBytes: number;
+  /** Open file descriptors. */
+  descriptors: number;
+};
--- a/tools/tests/plan.mjs
+++ b/tools/tests/plan.mjs
@@ -2,7 +2,7 @@
 const REAL = [
   /^packages\/(yard|client)\//,
   /^platform\//,
-  /^packages\/forms\/dist\/(tcpwire|filedisk|settingsreader|knownred)\.test\.js$/,
+  /^packages\/forms\/dist\/(tcpwire|acceptedpeers|connectiontable|filedisk|settingsreader|knownred)\.test\.js$/,
   /^packages\/counter\/dist\/httpmodelserverclient\.test\.js$/,
 ];
 /** Tests that share their runs out over threads of their own, as many as there are cores. */
