The shares of a process add up, also with two daemons in it and on small machines

Cause: a process that carries a router and a core member had the shares of peers and model servers twice, and the fixed numbers for readiness and metrics were too large for 512 descriptors: 324 of 312. Found on reading the change.

--- a/packages/forms/src/processlimits.ts
+++ b/packages/forms/src/processlimits.ts
@@ -8,16 +8,17 @@
 const MIN_SOCKETS = 64;
 /** Shares of the remaining descriptors. What is left of them is for connections to peers and the platform. */
 const CLIENT_SHARE = 1 / 2;
-const SERVER_SHARE = 1 / 4;
+const SERVER_SHARE = 3 / 16;
 const PEER_SHARE = 1 / 8;
 const OPERATOR_SHARE = 1 / 16;
 /** Share for peers of a process that serves no clients. */
 const PEER_SHARE_WITHOUT_CLIENTS = 1 / 2;
-/** Connections of those who ask for readiness or metrics, a few at a time. */
-const PROBE_CONNECTIONS = 16;
+/** Share, and the most, of those who ask for readiness or metrics. */
+const PROBE_SHARE = 1 / 64;
+const MAX_PROBE_CONNECTIONS = 16;
 /** What a process is taken to have that is not told what its machine allows. */
 const UNKNOWN_MACHINE: MachineLimits = { memoryBytes: 1e9, descriptors: 4096 };
-const MIN_CONNECTIONS = 16;
+const MIN_CONNECTIONS = 4;
 /** Shares of the memory: for bytes that peers make the process hold, for their connections, for one parsed document. */
 const HELD_SHARE = 1 / 4;
 const CONNECTION_SHARE = 1 / 8;
@@ -36,11 +37,13 @@
  * descriptors and the memory that the machine allows, whatever arrives on each.
  */
 export const ProcessLimits = {
-  of(machine: MachineLimits, servesClients: boolean): ProcessLimits {
+  /** `daemons`: how many daemons, each with connections to peers and to model servers, are in the process. */
+  of(machine: MachineLimits, { servesClients, daemons }: { servesClients: boolean; daemons: number }): ProcessLimits {
     const sockets = Math.max(MIN_SOCKETS, machine.descriptors - FILE_DESCRIPTORS);
     const affordable = (machine.memoryBytes * CONNECTION_SHARE) / CONNECTION_BYTES;
     const connections = (share: number): number =>
       Math.floor(Math.max(MIN_CONNECTIONS, Math.min(sockets * share, affordable)));
+    const probes = Math.min(MAX_PROBE_CONNECTIONS, connections(PROBE_SHARE));
     const memory = MemoryBudget.make(machine.memoryBytes * HELD_SHARE);
     const listener = (maxConnections: number, jsonShare = JSON_SHARE): ListenerLimits => ({
       maxConnections,
@@ -49,11 +52,11 @@
     });
     return {
       clients: listener(connections(CLIENT_SHARE)),
-      peers: listener(connections(servesClients ? PEER_SHARE : PEER_SHARE_WITHOUT_CLIENTS), MESSAGE_SHARE),
+      peers: listener(connections((servesClients ? PEER_SHARE : PEER_SHARE_WITHOUT_CLIENTS) / daemons), MESSAGE_SHARE),
       operators: listener(connections(OPERATOR_SHARE)),
-      readiness: listener(PROBE_CONNECTIONS),
-      scrapers: listener(PROBE_CONNECTIONS),
-      maxServerConnections: connections(SERVER_SHARE),
+      readiness: listener(probes),
+      scrapers: listener(probes),
+      maxServerConnections: connections(SERVER_SHARE / daemons),
       metrics: () => [
         sample(
           'held_bytes',
@@ -65,7 +68,7 @@
       ],
     };
   },
-  ofUnknownMachine: () => ProcessLimits.of(UNKNOWN_MACHINE, false),
+  ofUnknownMachine: () => ProcessLimits.of(UNKNOWN_MACHINE, { servesClients: false, daemons: 1 }),
 };
 export type ProcessLimits = {
   clients: ListenerLimits;
