--- a/packages/yard/src/overload/crowdpayloads.ts
+++ b/packages/yard/src/overload/crowdpayloads.ts
@@ -1,14 +1,17 @@
 import { SampleCall } from '@pumicebarrow/platform';
 
 const MIB = 1024 * 1024;
+/** The deadline of a client whose whole body is to be served, however long a busy machine takes to read it. */
+const PATIENT_MS = 120_000;
 const PIECE_BYTES = 64 * 1024;
 /** So many one-byte chunks are written at once. */
 const TINY_CHUNKS_PER_WRITE = 4096;
 
 const requestLine = (method: string, path: string): string => `${method} ${path} HTTP/1.1\r\n`;
 /** The head of a request that an ordinary client might send, with a header more that says how its body comes. */
-const head = (method: string, path: string, bodyHeader: string): Buffer => {
-  const headers = Object.entries(SampleCall.headers('crowd', 2000, 3)).map(([name, value]) => `${name}: ${value}\r\n`);
+const head = (method: string, path: string, bodyHeader: string, deadlineMs?: number): Buffer => {
+  const fields = SampleCall.headers('crowd', 2000, 3, deadlineMs);
+  const headers = Object.entries(fields).map(([name, value]) => `${name}: ${value}\r\n`);
   return Buffer.from(`${requestLine(method, path)}${headers.join('')}${bodyHeader}\r\n`);
 };
 const chunk = (bytes: number): Buffer =>
@@ -26,14 +29,14 @@
     for (let sent = 0; sent < bytes; sent += PIECE_BYTES) yield piece;
   },
   /** A chunked body of so many bytes in chunks of one byte, without its end. */
-  *tinyChunks(path: string, bytes: number): Iterable<Uint8Array> {
-    yield head('POST', path, 'Transfer-Encoding: chunked\r\n');
+  *tinyChunks(path: string, bytes: number, deadlineMs?: number): Iterable<Uint8Array> {
+    yield head('POST', path, 'Transfer-Encoding: chunked\r\n', deadlineMs);
     const piece = Buffer.from('1\r\nx\r\n'.repeat(TINY_CHUNKS_PER_WRITE));
     for (let sent = 0; sent < bytes; sent += TINY_CHUNKS_PER_WRITE) yield piece;
   },
   /** A whole request of an ordinary client, with a body of so many bytes in chunks of one byte. */
   *tinyBody(path: string, bytes: number): Iterable<Uint8Array> {
-    yield* CrowdPayloads.tinyChunks(path, bytes);
+    yield* CrowdPayloads.tinyChunks(path, bytes, PATIENT_MS);
     yield Buffer.from('0\r\n\r\n');
   },
   /** A body of a told length, of which the last byte is missing. */
